--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV := .venv
+STAMP := $(VENV)/installed
+PROJECTS := $(wildcard packages/*/pyproject.toml)
+
+.PHONY: setup demo test lint format
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(PROJECTS)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --constraint constraints.txt \
+		--requirement requirements-dev.txt
+	$(VENV)/bin/pip install --quiet --constraint constraints.txt \
+		--no-build-isolation \
+		$(patsubst %/pyproject.toml,--editable %,$(PROJECTS))
+	touch $@
+
+demo: setup
+	$(VENV)/bin/python -m wasabilanding.experiments.demo
+
+test: setup
+	$(VENV)/bin/python bin/run-tests
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/flake8 packages bin
+
+format: setup
+	$(VENV)/bin/ruff format .
--- /dev/null
+++ b/packages/callers/wasabilanding/callers/answers.py
@@ -0,0 +1,89 @@
+"""Answers to callers: errors with their outcome, and whole completions."""
+
+import json
+import math
+
+from wasabilanding import model
+
+STATUS_BY_REASON = {
+    model.Reason.INVALID_REQUEST: 400,
+    model.Reason.UNKNOWN_SERVICE: 404,
+    model.Reason.NO_REPLICA: 503,
+    model.Reason.OVERLOADED: 503,
+    model.Reason.CUSTOMER_LIMIT: 429,
+    model.Reason.DEADLINE: 504,
+    model.Reason.REFUSED: 503,
+    model.Reason.CONNECT_FAILED: 503,
+    model.Reason.CONNECTION_LOST: 502,
+    model.Reason.STALLED: 504,
+    model.Reason.ENDPOINT_ERROR: 502,
+    model.Reason.CLAIM_UNAVAILABLE: 503,
+    model.Reason.DUPLICATE: 409,
+    model.Reason.POISONED: 422,
+    model.Reason.CANCELLED: 499,
+    model.Reason.SHUTTING_DOWN: 503,
+}
+
+
+def error_body(outcome: model.Outcome) -> dict:
+    """Return the JSON body of an answer that is not a success.
+
+    :param outcome: outcome of the request.
+    """
+    return {
+        "error": {
+            "message": outcome.detail,
+            "type": outcome.reason.value,
+            "code": outcome.reason.value,
+            "outcome": outcome.verdict.value,
+            "retry_after_s": outcome.retry_after_s,
+        }
+    }
+
+
+def error_headers(outcome: model.Outcome) -> dict[str, str]:
+    """Return the headers of an answer that is not a success.
+
+    :param outcome: outcome of the request.
+    """
+    headers = {
+        "Content-Type": "application/json",
+        "X-Outcome": outcome.verdict.value,
+        "X-Reason": outcome.reason.value,
+    }
+    if outcome.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(outcome.retry_after_s))
+    return headers
+
+
+def error_event(outcome: model.Outcome) -> bytes:
+    """Return the last event of a stream that ends without a whole answer.
+
+    :param outcome: outcome of the request.
+    """
+    return b"data: " + json.dumps(error_body(outcome)).encode() + b"\n\n"
+
+
+def whole_completion(
+    request_id: str, service: str, chunks: list[bytes]
+) -> dict:
+    """Return one completion made of the chunks of a stream.
+
+    :param request_id: identity of the submission.
+    :param service: service that answered.
+    :param chunks: payloads of the stream's events, in order.
+    """
+    text = "".join(_content(chunk) for chunk in chunks)
+    message = {"role": "assistant", "content": text}
+    return {
+        "id": f"chatcmpl-{request_id}",
+        "object": "chat.completion",
+        "model": service,
+        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+        "usage": {"completion_tokens": len(chunks)},
+    }
+
+
+def _content(chunk: bytes) -> str:
+    choices = json.loads(chunk).get("choices") or [{}]
+    return choices[0].get("delta", {}).get("content") or ""
--- /dev/null
+++ b/packages/callers/wasabilanding/callers/app.py
@@ -0,0 +1,173 @@
+"""HTTP application for callers."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import typing
+
+import quart
+import quart_trio
+import werkzeug.exceptions
+
+from wasabilanding.callers import answers
+from wasabilanding.callers import requests
+from wasabilanding import model
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+END_OF_STREAM = b"data: [DONE]\n\n"
+
+Batches = collections.abc.AsyncIterator[list[bytes]]
+
+
+class Service(typing.Protocol):
+    """What the application needs from the daemon."""
+
+    def run(self, request: requests.CallerRequest) -> Batches:
+        """Run a request and yield payloads, a batch at a time."""
+
+    async def forward(
+        self, service: str, path: str, call: "PlainCall"
+    ) -> "PlainAnswer":
+        """Forward a call to a plain service."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send requests."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainCall:
+    """A call to a plain service."""
+
+    method: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainAnswer:
+    """The answer of a plain service."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def _error(outcome: model.Outcome) -> quart.Response:
+    return quart.Response(
+        json.dumps(answers.error_body(outcome)),
+        status=answers.STATUS_BY_REASON[outcome.reason],
+        headers=answers.error_headers(outcome),
+    )
+
+
+def _frame(batch: list[bytes]) -> bytes:
+    return b"".join(b"data: " + part + b"\n\n" for part in batch)
+
+
+async def _events(
+    first: list[bytes], rest: Batches
+) -> collections.abc.AsyncIterator[bytes]:
+    async with contextlib.aclosing(rest):
+        yield _frame(first)
+        try:
+            async for batch in rest:
+                yield _frame(batch)
+        except requests.RequestFailed as error:
+            yield answers.error_event(error.outcome)
+            return
+        yield END_OF_STREAM
+
+
+async def _whole(
+    request: requests.CallerRequest, batches: Batches
+) -> quart.Response:
+    chunks: list[bytes] = []
+    async with contextlib.aclosing(batches):
+        async for batch in batches:
+            chunks.extend(batch)
+    body = answers.whole_completion(
+        request.request_id, request.service, chunks
+    )
+    return quart.Response(json.dumps(body), content_type="application/json")
+
+
+async def _streamed(batches: Batches) -> quart.Response:
+    first = await anext(batches, [])
+    response = quart.Response(
+        _events(first, batches), content_type="text/event-stream"
+    )
+    response.timeout = None
+    return response
+
+
+def _add_completions(app: quart.Quart, service: Service) -> None:
+    @app.post("/v1/chat/completions")
+    async def complete() -> quart.Response:
+        try:
+            body = await quart.request.get_data()
+            request = requests.parse_request(quart.request.headers, body)
+            batches = service.run(request)
+            if request.stream:
+                return await _streamed(batches)
+            return await _whole(request, batches)
+        except requests.RequestFailed as error:
+            return _error(error.outcome)
+
+
+def _add_plain(app: quart.Quart, service: Service) -> None:
+    methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+
+    @app.route("/services/<name>/<path:path>", methods=methods)
+    async def forward(name: str, path: str) -> quart.Response:
+        call = PlainCall(
+            quart.request.method,
+            quart.request.query_string.decode(),
+            dict(quart.request.headers),
+            await quart.request.get_data(),
+        )
+        try:
+            answer = await service.forward(name, path, call)
+        except requests.RequestFailed as error:
+            return _error(error.outcome)
+        return quart.Response(
+            answer.body, status=answer.status, headers=answer.headers
+        )
+
+
+def _add_health(app: quart.Quart, service: Service) -> None:
+    @app.get("/healthz")
+    async def live() -> quart.ResponseReturnValue:
+        return {"live": True}
+
+    @app.get("/readyz")
+    async def ready() -> quart.ResponseReturnValue:
+        return {"ready": service.ready}, 200 if service.ready else 503
+
+
+def callers_app(service: Service) -> quart_trio.QuartTrio:
+    """Return the HTTP application for callers.
+
+    :param service: runs the requests.
+    """
+    app = quart_trio.QuartTrio("callers")
+    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
+    app.config["BODY_TIMEOUT"] = None
+    app.config["RESPONSE_TIMEOUT"] = None
+    _add_completions(app, service)
+    _add_plain(app, service)
+    _add_health(app, service)
+
+    @app.errorhandler(werkzeug.exceptions.RequestEntityTooLarge)
+    async def too_large(error: Exception) -> quart.ResponseReturnValue:
+        outcome = model.not_run(
+            model.Reason.INVALID_REQUEST,
+            f"body is larger than {MAX_BODY_BYTES} bytes",
+        )
+        response = _error(outcome)
+        response.status_code = 413
+        return response
+
+    return app
--- /dev/null
+++ b/packages/command/wasabilanding/command/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line."""
+
+from wasabilanding.command.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/command/wasabilanding/command/profile.py
@@ -0,0 +1,127 @@
+"""Commands ``wasabilanding profile``."""
+
+import json
+import pathlib
+import typing
+
+import typer
+
+from wasabilanding.command import output
+from wasabilanding.command import session
+from wasabilanding import model
+
+EXIT_INVALID = 2
+
+app = typer.Typer(help="Write and read profiles.")
+
+AsJson = typing.Annotated[
+    bool, typer.Option("--json", help="Print JSON for programs.")
+]
+
+
+def _read(path: pathlib.Path) -> model.Profile:
+    try:
+        return model.decode(model.Profile, path.read_bytes())
+    except OSError as error:
+        typer.echo(f"{path}: {error.strerror}", err=True)
+    except model.InvalidDocument as error:
+        for mistake in error.mistakes:
+            typer.echo(f"{path}: {mistake}", err=True)
+    raise typer.Exit(EXIT_INVALID)
+
+
+@app.command("list")
+def list_profiles(context: typer.Context, as_json: AsJson = False) -> None:
+    """List the profiles in force and the services that chose them."""
+    with session.administration(context) as client:
+        found = client.profiles()
+    if as_json:
+        output.print_json(found)
+        return
+    chosen_by: dict[str, list[str]] = {}
+    for service, choice in found["services"].items():
+        chosen_by.setdefault(choice["profile"], []).append(service)
+    rows = [
+        (
+            name,
+            entry["revision"],
+            entry["profile"]["kind"],
+            ", ".join(chosen_by.get(name, [])),
+        )
+        for name, entry in found["profiles"].items()
+    ]
+    columns = ("profile", "revision", "kind", "chosen by")
+    output.print_table(
+        f"configuration revision {found['revision']}", columns, rows
+    )
+
+
+@app.command()
+def show(context: typer.Context, name: str) -> None:
+    """Show the content of a profile that is in force."""
+    with session.administration(context) as client:
+        found = client.profile(name)
+    output.print_json(found["revisions"][-1])
+
+
+@app.command()
+def history(
+    context: typer.Context, name: str, as_json: AsJson = False
+) -> None:
+    """Show the kept revisions of a profile."""
+    with session.administration(context) as client:
+        found = client.profile(name)
+    if as_json:
+        output.print_json(found)
+        return
+    rows = [
+        (entry["revision"], json.dumps(entry["profile"]))
+        for entry in found["revisions"]
+    ]
+    output.print_table(f"profile {name}", ("revision", "content"), rows)
+
+
+@app.command()
+def validate(path: pathlib.Path) -> None:
+    """Check the file of a profile without writing it."""
+    profile = _read(path)
+    typer.echo(f"profile {profile.name} is valid")
+
+
+@app.command()
+def put(
+    context: typer.Context,
+    path: pathlib.Path,
+    replaces: typing.Annotated[
+        int, typer.Option(help="Revision that it replaces; 0 if new.")
+    ] = 0,
+) -> None:
+    """Write a profile from a file."""
+    profile = _read(path)
+    content = json.loads(path.read_bytes())
+    with session.administration(context) as client:
+        accepted = client.put_profile(profile.name, content, replaces)
+    typer.echo(
+        f"profile {profile.name} is accepted at configuration revision "
+        f"{accepted['revision']}"
+    )
+
+
+@app.command()
+def rollback(
+    context: typer.Context,
+    name: str,
+    to: typing.Annotated[
+        int, typer.Option(help="Revision whose content comes back.")
+    ],
+    replaces: typing.Annotated[
+        int, typer.Option(help="Revision that it replaces.")
+    ],
+) -> None:
+    """Write an earlier content of a profile as a new revision."""
+    with session.administration(context) as client:
+        accepted = client.roll_back(name, to, replaces)
+    typer.echo(
+        f"profile {name} is back at the content of revision {to}, at "
+        f"configuration revision {accepted['revision']}"
+    )
--- /dev/null
+++ b/packages/command/wasabilanding/command/session.py
@@ -0,0 +1,36 @@
+"""Connection of one command to the administration API."""
+
+import collections.abc
+import contextlib
+
+import typer
+
+from wasabilanding import operators
+
+EXIT_REFUSED = 1
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_UNKNOWN = 5
+EXIT_BY_KIND = {
+    "conflict": EXIT_CONFLICT,
+    "unavailable": EXIT_UNAVAILABLE,
+    "unreachable": EXIT_UNAVAILABLE,
+    "unknown": EXIT_UNKNOWN,
+}
+
+
+@contextlib.contextmanager
+def administration(
+    context: typer.Context,
+) -> collections.abc.Iterator[operators.AdministrationClient]:
+    """Open the API of the command and turn its refusals into exit codes.
+
+    :param context: context of the command, with the API's URL.
+    """
+    try:
+        with operators.AdministrationClient(context.obj) as client:
+            yield client
+    except operators.CallRefused as error:
+        typer.echo(f"{error.kind}: {error}", err=True)
+        code = EXIT_BY_KIND.get(error.kind, EXIT_REFUSED)
+        raise typer.Exit(code) from error
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/observation.py
@@ -0,0 +1,46 @@
+"""Asks this node's share of VMs for their reports."""
+
+import trio
+
+from wasabilanding.daemon import context as context_module
+from wasabilanding import membership
+from wasabilanding import model
+
+FORGET_AFTER_S = 60.0
+
+
+def own_share(context: context_module.Context) -> list[model.Vm]:
+    """Return the VMs that this node observes.
+
+    The live nodes of a failure domain share its VMs.
+
+    :param context: what the loops share.
+    """
+    nodes = context.members.live(context.now(), context.failure_domain)
+    names = [node.name for node in nodes]
+    listing = context.known.listing(context.failure_domain)
+    return [
+        vm
+        for vm in listing.vms
+        if membership.owner_of(vm.vm, names) == context.settings.node
+    ]
+
+
+async def _observe(context: context_module.Context, vm: model.Vm) -> None:
+    report = await context.endpoints.report(vm, context.now())
+    if report is not None:
+        context.known.learn_report(report)
+
+
+async def observe_endpoints(context: context_module.Context) -> None:
+    """Gather reports until cancelled.
+
+    :param context: what the loops share.
+    """
+    while True:
+        with trio.move_on_after(context.settings.observation_interval_s):
+            async with trio.open_nursery() as nursery:
+                for vm in own_share(context):
+                    nursery.start_soon(_observe, context, vm)
+            await trio.sleep_forever()
+        context.known.forget_reports(context.now() - FORGET_AFTER_S)
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/telemetry.py
@@ -0,0 +1,150 @@
+"""Traces and metrics, driven from the loop without threads of their own."""
+
+import collections.abc
+import pathlib
+import typing
+
+import opentelemetry.exporter.prometheus
+import opentelemetry.metrics
+import opentelemetry.sdk.metrics
+import opentelemetry.sdk.resources
+import opentelemetry.sdk.trace
+import opentelemetry.sdk.trace.export
+import opentelemetry.trace
+import opentelemetry.trace.propagation.tracecontext
+import prometheus_client
+
+from wasabilanding import model
+
+PROPAGATOR = (
+    opentelemetry.trace.propagation.tracecontext
+).TraceContextTextMapPropagator()
+
+Span = opentelemetry.trace.Span
+
+
+class _FileExporter(opentelemetry.sdk.trace.export.SpanExporter):
+    """Writes each span as one JSON line."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("a", encoding="utf-8", buffering=1)
+
+    def export(
+        self, spans: collections.abc.Sequence[typing.Any]
+    ) -> opentelemetry.sdk.trace.export.SpanExportResult:
+        """Write spans."""
+        for span in spans:
+            self._file.write(span.to_json(indent=None) + "\n")
+        return opentelemetry.sdk.trace.export.SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+class Telemetry:
+    """Traces and metrics of one node.
+
+    :param node: name of the node.
+    :param trace_file: file that takes the spans, or empty for none.
+    """
+
+    def __init__(self, node: str, trace_file: str = "") -> None:
+        resource = opentelemetry.sdk.resources.Resource.create(
+            {"service.name": "wasabilandingd", "service.instance.id": node}
+        )
+        provider = opentelemetry.sdk.trace.TracerProvider(
+            resource=resource, shutdown_on_exit=False
+        )
+        if trace_file:
+            exporter = _FileExporter(pathlib.Path(trace_file))
+            provider.add_span_processor(
+                opentelemetry.sdk.trace.export.SimpleSpanProcessor(exporter)
+            )
+        self._tracer = provider.get_tracer("wasabilanding")
+        self._reader = (
+            opentelemetry.exporter.prometheus.PrometheusMetricReader()
+        )
+        meters = opentelemetry.sdk.metrics.MeterProvider(
+            resource=resource,
+            metric_readers=[self._reader],
+            shutdown_on_exit=False,
+        )
+        self._meter = meters.get_meter("wasabilanding")
+        self._requests = self._meter.create_counter(
+            "wasabilanding_requests", description="Requests by outcome"
+        )
+        self._attempts = self._meter.create_counter(
+            "wasabilanding_attempts", description="Attempts by outcome"
+        )
+        self._downtime = self._meter.create_counter(
+            "wasabilanding_group_downtime", unit="s"
+        )
+        self._stranded = self._meter.create_counter(
+            "wasabilanding_stranded_accelerators", unit="s"
+        )
+
+    def start_span(
+        self,
+        name: str,
+        parent: Span | None = None,
+        remote: collections.abc.Mapping[str, str] | None = None,
+        **attributes: str | int,
+    ) -> Span:
+        """Start a span of one hop.
+
+        :param name: name of the hop.
+        :param parent: span of the hop before, on this node.
+        :param remote: W3C headers of the hop before, elsewhere.
+        :param attributes: attributes of the span.
+        """
+        if parent is not None:
+            context = opentelemetry.trace.set_span_in_context(parent)
+        else:
+            context = PROPAGATOR.extract(dict(remote or {}))
+        return self._tracer.start_span(
+            name, context=context, attributes=attributes
+        )
+
+    def headers(self, span: Span) -> dict[str, str]:
+        """Return the W3C headers that pass a span on.
+
+        :param span: the span.
+        """
+        headers: dict[str, str] = {}
+        context = opentelemetry.trace.set_span_in_context(span)
+        PROPAGATOR.inject(headers, context)
+        return headers
+
+    def count_request(self, service: str, outcome: model.Outcome) -> None:
+        """Count the end of a request."""
+        self._requests.add(1, _labels(service, outcome))
+
+    def count_attempt(self, service: str, outcome: model.Outcome) -> None:
+        """Count the end of an attempt."""
+        self._attempts.add(1, _labels(service, outcome))
+
+    def add_measures(
+        self, failure_domain: str, downtime_s: float, stranded_s: float
+    ) -> None:
+        """Add to the two measures.
+
+        :param failure_domain: failure domain that was measured.
+        :param downtime_s: group downtime in replica-seconds.
+        :param stranded_s: stranded accelerators in accelerator-seconds.
+        """
+        labels = {"failure_domain": failure_domain}
+        self._downtime.add(downtime_s, labels)
+        self._stranded.add(stranded_s, labels)
+
+    def render(self) -> bytes:
+        """Return the metrics in the Prometheus text form."""
+        return prometheus_client.generate_latest()
+
+
+def _labels(service: str, outcome: model.Outcome) -> dict[str, str]:
+    return {
+        "service": service,
+        "verdict": outcome.verdict.value,
+        "reason": outcome.reason.value,
+    }
--- /dev/null
+++ b/packages/decisions/wasabilanding/configuration/__init__.py
@@ -0,0 +1,41 @@
+"""The operators' configuration: one versioned document.
+
+Explanation
+===========
+
+All profiles, the choice of each service and the customers stand in one
+document under one key of the platform's service, so that a single
+compare-and-swap accepts a change and the store's revision orders all of
+them. A node never applies a lower revision. Rolling back writes a new,
+higher revision with an earlier content.
+"""
+
+from wasabilanding.configuration.changes import ChangeRefused
+from wasabilanding.configuration.changes import choose_profile
+from wasabilanding.configuration.changes import put_profile
+from wasabilanding.configuration.changes import roll_back
+from wasabilanding.configuration.changes import set_customer
+from wasabilanding.configuration.document import Configuration
+from wasabilanding.configuration.document import Customer
+from wasabilanding.configuration.document import KEPT_WRITERS
+from wasabilanding.configuration.document import MAX_DOCUMENT_BYTES
+from wasabilanding.configuration.document import ProfileHistory
+from wasabilanding.configuration.document import ProfileRevision
+from wasabilanding.configuration.document import ServiceChoice
+from wasabilanding.configuration.document import supersedes
+
+__all__ = [
+    "ChangeRefused",
+    "Configuration",
+    "Customer",
+    "KEPT_WRITERS",
+    "MAX_DOCUMENT_BYTES",
+    "ProfileHistory",
+    "ProfileRevision",
+    "ServiceChoice",
+    "choose_profile",
+    "put_profile",
+    "roll_back",
+    "set_customer",
+    "supersedes",
+]
--- /dev/null
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -0,0 +1,5 @@
+"""Limits: how much work is admitted, and from whom."""
+
+from wasabilanding.limits.admission import Admission
+
+__all__ = ["Admission"]
--- /dev/null
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -0,0 +1,56 @@
+"""Shared, immutable types: profiles, replicas, reports and outcomes.
+
+Explanation
+===========
+
+Every other package speaks in these types. They hold no behaviour beyond
+small derived values, and none of them performs input or output.
+
+See Also
+========
+
+wasabilanding.configuration : the operators' document built from profiles.
+wasabilanding.placement : decisions about replicas.
+"""
+
+from wasabilanding.model.codec import decode
+from wasabilanding.model.codec import encode
+from wasabilanding.model.codec import InvalidDocument
+from wasabilanding.model.codec import json_schema
+from wasabilanding.model.outcomes import completed
+from wasabilanding.model.outcomes import may_have_run
+from wasabilanding.model.outcomes import not_run
+from wasabilanding.model.outcomes import Outcome
+from wasabilanding.model.outcomes import Reason
+from wasabilanding.model.outcomes import Verdict
+from wasabilanding.model.profiles import PlainProfile
+from wasabilanding.model.profiles import Profile
+from wasabilanding.model.profiles import ReplicaProfile
+from wasabilanding.model.replicas import DomainRecord
+from wasabilanding.model.replicas import ReplicaRecord
+from wasabilanding.model.replicas import ReplicaState
+from wasabilanding.model.reports import Vm
+from wasabilanding.model.reports import VmReport
+from wasabilanding.model.reports import VmState
+
+__all__ = [
+    "DomainRecord",
+    "InvalidDocument",
+    "Outcome",
+    "PlainProfile",
+    "Profile",
+    "Reason",
+    "ReplicaProfile",
+    "ReplicaRecord",
+    "ReplicaState",
+    "Verdict",
+    "Vm",
+    "VmReport",
+    "VmState",
+    "completed",
+    "decode",
+    "encode",
+    "json_schema",
+    "may_have_run",
+    "not_run",
+]
--- /dev/null
+++ b/packages/decisions/wasabilanding/model/codec.py
@@ -0,0 +1,101 @@
+"""JSON encoding and checked decoding of the frozen data classes.
+
+Explanation
+===========
+
+Data classes are checked by pydantic at the edges of the system. A document
+that does not fit its type raises :class:`InvalidDocument`, which lists every
+mistake with its path, the offending value and what is allowed.
+"""
+
+import dataclasses
+import functools
+import typing
+
+import pydantic
+
+T = typing.TypeVar("T")
+
+STRICT = pydantic.ConfigDict(extra="forbid")
+
+
+@dataclasses.dataclass(frozen=True)
+class Mistake:
+    """One field of a document that is not acceptable.
+
+    :param path: dotted path of the field.
+    :param value: the offending value, shortened.
+    :param allowed: what the field accepts.
+    """
+
+    path: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.value} is not allowed: {self.allowed}"
+
+
+class InvalidDocument(ValueError):
+    """A document does not fit its type.
+
+    :param mistakes: all mistakes found, in document order.
+    """
+
+    def __init__(self, mistakes: tuple[Mistake, ...]) -> None:
+        super().__init__("; ".join(str(m) for m in mistakes))
+        self.mistakes = mistakes
+
+
+@functools.cache
+def _adapter(kind: typing.Any) -> pydantic.TypeAdapter:
+    return pydantic.TypeAdapter(kind)
+
+
+def _mistake(error: typing.Any) -> Mistake:
+    path = ".".join(str(part) for part in error["loc"]) or "(document)"
+    value = repr(error["input"])
+    if len(value) > 80:
+        value = value[:77] + "..."
+    return Mistake(path, value, error["msg"])
+
+
+def decode(kind: type[T], text: str | bytes) -> T:
+    """Decode JSON text into a value of the given type.
+
+    :param kind: data class or annotated type to decode into.
+    :param text: JSON document.
+    :returns: the checked value.
+    :raises InvalidDocument: when the text is malformed or does not fit.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import model
+    >>> model.decode(int, "7")
+    7
+    """
+    try:
+        return _adapter(kind).validate_json(text)
+    except pydantic.ValidationError as error:
+        mistakes = tuple(_mistake(e) for e in error.errors())
+        raise InvalidDocument(mistakes) from None
+
+
+def encode(value: typing.Any, kind: typing.Any = None) -> str:
+    """Encode a data class as compact JSON.
+
+    :param value: the value to encode.
+    :param kind: its declared type, where it differs from the class.
+    :returns: JSON text.
+    """
+    return _adapter(kind or type(value)).dump_json(value).decode()
+
+
+def json_schema(kind: typing.Any) -> dict[str, typing.Any]:
+    """Return the JSON Schema of a type.
+
+    :param kind: data class or annotated type.
+    :returns: the schema as plain dictionaries.
+    """
+    return _adapter(kind).json_schema()
--- /dev/null
+++ b/packages/decisions/wasabilanding/model/outcomes.py
@@ -0,0 +1,92 @@
+"""Outcome of a request and the verdict on whether it may have run.
+
+Explanation
+===========
+
+Each attempt and each request ends in one :class:`Outcome`. Its verdict is
+the only thing that retry decisions look at: ``NOT_RUN`` is a promise that
+no endpoint executed any part of the request; ``MAY_HAVE_RUN`` says that the
+system cannot exclude it.
+"""
+
+import dataclasses
+import enum
+
+
+class Verdict(enum.Enum):
+    """Whether a request was executed."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reason(enum.Enum):
+    """Why a request ended as it did."""
+
+    OK = "ok"
+    INVALID_REQUEST = "invalid_request"
+    UNKNOWN_SERVICE = "unknown_service"
+    NO_REPLICA = "no_replica"
+    OVERLOADED = "overloaded"
+    CUSTOMER_LIMIT = "customer_limit"
+    DEADLINE = "deadline"
+    REFUSED = "refused"
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    STALLED = "stalled"
+    ENDPOINT_ERROR = "endpoint_error"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    DUPLICATE = "duplicate"
+    POISONED = "poisoned"
+    CANCELLED = "cancelled"
+    SHUTTING_DOWN = "shutting_down"
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """Tagged end of an attempt or of a request.
+
+    :param verdict: whether the request was executed.
+    :param reason: tag of the cause.
+    :param detail: explanation for people, naming the offending value.
+    :param retry_after_s: seconds after which a new try makes sense.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+def completed() -> Outcome:
+    """Return the outcome of a request whose whole answer was delivered."""
+    return Outcome(Verdict.COMPLETED, Reason.OK)
+
+
+def not_run(
+    reason: Reason, detail: str, retry_after_s: float | None = None
+) -> Outcome:
+    """Return an outcome that promises the request was not executed.
+
+    :param reason: tag of the cause.
+    :param detail: explanation for people.
+    :param retry_after_s: seconds after which a new try makes sense.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import model
+    >>> model.not_run(model.Reason.NO_REPLICA, "none").verdict.value
+    'not_run'
+    """
+    return Outcome(Verdict.NOT_RUN, reason, detail, retry_after_s)
+
+
+def may_have_run(reason: Reason, detail: str) -> Outcome:
+    """Return an outcome for a request that may have been executed.
+
+    :param reason: tag of the cause.
+    :param detail: explanation for people.
+    """
+    return Outcome(Verdict.MAY_HAVE_RUN, reason, detail)
--- /dev/null
+++ b/packages/decisions/wasabilanding/model/profiles.py
@@ -0,0 +1,68 @@
+"""Profiles: how operators say that a model or a service is served."""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from wasabilanding.model import codec
+
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+]
+Count = typing.Annotated[int, pydantic.Field(ge=1, le=10_000)]
+Weight = typing.Annotated[float, pydantic.Field(ge=0, le=1000)]
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaProfile:
+    """A model served by replicas that span several VMs.
+
+    :param name: name of the profile.
+    :param model: model to load.
+    :param version: version of the model.
+    :param adapters: adapters loaded beside the model.
+    :param vms_per_replica: VMs of one fabric domain in each replica.
+    :param replicas_per_domain: replicas wanted in each failure domain.
+    :param min_replicas_per_domain: replicas that a planned change keeps
+        serving in each failure domain.
+    :param downtime_weight: cost of one second in which a replica cannot
+        serve.
+    :param stranding_weight: cost of one accelerator-second without a place
+        in a serving replica.
+    :param max_running: requests that one replica runs at a time.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    name: Name
+    model: Name
+    version: Name
+    vms_per_replica: Count
+    replicas_per_domain: Count
+    kind: typing.Literal["replica"] = "replica"
+    adapters: tuple[Name, ...] = ()
+    min_replicas_per_domain: typing.Annotated[int, pydantic.Field(ge=0)] = 0
+    downtime_weight: Weight = 1.0
+    stranding_weight: Weight = 1.0
+    max_running: Count = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainProfile:
+    """A plain HTTP service that the system routes to.
+
+    :param name: name of the profile.
+    :param addresses: base URLs by failure domain.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    name: Name
+    kind: typing.Literal["plain"]
+    addresses: dict[str, tuple[str, ...]]
+
+
+Profile = typing.Annotated[
+    ReplicaProfile | PlainProfile, pydantic.Field(discriminator="kind")
+]
--- /dev/null
+++ b/packages/decisions/wasabilanding/model/replicas.py
@@ -0,0 +1,67 @@
+"""Replicas and the versioned record of one failure domain."""
+
+import dataclasses
+import enum
+
+
+class ReplicaState(enum.Enum):
+    """What the holder of control intends with a replica."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaRecord:
+    """One replica as agreed in the record of its failure domain.
+
+    :param replica_id: identity, unique within the failure domain.
+    :param epoch: number that changes with every change of members.
+    :param service: service that it serves.
+    :param profile: name of the profile that it runs under.
+    :param profile_revision: revision of that profile.
+    :param model: model to load.
+    :param version: version of the model.
+    :param fabric_domain: fabric domain of all its members.
+    :param members: VMs by rank; rank 0 takes the requests.
+    :param state: what is intended with it.
+    :param max_running: requests that it runs at a time.
+    """
+
+    replica_id: str
+    epoch: int
+    service: str
+    profile: str
+    profile_revision: int
+    model: str
+    version: str
+    fabric_domain: str
+    members: tuple[str, ...]
+    state: ReplicaState = ReplicaState.ACTIVE
+    max_running: int = 32
+
+    @property
+    def leader(self) -> str:
+        """VM that takes the requests."""
+        return self.members[0]
+
+
+@dataclasses.dataclass(frozen=True)
+class DomainRecord:
+    """What is agreed about one failure domain.
+
+    :param failure_domain: the failure domain.
+    :param revision: revision of the platform's store; 0 before the first
+        write. It is not part of the stored value.
+    :param fence: fencing number of the holder that wrote it.
+    :param next_epoch: lowest epoch that was never used.
+    :param replicas: the agreed replicas.
+    :param writer: token of the write, to resolve a lost answer.
+    """
+
+    failure_domain: str
+    revision: int = 0
+    fence: int = 0
+    next_epoch: int = 1
+    replicas: tuple[ReplicaRecord, ...] = ()
+    writer: str = ""
--- /dev/null
+++ b/packages/decisions/wasabilanding/routing/evidence.py
@@ -0,0 +1,69 @@
+"""Evidence that a replica is whole."""
+
+import collections.abc
+
+from wasabilanding import model
+
+FRESHNESS_S = 2.5
+
+Reports = collections.abc.Mapping[str, model.VmReport]
+
+
+def _confirms(
+    report: model.VmReport | None,
+    replica: model.ReplicaRecord,
+    now: float,
+    freshness_s: float,
+) -> bool:
+    if report is None or report.state is not model.VmState.READY:
+        return False
+    if report.leaving or now - report.observed_at > freshness_s:
+        return False
+    return (report.replica_id, report.epoch) == (
+        replica.replica_id,
+        replica.epoch,
+    )
+
+
+def is_usable(
+    replica: model.ReplicaRecord,
+    reports: Reports,
+    now: float,
+    freshness_s: float = FRESHNESS_S,
+) -> bool:
+    """Tell whether a replica may receive new work.
+
+    :param replica: the replica as recorded.
+    :param reports: latest report of each VM.
+    :param now: local monotonic time in seconds.
+    :param freshness_s: age in seconds up to which a report counts.
+    """
+    if replica.state is not model.ReplicaState.ACTIVE:
+        return False
+    return all(
+        _confirms(reports.get(vm), replica, now, freshness_s)
+        for vm in replica.members
+    )
+
+
+def usable_replicas(
+    replicas: collections.abc.Iterable[model.ReplicaRecord],
+    service: str,
+    reports: Reports,
+    now: float,
+    freshness_s: float = FRESHNESS_S,
+) -> tuple[model.ReplicaRecord, ...]:
+    """Return the replicas of a service that may receive new work.
+
+    :param replicas: recorded replicas of any service.
+    :param service: name of the service.
+    :param reports: latest report of each VM.
+    :param now: local monotonic time in seconds.
+    :param freshness_s: age in seconds up to which a report counts.
+    """
+    return tuple(
+        replica
+        for replica in replicas
+        if replica.service == service
+        and is_usable(replica, reports, now, freshness_s)
+    )
--- /dev/null
+++ b/packages/endpoints/wasabilanding/endpoints/__init__.py
@@ -0,0 +1,27 @@
+"""Endpoints: model engines and plain services.
+
+Explanation
+===========
+
+The client speaks HTTP to engines: reports, orders, and request streams in
+server-sent events whose event identifiers are offsets, so that a stream can
+be resumed on a new connection.
+"""
+
+from wasabilanding.endpoints.client import EndpointClient
+from wasabilanding.endpoints.events import EventParser
+from wasabilanding.endpoints.events import Part
+from wasabilanding.endpoints.streams import AttemptFailed
+from wasabilanding.endpoints.streams import AttemptRequest
+from wasabilanding.endpoints.streams import cancel_attempt
+from wasabilanding.endpoints.streams import stream_attempt
+
+__all__ = [
+    "AttemptFailed",
+    "AttemptRequest",
+    "EndpointClient",
+    "EventParser",
+    "Part",
+    "cancel_attempt",
+    "stream_attempt",
+]
--- /dev/null
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -0,0 +1,95 @@
+"""Client for reports and orders."""
+
+import dataclasses
+import typing
+
+import httpx
+
+from wasabilanding import model
+from wasabilanding import placement
+
+CALL_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 1000
+KEPT_CONNECTIONS = 100
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+@dataclasses.dataclass(frozen=True)
+class OrderResult:
+    """What came of an order.
+
+    :param taken: whether the endpoint took it.
+    :param detail: explanation for people.
+    """
+
+    taken: bool
+    detail: str = ""
+
+
+class EndpointClient:
+    """Connections to endpoints; a context manager.
+
+    :param transport: replaces the network in tests.
+    """
+
+    def __init__(
+        self, transport: httpx.AsyncBaseTransport | None = None
+    ) -> None:
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=KEPT_CONNECTIONS,
+        )
+        self._http = httpx.AsyncClient(
+            timeout=CALL_TIMEOUT_S, limits=limits, transport=transport
+        )
+
+    async def __aenter__(self) -> "EndpointClient":
+        await self._http.__aenter__()
+        return self
+
+    async def __aexit__(self, *error: typing.Any) -> None:
+        await self._http.__aexit__(*error)
+
+    @property
+    def http(self) -> httpx.AsyncClient:
+        """The HTTP client that request streams use."""
+        return self._http
+
+    async def report(self, vm: model.Vm, now: float) -> model.VmReport | None:
+        """Ask a VM for its report.
+
+        :param vm: the VM.
+        :param now: local monotonic time at which it is asked, in seconds;
+            the report is no younger.
+        :returns: the report, or None without a usable answer.
+        """
+        try:
+            response = await self._http.get(f"{vm.address}/v1/status")
+            if response.is_error:
+                return None
+            report = model.decode(model.VmReport, response.content)
+        except (httpx.HTTPError, model.InvalidDocument):
+            return None
+        if report.vm != vm.vm:
+            return None
+        return dataclasses.replace(report, observed_at=now)
+
+    async def order(
+        self, vm: model.Vm, order: placement.Load | placement.Release
+    ) -> OrderResult:
+        """Send an order to a VM.
+
+        :param vm: the VM.
+        :param order: the order.
+        """
+        body = model.encode(order)
+        name = type(order).__name__.lower()
+        try:
+            response = await self._http.post(
+                f"{vm.address}/v1/orders/{name}",
+                content=body,
+                headers=JSON_HEADERS,
+            )
+        except httpx.HTTPError as error:
+            return OrderResult(False, repr(error))
+        return OrderResult(not response.is_error, response.text)
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Load, faults and reports."""
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/launcher.py
@@ -0,0 +1,248 @@
+"""Starts the stand-ins and the nodes of a small system on loopback.
+
+Explanation
+===========
+
+The launcher is tooling: the daemon itself starts no process. Every process
+is ended by its id when the block ends.
+"""
+
+import dataclasses
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import types
+
+import httpx
+
+HOST = "127.0.0.1"
+BIN = pathlib.Path(sys.executable).parent
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What is started.
+
+    :param failure_domains: names of the failure domains.
+    :param nodes_per_domain: entry VMs in each.
+    :param fabrics_per_domain: fabric domains in each.
+    :param vms_per_fabric: VMs in each fabric domain.
+    """
+
+    failure_domains: tuple[str, ...]
+    nodes_per_domain: int = 1
+    fabrics_per_domain: int = 2
+    vms_per_fabric: int = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeHandle:
+    """A node that was started.
+
+    :param name: its name.
+    :param failure_domain: its failure domain.
+    :param callers_url: where callers connect.
+    :param administration_url: where operators connect.
+    :param process: its process.
+    """
+
+    name: str
+    failure_domain: str
+    callers_url: str
+    administration_url: str
+    process: subprocess.Popen[bytes]
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on.
+
+    :param count: how many.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    for opened in sockets:
+        opened.bind((HOST, 0))
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
+
+
+def _url(port: int) -> str:
+    return f"http://{HOST}:{port}"
+
+
+class System:
+    """A running system; a context manager.
+
+    :param plan: what is started.
+    :param folder: takes settings, logs and traces.
+    """
+
+    def __init__(self, plan: Plan, folder: pathlib.Path) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._vms: list[dict] = []
+        self._fleet_urls: dict[str, str] = {}
+        self.nodes: list[NodeHandle] = []
+        self.platform_url = ""
+
+    @property
+    def fleet_urls(self) -> dict[str, str]:
+        """Where the faults of each failure domain are ordered."""
+        return self._fleet_urls
+
+    def __enter__(self) -> "System":
+        try:
+            self._start_platform()
+            for domain in self._plan.failure_domains:
+                self._start_fleet(domain)
+            httpx.put(f"{self.platform_url}/standin/vms", json=self._vms)
+            self._start_nodes()
+        except BaseException:
+            self._stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stop()
+
+    def _spawn(self, name: str, *command: str) -> subprocess.Popen[bytes]:
+        log = (self._folder / f"{name}.log").open("wb")
+        with log:
+            process = subprocess.Popen(command, stdout=log, stderr=log)
+        self._processes.append(process)
+        return process
+
+    def _start_platform(self) -> None:
+        (port,) = free_ports(1)
+        self.platform_url = _url(port)
+        self._spawn(
+            "platform",
+            sys.executable,
+            "-m",
+            "wasabilanding.standins.main",
+            "platform",
+            str(port),
+        )
+        wait_for_http(f"{self.platform_url}/standin/calls")
+
+    def _fleet_vms(self, domain: str) -> list[dict]:
+        plan = self._plan
+        count = plan.fabrics_per_domain * plan.vms_per_fabric
+        ports = free_ports(count)
+        return [
+            {
+                "port": port,
+                "vm": {
+                    "vm": f"{domain}-vm-{index}",
+                    "address": _url(port),
+                    "failure_domain": domain,
+                    "fabric_domain": (
+                        f"{domain}-fabric-{index // plan.vms_per_fabric}"
+                    ),
+                },
+            }
+            for index, port in enumerate(ports)
+        ]
+
+    def _start_fleet(self, domain: str) -> None:
+        (control_port,) = free_ports(1)
+        vms = self._fleet_vms(domain)
+        settings = {
+            "platform_url": self.platform_url,
+            "control_port": control_port,
+            "vms": vms,
+        }
+        path = self._folder / f"fleet-{domain}.json"
+        path.write_text(json.dumps(settings))
+        self._spawn(
+            f"fleet-{domain}",
+            sys.executable,
+            "-m",
+            "wasabilanding.standins.main",
+            "fleet",
+            str(path),
+        )
+        self._vms.extend(vm["vm"] for vm in vms)
+        self._fleet_urls[domain] = _url(control_port)
+        wait_for_http(f"{_url(control_port)}/standin/log")
+
+    def _start_nodes(self) -> None:
+        names = [
+            (domain, f"{domain}-{index}")
+            for domain in self._plan.failure_domains
+            for index in range(self._plan.nodes_per_domain)
+        ]
+        ports = free_ports(3 * len(names))
+        peer_ports = ports[2::3]
+        seeds = [f"{HOST}:{port}" for port in peer_ports]
+        for index, (domain, name) in enumerate(names):
+            own = ports[3 * index : 3 * index + 3]
+            self._start_node(domain, name, own, seeds)
+        for node in self.nodes:
+            wait_for_http(f"{node.callers_url}/healthz")
+
+    def _start_node(
+        self, domain: str, name: str, ports: list[int], seeds: list[str]
+    ) -> None:
+        settings = {
+            "node": name,
+            "failure_domain": domain,
+            "callers": {"port": ports[0]},
+            "administration": {"port": ports[1]},
+            "peers": {"port": ports[2]},
+            "platform_url": self.platform_url,
+            "seeds": seeds,
+            "trace_file": str(self._folder / f"{name}.spans.jsonl"),
+        }
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        process = self._spawn(
+            name, str(BIN / "wasabilandingd"), "--settings", str(path)
+        )
+        handle = NodeHandle(
+            name, domain, _url(ports[0]), _url(ports[1]), process
+        )
+        self.nodes.append(handle)
+
+    def _stop(self) -> None:
+        for process in self._processes:
+            if process.poll() is None:
+                process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for process in self._processes:
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def wait_for_http(url: str, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait until a URL answers with success.
+
+    :param url: the URL.
+    :param timeout_s: longest wait in seconds.
+    :raises TimeoutError: when it does not.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        try:
+            if httpx.get(url, timeout=1.0).is_success:
+                return
+        except httpx.HTTPError:
+            pass
+        time.sleep(POLL_S)
+    raise TimeoutError(f"{url} did not answer within {timeout_s} s")
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/tests/demo.feature
@@ -0,0 +1,5 @@
+Feature: The whole path as separate processes
+
+  Scenario: The demo keeps every promise
+    When the demo runs
+    Then it reports no broken promise
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/tests/steps/demo_steps.py
@@ -0,0 +1,25 @@
+"""Steps for the demo."""
+
+import pathlib
+import tempfile
+
+import behave
+
+from wasabilanding.experiments import demo
+
+
+@behave.when("the demo runs")
+def run(context):
+    """Run the demo as separate processes."""
+    context.broken = None
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            demo.run_demo(pathlib.Path(folder))
+        except demo.BrokenPromise as error:
+            context.broken = error
+
+
+@behave.then("it reports no broken promise")
+def check(context):
+    """Compare with no broken promise."""
+    assert context.broken is None, context.broken
--- /dev/null
+++ b/packages/operators/wasabilanding/operators/__init__.py
@@ -0,0 +1,21 @@
+"""Operators: the administration API and its client.
+
+Explanation
+===========
+
+Operators write profiles and choose one for each service; every change says
+which revision it replaces. The command line and scripts use the same API, on
+any entry VM.
+"""
+
+from wasabilanding.operators.app import operators_app
+from wasabilanding.operators.app import StatusSource
+from wasabilanding.operators.client import AdministrationClient
+from wasabilanding.operators.client import CallRefused
+
+__all__ = [
+    "AdministrationClient",
+    "CallRefused",
+    "StatusSource",
+    "operators_app",
+]
--- /dev/null
+++ b/packages/operators/wasabilanding/operators/client.py
@@ -0,0 +1,122 @@
+"""Client of the administration API, for scripts and the command line."""
+
+import typing
+
+import httpx
+
+CALL_TIMEOUT_S = 30.0
+
+
+class CallRefused(Exception):
+    """The API did not do what was asked.
+
+    :param kind: tag of the cause: invalid, conflict, refused, not_found,
+        unavailable, unknown or unreachable.
+    :param message: explanation for people.
+    """
+
+    def __init__(self, kind: str, message: str) -> None:
+        super().__init__(message)
+        self.kind = kind
+
+
+class AdministrationClient:
+    """Connection to one node's administration API; a context manager.
+
+    :param url: base URL of the API.
+    :param transport: replaces the network in tests.
+    """
+
+    def __init__(
+        self, url: str, transport: httpx.BaseTransport | None = None
+    ) -> None:
+        self._http = httpx.Client(
+            base_url=url, timeout=CALL_TIMEOUT_S, transport=transport
+        )
+
+    def __enter__(self) -> "AdministrationClient":
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._http.close()
+
+    def profiles(self) -> dict:
+        """Return the profiles in force and the choices of services."""
+        return self._call("GET", "/v1/profiles")
+
+    def profile(self, name: str) -> dict:
+        """Return the kept revisions of a profile.
+
+        :param name: name of the profile.
+        """
+        return self._call("GET", f"/v1/profiles/{name}")
+
+    def put_profile(self, name: str, content: dict, replaces: int) -> dict:
+        """Write a new content of a profile.
+
+        :param name: name of the profile.
+        :param content: the content.
+        :param replaces: revision that it replaces; 0 for a new profile.
+        :raises CallRefused: when nothing was accepted.
+        """
+        return self._call(
+            "PUT",
+            f"/v1/profiles/{name}",
+            json=content,
+            params={"replaces": replaces},
+        )
+
+    def roll_back(self, name: str, revision: int, replaces: int) -> dict:
+        """Write an earlier content of a profile as a new revision.
+
+        :param name: name of the profile.
+        :param revision: revision whose content comes back.
+        :param replaces: revision that it replaces.
+        :raises CallRefused: when nothing was accepted.
+        """
+        return self._call(
+            "POST",
+            f"/v1/profiles/{name}/rollback/{revision}",
+            params={"replaces": replaces},
+        )
+
+    def choose(self, service: str, profile: str, replaces: int | None) -> dict:
+        """Choose the profile of a service.
+
+        :param service: name of the service.
+        :param profile: name of the profile.
+        :param replaces: revision of the choice that it replaces, or None.
+        :raises CallRefused: when nothing was accepted.
+        """
+        body = {"profile": profile, "replaces": replaces}
+        return self._call("PUT", f"/v1/services/{service}", json=body)
+
+    def set_customer(self, name: str, content: dict) -> dict:
+        """Set a customer's share.
+
+        :param name: name of the customer.
+        :param content: its share.
+        :raises CallRefused: when nothing was accepted.
+        """
+        return self._call("PUT", f"/v1/customers/{name}", json=content)
+
+    def status(self) -> dict:
+        """Return the status of failure domains, replicas and VMs."""
+        return self._call("GET", "/v1/status")
+
+    def _call(self, method: str, path: str, **options: typing.Any) -> dict:
+        try:
+            response = self._http.request(method, path, **options)
+        except httpx.HTTPError as error:
+            raise CallRefused("unreachable", repr(error)) from error
+        try:
+            body = response.json()
+        except ValueError:
+            body = {}
+        if response.is_error:
+            error = body.get("error", {})
+            raise CallRefused(
+                error.get("type", "failed"),
+                error.get("message", response.text),
+            )
+        return body
--- /dev/null
+++ b/packages/peers/wasabilanding/peers/server.py
@@ -0,0 +1,42 @@
+"""Server side of the exchange."""
+
+import collections.abc
+
+import grpclib.server
+import trio
+import trio_asyncio
+
+from wasabilanding.peers import exchange_grpc
+from wasabilanding.peers import exchange_pb2
+
+Answer = collections.abc.Callable[
+    [exchange_pb2.ExchangeRequest], exchange_pb2.ExchangeReply
+]
+ExchangeStream = grpclib.server.Stream[
+    exchange_pb2.ExchangeRequest, exchange_pb2.ExchangeReply
+]
+
+
+class _PeersService(exchange_grpc.PeersBase):
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+
+    async def Exchange(self, stream: ExchangeStream) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._answer(request))
+
+
+async def serve_exchange(host: str, port: int, answer: Answer) -> None:
+    """Answer peers until cancelled.
+
+    :param host: address to listen on.
+    :param port: port to listen on.
+    :param answer: plain function from a request to its answer.
+    """
+    server = grpclib.server.Server([_PeersService(answer)])
+    await trio_asyncio.aio_as_trio(server.start)(host, port)
+    try:
+        await trio.sleep_forever()
+    finally:
+        server.close()
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/__init__.py
@@ -0,0 +1,25 @@
+"""Stand-ins for the platform's service and for model engines.
+
+Explanation
+===========
+
+They speak the protocols that the system meets outside, on loopback, and can
+be told to fail. They are tooling for the demo, for tests and for
+experiments; the system itself does not import them.
+"""
+
+from wasabilanding.standins.engine import Engine
+from wasabilanding.standins.engine import EngineSettings
+from wasabilanding.standins.engine import Fleet
+from wasabilanding.standins.engine_http import engine_app
+from wasabilanding.standins.platform_http import platform_app
+from wasabilanding.standins.store import Store
+
+__all__ = [
+    "Engine",
+    "EngineSettings",
+    "Fleet",
+    "Store",
+    "engine_app",
+    "platform_app",
+]
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/main.py
@@ -0,0 +1,200 @@
+"""Process of the stand-ins: the platform, or one failure domain's VMs.
+
+Explanation
+===========
+
+``python -m wasabilanding.standins.main platform --port N`` runs the platform
+and ``... fleet --settings FILE`` the engines of one failure domain, one port
+each, with a port for faults.
+"""
+
+import dataclasses
+import functools
+import pathlib
+import signal
+
+import httpx
+import hypercorn.config
+import hypercorn.trio
+import quart
+import quart_trio
+import trio
+import typer
+
+from wasabilanding import model
+from wasabilanding.standins import engine as engine_module
+from wasabilanding.standins import engine_http
+from wasabilanding.standins import platform_http
+from wasabilanding.standins import store
+
+HOST = "127.0.0.1"
+NO_LIMIT_S = 86_400.0
+
+app = typer.Typer()
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetVm:
+    """A VM of the fleet.
+
+    :param vm: the VM as the platform lists it.
+    :param port: port of its engine.
+    :param settings: how its engine behaves.
+    """
+
+    vm: model.Vm
+    port: int
+    settings: engine_module.EngineSettings = engine_module.EngineSettings()
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetSettings:
+    """The VMs of one failure domain.
+
+    :param platform_url: base URL of the platform.
+    :param control_port: port for faults.
+    :param vms: the VMs.
+    """
+
+    platform_url: str
+    control_port: int
+    vms: tuple[FleetVm, ...]
+
+
+def _config(port: int) -> hypercorn.config.Config:
+    config = hypercorn.config.Config()
+    config.bind = [f"{HOST}:{port}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = NO_LIMIT_S
+    return config
+
+
+async def _serve(application: quart_trio.QuartTrio, port: int) -> None:
+    await hypercorn.trio.serve(
+        application, _config(port), shutdown_trigger=trio.sleep_forever
+    )
+
+
+async def _end_on_signal(scope: trio.CancelScope) -> None:
+    signals = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*signals) as received:
+        async for _ in received:
+            scope.cancel()
+            return
+
+
+async def _run_platform(port: int) -> None:
+    state = platform_http.PlatformState(store.Store())
+    application = platform_http.platform_app(state)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_on_signal, nursery.cancel_scope)
+        nursery.start_soon(_serve, application, port)
+
+
+class FleetServer:
+    """Listeners of the engines of one failure domain.
+
+    :param settings: the VMs.
+    :param nursery: runs the listeners.
+    """
+
+    def __init__(self, settings: FleetSettings, nursery: trio.Nursery) -> None:
+        self._ports = {vm.vm.vm: vm.port for vm in settings.vms}
+        self._nursery = nursery
+        self._scopes: dict[str, trio.CancelScope] = {}
+        fetch = functools.partial(_fetch_weights, settings.platform_url)
+        self.fleet = engine_module.Fleet(nursery, fetch)
+        self.fleet.on_kill = self._close
+        for vm in settings.vms:
+            self.fleet.add(vm.vm.vm, vm.settings)
+
+    def open(self, vm: str) -> None:
+        """Listen for a VM.
+
+        :param vm: identity of the VM.
+        """
+        self._nursery.start_soon(self._listen, vm)
+
+    async def _listen(self, vm: str) -> None:
+        application = engine_http.engine_app(self.fleet.engines[vm])
+        with trio.CancelScope() as scope:
+            self._scopes[vm] = scope
+            await _serve(application, self._ports[vm])
+
+    def _close(self, vm: str) -> None:
+        self._scopes[vm].cancel()
+
+
+async def _fetch_weights(url: str, wanted: str) -> None:
+    async with httpx.AsyncClient(timeout=NO_LIMIT_S) as http:
+        await http.get(f"{url}/v1/weights/{wanted}")
+
+
+def _control_app(server: FleetServer) -> quart_trio.QuartTrio:
+    application = quart_trio.QuartTrio("fleet-control")
+    fleet = server.fleet
+
+    @application.post("/standin/<vm>/kill")
+    async def kill(vm: str) -> quart.ResponseReturnValue:
+        fleet.kill(vm)
+        return {}
+
+    @application.post("/standin/<vm>/restart")
+    async def restart(vm: str) -> quart.ResponseReturnValue:
+        fleet.engines[vm].restart()
+        server.open(vm)
+        return {}
+
+    @application.post("/standin/<vm>/leave")
+    async def leave(vm: str) -> quart.ResponseReturnValue:
+        fleet.engines[vm].leaving = True
+        return {}
+
+    @application.post("/standin/<vm>/pause")
+    async def pause(vm: str) -> quart.ResponseReturnValue:
+        fleet.engines[vm].paused = trio.Event()
+        return {}
+
+    @application.post("/standin/<vm>/resume")
+    async def resume(vm: str) -> quart.ResponseReturnValue:
+        fleet.engines[vm].paused.set()
+        return {}
+
+    @application.get("/standin/log")
+    async def log() -> quart.ResponseReturnValue:
+        return quart.jsonify(fleet.log)
+
+    return application
+
+
+async def _run_fleet(settings: FleetSettings) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_on_signal, nursery.cancel_scope)
+        server = FleetServer(settings, nursery)
+        for vm in server.fleet.engines:
+            server.open(vm)
+        await _serve(_control_app(server), settings.control_port)
+
+
+@app.command()
+def platform(port: int) -> None:
+    """Run the platform stand-in.
+
+    :param port: port on loopback.
+    """
+    trio.run(_run_platform, port)
+
+
+@app.command()
+def fleet(settings: pathlib.Path) -> None:
+    """Run the engines of one failure domain.
+
+    :param settings: JSON file with the VMs.
+    """
+    text = settings.read_bytes()
+    trio.run(_run_fleet, model.decode(FleetSettings, text))
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/platform_http.py
@@ -0,0 +1,171 @@
+"""HTTP face of the platform stand-in, with faults on order."""
+
+import dataclasses
+
+import quart
+import quart_trio
+import trio
+
+from wasabilanding.standins import store as store_module
+
+WEIGHT_SECONDS = 0.5
+
+
+@dataclasses.dataclass
+class PlatformFaults:
+    """Faults that the platform stand-in shows.
+
+    :param down: whether every call is refused.
+    :param delay_s: added to every call, in seconds.
+    :param lose_answers: number of coming writes that take effect and whose
+        answer is lost.
+    :param list_lag_s: age of the VM list that is shown, in seconds.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    list_lag_s: float = 0.0
+
+
+@dataclasses.dataclass
+class PlatformState:
+    """State behind the app.
+
+    :param store: the key-value store.
+    :param faults: faults in force.
+    :param vms: lists of VMs with the time from which they hold.
+    """
+
+    store: store_module.Store
+    faults: PlatformFaults = dataclasses.field(default_factory=PlatformFaults)
+    vms: list[tuple[float, list[dict]]] = dataclasses.field(
+        default_factory=lambda: [(float("-inf"), [])]
+    )
+    weights: trio.CapacityLimiter = dataclasses.field(
+        default_factory=lambda: trio.CapacityLimiter(4)
+    )
+
+    def listed(self) -> list[dict]:
+        """Return the VM list as old as the lag says."""
+        at = trio.current_time() - self.faults.list_lag_s
+        return [vms for since, vms in self.vms if since <= at][-1]
+
+
+def _stored(found: store_module.Stored | None) -> quart.ResponseReturnValue:
+    if found is None:
+        return {"error": "not found"}, 404
+    return {"value": found.value, "revision": found.revision}
+
+
+def _add_keys(app: quart.Quart, state: PlatformState) -> None:
+    @app.get("/v1/kv/<path:key>")
+    async def get(key: str) -> quart.ResponseReturnValue:
+        return _stored(state.store.get(key))
+
+    @app.put("/v1/kv/<path:key>")
+    async def put(key: str) -> quart.ResponseReturnValue:
+        text = (await quart.request.get_data()).decode()
+        if len(text.encode()) > store_module.MAX_VALUE_BYTES:
+            return {"error": "value is larger than a megabyte"}, 413
+        expected = int(quart.request.args["expected"])
+        lease_id = quart.request.args.get("lease", "")
+        stored = state.store.put(key, text, expected, lease_id)
+        if stored is None:
+            found = state.store.get(key)
+            return {"revision": found.revision if found else 0}, 409
+        if state.faults.lose_answers > 0:
+            state.faults.lose_answers -= 1
+            return {"error": "the answer was lost"}, 504
+        return {"revision": stored.revision}
+
+    @app.get("/v1/watch/<path:key>")
+    async def watch(key: str) -> quart.ResponseReturnValue:
+        after = int(quart.request.args["after"])
+        timeout_s = float(quart.request.args["timeout"])
+        found = await state.store.wait_above(key, after, timeout_s)
+        if state.faults.down:
+            return {"error": "the service is down"}, 503
+        return _stored(found)
+
+
+def _add_leases(app: quart.Quart, state: PlatformState) -> None:
+    @app.post("/v1/leases")
+    async def grant() -> quart.ResponseReturnValue:
+        body = await quart.request.get_json()
+        return {"lease_id": state.store.grant(body["ttl_s"])}
+
+    @app.post("/v1/leases/<lease_id>/renew")
+    async def renew(lease_id: str) -> quart.ResponseReturnValue:
+        ttl_s = state.store.renew(lease_id)
+        if ttl_s is None:
+            return {"error": f"lease {lease_id} has lapsed"}, 404
+        return {"ttl_s": ttl_s}
+
+    @app.delete("/v1/leases/<lease_id>")
+    async def revoke(lease_id: str) -> quart.ResponseReturnValue:
+        state.store.revoke(lease_id)
+        return {}
+
+
+def _add_machines(app: quart.Quart, state: PlatformState) -> None:
+    @app.get("/v1/vms")
+    async def vms() -> quart.ResponseReturnValue:
+        domain = quart.request.args.get("failure_domain")
+        return quart.jsonify(
+            [
+                vm
+                for vm in state.listed()
+                if domain in (None, vm["failure_domain"])
+            ]
+        )
+
+    @app.get("/v1/weights/<model>/<version>")
+    async def weights(model: str, version: str) -> quart.ResponseReturnValue:
+        async with state.weights:
+            await trio.sleep(WEIGHT_SECONDS)
+        return {"model": model, "version": version}
+
+
+def _add_controls(app: quart.Quart, state: PlatformState) -> None:
+    @app.put("/standin/vms")
+    async def set_vms() -> quart.ResponseReturnValue:
+        vms = await quart.request.get_json()
+        state.vms.append((trio.current_time(), vms))
+        return {}
+
+    @app.put("/standin/faults")
+    async def set_faults() -> quart.ResponseReturnValue:
+        body = await quart.request.get_json()
+        state.faults = PlatformFaults(**body)
+        return {}
+
+    @app.get("/standin/calls")
+    async def calls() -> quart.ResponseReturnValue:
+        return dict(state.store.calls)
+
+
+def platform_app(state: PlatformState) -> quart_trio.QuartTrio:
+    """Return the HTTP app of the platform stand-in.
+
+    :param state: state behind the app.
+    """
+    app = quart_trio.QuartTrio("platform")
+    _add_keys(app, state)
+    _add_leases(app, state)
+    _add_machines(app, state)
+    _add_controls(app, state)
+
+    @app.before_request
+    async def count_and_fail() -> quart.ResponseReturnValue | None:
+        if quart.request.path.startswith("/standin/"):
+            return None
+        endpoint = quart.request.endpoint or "unknown"
+        state.store.calls[endpoint] += 1
+        if state.faults.delay_s:
+            await trio.sleep(state.faults.delay_s)
+        if state.faults.down:
+            return {"error": "the service is down"}, 503
+        return None
+
+    return app
