Run the whole system inside one process on the mock clock

Cause: faults must be provoked under a fixed seed, in seconds of real time. Nodes are split into small modules; peers and transports are injected.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 PYTHON ?= python3
 VENV := .venv
+SCRIPTS := bin/run-tests bin/sort-imports
 STAMP := $(VENV)/installed
 PROJECTS := $(wildcard packages/*/pyproject.toml)
 
@@ -23,8 +24,9 @@
 	$(VENV)/bin/python bin/run-tests
 
 lint: setup
-	$(VENV)/bin/ruff format --check .
-	$(VENV)/bin/flake8 packages bin
+	$(VENV)/bin/ruff format --check . $(SCRIPTS)
+	$(VENV)/bin/flake8 packages $(SCRIPTS)
 
 format: setup
-	$(VENV)/bin/ruff format .
+	$(VENV)/bin/python bin/sort-imports
+	$(VENV)/bin/ruff format . $(SCRIPTS)
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -0,0 +1,177 @@
+"""Attempts of one request, until one completes or retries end."""
+
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import logging
+
+import trio
+
+from wasabilanding import callers
+from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import selection
+from wasabilanding.daemon import telemetry
+from wasabilanding import endpoints
+from wasabilanding import model
+from wasabilanding import retries
+
+_LOG = logging.getLogger(__name__)
+
+Batches = collections.abc.AsyncIterator[list[bytes]]
+
+
+@dataclasses.dataclass
+class Progress:
+    """How far a request has come.
+
+    :param deadline: local monotonic time of its deadline in seconds.
+    :param attempts: attempts made.
+    :param delivered: parts handed to the caller.
+    :param tried: replicas of its attempts.
+    """
+
+    deadline: float
+    attempts: int = 0
+    delivered: int = 0
+    tried: frozenset[str] = frozenset()
+
+
+class AttemptRunner:
+    """Runs attempts on this node and counts them by replica.
+
+    :param context: what the loops share.
+    """
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+        self._in_flight: collections.Counter[str] = collections.Counter()
+
+    async def run(
+        self,
+        request: callers.CallerRequest,
+        span: telemetry.Span,
+        progress: Progress,
+    ) -> Batches:
+        """Run attempts and yield payloads, a batch at a time.
+
+        :param request: the request.
+        :param span: span of the request.
+        :param progress: is kept up to date.
+        :raises wasabilanding.callers.RequestFailed: when retries end.
+        """
+        while True:
+            replica = selection.select_replica(
+                self._context, request, self._in_flight, progress.tried
+            )
+            progress.attempts += 1
+            progress.tried |= {replica.replica_id}
+            attempt = self._attempt(request, replica, span, progress)
+            try:
+                async with contextlib.aclosing(attempt) as batches:
+                    async for batch in batches:
+                        progress.delivered += len(batch)
+                        yield batch
+                return
+            except endpoints.AttemptFailed as error:
+                self._after_failure(request, progress, error)
+
+    def _after_failure(
+        self,
+        request: callers.CallerRequest,
+        progress: Progress,
+        error: endpoints.AttemptFailed,
+    ) -> None:
+        outcome = error.outcome
+        self._context.telemetry.count_attempt(request.service, outcome)
+        made = retries.Attempts(
+            progress.attempts,
+            progress.deadline,
+            request.idempotent,
+            progress.delivered,
+        )
+        step = retries.next_step(outcome, made, self._context.now())
+        _LOG.warning(
+            "attempt %d of request %s: %s, %s",
+            progress.attempts,
+            request.request_id,
+            outcome.reason.value,
+            outcome.detail,
+            extra={"request": request.request_id},
+        )
+        if isinstance(step, retries.GiveUp):
+            raise callers.RequestFailed(step.outcome) from error
+
+    def _prepare(
+        self,
+        request: callers.CallerRequest,
+        replica: model.ReplicaRecord,
+        attempt_id: str,
+        span: telemetry.Span,
+    ) -> endpoints.AttemptRequest:
+        vm = self._context.known.vm(replica.leader)
+        if vm is None:
+            raise endpoints.AttemptFailed(
+                model.not_run(
+                    model.Reason.REFUSED,
+                    f"VM {replica.leader} is not listed",
+                )
+            )
+        return endpoints.AttemptRequest(
+            address=vm.address,
+            attempt_id=attempt_id,
+            replica_id=replica.replica_id,
+            epoch=replica.epoch,
+            body=request.body,
+            headers=self._context.telemetry.headers(span),
+        )
+
+    async def _attempt(
+        self,
+        request: callers.CallerRequest,
+        replica: model.ReplicaRecord,
+        parent: telemetry.Span,
+        progress: Progress,
+    ) -> Batches:
+        context = self._context
+        attempt_id = context.new_id()
+        span = context.telemetry.start_span(
+            "attempt",
+            parent=parent,
+            attempt=attempt_id,
+            replica=replica.replica_id,
+        )
+        with telemetry.span_ended(span):
+            sent = self._prepare(request, replica, attempt_id, span)
+            stream = endpoints.stream_attempt(context.endpoints.http, sent)
+            async with self._counted(replica, sent) as finish:
+                async with contextlib.aclosing(stream) as batches:
+                    async for batch in batches:
+                        self._check_deadline(progress.deadline)
+                        yield [part.data for part in batch]
+                finish()
+
+    @contextlib.asynccontextmanager
+    async def _counted(
+        self, replica: model.ReplicaRecord, sent: endpoints.AttemptRequest
+    ) -> collections.abc.AsyncIterator[collections.abc.Callable[[], None]]:
+        finished = trio.Event()
+        self._in_flight[replica.replica_id] += 1
+        try:
+            yield finished.set
+        finally:
+            self._in_flight[replica.replica_id] -= 1
+            if not finished.is_set():
+                await self._cancel(sent)
+
+    def _check_deadline(self, deadline: float) -> None:
+        if self._context.now() >= deadline:
+            raise endpoints.AttemptFailed(
+                model.may_have_run(
+                    model.Reason.DEADLINE, "the deadline has passed"
+                )
+            )
+
+    async def _cancel(self, sent: endpoints.AttemptRequest) -> None:
+        with trio.CancelScope(shield=True):
+            await endpoints.cancel_attempt(self._context.endpoints.http, sent)
--- a/packages/daemon/wasabilanding/daemon/context.py
+++ b/packages/daemon/wasabilanding/daemon/context.py
@@ -1,5 +1,6 @@
 """What the daemon's loops share."""
 
+import collections.abc
 import dataclasses
 import random
 
@@ -10,8 +11,11 @@
 from wasabilanding import endpoints
 from wasabilanding import knowledge
 from wasabilanding import membership
+from wasabilanding import peers
 from wasabilanding import platform
 
+ID_BITS = 128
+
 
 @dataclasses.dataclass(frozen=True)
 class Context:
@@ -23,7 +27,8 @@
     :param platform: client of the platform's service.
     :param endpoints: client of the endpoints.
     :param telemetry: traces and metrics.
-    :param rng: source of randomness for decisions.
+    :param connect_peer: opens the connection to a peer at host:port.
+    :param rng: source of randomness for decisions and identities.
     """
 
     settings: settings_module.Settings
@@ -32,6 +37,7 @@
     platform: platform.PlatformClient
     endpoints: endpoints.EndpointClient
     telemetry: telemetry_module.Telemetry
+    connect_peer: collections.abc.Callable[[str], peers.Channel]
     rng: random.Random
 
     @property
@@ -42,3 +48,7 @@
     def now(self) -> float:
         """Return the local monotonic time in seconds."""
         return trio.current_time()
+
+    def new_id(self) -> str:
+        """Return an identity that no other request or attempt has."""
+        return f"{self.rng.getrandbits(ID_BITS):032x}"
--- a/packages/daemon/wasabilanding/daemon/exchange.py
+++ b/packages/daemon/wasabilanding/daemon/exchange.py
@@ -19,7 +19,7 @@
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
-        self._channels: dict[str, peers.PeerChannel] = {}
+        self._channels: dict[str, peers.Channel] = {}
 
     def _addresses(self) -> set[str]:
         context = self._context
@@ -31,7 +31,7 @@
         context = self._context
         channel = self._channels.get(address)
         if channel is None:
-            channel = peers.PeerChannel(address)
+            channel = context.connect_peer(address)
             self._channels[address] = channel
         sent_at = context.now()
         request = peers.make_request(context.members, context.known, sent_at)
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -9,6 +9,7 @@
 
 import hypercorn.config
 import hypercorn.trio
+import quart_trio
 import trio
 import trio_asyncio
 
@@ -26,6 +27,7 @@
 from wasabilanding import knowledge
 from wasabilanding import membership
 from wasabilanding import operators
+from wasabilanding import peers
 from wasabilanding import platform
 
 KEEP_ALIVE_S = 3600.0
@@ -60,68 +62,109 @@
     stopped.set()
 
 
-async def _shut_down_on_signal(
-    context: context_module.Context,
-    service: requests.RequestService,
-    stopping: trio.Event,
-) -> None:
+def own_node(
+    settings: settings_module.Settings, incarnation: int
+) -> membership.Node:
+    """Return a node's entry in its own member table.
+
+    :param settings: settings of the node.
+    :param incarnation: number that grows with each start.
+    """
+    return membership.Node(
+        name=settings.node,
+        incarnation=incarnation,
+        failure_domain=settings.failure_domain,
+        address=settings.peers.address,
+    )
+
+
+class Node:
+    """One node: what serves callers and operators, and its loops.
+
+    :param context: what the loops share.
+    """
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+        self.service = requests.RequestService(context)
+        self.status = status.NodeStatus(context)
+        self.controller = control.Controller(context)
+        self._exchanger = exchange.Exchanger(context)
+
+    @property
+    def context(self) -> context_module.Context:
+        """What the loops share."""
+        return self._context
+
+    def callers_app(self) -> quart_trio.QuartTrio:
+        """Return the HTTP application for callers."""
+        return callers.callers_app(self.service)
+
+    def operators_app(self) -> quart_trio.QuartTrio:
+        """Return the HTTP application for operators."""
+        return operators.operators_app(
+            self.status,
+            self._context.platform,
+            self._context.known.learn_configuration,
+        )
+
+    def start_loops(self, nursery: trio.Nursery) -> None:
+        """Start the loops that need no listener.
+
+        :param nursery: runs the loops.
+        """
+        context = self._context
+        nursery.start_soon(self._exchanger.run)
+        nursery.start_soon(configuration_watch.follow_configuration, context)
+        nursery.start_soon(observation.observe_endpoints, context)
+        nursery.start_soon(self.controller.run)
+        nursery.start_soon(self.status.measure)
+
+    async def drain(self) -> None:
+        """Wait until the balancer has seen the notice and nothing runs."""
+        self.service.begin_drain()
+        self._context.members.leave()
+        await trio.sleep(self._context.settings.drain_notice_s)
+        await self.service.wait_idle()
+
+
+async def _drain_on_signal(node: Node, stopping: trio.Event) -> None:
     signals = (signal.SIGTERM, signal.SIGINT)
     with trio.open_signal_receiver(*signals) as received:
         async for number in received:
             _LOG.info(
-                "drains %d requests on signal %d", service.in_flight, number
+                "drains %d requests on signal %d",
+                node.service.in_flight,
+                number,
             )
-            service.begin_drain()
-            context.members.leave()
-            await trio.sleep(context.settings.drain_notice_s)
-            await service.wait_idle()
+            await node.drain()
             stopping.set()
             return
 
 
-def _own_node(settings: settings_module.Settings) -> membership.Node:
-    return membership.Node(
-        name=settings.node,
-        incarnation=time.time_ns() // NS_PER_MS,
-        failure_domain=settings.failure_domain,
-        address=settings.peers.address,
-    )
-
-
-async def _run_loops(context: context_module.Context) -> None:
-    service = requests.RequestService(context)
-    source = status.NodeStatus(context)
-    controller = control.Controller(context)
-    exchanger = exchange.Exchanger(context)
-    administration = operators.operators_app(
-        source, context.platform, context.known.learn_configuration
-    )
-    settings = context.settings
+async def _serve_node(node: Node) -> None:
+    settings = node.context.settings
     stopping = trio.Event()
     callers_stopped = trio.Event()
     administration_stopped = trio.Event()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_shut_down_on_signal, context, service, stopping)
+        nursery.start_soon(_drain_on_signal, node, stopping)
         nursery.start_soon(
             _serve,
-            callers.callers_app(service),
+            node.callers_app(),
             settings.callers,
             stopping,
             callers_stopped,
         )
         nursery.start_soon(
             _serve,
-            administration,
+            node.operators_app(),
             settings.administration,
             stopping,
             administration_stopped,
         )
-        nursery.start_soon(exchange.serve_peers, context)
-        nursery.start_soon(exchanger.run)
-        nursery.start_soon(configuration_watch.follow_configuration, context)
-        nursery.start_soon(observation.observe_endpoints, context)
-        nursery.start_soon(controller.run)
-        nursery.start_soon(source.measure)
+        nursery.start_soon(exchange.serve_peers, node.context)
+        node.start_loops(nursery)
         await callers_stopped.wait()
         await administration_stopped.wait()
         nursery.cancel_scope.cancel()
@@ -132,6 +175,7 @@
 
     :param settings: settings of the node.
     """
+    incarnation = time.time_ns() // NS_PER_MS
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(trio_asyncio.open_loop())
         store = await stack.enter_async_context(
@@ -141,12 +185,13 @@
         context = context_module.Context(
             settings=settings,
             known=knowledge.Knowledge(),
-            members=membership.MemberTable(_own_node(settings)),
+            members=membership.MemberTable(own_node(settings, incarnation)),
             platform=store,
             endpoints=engines,
             telemetry=telemetry.Telemetry(settings.node, settings.trace_file),
-            rng=random.Random(settings.node),
+            connect_peer=peers.PeerChannel,
+            rng=random.Random(),
         )
         _LOG.info("node %s starts", settings.node)
-        await _run_loops(context)
+        await _serve_node(Node(context))
         _LOG.info("node %s has stopped", settings.node)
--- a/packages/daemon/wasabilanding/daemon/telemetry.py
+++ b/packages/daemon/wasabilanding/daemon/telemetry.py
@@ -1,6 +1,7 @@
 """Traces and metrics, driven from the loop without threads of their own."""
 
 import collections.abc
+import contextlib
 import pathlib
 import typing
 
@@ -62,8 +63,11 @@
                 opentelemetry.sdk.trace.export.SimpleSpanProcessor(exporter)
             )
         self._tracer = provider.get_tracer("wasabilanding")
+        self._registry = prometheus_client.CollectorRegistry()
         self._reader = (
-            opentelemetry.exporter.prometheus.PrometheusMetricReader()
+            opentelemetry.exporter.prometheus.PrometheusMetricReader(
+                registry=self._registry
+            )
         )
         meters = opentelemetry.sdk.metrics.MeterProvider(
             resource=resource,
@@ -139,7 +143,7 @@
 
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text form."""
-        return prometheus_client.generate_latest()
+        return prometheus_client.generate_latest(self._registry)
 
 
 def _labels(service: str, outcome: model.Outcome) -> dict[str, str]:
@@ -148,3 +152,15 @@
         "verdict": outcome.verdict.value,
         "reason": outcome.reason.value,
     }
+
+
+@contextlib.contextmanager
+def span_ended(span: Span) -> collections.abc.Iterator[None]:
+    """End a span when the block ends.
+
+    :param span: the span.
+    """
+    try:
+        yield
+    finally:
+        span.end()
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/cluster.py
@@ -0,0 +1,422 @@
+"""A whole system inside one process, driven by trio's mock clock.
+
+Explanation
+===========
+
+The same nodes as in the daemon run against the same stand-ins, over
+:class:`wasabilanding.standins.MemoryNetwork` in place of sockets. Run with
+:func:`run_seeded`, a scenario takes its random choices from one seed and its
+time from the mock clock, so it gives the same result every time.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import functools
+import random
+import typing
+
+import httpx
+import trio
+import trio.testing
+
+from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import node as node_module
+from wasabilanding.daemon import settings as settings_module
+from wasabilanding.daemon import telemetry
+from wasabilanding import endpoints
+from wasabilanding import knowledge
+from wasabilanding import membership
+from wasabilanding import model
+from wasabilanding import peers
+from wasabilanding.peers import exchange_pb2
+from wasabilanding import platform
+from wasabilanding import standins
+
+PLATFORM_ADDRESS = "platform:80"
+PLATFORM_LOCATION = "platform"
+PEER_TIMEOUT_S = 1.0
+CALLERS_PORT = 7001
+ADMINISTRATION_PORT = 7002
+PEERS_PORT = 7003
+ENGINE_PORT = 8000
+
+T = typing.TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What a cluster is made of.
+
+    :param failure_domains: names of the failure domains.
+    :param nodes_per_domain: entry VMs in each.
+    :param fabrics_per_domain: fabric domains in each.
+    :param vms_per_fabric: VMs in each fabric domain.
+    :param engine: how the engines behave.
+    :param seed: seed of all random choices.
+    """
+
+    failure_domains: tuple[str, ...] = ("prov", "nunoa", "maipu")
+    nodes_per_domain: int = 1
+    fabrics_per_domain: int = 2
+    vms_per_fabric: int = 3
+    engine: standins.EngineSettings = standins.EngineSettings()
+    seed: int = 1
+
+    @property
+    def vms(self) -> tuple[model.Vm, ...]:
+        """All VMs of the endpoints."""
+        return tuple(
+            model.Vm(
+                vm=f"{domain}-{fabric}-{index}",
+                address=f"http://{domain}-{fabric}-{index}:{ENGINE_PORT}",
+                failure_domain=domain,
+                fabric_domain=f"{domain}-{fabric}",
+            )
+            for domain in self.failure_domains
+            for fabric in range(self.fabrics_per_domain)
+            for index in range(self.vms_per_fabric)
+        )
+
+
+class _MemoryChannel:
+    """Connection to a peer in the same process, by serialised messages."""
+
+    def __init__(self, cluster: "Cluster", origin: str, address: str) -> None:
+        self._cluster = cluster
+        self._origin = origin
+        self._address = address
+
+    async def exchange(
+        self, request: exchange_pb2.ExchangeRequest
+    ) -> exchange_pb2.ExchangeReply:
+        """Exchange knowledge with the peer."""
+        target = self._cluster.node_at(self._address)
+        network = self._cluster.network
+        if target is None:
+            raise self._unreachable("refused")
+        location = target.context.failure_domain
+        if network.is_cut(self._origin, location):
+            await trio.sleep(PEER_TIMEOUT_S)
+            raise self._unreachable("timed out")
+        await network.travel(self._origin, location)
+        text = request.SerializeToString()
+        reply = peers.answer_request(
+            target.context.members,
+            target.context.known,
+            exchange_pb2.ExchangeRequest.FromString(text),
+            trio.current_time(),
+        )
+        answer = reply.SerializeToString()
+        self._cluster.peer_bytes += len(text) + len(answer)
+        self._cluster.peer_calls += 1
+        await network.travel(location, self._origin)
+        return exchange_pb2.ExchangeReply.FromString(answer)
+
+    def _unreachable(self, detail: str) -> peers.PeerUnreachable:
+        return peers.PeerUnreachable(self._address, OSError(detail))
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class RunningNode:
+    """A node inside the cluster.
+
+    :param node: the node.
+    :param scope: its loops; cancelled when it dies.
+    """
+
+    def __init__(
+        self, node: node_module.Node, scope: trio.CancelScope
+    ) -> None:
+        self.node = node
+        self.scope = scope
+
+    @property
+    def context(self) -> context_module.Context:
+        """What the node's loops share."""
+        return self.node.context
+
+
+class Cluster:
+    """A whole system inside one process.
+
+    :param plan: what it is made of.
+    :param nursery: runs it.
+    """
+
+    def __init__(self, plan: Plan, nursery: trio.Nursery) -> None:
+        self._plan = plan
+        self._nursery = nursery
+        self._rng = random.Random(plan.seed)
+        self._starts = 0
+        self.network = standins.MemoryNetwork(nursery)
+        self.platform = standins.PlatformState(standins.Store())
+        self.fleets: dict[str, standins.Fleet] = {}
+        self.nodes: dict[str, RunningNode] = {}
+        self.peer_bytes = 0
+        self.peer_calls = 0
+
+    @property
+    def plan(self) -> Plan:
+        """What the cluster is made of."""
+        return self._plan
+
+    async def start(self) -> None:
+        """Start the stand-ins and all nodes."""
+        app = standins.platform_app(self.platform)
+        self.network.listen(PLATFORM_ADDRESS, app, PLATFORM_LOCATION)
+        self.list_vms(self._plan.vms)
+        for domain in self._plan.failure_domains:
+            self._start_fleet(domain)
+        for domain in self._plan.failure_domains:
+            for index in range(self._plan.nodes_per_domain):
+                await self.start_node(f"{domain}-node-{index}", domain)
+
+    def list_vms(self, vms: collections.abc.Iterable[model.Vm]) -> None:
+        """Set the platform's list of VMs.
+
+        :param vms: the VMs.
+        """
+        plain = [dataclasses.asdict(vm) for vm in vms]
+        self.platform.vms.append((trio.current_time(), plain))
+
+    def _start_fleet(self, domain: str) -> None:
+        fetch = functools.partial(self._fetch_weights, domain)
+        fleet = standins.Fleet(self._nursery, fetch)
+        fleet.on_kill = self._on_kill
+        self.fleets[domain] = fleet
+        for vm in self._plan.vms:
+            if vm.failure_domain == domain:
+                fleet.add(vm.vm, self._plan.engine)
+                self._listen_engine(domain, vm.vm)
+
+    def _listen_engine(self, domain: str, vm: str) -> None:
+        app = standins.engine_app(self.fleets[domain].engines[vm])
+        self.network.listen(f"{vm}:{ENGINE_PORT}", app, domain)
+
+    async def _fetch_weights(self, domain: str, wanted: str) -> None:
+        async with self.client(domain) as http:
+            url = f"http://{PLATFORM_ADDRESS}/v1/weights/{wanted}"
+            await http.get(url, timeout=None)
+
+    def client(self, origin: str) -> httpx.AsyncClient:
+        """Return an HTTP client.
+
+        :param origin: where it runs.
+        """
+        return httpx.AsyncClient(transport=self.network.transport(origin))
+
+    def _on_kill(self, vm: str) -> None:
+        self.network.refuse(f"{vm}:{ENGINE_PORT}")
+
+    def _fleet_of(self, vm: str) -> standins.Fleet:
+        found = {v.vm: v.failure_domain for v in self._plan.vms}
+        return self.fleets[found[vm]]
+
+    def engine(self, vm: str) -> standins.Engine:
+        """Return the engine on a VM.
+
+        :param vm: identity of the VM.
+        """
+        return self._fleet_of(vm).engines[vm]
+
+    def kill_vm(self, vm: str) -> None:
+        """Lose a VM at once.
+
+        :param vm: identity of the VM.
+        """
+        self._fleet_of(vm).kill(vm)
+
+    def restart_vm(self, vm: str) -> None:
+        """Bring a VM back, empty.
+
+        :param vm: identity of the VM.
+        """
+        self.engine(vm).restart()
+        domain = {v.vm: v.failure_domain for v in self._plan.vms}[vm]
+        self._listen_engine(domain, vm)
+
+    def settings(self, name: str, domain: str) -> settings_module.Settings:
+        """Return the settings of a node.
+
+        :param name: name of the node.
+        :param domain: its failure domain.
+        """
+        return settings_module.Settings(
+            node=name,
+            failure_domain=domain,
+            callers=settings_module.Listener(CALLERS_PORT, name),
+            administration=settings_module.Listener(ADMINISTRATION_PORT, name),
+            peers=settings_module.Listener(PEERS_PORT, name),
+            platform_url=f"http://{PLATFORM_ADDRESS}",
+            seeds=tuple(
+                f"{d}-node-{i}:{PEERS_PORT}"
+                for d in self._plan.failure_domains
+                for i in range(self._plan.nodes_per_domain)
+            ),
+        )
+
+    async def start_node(self, name: str, domain: str) -> RunningNode:
+        """Start a node, or start it anew.
+
+        :param name: name of the node.
+        :param domain: its failure domain.
+        """
+        return await self._nursery.start(self._run_node, name, domain)
+
+    async def _run_node(
+        self,
+        name: str,
+        domain: str,
+        task_status: trio.TaskStatus[RunningNode],
+    ) -> None:
+        self._starts += 1
+        settings = self.settings(name, domain)
+        transport = self.network.transport(domain)
+        async with contextlib.AsyncExitStack() as stack:
+            store = await stack.enter_async_context(
+                platform.PlatformClient(settings.platform_url, transport)
+            )
+            engines = await stack.enter_async_context(
+                endpoints.EndpointClient(transport)
+            )
+            context = context_module.Context(
+                settings=settings,
+                known=knowledge.Knowledge(),
+                members=membership.MemberTable(
+                    node_module.own_node(settings, self._starts)
+                ),
+                platform=store,
+                endpoints=engines,
+                telemetry=telemetry.Telemetry(name),
+                connect_peer=functools.partial(_MemoryChannel, self, domain),
+                rng=random.Random(self._rng.random()),
+            )
+            await self._serve_node(context, task_status)
+
+    async def _serve_node(
+        self,
+        context: context_module.Context,
+        task_status: trio.TaskStatus[RunningNode],
+    ) -> None:
+        node = node_module.Node(context)
+        name = context.settings.node
+        domain = context.failure_domain
+        callers_address = context.settings.callers.address
+        operators_address = context.settings.administration.address
+        self.network.listen(callers_address, node.callers_app(), domain)
+        self.network.listen(operators_address, node.operators_app(), domain)
+        async with trio.open_nursery() as nursery:
+            running = RunningNode(node, nursery.cancel_scope)
+            self.nodes[name] = running
+            node.start_loops(nursery)
+            task_status.started(running)
+        self.network.refuse(callers_address)
+        self.network.refuse(operators_address)
+        if self.nodes.get(name) is running:
+            del self.nodes[name]
+
+    def kill_node(self, name: str) -> None:
+        """Lose an entry VM at once, with all its connections.
+
+        :param name: name of the node.
+        """
+        running = self.nodes.pop(name)
+        settings = running.context.settings
+        self.network.refuse(settings.callers.address)
+        self.network.refuse(settings.administration.address)
+        running.scope.cancel()
+
+    def node_at(self, address: str) -> node_module.Node | None:
+        """Return the node that answers peers at an address.
+
+        :param address: host and port.
+        """
+        running = self.nodes.get(address.rpartition(":")[0])
+        return running.node if running else None
+
+    async def configure(
+        self, service: str, profile: model.Profile, node: str = ""
+    ) -> None:
+        """Write a profile and choose it for a service.
+
+        :param service: name of the service.
+        :param profile: the profile.
+        :param node: node that takes the change; any when empty.
+        """
+        running = self.nodes[node or next(iter(self.nodes))]
+        url = f"http://{running.context.settings.administration.address}"
+        known = running.context.known.configuration.profiles
+        history = known.get(profile.name)
+        replaces = history.current.revision if history else 0
+        async with self.client(running.context.failure_domain) as http:
+            response = await http.put(
+                f"{url}/v1/profiles/{profile.name}",
+                content=model.encode(profile),
+                params={"replaces": replaces},
+            )
+            response.raise_for_status()
+            response = await http.put(
+                f"{url}/v1/services/{service}",
+                json={"profile": profile.name},
+            )
+            response.raise_for_status()
+
+    async def wait_serving(
+        self, domain: str, count: int, timeout_s: float = 60.0
+    ) -> float:
+        """Wait until the nodes of a failure domain see replicas serve.
+
+        :param domain: the failure domain.
+        :param count: how many replicas.
+        :param timeout_s: longest wait in seconds.
+        :returns: the wait in seconds.
+        :raises TimeoutError: when they do not.
+        """
+        begun = trio.current_time()
+        while trio.current_time() - begun < timeout_s:
+            serving = [
+                running.node.status.summary(domain).serving
+                for running in self.nodes.values()
+                if running.context.failure_domain == domain
+            ]
+            if serving and min(serving) >= count:
+                return trio.current_time() - begun
+            await trio.sleep(0.05)
+        raise TimeoutError(f"{count} replicas of {domain} do not serve")
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(
+    plan: Plan,
+) -> collections.abc.AsyncIterator[Cluster]:
+    """Run a cluster while the block runs.
+
+    :param plan: what it is made of.
+    """
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(plan, nursery)
+        await cluster.start()
+        yield cluster
+        nursery.cancel_scope.cancel()
+
+
+def run_seeded(
+    scenario: collections.abc.Callable[..., collections.abc.Awaitable[T]],
+    *arguments: object,
+    seed: int = 1,
+) -> T:
+    """Run a scenario on the mock clock with a deterministic schedule.
+
+    :param scenario: asynchronous function.
+    :param arguments: its arguments.
+    :param seed: seed of trio's scheduler.
+    :returns: what the scenario returns.
+    """
+    # The same switch that hypothesis-trio uses; trio has no public one.
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(scenario, *arguments, clock=clock)
--- a/packages/peers/wasabilanding/peers/__init__.py
+++ b/packages/peers/wasabilanding/peers/__init__.py
@@ -9,7 +9,7 @@
 clocks are not compared between VMs.
 """
 
-from wasabilanding.peers.client import exchange_with
+from wasabilanding.peers.client import Channel
 from wasabilanding.peers.client import PeerChannel
 from wasabilanding.peers.client import PeerUnreachable
 from wasabilanding.peers.messages import answer_request
@@ -18,11 +18,11 @@
 from wasabilanding.peers.server import serve_exchange
 
 __all__ = [
+    "Channel",
     "PeerChannel",
     "PeerUnreachable",
     "answer_request",
     "apply_reply",
-    "exchange_with",
     "make_request",
     "serve_exchange",
 ]
--- a/packages/peers/wasabilanding/peers/client.py
+++ b/packages/peers/wasabilanding/peers/client.py
@@ -1,6 +1,7 @@
 """Client side of the exchange."""
 
 import asyncio
+import typing
 
 import grpclib.client
 import grpclib.exceptions
@@ -24,6 +25,18 @@
         self.address = address
 
 
+class Channel(typing.Protocol):
+    """Connection to one peer."""
+
+    async def exchange(
+        self, request: exchange_pb2.ExchangeRequest
+    ) -> exchange_pb2.ExchangeReply:
+        """Exchange knowledge with the peer, from trio code."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 class PeerChannel:
     """Connection to one peer; a context manager.
 
@@ -68,16 +81,3 @@
             OSError,
         ) as error:
             raise PeerUnreachable(self._address, error) from error
-
-
-async def exchange_with(
-    address: str, request: exchange_pb2.ExchangeRequest
-) -> exchange_pb2.ExchangeReply:
-    """Exchange once over a connection of its own.
-
-    :param address: host and port of the peer.
-    :param request: what this node tells.
-    :raises PeerUnreachable: when no answer comes in time.
-    """
-    with PeerChannel(address) as channel:
-        return await channel.exchange(request)
--- a/packages/standins/wasabilanding/standins/__init__.py
+++ b/packages/standins/wasabilanding/standins/__init__.py
@@ -12,13 +12,17 @@
 from wasabilanding.standins.engine import EngineSettings
 from wasabilanding.standins.engine import Fleet
 from wasabilanding.standins.engine_http import engine_app
+from wasabilanding.standins.memory_network import MemoryNetwork
 from wasabilanding.standins.platform_http import platform_app
+from wasabilanding.standins.platform_http import PlatformState
 from wasabilanding.standins.store import Store
 
 __all__ = [
     "Engine",
     "EngineSettings",
     "Fleet",
+    "MemoryNetwork",
+    "PlatformState",
     "Store",
     "engine_app",
     "platform_app",
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/memory_network.py
@@ -0,0 +1,349 @@
+"""In-memory network between HTTP clients and ASGI applications.
+
+Explanation
+===========
+
+A :class:`MemoryNetwork` joins clients and applications inside one process,
+without sockets, so that trio's mock clock can drive whole runs. Every client
+and every application has a location, such as a node or a failure domain, and
+faults are ordered by location or address:
+
+``refuse``
+    an address refuses connections and its open ones break, as after a VM is
+    lost.
+``cut``
+    two locations no longer reach each other: new connections time out and
+    open ones go silent.
+``silence``
+    open streams of an address go silent for good while new ones work.
+``lose_answers``
+    the next answers of an address are lost after the call took effect.
+
+See Also
+========
+
+wasabilanding.standins.engine : what usually stands behind the network.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+import typing
+
+import httpx
+import trio
+
+AsgiApp = collections.abc.Callable[..., collections.abc.Awaitable[None]]
+BUFFERED_MESSAGES = 10_000
+HTTP_PORT = 80
+
+
+@dataclasses.dataclass(frozen=True)
+class _Listener:
+    app: AsgiApp
+    location: str
+
+
+class _Exchange:
+    """One HTTP exchange over the network."""
+
+    def __init__(self, origin: str, address: str, target: str) -> None:
+        self.origin = origin
+        self.address = address
+        self.target = target
+        self.silent = False
+        self.broken = False
+        self.changed = trio.Event()
+        self.disconnected = trio.Event()
+        self.scope = trio.CancelScope()
+        self.messages: collections.deque[dict] = collections.deque()
+        self.ended = False
+
+    def notify(self) -> None:
+        """Wake the client."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def break_off(self) -> None:
+        """Break the connection for both ends."""
+        self.broken = True
+        self.disconnected.set()
+        self.notify()
+
+
+class MemoryNetwork:
+    """Joins clients and applications inside one process.
+
+    :param nursery: runs the applications.
+    :param delay_s: one-way delay by pair of locations; 0 where not given.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        delay_s: collections.abc.Mapping[frozenset[str], float] | None = None,
+    ) -> None:
+        self._nursery = nursery
+        self._delay_s = dict(delay_s or {})
+        self._listeners: dict[str, _Listener] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._open: set[_Exchange] = set()
+        self._lost_answers: collections.Counter[str] = collections.Counter()
+
+    def listen(self, address: str, app: AsgiApp, location: str) -> None:
+        """Serve an application.
+
+        :param address: host and port.
+        :param app: the ASGI application.
+        :param location: where it runs.
+        """
+        self._listeners[address] = _Listener(app, location)
+
+    def refuse(self, address: str) -> None:
+        """Refuse connections to an address and break its open ones.
+
+        :param address: host and port.
+        """
+        self._listeners.pop(address, None)
+        for exchange in self._matching(address):
+            exchange.break_off()
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two locations off from each other.
+
+        :param one: a location.
+        :param other: another location.
+        """
+        self._cuts.add(frozenset((one, other)))
+
+    def heal(self, one: str, other: str) -> None:
+        """End a cut; connections that went silent stay so.
+
+        :param one: a location.
+        :param other: another location.
+        """
+        for exchange in self._open:
+            if {exchange.origin, exchange.target} == {one, other}:
+                exchange.silent = True
+        self._cuts.discard(frozenset((one, other)))
+
+    def silence(self, address: str) -> None:
+        """Let open streams of an address go silent for good.
+
+        :param address: host and port.
+        """
+        for exchange in self._matching(address):
+            exchange.silent = True
+
+    def lose_answers(self, address: str, count: int = 1) -> None:
+        """Lose the next answers of an address after they took effect.
+
+        :param address: host and port.
+        :param count: how many answers.
+        """
+        self._lost_answers[address] += count
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether two locations are cut off from each other.
+
+        :param one: a location.
+        :param other: another location.
+        """
+        return one != other and frozenset((one, other)) in self._cuts
+
+    def transport(self, origin: str) -> "MemoryTransport":
+        """Return the transport of a client.
+
+        :param origin: where the client runs.
+        """
+        return MemoryTransport(self, origin)
+
+    async def travel(self, one: str, other: str) -> None:
+        """Wait for the one-way delay between two locations.
+
+        :param one: a location.
+        :param other: another location.
+        """
+        delay = self._delay_s.get(frozenset((one, other)), 0.0)
+        if delay:
+            await trio.sleep(delay)
+        else:
+            await trio.lowlevel.checkpoint()
+
+    def _matching(self, address: str) -> list[_Exchange]:
+        return [x for x in self._open if x.address == address]
+
+    def connect(self, origin: str, address: str) -> _Exchange | None:
+        """Open an exchange.
+
+        :param origin: where the client runs.
+        :param address: host and port.
+        :returns: the exchange, or None when the address is out of reach.
+        :raises httpx.ConnectError: when the address refuses.
+        """
+        listener = self._listeners.get(address)
+        if listener is None:
+            raise httpx.ConnectError(f"{address} refuses connections")
+        if self.is_cut(origin, listener.location):
+            return None
+        exchange = _Exchange(origin, address, listener.location)
+        if self._lost_answers[address] > 0:
+            self._lost_answers[address] -= 1
+            exchange.silent = True
+        self._open.add(exchange)
+        return exchange
+
+    def close(self, exchange: _Exchange) -> None:
+        """Forget an exchange.
+
+        :param exchange: the exchange.
+        """
+        exchange.disconnected.set()
+        self._open.discard(exchange)
+
+    def start(self, exchange: _Exchange, scope: dict, body: bytes) -> None:
+        """Run the application on an exchange.
+
+        :param exchange: the exchange.
+        :param scope: ASGI scope of the request.
+        :param body: body of the request.
+        """
+        app = self._listeners[exchange.address].app
+        self._nursery.start_soon(self._run, exchange, app, scope, body)
+
+    async def _run(
+        self, exchange: _Exchange, app: AsgiApp, scope: dict, body: bytes
+    ) -> None:
+        sent_body = False
+
+        async def receive() -> dict:
+            nonlocal sent_body
+            if not sent_body:
+                sent_body = True
+                return {
+                    "type": "http.request",
+                    "body": body,
+                    "more_body": False,
+                }
+            await exchange.disconnected.wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict) -> None:
+            await self.travel(exchange.origin, exchange.target)
+            if not self._is_lost(exchange):
+                exchange.messages.append(message)
+                exchange.notify()
+
+        try:
+            with exchange.scope:
+                await app(scope, receive, send)
+        except Exception:
+            # A server closes the connection when its application fails.
+            exchange.broken = True
+        exchange.ended = True
+        if not self._is_lost(exchange):
+            exchange.notify()
+
+    def _is_lost(self, exchange: _Exchange) -> bool:
+        cut = self.is_cut(exchange.origin, exchange.target)
+        # What a cut swallows is never sent again on the same connection.
+        exchange.silent = exchange.silent or cut
+        return exchange.silent
+
+
+def _scope(request: httpx.Request) -> dict:
+    return {
+        "type": "http",
+        "asgi": {"version": "3.0"},
+        "http_version": "1.1",
+        "method": request.method,
+        "scheme": request.url.scheme,
+        "path": request.url.path,
+        "raw_path": request.url.raw_path.split(b"?")[0],
+        "query_string": request.url.query,
+        "root_path": "",
+        "headers": [(k.lower(), v) for k, v in request.headers.raw],
+        "client": ("127.0.0.1", HTTP_PORT),
+        "server": (request.url.host, request.url.port or HTTP_PORT),
+        "extensions": {},
+    }
+
+
+async def _next_message(exchange: _Exchange, timeout_s: float) -> dict | None:
+    with trio.move_on_after(timeout_s):
+        while not exchange.messages:
+            if exchange.broken and not exchange.silent:
+                raise httpx.RemoteProtocolError("connection broke off")
+            if exchange.ended and not exchange.silent:
+                return None
+            await exchange.changed.wait()
+        return exchange.messages.popleft()
+    raise httpx.ReadTimeout("no byte came in time")
+
+
+class _Stream(httpx.AsyncByteStream):
+    def __init__(
+        self, network: MemoryNetwork, exchange: _Exchange, timeout_s: float
+    ) -> None:
+        self._network = network
+        self._exchange = exchange
+        self._timeout_s = timeout_s
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        while True:
+            message = await _next_message(self._exchange, self._timeout_s)
+            if message is None:
+                raise httpx.RemoteProtocolError("stream ended early")
+            if message.get("body"):
+                yield message["body"]
+            if not message.get("more_body", False):
+                return
+
+    async def aclose(self) -> None:
+        self._network.close(self._exchange)
+
+
+class MemoryTransport(httpx.AsyncBaseTransport):
+    """Transport of a client on a :class:`MemoryNetwork`.
+
+    :param network: the network.
+    :param origin: where the client runs.
+    """
+
+    def __init__(self, network: MemoryNetwork, origin: str) -> None:
+        self._network = network
+        self._origin = origin
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Send a request over the network.
+
+        :param request: the request.
+        :raises httpx.HTTPError: as a real connection would.
+        """
+        timeouts: dict[str, typing.Any] = request.extensions.get("timeout", {})
+        body = await request.aread()
+        port = request.url.port or HTTP_PORT
+        address = f"{request.url.host}:{port}"
+        exchange = self._network.connect(self._origin, address)
+        if exchange is None:
+            await trio.sleep(timeouts.get("connect") or math.inf)
+            raise httpx.ConnectTimeout(f"{address} is out of reach")
+        await self._network.travel(self._origin, exchange.target)
+        self._network.start(exchange, _scope(request), body)
+        timeout_s = timeouts.get("read") or math.inf
+        try:
+            head = await _next_message(exchange, timeout_s)
+        except BaseException:
+            self._network.close(exchange)
+            raise
+        if head is None:
+            self._network.close(exchange)
+            raise httpx.RemoteProtocolError("no answer came")
+        return httpx.Response(
+            head["status"],
+            headers=head["headers"],
+            stream=_Stream(self._network, exchange, timeout_s),
+        )
