Rebuild the planner: graceful draining, hold-down, rolling, spares

Cause: reading the control half showed that a draining replica with a dead member was repaired, that a leaving member was replaced at once (its new epoch cut the streams in flight), that a draining replica was dropped on the first idle report although nodes with an older record still send to it, that loads were ordered all at once, that a holder went on ordering from a record that a lost write had made uncertain, and that renewals waited for slow calls of the decisions.

Choice: the leader is ordered to drain and confirms it in its report; what the holder remembers of earlier reports is a pure history; the steps of the planner are modules of their own. Ruled out: a settle time alone, as no bound holds for a node that is cut off from its peers but reaches the VMs.

--- a/packages/daemon/wasabilanding/daemon/control.py
+++ b/packages/daemon/wasabilanding/daemon/control.py
@@ -1,18 +1,18 @@
 """Holds control of the failure domain and brings its VMs in line."""
 
-import dataclasses
 import logging
 
 import trio
 
+from wasabilanding import configuration
 from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import control_lease
 from wasabilanding import knowledge
 from wasabilanding import model
 from wasabilanding import placement
 from wasabilanding import platform
 from wasabilanding import routing
 
-RENEWALS_PER_TTL = 3
 LISTING_INTERVAL_S = 1.0
 LISTINGS_PER_FENCE = 1_000_000
 
@@ -27,96 +27,54 @@
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
-        self._lease: placement.ControlLease | None = None
-        self._since = 0.0
+        self._keeper = control_lease.LeaseKeeper(context)
+        self._history = placement.History()
+        self._fence = 0
+        self._is_record_certain = False
         self._listed_at = float("-inf")
 
     @property
     def is_holder(self) -> bool:
         """Whether this node may act for the failure domain."""
-        lease = self._lease
-        return lease is not None and lease.is_held(self._context.now())
+        return self._keeper.is_held
 
     async def run(self) -> None:
         """Decide and act until cancelled; then give the lease back."""
-        try:
+        interval_s = self._context.settings.control_interval_s
+        async with self._keeper, trio.open_nursery() as nursery:
+            nursery.start_soon(self._keeper.run)
             while True:
                 await self._tick()
-                await trio.sleep(self._context.settings.control_interval_s)
-        finally:
-            with trio.CancelScope(shield=True):
-                await self._give_back()
-
-    async def _give_back(self) -> None:
-        if self._lease is not None and self.is_holder:
-            await self._context.platform.revoke_lease(self._lease.lease_id)
+                await trio.sleep(interval_s)
 
     async def _tick(self) -> None:
-        if self._lease is None:
-            await self._acquire()
-        else:
-            await self._renew()
         if not self.is_holder:
             return
+        if self._fence != self._keeper.fence:
+            self._take_over(self._keeper.fence)
+        if not self._is_record_certain and not await self._read_record():
+            return
         await self._refresh_listing()
+        self._observe()
         await self._decide()
         await self._carry_out()
+        await self._take_back()
 
-    async def _acquire(self) -> None:
-        context = self._context
-        ttl_s = context.settings.lease_ttl_s
-        key = platform.control_key(context.failure_domain)
-        if isinstance(await context.platform.get(key), platform.Entry):
-            return
-        sent_at = context.now()
-        granted = await context.platform.grant_lease(ttl_s)
-        if not isinstance(granted, platform.LeaseGranted):
-            return
-        result = await context.platform.put(
-            key, context.settings.node, 0, granted.lease_id
-        )
-        if not isinstance(result, platform.Written):
-            await context.platform.revoke_lease(granted.lease_id)
-            return
-        await self._take_over(granted.lease_id, result.revision, sent_at)
+    def _take_over(self, fence: int) -> None:
+        self._fence = fence
+        self._is_record_certain = False
+        self._history = placement.History()
 
-    async def _take_over(
-        self, lease_id: str, fence: int, sent_at: float
-    ) -> None:
+    async def _read_record(self) -> bool:
         context = self._context
         record = await platform.read_record(
             context.platform, context.failure_domain
         )
         if not isinstance(record, model.DomainRecord):
-            await context.platform.revoke_lease(lease_id)
-            return
+            return False
         context.known.learn_record(record)
-        ttl_s = context.settings.lease_ttl_s
-        self._lease = placement.ControlLease(lease_id, fence, ttl_s, sent_at)
-        self._since = context.now()
-        _LOG.info(
-            "holds control of %s with fence %d",
-            context.failure_domain,
-            fence,
-        )
-
-    async def _renew(self) -> None:
-        context = self._context
-        lease = self._lease
-        due_at = lease.renewed_at + lease.ttl_s / RENEWALS_PER_TTL
-        if context.now() < due_at:
-            return
-        sent_at = context.now()
-        result = await context.platform.renew_lease(lease.lease_id)
-        if isinstance(result, platform.LeaseGranted):
-            self._lease = dataclasses.replace(lease, renewed_at=sent_at)
-        elif isinstance(result, platform.Missing) or not self.is_holder:
-            _LOG.warning(
-                "lost control of %s with fence %d",
-                context.failure_domain,
-                lease.fence,
-            )
-            self._lease = None
+        self._is_record_certain = True
+        return True
 
     async def _refresh_listing(self) -> None:
         context = self._context
@@ -124,12 +82,12 @@
             return
         self._listed_at = context.now()
         listed = await context.platform.list_vms(context.failure_domain)
-        if not isinstance(listed, platform.VmList) or not self._lease:
+        if not isinstance(listed, platform.VmList) or not self.is_holder:
             return
         known = context.known.listing(context.failure_domain)
         if known.vms == listed.vms:
             return
-        floor = self._lease.fence * LISTINGS_PER_FENCE
+        floor = self._fence * LISTINGS_PER_FENCE
         context.known.learn_listing(
             knowledge.VmListing(
                 context.failure_domain,
@@ -138,6 +96,27 @@
             )
         )
 
+    def _vms(self) -> dict[str, model.Vm]:
+        listing = self._context.known.listing(self._context.failure_domain)
+        return {vm.vm: vm for vm in listing.vms}
+
+    def _reports(self) -> dict[str, model.VmReport]:
+        context = self._context
+        record = context.known.record(context.failure_domain)
+        members = {vm for r in record.replicas for vm in r.members}
+        own = members | self._vms().keys()
+        reports = context.known.reports
+        return {vm: report for vm, report in reports.items() if vm in own}
+
+    def _observe(self) -> None:
+        context = self._context
+        self._history = placement.advance(
+            self._history,
+            context.known.record(context.failure_domain),
+            self._reports(),
+            context.now(),
+        )
+
     def _situation(self) -> placement.Situation:
         context = self._context
         domain = context.failure_domain
@@ -145,59 +124,51 @@
             record=context.known.record(domain),
             configuration=context.known.configuration,
             vms=context.known.listing(domain).vms,
-            reports=context.known.reports,
+            reports=self._reports(),
             now=context.now(),
-            fence=self._lease.fence,
-            since=self._since,
+            fence=self._fence,
+            since=self._history.settled_from,
+            history=self._history,
         )
 
     async def _decide(self) -> None:
         context = self._context
-        if not self.is_holder or self._is_settling():
+        if not self.is_holder:
             return
         situation = self._situation()
         planned = placement.plan(situation)
         if planned == situation.record:
             return
+        # Until the write is known to have taken effect or not, the record
+        # that is known may be an older one: no orders follow from it.
+        self._is_record_certain = False
         result = await platform.write_record(context.platform, planned)
         if isinstance(result, model.DomainRecord):
             context.known.learn_record(result)
+            self._is_record_certain = True
             _log_changes(situation.record, result)
-        elif isinstance(result, platform.Conflict):
-            await self._reread()
-
-    def _is_settling(self) -> bool:
-        # A new holder first hears of the VMs before it calls any of them
-        # lost.
-        return self._context.now() - self._since < routing.FRESHNESS_S
-
-    async def _reread(self) -> None:
-        record = await platform.read_record(
-            self._context.platform, self._context.failure_domain
-        )
-        if isinstance(record, model.DomainRecord):
-            self._context.known.learn_record(record)
 
     async def _carry_out(self) -> None:
         context = self._context
         record = context.known.record(context.failure_domain)
-        if self._lease is None or record.fence != self._lease.fence:
+        if not self._is_record_certain or record.fence != self._fence:
             return
-        listing = context.known.listing(context.failure_domain)
-        vms = {vm.vm: vm for vm in listing.vms}
+        vms = self._vms()
+        now = context.now()
         reports = {
             vm: report
-            for vm, report in context.known.reports.items()
-            if vm in vms
-            and context.now() - report.observed_at < routing.FRESHNESS_S
+            for vm, report in self._reports().items()
+            if vm in vms and now - report.observed_at < routing.FRESHNESS_S
         }
+        lack = placement.service_lack(
+            context.known.configuration, record, reports, now
+        )
+        orders = placement.orders_for(record, reports, self._history.vms, lack)
         async with trio.open_nursery() as nursery:
-            for order in placement.orders_for(record, reports):
+            for order in orders:
                 nursery.start_soon(self._send, vms[order.vm], order)
 
-    async def _send(
-        self, vm: model.Vm, order: placement.Load | placement.Release
-    ) -> None:
+    async def _send(self, vm: model.Vm, order: placement.Order) -> None:
         if not self.is_holder:
             return
         result = await self._context.endpoints.order(vm, order)
@@ -206,6 +177,34 @@
                 "order to VM %s was not taken: %s", vm.vm, result.detail
             )
 
+    async def _take_back(self) -> None:
+        context = self._context
+        if not self.is_holder or self._history.is_settling(context.now()):
+            return
+        for reversal in placement.reversals(self._situation()):
+            await self._reverse(reversal)
+
+    async def _reverse(self, reversal: placement.Reversal) -> None:
+        context = self._context
+        try:
+            result = await platform.accept_change(
+                context.platform, reversal.apply
+            )
+        except configuration.ChangeRefused as error:
+            _LOG.info("revision was not taken back: %s", error)
+            return
+        if isinstance(result, configuration.Configuration):
+            context.known.learn_configuration(result)
+            _LOG.error(
+                "revision %d of profile %s is bad; service %s goes back to "
+                "revision %d of profile %s",
+                reversal.revision,
+                reversal.profile,
+                reversal.service,
+                reversal.good_revision,
+                reversal.good_profile,
+            )
+
 
 def _log_changes(
     before: model.DomainRecord, after: model.DomainRecord
--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -27,6 +27,8 @@
 from wasabilanding.model.profiles import Profile
 from wasabilanding.model.profiles import ReplicaProfile
 from wasabilanding.model.replicas import DomainRecord
+from wasabilanding.model.replicas import NO_PLACE
+from wasabilanding.model.replicas import Place
 from wasabilanding.model.replicas import ReplicaRecord
 from wasabilanding.model.replicas import ReplicaState
 from wasabilanding.model.reports import Vm
@@ -36,7 +38,9 @@
 __all__ = [
     "DomainRecord",
     "InvalidDocument",
+    "NO_PLACE",
     "Outcome",
+    "Place",
     "PlainProfile",
     "Profile",
     "Reason",
--- a/packages/decisions/wasabilanding/model/profiles.py
+++ b/packages/decisions/wasabilanding/model/profiles.py
@@ -31,6 +31,8 @@
     :param stranding_weight: cost of one accelerator-second without a place
         in a serving replica.
     :param max_running: requests that one replica runs at a time.
+    :param ready_within_s: time in seconds in which the VMs of a new replica
+        are to be ready; a revision that takes longer is rolled back.
     """
 
     __pydantic_config__ = codec.STRICT
@@ -46,6 +48,9 @@
     downtime_weight: Weight = 1.0
     stranding_weight: Weight = 1.0
     max_running: Count = 32
+    ready_within_s: typing.Annotated[
+        float, pydantic.Field(gt=0, le=86_400)
+    ] = 600.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/decisions/wasabilanding/model/replicas.py
+++ b/packages/decisions/wasabilanding/model/replicas.py
@@ -4,6 +4,10 @@
 import enum
 
 
+Place = tuple[str, int]
+NO_PLACE: Place = ("", 0)
+
+
 class ReplicaState(enum.Enum):
     """What the holder of control intends with a replica."""
 
@@ -26,6 +30,9 @@
     :param members: VMs by rank; rank 0 takes the requests.
     :param state: what is intended with it.
     :param max_running: requests that it runs at a time.
+    :param adapters: adapters loaded beside the model.
+    :param spares: VMs of the same fabric domain that hold the weights and
+        may replace a member.
     """
 
     replica_id: str
@@ -39,6 +46,18 @@
     members: tuple[str, ...]
     state: ReplicaState = ReplicaState.ACTIVE
     max_running: int = 32
+    adapters: tuple[str, ...] = ()
+    spares: tuple[str, ...] = ()
+
+    @property
+    def place(self) -> Place:
+        """Identity and epoch, as its members report them."""
+        return self.replica_id, self.epoch
+
+    @property
+    def weights(self) -> tuple[str, ...]:
+        """What its members load: model, version and adapters."""
+        return self.model, self.version, *self.adapters
 
     @property
     def leader(self) -> str:
--- a/packages/decisions/wasabilanding/model/reports.py
+++ b/packages/decisions/wasabilanding/model/reports.py
@@ -3,13 +3,23 @@
 import dataclasses
 import enum
 
+from wasabilanding.model import replicas
+
 
 class VmState(enum.Enum):
-    """State of the engine on a VM, as it reports it."""
+    """State of the engine on a VM, as it reports it.
+
+    A draining engine takes no new request and runs on what it has. A failed
+    one could not load what it was ordered to load. A preloaded one holds
+    weights but has no place in a replica.
+    """
 
     IDLE = "idle"
     LOADING = "loading"
     READY = "ready"
+    DRAINING = "draining"
+    FAILED = "failed"
+    PRELOADED = "preloaded"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,3 +64,8 @@
     queued: int = 0
     leaving: bool = False
     observed_at: float = 0.0
+
+    @property
+    def place(self) -> replicas.Place:
+        """Replica and epoch that it reports."""
+        return self.replica_id, self.epoch
--- a/packages/decisions/wasabilanding/placement/__init__.py
+++ b/packages/decisions/wasabilanding/placement/__init__.py
@@ -9,24 +9,46 @@
 until the VMs report what was ordered, so a lost order needs no bookkeeping.
 """
 
+from wasabilanding.placement.history import advance
+from wasabilanding.placement.history import History
+from wasabilanding.placement.history import VmTrack
 from wasabilanding.placement.lease import ControlLease
+from wasabilanding.placement.lease import is_candidate
+from wasabilanding.placement.orders import Drain
 from wasabilanding.placement.orders import Load
+from wasabilanding.placement.orders import Order
 from wasabilanding.placement.orders import orders_for
+from wasabilanding.placement.orders import Preload
 from wasabilanding.placement.orders import Release
 from wasabilanding.placement.planner import plan
-from wasabilanding.placement.planner import Situation
+from wasabilanding.placement.planner import wanted_profiles
+from wasabilanding.placement.rolling import Reversal
+from wasabilanding.placement.rolling import reversals
+from wasabilanding.placement.situation import Situation
+from wasabilanding.placement.summary import service_lack
 from wasabilanding.placement.summary import summarise
 from wasabilanding.placement.summary import Summary
 from wasabilanding.placement.summary import wanted_replicas
 
 __all__ = [
     "ControlLease",
+    "Drain",
+    "History",
     "Load",
+    "Order",
+    "Preload",
     "Release",
+    "Reversal",
     "Situation",
     "Summary",
+    "VmTrack",
+    "advance",
+    "is_candidate",
     "orders_for",
     "plan",
+    "reversals",
+    "service_lack",
     "summarise",
+    "wanted_profiles",
     "wanted_replicas",
 ]
--- a/packages/decisions/wasabilanding/placement/lease.py
+++ b/packages/decisions/wasabilanding/placement/lease.py
@@ -1,7 +1,12 @@
 """The lease by which one node controls a failure domain."""
 
+import collections.abc
 import dataclasses
 
+from wasabilanding import membership
+
+CANDIDATES = 2
+
 
 @dataclasses.dataclass(frozen=True)
 class ControlLease:
@@ -36,3 +41,34 @@
         (True, False)
         """
         return now - self.renewed_at < self.ttl_s
+
+
+def is_candidate(
+    node: str,
+    live: collections.abc.Collection[str],
+    failure_domain: str,
+) -> bool:
+    """Tell whether a node tries to take the lease when it is free.
+
+    Only few nodes try, so that the calls to the platform's service do not
+    grow with the nodes. The others move up as soon as those are not heard.
+
+    :param node: name of the node.
+    :param live: names of the live nodes of the failure domain.
+    :param failure_domain: the failure domain.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import placement
+    >>> names = ["a", "b", "c", "d"]
+    >>> [placement.is_candidate(n, names, "prov") for n in names].count(True)
+    2
+    """
+    remaining = set(live)
+    for _ in range(CANDIDATES):
+        chosen = membership.owner_of(f"control/{failure_domain}", remaining)
+        if chosen == node:
+            return True
+        remaining.discard(chosen)
+    return False
--- /dev/null
+++ b/packages/decisions/wasabilanding/placement/repair.py
@@ -0,0 +1,159 @@
+"""Repair of replicas that lost members.
+
+Explanation
+===========
+
+A broken replica is repaired in the first of these ways that is open:
+
+1. substitutes from its own fabric domain, its recorded spares first;
+2. where all members are there but some lost their place, the same members
+   regroup under a new epoch;
+3. a whole new replica in another fabric domain;
+4. members of another broken replica of the same fabric domain, which is
+   given up.
+
+A member that fails to load, or takes too long, is replaced in the first way
+only. Where none is open, the replica waits as it is for the VM's return: its
+other VMs are stranded whether it is dissolved or not, and a paused VM that
+returns makes it whole at once.
+"""
+
+import collections.abc
+
+from wasabilanding import configuration
+from wasabilanding import model
+from wasabilanding.placement import draft as draft_module
+from wasabilanding.placement import evidence
+from wasabilanding.placement import situation as situation_module
+
+Situation = situation_module.Situation
+Wanted = collections.abc.Mapping[str, configuration.ProfileRevision]
+
+
+def lost_members(
+    situation: Situation, replica: model.ReplicaRecord
+) -> list[str]:
+    """Return the members that cannot serve in their place.
+
+    :param situation: what the holder of control knows.
+    :param replica: the replica.
+    """
+    return [
+        vm
+        for vm in replica.members
+        if not situation.is_alive(vm)
+        or (situation.is_held_down(vm) and not situation.is_at(vm, replica))
+    ]
+
+
+def _displaced(
+    situation: Situation, replica: model.ReplicaRecord
+) -> list[str]:
+    return [
+        vm for vm in replica.members if situation.is_displaced(vm, replica)
+    ]
+
+
+def _broken(
+    situation: Situation, draft: draft_module.Draft, wanted: Wanted
+) -> list[model.ReplicaRecord]:
+    def order(replica: model.ReplicaRecord) -> tuple:
+        entry = wanted.get(replica.service)
+        weight = entry.profile.downtime_weight if entry else 0.0
+        lost = len(lost_members(situation, replica))
+        return -weight, lost, replica.replica_id
+
+    found = [
+        replica
+        for replica in draft.replicas
+        if replica.state is model.ReplicaState.ACTIVE
+        and (
+            lost_members(situation, replica) or _displaced(situation, replica)
+        )
+    ]
+    return sorted(found, key=order)
+
+
+def _repair_in_place(
+    situation: Situation,
+    draft: draft_module.Draft,
+    replica: model.ReplicaRecord,
+) -> bool:
+    lost = lost_members(situation, replica)
+    substitutes = draft.substitutes(replica)
+    if len(substitutes) < len(lost):
+        return False
+    draft.regroup(replica, dict(zip(lost, substitutes)))
+    return True
+
+
+def _relocate(
+    draft: draft_module.Draft,
+    replica: model.ReplicaRecord,
+    wanted: Wanted,
+) -> bool:
+    entry = wanted.get(replica.service)
+    if entry is None or not evidence.has_content(replica, entry):
+        return False
+    if not draft.form(replica.service, entry, avoid=replica.fabric_domain):
+        return False
+    draft.dissolve(replica)
+    return True
+
+
+def _merge(
+    situation: Situation,
+    draft: draft_module.Draft,
+    replica: model.ReplicaRecord,
+    donors: list[model.ReplicaRecord],
+) -> bool:
+    needed = len(lost_members(situation, replica))
+    have = len(draft.substitutes(replica))
+    for donor in reversed(donors):
+        if donor.fabric_domain != replica.fabric_domain:
+            continue
+        survivors = [vm for vm in donor.members if draft.is_usable(vm)]
+        if have + len(survivors) >= needed:
+            draft.dissolve(donor)
+            donors.remove(donor)
+            return _repair_in_place(situation, draft, replica)
+    return False
+
+
+def repair_all(
+    situation: Situation, draft: draft_module.Draft, wanted: Wanted
+) -> None:
+    """Repair what can be repaired, the weightiest first.
+
+    :param situation: what the holder of control knows.
+    :param draft: the record under construction.
+    :param wanted: profile in force of each service.
+    """
+    waiting = [
+        replica
+        for replica in _broken(situation, draft, wanted)
+        if not _repair_in_place(situation, draft, replica)
+        and not _relocate(draft, replica, wanted)
+    ]
+    while waiting:
+        replica = waiting.pop(0)
+        _merge(situation, draft, replica, waiting)
+    for service, entry in wanted.items():
+        for replica in draft.active(service):
+            _replace_failed(situation, draft, replica, entry)
+
+
+def _replace_failed(
+    situation: Situation,
+    draft: draft_module.Draft,
+    replica: model.ReplicaRecord,
+    entry: configuration.ProfileRevision,
+) -> None:
+    if evidence.is_bad(situation, entry):
+        return
+    failed = evidence.failed_members(
+        situation, replica, entry.profile.ready_within_s
+    )
+    substitutes = draft.substitutes(replica)
+    if failed and len(substitutes) >= len(failed):
+        draft.regroup(replica, dict(zip(failed, substitutes)))
--- /dev/null
+++ b/packages/decisions/wasabilanding/placement/rolling.py
@@ -0,0 +1,227 @@
+"""Rolling a profile through its replicas, one at a time.
+
+Explanation
+===========
+
+A replica that already has what a new revision asks for adopts it as it is.
+Others are superseded one by one: while one replica of the service is being
+formed or drained, nothing else of it is touched. A new replica is formed
+beside the old ones where there is room (a surge); otherwise an old one is
+drained first, as long as the profile's least number keeps serving and its
+place would hold the new one. A revision that the VMs' reports condemn stops
+the roll; :func:`reversal` says how to go back.
+"""
+
+import collections.abc
+import dataclasses
+
+from wasabilanding import configuration
+from wasabilanding import model
+from wasabilanding.placement import draft as draft_module
+from wasabilanding.placement import evidence
+from wasabilanding.placement import situation as situation_module
+from wasabilanding.placement import spares
+
+Situation = situation_module.Situation
+Wanted = collections.abc.Mapping[str, configuration.ProfileRevision]
+Replicas = list[model.ReplicaRecord]
+
+
+def adopt_revisions(draft: draft_module.Draft, wanted: Wanted) -> None:
+    """Let replicas that have what is wanted adopt its revision.
+
+    :param draft: the record under construction.
+    :param wanted: profile in force of each service.
+    """
+    for service, entry in wanted.items():
+        for replica in draft.active(service):
+            if evidence.has_content(replica, entry):
+                draft.adopt(replica, entry)
+
+
+def _victims(situation: Situation, replicas: Replicas) -> Replicas:
+    def order(replica: model.ReplicaRecord) -> tuple:
+        return evidence.is_serving(situation, replica), -replica.epoch
+
+    return sorted(replicas, key=order)
+
+
+def _drain_first(
+    situation: Situation,
+    draft: draft_module.Draft,
+    candidates: Replicas,
+    active: Replicas,
+    keep: int,
+) -> None:
+    serving = [r for r in active if evidence.is_serving(situation, r)]
+    for victim in _victims(situation, candidates):
+        if victim not in serving or len(serving) > keep:
+            draft.drain(victim)
+            return
+
+
+def _with_room(
+    draft: draft_module.Draft,
+    old: Replicas,
+    profile: model.ReplicaProfile,
+) -> Replicas:
+    room = {
+        fabric: len(vms) for fabric, vms in draft.free(spares_too=True).items()
+    }
+    for replica in old:
+        usable = sum(draft.is_usable(vm) for vm in replica.members)
+        fabric = replica.fabric_domain
+        room[fabric] = room.get(fabric, 0) + usable
+    return [r for r in old if room[r.fabric_domain] >= profile.vms_per_replica]
+
+
+def _roll(
+    situation: Situation,
+    draft: draft_module.Draft,
+    service: str,
+    entry: configuration.ProfileRevision,
+) -> None:
+    active = draft.active(service)
+    current = [r for r in active if evidence.has_content(r, entry)]
+    old = [r for r in active if r not in current]
+    draining = any(
+        r.service == service and r not in active for r in draft.replicas
+    )
+    unready = any(not evidence.is_serving(situation, r) for r in current)
+    if draining or unready or evidence.is_bad(situation, entry):
+        return
+    profile = entry.profile
+    keep = min(profile.min_replicas_per_domain, profile.replicas_per_domain)
+    if len(active) > profile.replicas_per_domain:
+        _drain_first(situation, draft, old, active, keep)
+    elif not draft.form(service, entry):
+        victims = _with_room(draft, old, profile)
+        _drain_first(situation, draft, victims, active, keep)
+
+
+def _scale(
+    situation: Situation,
+    draft: draft_module.Draft,
+    service: str,
+    entry: configuration.ProfileRevision,
+) -> None:
+    active = draft.active(service)
+    target = entry.profile.replicas_per_domain
+    for _ in range(target - len(active)):
+        if not draft.form(service, entry):
+            return
+    if spares.forms_extras(entry.profile):
+        return
+    for victim in _victims(situation, active)[: len(active) - target]:
+        draft.drain(victim)
+
+
+def roll_all(
+    situation: Situation, draft: draft_module.Draft, wanted: Wanted
+) -> None:
+    """Form what is missing and supersede what is old, weightiest first.
+
+    :param situation: what the holder of control knows.
+    :param draft: the record under construction.
+    :param wanted: profile in force of each service.
+    """
+
+    def order(service: str) -> tuple:
+        return -wanted[service].profile.downtime_weight, service
+
+    for service in sorted(wanted, key=order):
+        entry = wanted[service]
+        active = draft.active(service)
+        if all(evidence.has_content(r, entry) for r in active):
+            _scale(situation, draft, service, entry)
+        else:
+            _roll(situation, draft, service, entry)
+    for replica in list(draft.replicas):
+        active = replica.state is model.ReplicaState.ACTIVE
+        if active and replica.service not in wanted:
+            draft.drain(replica)
+
+
+@dataclasses.dataclass(frozen=True)
+class Reversal:
+    """A revision that is to be taken back.
+
+    :param service: service that runs under it.
+    :param profile: name of the bad profile.
+    :param revision: its bad revision.
+    :param choice_revision: revision of the service's choice.
+    :param good_profile: name of the profile that served before.
+    :param good_revision: its revision that served before.
+    """
+
+    service: str
+    profile: str
+    revision: int
+    choice_revision: int
+    good_profile: str
+    good_revision: int
+
+    def apply(
+        self, document: configuration.Configuration
+    ) -> configuration.Configuration:
+        """Return the configuration without the bad revision.
+
+        :param document: the current configuration.
+        :raises wasabilanding.configuration.ChangeRefused: when another
+            change came first.
+        """
+        if self.profile == self.good_profile:
+            return configuration.roll_back(
+                document, self.profile, self.good_revision, self.revision
+            )
+        return configuration.choose_profile(
+            document, self.service, self.good_profile, self.choice_revision
+        )
+
+
+def _good_before(
+    situation: Situation, service: str, bad: configuration.ProfileRevision
+) -> tuple[str, int] | None:
+    proved = [
+        key
+        for key in situation.history.proved
+        if key[0] == bad.profile.name and key[1] < bad.revision
+    ]
+    if proved:
+        return max(proved, key=lambda key: key[1])
+    serving = [
+        (r.profile, r.profile_revision)
+        for r in situation.record.replicas
+        if r.service == service and evidence.is_serving(situation, r)
+    ]
+    return max(serving, default=None)
+
+
+def reversals(situation: Situation) -> tuple[Reversal, ...]:
+    """Return the revisions that are to be taken back.
+
+    Only a revision that was seen to serve is gone back to, so two bad ones
+    never alternate.
+
+    :param situation: what the holder of control knows.
+    """
+    found = []
+    document = situation.configuration
+    for service, choice in sorted(document.services.items()):
+        entry = document.profile_of(service)
+        if entry.profile.kind != "replica":
+            continue
+        if not evidence.is_bad(situation, entry):
+            continue
+        good = _good_before(situation, service, entry)
+        if good is not None:
+            found.append(
+                Reversal(
+                    service,
+                    entry.profile.name,
+                    entry.revision,
+                    choice.revision,
+                    *good,
+                )
+            )
+    return tuple(found)
--- /dev/null
+++ b/packages/decisions/wasabilanding/placement/spares.py
@@ -0,0 +1,95 @@
+"""Spares and extra replicas: what becomes of VMs that are left over.
+
+Explanation
+===========
+
+Once all wanted replicas are formed, a VM that is left over is stranded
+whatever it waits for. It can hold the weights of a replica beforehand, so
+that the loss of a member costs no load, or join others in an extra replica,
+so that it is not stranded at all. Each profile weighs the two:
+
+- A profile whose ``downtime_weight`` is at least its ``stranding_weight``
+  takes one spare for each replica, the weightiest profile first, and no
+  extra replica.
+- A profile that weighs stranded accelerators more forms extra replicas from
+  what is left, and takes spares from what no replica fits into.
+
+Wanted replicas go before both: they take spares, and extra replicas drain to
+make room for them.
+"""
+
+import collections.abc
+
+from wasabilanding import configuration
+from wasabilanding import model
+from wasabilanding.placement import draft as draft_module
+
+SPARES_PER_REPLICA = 1
+
+Wanted = collections.abc.Mapping[str, configuration.ProfileRevision]
+Services = collections.abc.Sequence[str]
+
+
+def forms_extras(profile: model.ReplicaProfile) -> bool:
+    """Tell whether a profile forms extra replicas from what is left over.
+
+    :param profile: the profile.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import model
+    >>> from wasabilanding.placement import spares
+    >>> council = model.ReplicaProfile(
+    ...     "draft", "m", "v1", 2, 1, downtime_weight=1, stranding_weight=4
+    ... )
+    >>> spares.forms_extras(council)
+    True
+    """
+    return profile.stranding_weight > profile.downtime_weight
+
+
+def _by_weight(wanted: Wanted) -> list[str]:
+    def order(service: str) -> tuple:
+        return -wanted[service].profile.downtime_weight, service
+
+    return sorted(wanted, key=order)
+
+
+def _assign(draft: draft_module.Draft, services: Services) -> None:
+    for service in services:
+        for replica in draft.active(service):
+            if len(replica.spares) >= SPARES_PER_REPLICA:
+                continue
+            free = draft.substitutes(replica, others=False)
+            if free:
+                draft.set_spares(replica, (*replica.spares, free[0]))
+
+
+def _withdraw_lost(draft: draft_module.Draft) -> None:
+    for replica in list(draft.replicas):
+        usable = (vm for vm in replica.spares if draft.is_usable(vm))
+        draft.set_spares(replica, tuple(usable))
+
+
+def _form_extras(draft: draft_module.Draft, service: str, entry) -> None:
+    lacking = entry.profile.replicas_per_domain - len(draft.active(service))
+    if lacking > 0 or draft.is_rolling(service, entry):
+        return
+    while draft.form(service, entry, take_spares=False):
+        continue
+
+
+def use_left_over(draft: draft_module.Draft, wanted: Wanted) -> None:
+    """Record spares and extra replicas.
+
+    :param draft: the record under construction.
+    :param wanted: profile in force of each service.
+    """
+    _withdraw_lost(draft)
+    services = _by_weight(wanted)
+    extra = [s for s in services if forms_extras(wanted[s].profile)]
+    _assign(draft, [s for s in services if s not in extra])
+    for service in extra:
+        _form_extras(draft, service, wanted[service])
+    _assign(draft, extra)
--- a/packages/decisions/wasabilanding/placement/summary.py
+++ b/packages/decisions/wasabilanding/placement/summary.py
@@ -15,7 +15,8 @@
     :param wanted: replicas that the profiles in force ask for.
     :param serving: replicas that are usable.
     :param accelerators: accelerators of the listed VMs.
-    :param stranded: accelerators without a place in a usable replica.
+    :param stranded: accelerators without a place in a serving replica. A
+        draining replica that still runs requests counts as serving here.
     """
 
     wanted: int
@@ -29,6 +30,22 @@
         return max(0, self.wanted - self.serving)
 
 
+def _is_busy(
+    replica: model.ReplicaRecord,
+    reports: collections.abc.Mapping[str, model.VmReport],
+    now: float,
+) -> bool:
+    if replica.state is not model.ReplicaState.DRAINING:
+        return False
+    held = [reports.get(vm) for vm in replica.members]
+    return all(
+        report is not None
+        and report.place == replica.place
+        and now - report.observed_at <= routing.FRESHNESS_S
+        for report in held
+    ) and bool(held[0].running or held[0].queued)
+
+
 def summarise(
     record: model.DomainRecord,
     wanted: int,
@@ -44,11 +61,9 @@
     :param reports: latest report of each VM.
     :param now: local monotonic time in seconds.
     """
-    active = [
-        r for r in record.replicas if r.state is model.ReplicaState.ACTIVE
-    ]
-    usable = [r for r in active if routing.is_usable(r, reports, now)]
-    placed = {vm for r in usable for vm in r.members}
+    usable = [r for r in record.replicas if routing.is_usable(r, reports, now)]
+    draining = [r for r in record.replicas if _is_busy(r, reports, now)]
+    placed = {vm for r in (*usable, *draining) for vm in r.members}
     accelerators = {vm.vm: vm.accelerators for vm in vms}
     total = sum(accelerators.values())
     held = sum(accelerators.get(vm, 0) for vm in placed)
@@ -66,3 +81,29 @@
         for entry in entries
         if entry and entry.profile.kind == "replica"
     )
+
+
+def service_lack(
+    config: configuration.Configuration,
+    record: model.DomainRecord,
+    reports: collections.abc.Mapping[str, model.VmReport],
+    now: float,
+) -> dict[str, float]:
+    """Return how much each service lacks replicas, by downtime weight.
+
+    :param config: the configuration in force.
+    :param record: the agreed record.
+    :param reports: latest report of each VM.
+    :param now: local monotonic time in seconds.
+    """
+    lack = {}
+    for service in config.services:
+        entry = config.profile_of(service)
+        if entry is None or entry.profile.kind != "replica":
+            continue
+        serving = routing.usable_replicas(
+            record.replicas, service, reports, now
+        )
+        down = max(0, entry.profile.replicas_per_domain - len(serving))
+        lack[service] = entry.profile.downtime_weight * down
+    return lack
--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -74,9 +74,7 @@
             return None
         return dataclasses.replace(report, observed_at=now)
 
-    async def order(
-        self, vm: model.Vm, order: placement.Load | placement.Release
-    ) -> OrderResult:
+    async def order(self, vm: model.Vm, order: placement.Order) -> OrderResult:
         """Send an order to a VM.
 
         :param vm: the VM.
--- a/packages/standins/wasabilanding/standins/engine.py
+++ b/packages/standins/wasabilanding/standins/engine.py
@@ -27,11 +27,13 @@
     :param checks_fence: whether it refuses orders with an old fencing
         number.
     :param max_running: requests in one batch.
+    :param broken_weights: weights that it fails to load, as model/version.
     """
 
     step_s: float = 0.008
     checks_fence: bool = True
     max_running: int = 32
+    broken_weights: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass
@@ -72,6 +74,15 @@
     return f"{digest}-{offset} "
 
 
+def weights_name(order: dict) -> str:
+    """Return the name of the weights that an order asks for.
+
+    :param order: model, version and adapters as ordered.
+    """
+    parts = (order["model"], order["version"], *order.get("adapters", ()))
+    return "/".join(parts)
+
+
 class Engine:
     """The engine on one VM.
 
@@ -99,6 +110,9 @@
         self.members: tuple[str, ...] = ()
         self.loaded: str = ""
         self.ready = False
+        self.draining = False
+        self.fetching = ""
+        self.wanted = ""
         self.runs: dict[str, Run] = {}
 
     @property
@@ -106,12 +120,20 @@
         """Requests that it runs."""
         return sum(run.state == "running" for run in self.runs.values())
 
+    def _state(self) -> str:
+        if self.fetching:
+            return "loading"
+        if not self.replica_id:
+            return "preloaded" if self.loaded else "idle"
+        if self.draining:
+            return "draining"
+        return "ready" if self.ready else "failed"
+
     def status(self) -> dict[str, object]:
         """Return its report as plain JSON."""
-        state = "ready" if self.ready else "loading"
         return {
             "vm": self.vm,
-            "state": state if self.replica_id else "idle",
+            "state": self._state(),
             "replica_id": self.replica_id,
             "epoch": self.epoch,
             "running": self.running,
@@ -137,13 +159,35 @@
         self.replica_id, self.epoch = place
         self.members = tuple(replica["members"])
         self.ready = False
-        wanted = f"{replica['model']}/{replica['version']}"
-        if self.loaded != wanted:
-            await self.fleet.fetch_weights(wanted)
-        if self.alive and place == (self.replica_id, self.epoch):
-            self.loaded = wanted
+        self.draining = False
+        self.wanted = weights_name(replica)
+        await self.preload(self.wanted)
+        self._take_place()
+
+    def _take_place(self) -> None:
+        if self.replica_id and self.loaded == self.wanted:
             self.ready = True
 
+    async def preload(self, wanted: str) -> None:
+        """Hold weights, fetching them where they are not held yet."""
+        if wanted in (self.loaded, self.fetching):
+            return
+        fetching = self.fetching = wanted
+        self.loaded = ""
+        life = self.runs
+        await self.fleet.fetch_weights(wanted)
+        if life is not self.runs or self.fetching != fetching:
+            return
+        self.fetching = ""
+        if self.alive and wanted not in self.settings.broken_weights:
+            self.loaded = wanted
+        self._take_place()
+
+    def drain(self, replica_id: str, epoch: int) -> None:
+        """Take no new request, if it is still in this replica."""
+        if (replica_id, epoch) == (self.replica_id, self.epoch):
+            self.draining = True
+
     def release(self, replica_id: str, epoch: int) -> None:
         """Leave a replica, if it is still in it."""
         if (replica_id, epoch) == (self.replica_id, self.epoch):
@@ -151,6 +195,7 @@
             self.replica_id = ""
             self.epoch = 0
             self.ready = False
+            self.draining = False
 
     def fail_runs(self) -> None:
         """Fail everything that runs here."""
--- a/packages/standins/wasabilanding/standins/engine_http.py
+++ b/packages/standins/wasabilanding/standins/engine_http.py
@@ -58,7 +58,7 @@
         )
         if meant != (engine.replica_id, engine.epoch):
             return {"error": f"not in replica {meant}"}, 409
-        if engine.leaving or not engine.is_whole():
+        if engine.leaving or engine.draining or not engine.is_whole():
             return {"error": "replica is not whole or leaving"}, 503
         if engine.running >= engine.settings.max_running:
             return {"error": "batch is full"}, 503
@@ -98,6 +98,11 @@
     async def status() -> quart.ResponseReturnValue:
         return engine.status()
 
+    _add_orders(app, engine)
+    return app
+
+
+def _add_orders(app: quart.Quart, engine: engine_module.Engine) -> None:
     @app.post("/v1/orders/load")
     async def load() -> quart.ResponseReturnValue:
         body = await quart.request.get_json()
@@ -114,4 +119,19 @@
         engine.release(body["replica_id"], body["epoch"])
         return {}
 
-    return app
+    @app.post("/v1/orders/drain")
+    async def drain() -> quart.ResponseReturnValue:
+        body = await quart.request.get_json()
+        if engine.refuses(body["fence"]):
+            return {"error": f"fence {body['fence']} is old"}, 409
+        engine.drain(body["replica_id"], body["epoch"])
+        return {}
+
+    @app.post("/v1/orders/preload")
+    async def preload() -> quart.ResponseReturnValue:
+        body = await quart.request.get_json()
+        if engine.refuses(body["fence"]):
+            return {"error": f"fence {body['fence']} is old"}, 409
+        wanted = engine_module.weights_name(body)
+        engine.fleet.nursery.start_soon(engine.preload, wanted)
+        return {}
--- a/packages/standins/wasabilanding/standins/platform_http.py
+++ b/packages/standins/wasabilanding/standins/platform_http.py
@@ -120,11 +120,11 @@
             ]
         )
 
-    @app.get("/v1/weights/<model>/<version>")
-    async def weights(model: str, version: str) -> quart.ResponseReturnValue:
+    @app.get("/v1/weights/<path:name>")
+    async def weights(name: str) -> quart.ResponseReturnValue:
         async with state.weights:
             await trio.sleep(WEIGHT_SECONDS)
-        return {"model": model, "version": version}
+        return {"weights": name}
 
 
 def _add_controls(app: quart.Quart, state: PlatformState) -> None:
