--- a/packages/command/wasabilanding/command/profile.py
+++ b/packages/command/wasabilanding/command/profile.py
@@ -10,28 +10,17 @@
 from wasabilanding.command import session
 from wasabilanding import model
 
-EXIT_INVALID = 2
+app = typer.Typer(help="Write and read profiles.", no_args_is_help=True)
 
-app = typer.Typer(help="Write and read profiles.")
 
-AsJson = typing.Annotated[
-    bool, typer.Option("--json", help="Print JSON for programs.")
-]
-
-
-def _read(path: pathlib.Path) -> model.Profile:
-    try:
-        return model.decode(model.Profile, path.read_bytes())
-    except OSError as error:
-        typer.echo(f"{path}: {error.strerror}", err=True)
-    except model.InvalidDocument as error:
-        for mistake in error.mistakes:
-            typer.echo(f"{path}: {mistake}", err=True)
-    raise typer.Exit(EXIT_INVALID)
+def _load(path: pathlib.Path) -> model.Profile:
+    return model.decode(model.Profile, path.read_bytes())
 
 
 @app.command("list")
-def list_profiles(context: typer.Context, as_json: AsJson = False) -> None:
+def list_profiles(
+    context: typer.Context, as_json: output.AsJson = False
+) -> None:
     """List the profiles in force and the services that chose them."""
     with session.administration(context) as client:
         found = client.profiles()
@@ -66,7 +55,7 @@
 
 @app.command()
 def history(
-    context: typer.Context, name: str, as_json: AsJson = False
+    context: typer.Context, name: str, as_json: output.AsJson = False
 ) -> None:
     """Show the kept revisions of a profile."""
     with session.administration(context) as client:
@@ -84,7 +73,7 @@
 @app.command()
 def validate(path: pathlib.Path) -> None:
     """Check the file of a profile without writing it."""
-    profile = _read(path)
+    profile = output.read_document(path, _load)
     typer.echo(f"profile {profile.name} is valid")
 
 
@@ -97,7 +86,7 @@
     ] = 0,
 ) -> None:
     """Write a profile from a file."""
-    profile = _read(path)
+    profile = output.read_document(path, _load)
     content = json.loads(path.read_bytes())
     with session.administration(context) as client:
         accepted = client.put_profile(profile.name, content, replaces)
--- a/packages/daemon/wasabilanding/daemon/settings.py
+++ b/packages/daemon/wasabilanding/daemon/settings.py
@@ -80,6 +80,16 @@
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     trace_file: str = ""
 
+    def __post_init__(self) -> None:
+        """Refuse listeners that would collide."""
+        listeners = {
+            "callers": self.callers.address,
+            "administration": self.administration.address,
+            "peers": self.peers.address,
+        }
+        if len(set(listeners.values())) < len(listeners):
+            raise ValueError(f"listeners share an address: {listeners}")
+
 
 def load_settings(path: pathlib.Path) -> Settings:
     """Read and check settings.
--- a/packages/daemon/wasabilanding/daemon/status.py
+++ b/packages/daemon/wasabilanding/daemon/status.py
@@ -28,6 +28,30 @@
         """Return the configuration in force on this node."""
         return self._context.known.configuration
 
+    def vms(self) -> tuple[model.Vm, ...]:
+        """Return the listed VMs of all failure domains."""
+        listings = self._context.known.listings.values()
+        return tuple(vm for listing in listings for vm in listing.vms)
+
+    def explain(self, service: str) -> tuple[placement.Explanation, ...]:
+        """Explain the replicas of a service by failure domain.
+
+        :param service: name of a service that replicas serve.
+        """
+        known = self._context.known
+        entry = known.configuration.profile_of(service)
+        return tuple(
+            placement.explain(
+                known.record(domain),
+                service,
+                entry,
+                listing.vms,
+                known.reports,
+                self._context.now(),
+            )
+            for domain, listing in sorted(known.listings.items())
+        )
+
     def metrics(self) -> bytes:
         """Return the metrics in the Prometheus text form."""
         return self._context.telemetry.render()
--- a/packages/decisions/wasabilanding/configuration/document.py
+++ b/packages/decisions/wasabilanding/configuration/document.py
@@ -1,8 +1,12 @@
 """The configuration document and its ordering."""
 
 import dataclasses
+import typing
+
+import pydantic
 
 from wasabilanding import model
+from wasabilanding.model import codec
 
 MAX_DOCUMENT_BYTES = 1_000_000
 KEPT_REVISIONS = 8
@@ -56,8 +60,10 @@
     :param max_in_flight: requests in flight per entry VM; 0 for no limit.
     """
 
-    weight: float = 1.0
-    max_in_flight: int = 0
+    __pydantic_config__ = codec.STRICT
+
+    weight: typing.Annotated[float, pydantic.Field(gt=0, le=1000)] = 1.0
+    max_in_flight: typing.Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -23,6 +23,7 @@
 from wasabilanding.model.outcomes import Outcome
 from wasabilanding.model.outcomes import Reason
 from wasabilanding.model.outcomes import Verdict
+from wasabilanding.model.profiles import Name
 from wasabilanding.model.profiles import PlainProfile
 from wasabilanding.model.profiles import Profile
 from wasabilanding.model.profiles import ReplicaProfile
@@ -36,6 +37,7 @@
 __all__ = [
     "DomainRecord",
     "InvalidDocument",
+    "Name",
     "Outcome",
     "PlainProfile",
     "Profile",
--- a/packages/decisions/wasabilanding/model/codec.py
+++ b/packages/decisions/wasabilanding/model/codec.py
@@ -16,6 +16,11 @@
 
 T = typing.TypeVar("T")
 
+MAX_SHOWN_CHARACTERS = 80
+MISSING_TYPES = frozenset(("missing", "missing_argument"))
+UNKNOWN_KEY_TYPES = frozenset(
+    ("extra_forbidden", "unexpected_keyword_argument")
+)
 STRICT = pydantic.ConfigDict(extra="forbid")
 
 
@@ -52,11 +57,20 @@
     return pydantic.TypeAdapter(kind)
 
 
+def _shortened(value: typing.Any) -> str:
+    text = repr(value)
+    if len(text) > MAX_SHOWN_CHARACTERS:
+        return text[: MAX_SHOWN_CHARACTERS - 3] + "..."
+    return text
+
+
 def _mistake(error: typing.Any) -> Mistake:
     path = ".".join(str(part) for part in error["loc"]) or "(document)"
-    value = repr(error["input"])
-    if len(value) > 80:
-        value = value[:77] + "..."
+    if error["type"] in MISSING_TYPES:
+        return Mistake(path, "nothing", "a value is required")
+    value = _shortened(error["input"])
+    if error["type"] in UNKNOWN_KEY_TYPES:
+        return Mistake(path, value, "there is no such key")
     return Mistake(path, value, error["msg"])
 
 
--- a/packages/decisions/wasabilanding/placement/__init__.py
+++ b/packages/decisions/wasabilanding/placement/__init__.py
@@ -9,6 +9,9 @@
 until the VMs report what was ordered, so a lost order needs no bookkeeping.
 """
 
+from wasabilanding.placement.explanation import explain
+from wasabilanding.placement.explanation import Explanation
+from wasabilanding.placement.fit import misfit
 from wasabilanding.placement.lease import ControlLease
 from wasabilanding.placement.orders import Load
 from wasabilanding.placement.orders import orders_for
@@ -21,10 +24,13 @@
 
 __all__ = [
     "ControlLease",
+    "Explanation",
     "Load",
     "Release",
     "Situation",
     "Summary",
+    "explain",
+    "misfit",
     "orders_for",
     "plan",
     "summarise",
--- /dev/null
+++ b/packages/decisions/wasabilanding/placement/fit.py
@@ -0,0 +1,54 @@
+"""Whether a profile fits the fabric domains that are known."""
+
+import collections
+import collections.abc
+
+from wasabilanding import model
+
+
+def largest_fabrics(
+    vms: collections.abc.Iterable[model.Vm],
+) -> dict[str, int]:
+    """Return the VMs of the largest fabric domain of each failure domain.
+
+    :param vms: listed VMs, leaving ones included.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import model
+    >>> from wasabilanding.placement import fit
+    >>> vms = [model.Vm(f"v{i}", "", "prov", f"f{i // 2}") for i in range(5)]
+    >>> fit.largest_fabrics(vms)
+    {'prov': 2}
+    """
+    sizes: collections.Counter[tuple[str, str]] = collections.Counter(
+        (vm.failure_domain, vm.fabric_domain) for vm in vms
+    )
+    largest: dict[str, int] = {}
+    for (failure_domain, _), size in sorted(sizes.items()):
+        known = largest.get(failure_domain, 0)
+        largest[failure_domain] = max(known, size)
+    return largest
+
+
+def misfit(
+    profile: model.Profile, vms: collections.abc.Collection[model.Vm]
+) -> str:
+    """Say why no fabric domain can hold a replica of a profile.
+
+    :param profile: the profile.
+    :param vms: listed VMs of all failure domains; with none, nothing is
+        known against the profile.
+    :returns: explanation that names the values, empty when it fits.
+    """
+    if profile.kind != "replica" or not vms:
+        return ""
+    largest = largest_fabrics(vms)
+    if profile.vms_per_replica <= max(largest.values()):
+        return ""
+    sizes = ", ".join(f"{name}: {size}" for name, size in largest.items())
+    return (
+        f"vms_per_replica: {profile.vms_per_replica} VMs are more than any "
+        f"fabric domain has; the largest by failure domain are {sizes}"
+    )
--- a/packages/operators/wasabilanding/operators/__init__.py
+++ b/packages/operators/wasabilanding/operators/__init__.py
@@ -9,9 +9,9 @@
 """
 
 from wasabilanding.operators.app import operators_app
-from wasabilanding.operators.app import StatusSource
 from wasabilanding.operators.client import AdministrationClient
 from wasabilanding.operators.client import CallRefused
+from wasabilanding.operators.sources import StatusSource
 
 __all__ = [
     "AdministrationClient",
--- a/packages/operators/wasabilanding/operators/client.py
+++ b/packages/operators/wasabilanding/operators/client.py
@@ -104,6 +104,13 @@
         """Return the status of failure domains, replicas and VMs."""
         return self._call("GET", "/v1/status")
 
+    def explain(self, service: str) -> dict:
+        """Explain the replicas of a service by failure domain.
+
+        :param service: name of the service.
+        """
+        return self._call("GET", f"/v1/services/{service}/explanation")
+
     def _call(self, method: str, path: str, **options: typing.Any) -> dict:
         try:
             response = self._http.request(method, path, **options)
