Add reference pages made from the code, glossary, and the boundary check

Cause: settings, profiles and commands were described nowhere; nothing kept the decision packages free of I/O. Pages are generated and compared by a test; the boundary test reads every module.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 PYTHON ?= python3
 VENV := .venv
-SCRIPTS := bin/run-tests bin/sort-imports
+SCRIPTS := bin/run-tests bin/sort-imports bin/generate-docs
 STAMP := $(VENV)/installed
 PROJECTS := $(wildcard packages/*/pyproject.toml)
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format docs
 
 setup: $(STAMP)
 
@@ -30,3 +30,6 @@
 format: setup
 	$(VENV)/bin/python bin/sort-imports
 	$(VENV)/bin/ruff format . $(SCRIPTS)
+
+docs: setup
+	$(VENV)/bin/python bin/generate-docs
--- a/packages/command/wasabilanding/command/__init__.py
+++ b/packages/command/wasabilanding/command/__init__.py
@@ -1,5 +1,12 @@
-"""The operators' command line."""
+"""The operators' command line.
 
-from wasabilanding.command.main import main
+Explanation
+===========
 
-__all__ = ["main"]
+Each group of commands is a module; ``main`` joins them. Documents are
+checked before anything is sent, and each refusal has its exit code.
+"""
+
+from wasabilanding.command.references import pages
+
+__all__ = ["pages"]
--- a/packages/command/wasabilanding/command/main.py
+++ b/packages/command/wasabilanding/command/main.py
@@ -12,20 +12,20 @@
 
 DEFAULT_URL = "http://127.0.0.1:7002"
 
-_app = typer.Typer(
+application = typer.Typer(
     add_completion=False,
     help="Operators' command line of wasabilanding.",
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
-_app.add_typer(profile.app, name="profile")
-_app.add_typer(service.app, name="service")
-_app.add_typer(customer.app, name="customer")
-_app.add_typer(settings.app, name="settings")
-_app.command("status")(status.status)
+application.add_typer(profile.app, name="profile")
+application.add_typer(service.app, name="service")
+application.add_typer(customer.app, name="customer")
+application.add_typer(settings.app, name="settings")
+application.command("status")(status.status)
 
 
-@_app.callback()
+@application.callback()
 def connect(
     context: typer.Context,
     url: typing.Annotated[
@@ -42,4 +42,4 @@
 
 def main() -> None:
     """Run the command."""
-    _app()
+    application()
--- /dev/null
+++ b/packages/command/wasabilanding/command/tests/steps/references_steps.py
@@ -0,0 +1,24 @@
+"""Steps for the reference pages."""
+
+import pathlib
+
+import behave
+
+from wasabilanding.command import references
+
+HINT = "run bin/generate-docs"
+
+
+@behave.when("the page {path} is made anew")
+def make(context, path):
+    """Make the page."""
+    texts = {page.path: page.text for page in references.pages()}
+    context.path = path
+    context.text = texts[path]
+
+
+@behave.then("it equals the committed one")
+def compare(context):
+    """Compare the page."""
+    committed = pathlib.Path(context.path).read_text()
+    assert committed == context.text, HINT
