--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -1,13 +1,11 @@
 """Shared, immutable types: profiles, replicas, reports and outcomes.
 
 Explanation
-===========
 
 Every other package speaks in these types. They hold no behaviour beyond
 small derived values, and none of them performs input or output.
 
 See Also
-========
 
 wasabilanding.configuration : the operators' document built from profiles.
 wasabilanding.placement : decisions about replicas.
@@ -23,6 +21,7 @@
 from wasabilanding.model.outcomes import Outcome
 from wasabilanding.model.outcomes import Reason
 from wasabilanding.model.outcomes import Verdict
+from wasabilanding.model.profiles import Name
 from wasabilanding.model.profiles import PlainProfile
 from wasabilanding.model.profiles import Profile
 from wasabilanding.model.profiles import ReplicaProfile
@@ -39,6 +38,7 @@
     "DomainRecord",
     "InvalidDocument",
     "NO_PLACE",
+    "Name",
     "Outcome",
     "Place",
     "PlainProfile",
--- a/packages/decisions/wasabilanding/placement/__init__.py
+++ b/packages/decisions/wasabilanding/placement/__init__.py
@@ -1,7 +1,6 @@
 """Placement: which VMs form which replicas in one failure domain.
 
 Explanation
-===========
 
 The holder of control calls :func:`plan` on each tick. It returns the next
 record and, for the record that is already agreed, the orders that bring the
@@ -9,6 +8,9 @@
 until the VMs report what was ordered, so a lost order needs no bookkeeping.
 """
 
+from wasabilanding.placement.explanation import explain
+from wasabilanding.placement.explanation import Explanation
+from wasabilanding.placement.fit import misfit
 from wasabilanding.placement.history import advance
 from wasabilanding.placement.history import History
 from wasabilanding.placement.history import VmTrack
@@ -33,6 +35,7 @@
 __all__ = [
     "ControlLease",
     "Drain",
+    "Explanation",
     "History",
     "Load",
     "Order",
@@ -43,7 +46,9 @@
     "Summary",
     "VmTrack",
     "advance",
+    "explain",
     "is_candidate",
+    "misfit",
     "orders_for",
     "plan",
     "reversals",
