--- a/packages/command/wasabilanding/command/tests/steps/references_steps.py
+++ b/packages/command/wasabilanding/command/tests/steps/references_steps.py
@@ -14,11 +14,11 @@
     """Make the page."""
     texts = {page.path: page.text for page in references.pages()}
     context.path = path
-    context.text = texts[path]
+    context.made = texts[path]
 
 
 @behave.then("it equals the committed one")
 def compare(context):
     """Compare the page."""
     committed = pathlib.Path(context.path).read_text()
-    assert committed == context.text, HINT
+    assert committed == context.made, HINT
