Test the planner: repair, graceful draining, hold-down, rolls, reversal

The tests found two faults: a roll with a full fabric domain drained a current replica on each tick, because a negative surplus sliced all but the last; and a VM whose track was older than its report counted as overdue.

--- a/packages/decisions/wasabilanding/placement/__init__.py
+++ b/packages/decisions/wasabilanding/placement/__init__.py
@@ -8,6 +8,7 @@
 until the VMs report what was ordered, so a lost order needs no bookkeeping.
 """
 
+from wasabilanding.placement.evidence import is_serving
 from wasabilanding.placement.explanation import explain
 from wasabilanding.placement.explanation import Explanation
 from wasabilanding.placement.fit import misfit
@@ -48,6 +49,7 @@
     "advance",
     "explain",
     "is_candidate",
+    "is_serving",
     "misfit",
     "orders_for",
     "plan",
--- a/packages/decisions/wasabilanding/placement/evidence.py
+++ b/packages/decisions/wasabilanding/placement/evidence.py
@@ -57,6 +57,8 @@
     track = situation.history.vms.get(vm)
     if track is None or track.was_ready:
         return False
+    if track.place != situation.reports[vm].place:
+        return False
     return situation.now - track.placed_at > within_s
 
 
--- a/packages/decisions/wasabilanding/placement/rolling.py
+++ b/packages/decisions/wasabilanding/placement/rolling.py
@@ -112,7 +112,8 @@
             return
     if spares.forms_extras(entry.profile):
         return
-    for victim in _victims(situation, active)[: len(active) - target]:
+    surplus = max(0, len(active) - target)
+    for victim in _victims(situation, active)[:surplus]:
         draft.drain(victim)
 
 
--- /dev/null
+++ b/packages/decisions/wasabilanding/placement/tests/planner.feature
@@ -0,0 +1,107 @@
+Feature: The next record of a failure domain
+
+  Scenario Outline: Repair of replicas
+    Given fabric domains of <sizes> VMs
+    And <count> wanted replicas of <vms> VMs
+    When these happen: <events>
+    Then the record holds <record>
+    And <serving> replicas serve
+
+    Examples: death, pause, return, dark fabric domains
+      | sizes | count | vms | events                                   | record            | serving |
+      | 3     | 1     | 2   | wait 1                                   | a0+a1(a2)         | 1       |
+      | 3     | 1     | 2   | kill a1, wait 4                          | a0+a2             | 1       |
+      | 3     | 1     | 2   | kill a1, wait 4, restart a1, wait 9      | a0+a2(a1)         | 1       |
+      | 2     | 1     | 2   | pause a1, wait 9, resume a1, wait 1      | a0+a1             | 1       |
+      | 2     | 1     | 2   | kill a1, wait 9                          | a0+a1             | 0       |
+      | 2     | 1     | 2   | kill a1, wait 9, restart a1, wait 9      | a0+a1             | 1       |
+      | 2,2   | 1     | 2   | kill a1, wait 9                          | b0+b1             | 1       |
+      | 2,2   | 1     | 2   | dark a, wait 9                           | b0+b1             | 1       |
+      | 4     | 2     | 2   | kill a1, kill a3, wait 9                 | a0+a2             | 1       |
+      | 3,2   | 2     | 2   | kill a1, kill b1, wait 9                 | a0+a2 b0+b1       | 1       |
+      | 3,3   | 2     | 2   | kill a1, kill b1, wait 5                 | a0+a2 b0+b2       | 2       |
+      | 4,4   | 2     | 2   | wait 1                                   | a0+a1(a2) b0+b1(b2) | 2     |
+
+  Scenario Outline: A VM that comes back empty makes its replica regroup
+    Given fabric domains of <sizes> VMs
+    And 1 wanted replicas of 2 VMs
+    And the epoch of the replicas is noted
+    When these happen: <events>
+    Then every member of a whole replica had its place under its epoch
+    And 1 replicas serve
+
+    Examples:
+      | sizes | events                         |
+      | 2     | restart a1, wait 9             |
+      | 2     | kill a0, wait 1, restart a0, wait 9 |
+
+  Scenario Outline: Planned changes drain first and cut nothing
+    Given fabric domains of <sizes> VMs
+    And 1 wanted replicas of 2 VMs
+    When these happen: <events>
+    Then the record holds <record>
+    And 0 running requests were cut
+
+    Examples: leaving VM, new version, scale-down
+      | sizes | events                                               | record       |
+      | 4     | run a0, leave a1, wait 9                             | a0+a1! a2+a3 |
+      | 4     | run a0, leave a1, wait 9, finish a0, wait 9          | a2+a3(a0)    |
+      | 3     | run a0, leave a1, wait 60                            | a0+a1!       |
+      | 3     | run a0, leave a1, wait 9, finish a0, wait 9          | a0+a2        |
+      | 2     | run a0, change version=v2, wait 60                   | a0+a1!       |
+      | 2     | run a0, change version=v2, wait 9, finish a0, wait 9 | a0+a1        |
+
+  Scenario Outline: A node with an older record still sends to a draining replica
+    Given fabric domains of 4 VMs
+    And 1 wanted replicas of 2 VMs
+    When these happen: <events>
+    Then the record holds <record>
+    And 0 running requests were cut
+
+    Examples: the engine confirms the order to drain, or does not know it
+      | events                                       | record     |
+      | late 10, change version=v2, wait 12          | a2+a3(a0)  |
+      | deaf a0, late 10, change version=v2, wait 30 | a0+a1! a2+a3 |
+      | deaf a0, late 10, change version=v2, wait 60 | a2+a3(a0)  |
+
+  Scenario Outline: Nothing is written while nothing changes
+    Given fabric domains of <sizes> VMs
+    And <count> wanted replicas of <vms> VMs
+    When these happen: <events>
+    Then the record changed at most <writes> times since revision 1
+
+    Examples:
+      | sizes | count | vms | events          | writes |
+      | 3,4   | 2     | 2   | wait 60         | 0      |
+      | 3,4   | 2     | 5   | wait 60         | 0      |
+      | 2     | 1     | 2   | kill a1, wait 60 | 0     |
+
+  Scenario: A draining replica that lost a member is dropped
+    Given fabric domains of 2 VMs
+    And 1 wanted replicas of 2 VMs
+    When these happen: run a0, change version=v2, wait 3, kill a1, wait 4
+    Then the record holds none
+
+  Scenario Outline: Flapping VMs do not make replicas flap
+    Given fabric domains of <sizes> VMs
+    And 1 wanted replicas of 2 VMs
+    When these happen: <events>
+    Then the record changed at most <writes> times since revision 1
+
+    Examples:
+      | sizes | events                                                 | writes |
+      | 3     | flap a1, flap a1, flap a1, flap a1, flap a1, flap a1   | 5      |
+      | 2     | flap a1, flap a1, flap a1, flap a1, flap a1, flap a1   | 3      |
+
+  Scenario: A holder that was paused calls no VM lost
+    Given fabric domains of 3,3 VMs
+    And 2 wanted replicas of 2 VMs
+    When the holder is paused for 2.4 seconds and then hears a1 late
+    Then the record holds a0+a1(a2) b0+b1(b2)
+    And the record changed at most 0 times since revision 1
+
+  Scenario: The weightiest service loads first, whole replicas before parts
+    Given fabric domains of 9 VMs
+    When a light service wants 2 replicas and a heavy one 2, of 2 VMs
+    Then at most 3 VMs ever load at a time, when 3 may
+    And the heavy service serves first
