--- a/packages/decisions/wasabilanding/placement/rolling.py
+++ b/packages/decisions/wasabilanding/placement/rolling.py
@@ -75,6 +75,19 @@
     return [r for r in old if room[r.fabric_domain] >= profile.vms_per_replica]
 
 
+def _is_recovering(
+    situation: Situation,
+    replica: model.ReplicaRecord,
+    entry: configuration.ProfileRevision,
+) -> bool:
+    if evidence.is_serving(situation, replica):
+        return False
+    if not all(situation.is_alive(vm) for vm in replica.members):
+        return False
+    within_s = entry.profile.ready_within_s
+    return not evidence.failed_members(situation, replica, within_s)
+
+
 def _roll(
     situation: Situation,
     draft: draft_module.Draft,
@@ -88,7 +101,10 @@
         r.service == service and r not in active for r in draft.replicas
     )
     unready = any(not evidence.is_serving(situation, r) for r in current)
-    if draining or unready or evidence.is_bad(situation, entry):
+    recovering = any(_is_recovering(situation, r, entry) for r in old)
+    if draining or unready or recovering:
+        return
+    if evidence.is_bad(situation, entry):
         return
     profile = entry.profile
     keep = min(profile.min_replicas_per_domain, profile.replicas_per_domain)
--- a/packages/decisions/wasabilanding/placement/tests/planner.feature
+++ b/packages/decisions/wasabilanding/placement/tests/planner.feature
@@ -82,6 +82,13 @@
     When these happen: run a0, change version=v2, wait 3, kill a1, wait 4
     Then the record holds none
 
+  Scenario: A replica that recovers is not drained meanwhile
+    Given fabric domains of 4 VMs
+    And 1 wanted replicas of 2 VMs
+    And a minimum of 1 replicas
+    When these happen: pause a0, wait 2, change version=v2, wait 0.5
+    Then the record holds a2+a1(a3)
+
   Scenario Outline: Flapping VMs do not make replicas flap
     Given fabric domains of <sizes> VMs
     And 1 wanted replicas of 2 VMs
