--- a/packages/experiments/wasabilanding/experiments/launcher.py
+++ b/packages/experiments/wasabilanding/experiments/launcher.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import socket
 import subprocess
@@ -23,6 +24,13 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.1
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORT_BLOCK = 200
+PLATFORM_PORTS = 1
+CONTROL_PORTS = 1
+NODE_PORTS = 3
+PORT_BLOCKS = 100
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +48,13 @@
     fabrics_per_domain: int = 2
     vms_per_fabric: int = 3
 
+    @property
+    def ports(self) -> int:
+        """Ports that the system listens on."""
+        vms = self.fabrics_per_domain * self.vms_per_fabric
+        per_domain = CONTROL_PORTS + vms + NODE_PORTS * self.nodes_per_domain
+        return PLATFORM_PORTS + len(self.failure_domains) * per_domain
+
 
 @dataclasses.dataclass(frozen=True)
 class NodeHandle:
@@ -59,17 +74,31 @@
     process: subprocess.Popen[bytes]
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as opened:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            opened.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on.
 
+    They lie below the range that outgoing connections take theirs from.
+    Launchers that run side by side begin at different ports.
+
     :param count: how many.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind((HOST, 0))
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
+    begin = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORT_BLOCK
+    ports: list[int] = []
+    for port in range(begin, LAST_PORT):
+        if len(ports) == count:
+            break
+        if _is_free(port):
+            ports.append(port)
     return ports
 
 
@@ -89,6 +118,7 @@
         self._folder = folder
         self._processes: list[subprocess.Popen[bytes]] = []
         self._vms: list[dict] = []
+        self._ports = iter(free_ports(plan.ports))
         self._fleet_urls: dict[str, str] = {}
         self.nodes: list[NodeHandle] = []
         self.platform_url = ""
@@ -126,7 +156,7 @@
         return process
 
     def _start_platform(self) -> None:
-        (port,) = free_ports(1)
+        port = next(self._ports)
         self.platform_url = _url(port)
         self._spawn(
             "platform",
@@ -141,7 +171,7 @@
     def _fleet_vms(self, domain: str) -> list[dict]:
         plan = self._plan
         count = plan.fabrics_per_domain * plan.vms_per_fabric
-        ports = free_ports(count)
+        ports = [next(self._ports) for _ in range(count)]
         return [
             {
                 "port": port,
@@ -158,7 +188,7 @@
         ]
 
     def _start_fleet(self, domain: str) -> None:
-        (control_port,) = free_ports(1)
+        control_port = next(self._ports)
         vms = self._fleet_vms(domain)
         settings = {
             "platform_url": self.platform_url,
@@ -185,7 +215,7 @@
             for domain in self._plan.failure_domains
             for index in range(self._plan.nodes_per_domain)
         ]
-        ports = free_ports(3 * len(names))
+        ports = [next(self._ports) for _ in range(3 * len(names))]
         peer_ports = ports[2::3]
         seeds = [f"{HOST}:{port}" for port in peer_ports]
         for index, (domain, name) in enumerate(names):
