Give the stand-in engine continuous batching, a prefix cache and late reports

Cause: every request took the same time whatever else ran, so neither routing nor admission could be measured. One step loop per replica; steps grow with the batch and with uncached prompt tokens; requests beyond the batch wait by priority; cache events come late and with gaps; load reports lag.

--- a/packages/decisions/wasabilanding/routing/__init__.py
+++ b/packages/decisions/wasabilanding/routing/__init__.py
@@ -7,16 +7,92 @@
 reported, freshly, the same replica and epoch as the record. A stale order
 from a former holder of control therefore takes a replica out of service; it
 cannot make one serve with a foreign or missing VM.
+
+Among usable replicas the choice weighs four things that are each known only
+roughly: load (:class:`LoadView`: the last report, which is late, and what
+this node sent and finished since), cached prefixes (:class:`PrefixView`:
+the node's own sends and the engines' cache events, which come late and with
+gaps), stragglers (:class:`PaceView`: the time between parts in observed
+streams) and distance. :class:`ReplicaIndex` keeps the cost of a choice
+independent of the number of VMs.
+
+Examples
+========
+
+>>> import random
+>>> from wasabilanding import model
+>>> from wasabilanding import routing
+>>> replica = model.ReplicaRecord(
+...     "r", 1, "escriba", "draft", 1, "tarifa", "v1", "f", ("vm-1",)
+... )
+>>> record = model.DomainRecord("prov", revision=1, replicas=(replica,))
+>>> report = model.VmReport("vm-1", model.VmState.READY, "r", 1)
+>>> index = routing.ReplicaIndex("prov")
+>>> index.refresh({"prov": record}, {"vm-1": report}, now=0.0)
+True
+>>> situation = routing.Situation(
+...     index,
+...     {"vm-1": report},
+...     routing.LoadView(),
+...     routing.PaceView(),
+...     routing.PrefixView(),
+...     now=0.0,
+... )
+>>> wish = routing.Wish("escriba", routing.block_hashes("a short prompt"))
+>>> choose = routing.POLICIES["cost"]
+>>> choose(situation, wish, random.Random(1)).replica.leader
+'vm-1'
+
+See Also
+========
+
+wasabilanding.limits : decides when a request is routed at all.
 """
 
-from wasabilanding.routing.choice import choose_replica
+from wasabilanding.routing.choice import choose_at_random
+from wasabilanding.routing.choice import choose_by_cost
+from wasabilanding.routing.choice import choose_least_loaded
+from wasabilanding.routing.choice import choose_of_two
+from wasabilanding.routing.choice import Costs
+from wasabilanding.routing.choice import expected_wait_s
+from wasabilanding.routing.choice import POLICIES
+from wasabilanding.routing.choice import Policy
+from wasabilanding.routing.choice import Situation
+from wasabilanding.routing.choice import Wish
 from wasabilanding.routing.evidence import FRESHNESS_S
 from wasabilanding.routing.evidence import is_usable
 from wasabilanding.routing.evidence import usable_replicas
+from wasabilanding.routing.index import Located
+from wasabilanding.routing.index import replica_key
+from wasabilanding.routing.index import ReplicaIndex
+from wasabilanding.routing.load_view import LoadView
+from wasabilanding.routing.pace import PaceView
+from wasabilanding.routing.prefix import block_hashes
+from wasabilanding.routing.prefix import BLOCK_TOKENS
+from wasabilanding.routing.prefix import PrefixView
+from wasabilanding.routing.prefix import token_count
 
 __all__ = [
+    "BLOCK_TOKENS",
+    "Costs",
     "FRESHNESS_S",
-    "choose_replica",
+    "LoadView",
+    "Located",
+    "POLICIES",
+    "PaceView",
+    "Policy",
+    "PrefixView",
+    "ReplicaIndex",
+    "Situation",
+    "Wish",
+    "block_hashes",
+    "choose_at_random",
+    "choose_by_cost",
+    "choose_least_loaded",
+    "choose_of_two",
+    "expected_wait_s",
     "is_usable",
+    "replica_key",
+    "token_count",
     "usable_replicas",
 ]
--- /dev/null
+++ b/packages/decisions/wasabilanding/routing/index.py
@@ -0,0 +1,175 @@
+"""Index of usable replicas by service and failure domain.
+
+Explanation
+===========
+
+Checking every replica for every request costs time in proportion to all
+VMs. The index checks all of them only when a record changes and a few times
+a second, and a request checks just the replicas that it draws. A replica
+that has ceased to be usable since the last sweep is therefore drawn at
+times, but never returned.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+from wasabilanding import model
+from wasabilanding.routing import evidence
+
+SWEEP_S = 0.25
+
+Records = collections.abc.Mapping[str, model.DomainRecord]
+
+
+def replica_key(replica: model.ReplicaRecord) -> str:
+    """Return a name of a replica that is unique among failure domains.
+
+    Replica identities are unique in one failure domain only. A replica whose
+    members changed has an empty cache and counts as another one.
+
+    :param replica: the replica.
+    """
+    return f"{replica.leader}@{replica.epoch}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Located:
+    """A replica and where it is.
+
+    :param replica: the replica.
+    :param failure_domain: its failure domain.
+    """
+
+    replica: model.ReplicaRecord
+    failure_domain: str
+
+
+class ReplicaIndex:
+    """Usable replicas, kept up to date.
+
+    :param failure_domain: the failure domain that counts as local.
+    :param freshness_s: age in seconds up to which a report counts.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        freshness_s: float = evidence.FRESHNESS_S,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._freshness_s = freshness_s
+        self._revisions: dict[str, int] = {}
+        self._all: dict[str, Located] = {}
+        self._usable: dict[tuple[str, bool], list[Located]] = {}
+        self._swept_at = float("-inf")
+
+    @property
+    def keys(self) -> collections.abc.Collection[str]:
+        """Keys of all recorded replicas."""
+        return self._all.keys()
+
+    def get(self, key: str) -> Located | None:
+        """Return a replica by its key.
+
+        :param key: the key.
+        """
+        return self._all.get(key)
+
+    def refresh(
+        self, records: Records, reports: evidence.Reports, now: float
+    ) -> bool:
+        """Bring the index up to date, where it is due.
+
+        :param records: latest record by failure domain.
+        :param reports: latest report of each VM.
+        :param now: local monotonic time in seconds.
+        :returns: whether it swept all replicas.
+        """
+        revisions = {d: r.revision for d, r in records.items()}
+        changed = revisions != self._revisions
+        if changed:
+            self._revisions = revisions
+            self._all = {
+                replica_key(replica): Located(replica, domain)
+                for domain, record in records.items()
+                for replica in record.replicas
+            }
+        if changed or now - self._swept_at >= SWEEP_S:
+            self._sweep(reports, now)
+            return True
+        return False
+
+    def _sweep(self, reports: evidence.Reports, now: float) -> None:
+        self._swept_at = now
+        self._usable = {}
+        for located in self._all.values():
+            if self.is_usable(located, reports, now):
+                group = (located.replica.service, self.is_local(located))
+                self._usable.setdefault(group, []).append(located)
+
+    def is_local(self, located: Located) -> bool:
+        """Tell whether a replica is in the own failure domain.
+
+        :param located: the replica.
+        """
+        return located.failure_domain == self._failure_domain
+
+    def is_usable(
+        self, located: Located, reports: evidence.Reports, now: float
+    ) -> bool:
+        """Tell whether a replica may receive new work at this moment.
+
+        :param located: the replica.
+        :param reports: latest report of each VM.
+        :param now: local monotonic time in seconds.
+        """
+        return evidence.is_usable(
+            located.replica, reports, now, self._freshness_s
+        )
+
+    def swept(self, service: str, local: bool) -> list[Located]:
+        """Return the replicas that were usable at the last sweep.
+
+        :param service: name of the service.
+        :param local: whether they are in the own failure domain.
+        """
+        return self._usable.get((service, local), [])
+
+    def slots(self, service: str) -> int:
+        """Return the batch slots of the replicas usable at the last sweep.
+
+        :param service: name of the service.
+        """
+        return sum(
+            located.replica.max_running
+            for local in (True, False)
+            for located in self.swept(service, local)
+        )
+
+    def draw(
+        self,
+        service: str,
+        local: bool,
+        count: int,
+        reports: evidence.Reports,
+        now: float,
+        rng: random.Random,
+    ) -> list[Located]:
+        """Draw replicas that are usable at this moment.
+
+        :param service: name of the service.
+        :param local: whether they are in the own failure domain.
+        :param count: how many, at most.
+        :param reports: latest report of each VM.
+        :param now: local monotonic time in seconds.
+        :param rng: source of randomness.
+        """
+        group = self.swept(service, local)
+        drawn = rng.sample(group, min(count, len(group)))
+        usable = [x for x in drawn if self.is_usable(x, reports, now)]
+        if usable or len(drawn) == len(group):
+            return usable
+        # All drawn have ceased to be usable: look at the whole group.
+        usable = [x for x in group if self.is_usable(x, reports, now)]
+        return rng.sample(usable, min(count, len(usable)))
--- /dev/null
+++ b/packages/decisions/wasabilanding/routing/prefix.py
@@ -0,0 +1,133 @@
+"""Which replica has which prompt prefixes cached, as far as is known.
+
+Explanation
+===========
+
+A prompt is cut into blocks and each block is named by a hash chained over
+all blocks before it, as paged caches of engines do [1]_. An engine evicts
+the end of a prompt before its beginning, so a block that is known to be
+cached implies the ones before it: a lost event about an earlier block does
+no harm. The view is bounded and forgets the blocks that were used longest
+ago.
+
+References
+==========
+
+.. [1] W. Kwon et al., "Efficient Memory Management for Large Language Model
+       Serving with PagedAttention", SOSP 2023.
+"""
+
+import collections
+import collections.abc
+import hashlib
+
+CHARACTERS_PER_TOKEN = 4
+BLOCK_TOKENS = 64
+BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
+MAX_BLOCKS = 64
+HASH_BYTES = 6
+MAX_PLACES = 50_000
+
+
+def token_count(prompt: str) -> int:
+    """Return the approximate number of tokens of a prompt.
+
+    :param prompt: its text.
+    """
+    return len(prompt) // CHARACTERS_PER_TOKEN + 1
+
+
+def block_hashes(prompt: str) -> tuple[int, ...]:
+    """Return the chained hashes of the whole blocks of a prompt.
+
+    :param prompt: its text.
+    :returns: at most :data:`MAX_BLOCKS` hashes, first block first.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import routing
+    >>> one = routing.block_hashes("menu " * 100 + "gel")
+    >>> other = routing.block_hashes("menu " * 100 + "polish")
+    >>> len(one), one == other
+    (1, True)
+    """
+    count = min(MAX_BLOCKS, len(prompt) // BLOCK_CHARACTERS)
+    hashes = []
+    digest = b""
+    for index in range(count):
+        start = index * BLOCK_CHARACTERS
+        text = prompt[start : start + BLOCK_CHARACTERS]
+        digest = hashlib.blake2b(
+            digest + text.encode(), digest_size=HASH_BYTES
+        ).digest()
+        hashes.append(int.from_bytes(digest, "big"))
+    return tuple(hashes)
+
+
+class PrefixView:
+    """What a node believes that each replica has cached.
+
+    :param max_places: pairs of block and replica that it remembers.
+    """
+
+    def __init__(self, max_places: int = MAX_PLACES) -> None:
+        self._max_places = max_places
+        self._places: collections.OrderedDict[int, set[str]] = (
+            collections.OrderedDict()
+        )
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def store(
+        self, replica: str, blocks: collections.abc.Iterable[int]
+    ) -> None:
+        """Note that a replica has blocks.
+
+        :param replica: key of the replica.
+        :param blocks: chained hashes.
+        """
+        for block in blocks:
+            places = self._places.setdefault(block, set())
+            if replica not in places:
+                places.add(replica)
+                self._count += 1
+            self._places.move_to_end(block)
+        while self._count > self._max_places:
+            _, places = self._places.popitem(last=False)
+            self._count -= len(places)
+
+    def remove(self, replica: str, block: int) -> None:
+        """Note that a replica has evicted a block.
+
+        :param replica: key of the replica.
+        :param block: chained hash.
+        """
+        places = self._places.get(block, set())
+        if replica in places:
+            places.remove(replica)
+            self._count -= 1
+            if not places:
+                del self._places[block]
+
+    def forget(self, replica: str) -> None:
+        """Forget all blocks of a replica.
+
+        :param replica: key of the replica.
+        """
+        for block in list(self._places):
+            self.remove(replica, block)
+
+    def match(self, blocks: collections.abc.Sequence[int]) -> dict[str, int]:
+        """Return how many leading blocks each replica has.
+
+        :param blocks: chained hashes of a prompt.
+        :returns: blocks by key of the replica, most blocks first.
+        """
+        found: dict[str, int] = {}
+        for index in range(len(blocks), 0, -1):
+            for replica in sorted(self._places.get(blocks[index - 1], ())):
+                found.setdefault(replica, index)
+        return found
--- a/packages/standins/wasabilanding/standins/engine.py
+++ b/packages/standins/wasabilanding/standins/engine.py
@@ -12,64 +12,15 @@
 
 import collections.abc
 import dataclasses
-import hashlib
 
 import trio
 
-POISON = "POISON-PILL"
+from wasabilanding.standins import batching
 
-
-@dataclasses.dataclass(frozen=True)
-class EngineSettings:
-    """How an engine behaves.
-
-    :param step_s: time of one step in seconds.
-    :param checks_fence: whether it refuses orders with an old fencing
-        number.
-    :param max_running: requests in one batch.
-    """
-
-    step_s: float = 0.008
-    checks_fence: bool = True
-    max_running: int = 32
-
-
-@dataclasses.dataclass
-class Run:
-    """One attempt at an engine.
-
-    :param attempt_id: identity of the attempt.
-    :param prompt: text of the request.
-    :param length: parts to generate.
-    :param generated: parts that were generated.
-    :param state: running, finished, cancelled or failed.
-    """
-
-    attempt_id: str
-    prompt: str
-    length: int
-    generated: int = 0
-    state: str = "running"
-    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
-
-    def notify(self) -> None:
-        """Wake those who wait for a change."""
-        self.changed.set()
-        self.changed = trio.Event()
-
-    def part(self, offset: int) -> str:
-        """Return the text of one part."""
-        return part_text(self.prompt, offset)
-
-
-def part_text(prompt: str, offset: int) -> str:
-    """Return what an engine generates for a prompt at an offset.
-
-    :param prompt: text of the request.
-    :param offset: place in the answer, from 0.
-    """
-    digest = hashlib.blake2b(prompt.encode(), digest_size=4).hexdigest()
-    return f"{digest}-{offset} "
+EngineSettings = batching.EngineSettings
+POISON = batching.POISON
+Run = batching.Run
+part_text = batching.part_text
 
 
 class Engine:
@@ -100,24 +51,57 @@
         self.loaded: str = ""
         self.ready = False
         self.runs: dict[str, Run] = {}
+        self.batch = batching.Batch(self.settings)
 
     @property
     def running(self) -> int:
         """Requests that it runs."""
-        return sum(run.state == "running" for run in self.runs.values())
+        return self.batch.running
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a further request is refused."""
+        return self.batch.is_full
+
+    def slow_down(self, factor: float) -> None:
+        """Make all steps take longer.
+
+        :param factor: by which they do; 1 for none.
+        """
+        self.settings = dataclasses.replace(self.settings, slow_factor=factor)
+        self.batch.restyle(self.settings)
 
     def status(self) -> dict[str, object]:
         """Return its report as plain JSON."""
         state = "ready" if self.ready else "loading"
+        seen_at = trio.current_time() - self.settings.report_lag_s
+        running, queued = self.batch.load_at(seen_at)
         return {
             "vm": self.vm,
             "state": state if self.replica_id else "idle",
             "replica_id": self.replica_id,
             "epoch": self.epoch,
-            "running": self.running,
+            "running": running,
+            "queued": queued,
             "leaving": self.leaving,
         }
 
+    def cache_events(self, after: int) -> dict[str, object]:
+        """Return its published cache events as plain JSON.
+
+        :param after: sequence number that is already known.
+        """
+        until = trio.current_time() - self.settings.event_lag_s
+        events = self.batch.cache.published(
+            after, until, self.settings.event_lost_every
+        )
+        return {
+            "vm": self.vm,
+            "replica_id": self.replica_id,
+            "epoch": self.epoch,
+            "events": [dataclasses.asdict(event) for event in events],
+        }
+
     def refuses(self, fence: int) -> bool:
         """Tell whether it refuses an order with this fencing number."""
         if self.settings.checks_fence and fence < self.fence:
@@ -134,6 +118,8 @@
         if place == (self.replica_id, self.epoch):
             return
         self.fail_runs()
+        # The cache goes with the place; its events count from 1 again.
+        self.batch = batching.Batch(self.settings)
         self.replica_id, self.epoch = place
         self.members = tuple(replica["members"])
         self.ready = False
@@ -154,10 +140,7 @@
 
     def fail_runs(self) -> None:
         """Fail everything that runs here."""
-        for run in self.runs.values():
-            if run.state == "running":
-                run.state = "failed"
-                run.notify()
+        self.batch.fail()
 
     def is_whole(self) -> bool:
         """Tell whether the replica that this VM leads can make a step."""
@@ -168,32 +151,42 @@
             for vm in self.members
         )
 
-    def start(self, attempt_id: str, prompt: str, length: int) -> Run:
-        """Start an attempt, or return the one that is known by its name."""
+    def start(
+        self,
+        attempt_id: str,
+        prompt: str,
+        length: int,
+        priority: int = batching.DEFAULT_PRIORITY,
+    ) -> Run:
+        """Start an attempt, or return the one that is known by its name.
+
+        :param attempt_id: identity of the attempt.
+        :param prompt: text of the request.
+        :param length: parts to generate.
+        :param priority: from 0, served last, to 9.
+        """
         if attempt_id in self.runs:
             return self.runs[attempt_id]
-        run = Run(attempt_id, prompt, length)
+        run = Run(attempt_id, prompt, length, priority)
         self.runs[attempt_id] = run
         self.fleet.log.append((attempt_id, prompt, self.vm))
-        self.fleet.nursery.start_soon(self._generate, run)
+        self.batch.add(run)
+        if not self.batch.stepping:
+            self.batch.stepping = True
+            self.fleet.nursery.start_soon(self._step, self.batch)
         return run
 
-    async def _generate(self, run: Run) -> None:
-        while run.state == "running" and run.generated < run.length:
-            await trio.sleep(self.settings.step_s)
+    async def _step(self, batch: batching.Batch) -> None:
+        while batch.begin_step():
+            await trio.sleep(batch.step_s())
             await self.paused.wait()
-            if run.state != "running":
-                break
-            if POISON in run.prompt:
+            if batch.is_poisoned():
                 self.fleet.kill(self.vm)
             if not self.alive or not self.is_whole():
-                run.state = "failed"
+                batch.fail()
                 break
-            run.generated += 1
-            run.notify()
-        if run.state == "running":
-            run.state = "finished"
-        run.notify()
+            batch.end_step()
+        batch.stepping = False
 
     def die(self) -> None:
         """Lose the VM with everything on it."""
--- a/packages/standins/wasabilanding/standins/engine_http.py
+++ b/packages/standins/wasabilanding/standins/engine_http.py
@@ -6,6 +6,7 @@
 import quart
 import quart_trio
 
+from wasabilanding.standins import batching
 from wasabilanding.standins import engine as engine_module
 
 DEFAULT_LENGTH = 16
@@ -60,10 +61,13 @@
             return {"error": f"not in replica {meant}"}, 409
         if engine.leaving or not engine.is_whole():
             return {"error": "replica is not whole or leaving"}, 503
-        if engine.running >= engine.settings.max_running:
-            return {"error": "batch is full"}, 503
+        if engine.is_full:
+            return {"error": "batch and queue are full"}, 503
         length = int(body.get("max_tokens") or DEFAULT_LENGTH)
-        run = engine.start(headers["X-Attempt-Id"], _prompt(body), length)
+        priority = int(headers.get("X-Priority", batching.DEFAULT_PRIORITY))
+        run = engine.start(
+            headers["X-Attempt-Id"], _prompt(body), length, priority
+        )
         return _stream(run, 0)
 
     @app.get("/v1/streams/<attempt_id>")
@@ -76,9 +80,8 @@
     @app.delete("/v1/streams/<attempt_id>")
     async def cancel(attempt_id: str) -> quart.ResponseReturnValue:
         run = engine.runs.get(attempt_id)
-        if run and run.state == "running":
-            run.state = "cancelled"
-            run.notify()
+        if run:
+            run.end("cancelled")
         return {}
 
 
@@ -98,6 +101,10 @@
     async def status() -> quart.ResponseReturnValue:
         return engine.status()
 
+    @app.get("/v1/cache-events")
+    async def cache_events() -> quart.ResponseReturnValue:
+        return engine.cache_events(int(quart.request.args.get("after", 0)))
+
     @app.post("/v1/orders/load")
     async def load() -> quart.ResponseReturnValue:
         body = await quart.request.get_json()
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/prefix_cache.py
@@ -0,0 +1,99 @@
+"""Prefix cache of one engine, with events that come late and with gaps.
+
+Explanation
+===========
+
+The cache holds blocks of prompts by their chained hash and evicts the block
+that was used longest ago. Each change is an event with a sequence number.
+Events are published after a lag, and every so-manieth one is lost.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+KEPT_EVENTS = 4096
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheEvent:
+    """One change of the cache.
+
+    :param sequence: number of the event, counted from 1.
+    :param kind: stored or removed.
+    :param block: chained hash of the block.
+    :param at: time of the change in seconds.
+    """
+
+    sequence: int
+    kind: str
+    block: int
+    at: float
+
+
+class PrefixCache:
+    """Blocks that an engine has cached.
+
+    :param max_blocks: blocks that it holds.
+    """
+
+    def __init__(self, max_blocks: int) -> None:
+        self._max_blocks = max_blocks
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=KEPT_EVENTS
+        )
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def match(self, blocks: collections.abc.Sequence[int]) -> int:
+        """Return how many leading blocks are cached.
+
+        :param blocks: chained hashes of a prompt.
+        """
+        for index, block in enumerate(blocks):
+            if block not in self._blocks:
+                return index
+        return len(blocks)
+
+    def store(self, blocks: collections.abc.Sequence[int], now: float) -> None:
+        """Cache the blocks of a prompt and mark them as just used.
+
+        :param blocks: chained hashes of the prompt.
+        :param now: time in seconds.
+        """
+        # Last block first, so that a prefix outlives what follows it.
+        for block in reversed(blocks):
+            if block not in self._blocks:
+                self._note("stored", block, now)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._max_blocks:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._note("removed", evicted, now)
+
+    def _note(self, kind: str, block: int, now: float) -> None:
+        self._sequence += 1
+        self._events.append(CacheEvent(self._sequence, kind, block, now))
+
+    def published(
+        self, after: int, until: float, lost_every: int = 0
+    ) -> tuple[CacheEvent, ...]:
+        """Return the events that are published.
+
+        :param after: sequence number that is already known.
+        :param until: time up to which events are published, in seconds.
+        :param lost_every: every event whose number it divides is lost; 0
+            for none.
+        """
+        return tuple(
+            event
+            for event in self._events
+            if event.sequence > after
+            and event.at <= until
+            and not (lost_every and event.sequence % lost_every == 0)
+        )
