Queue requests fairly among customers and route by expected wait

Admission: start-time fair queueing over estimated tokens, a limit per entry VM from the batch slots of the usable replicas, early refusal of what can't make its deadline. The claim follows the wait, so that nothing holds a claim while it queues. Routing: in-flight counts were keyed by replica identity, which is unique in one failure domain only; replicas of other domains with the same identity counted as local. Keys are now leader and epoch.

--- a/packages/callers/wasabilanding/callers/requests.py
+++ b/packages/callers/wasabilanding/callers/requests.py
@@ -52,6 +52,7 @@
     :param body: JSON body, passed on as it came.
     :param prompt: text that decides which prefix caches help.
     :param trace: headers of the W3C trace context.
+    :param max_tokens: bound on the answer's length; 0 when unknown.
     """
 
     request_id: str
@@ -65,6 +66,7 @@
     body: bytes
     prompt: str
     trace: dict[str, str] = dataclasses.field(default_factory=dict)
+    max_tokens: int = 0
 
 
 Headers = collections.abc.Mapping[str, str]
@@ -174,4 +176,5 @@
         body=body,
         prompt=prompt,
         trace=trace,
+        max_tokens=document.get("max_tokens", 0),
     )
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/admission.py
@@ -0,0 +1,180 @@
+"""Admits requests: at once, after a wait, or not at all."""
+
+import collections.abc
+import contextlib
+import dataclasses
+
+import trio
+
+from wasabilanding import callers
+from wasabilanding import configuration
+from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import selection
+from wasabilanding import limits
+from wasabilanding import routing
+
+LIMIT_INTERVAL_S = 0.25
+
+
+@dataclasses.dataclass
+class Work:
+    """What an admitted request has done so far.
+
+    :param generated: tokens of its answer.
+    :param completed: whether its whole answer was delivered.
+    """
+
+    generated: int = 0
+    completed: bool = False
+
+
+@dataclasses.dataclass
+class _Waiter:
+    decided: trio.Event = dataclasses.field(default_factory=trio.Event)
+    decision: limits.Decision | None = None
+
+
+class AdmissionGate:
+    """The requests that run or wait on this node.
+
+    :param context: what the loops share.
+    :param router: knows the usable replicas.
+    """
+
+    def __init__(
+        self, context: context_module.Context, router: selection.Router
+    ) -> None:
+        self._context = context
+        self._router = router
+        self._admission = limits.Admission(context.settings.max_in_flight)
+        self._waiters: dict[str, _Waiter] = {}
+        self._idle = trio.Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that run or wait."""
+        return self._admission.in_flight
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return self._admission.waiting
+
+    async def wait_idle(self) -> None:
+        """Wait until no request runs or waits."""
+        while self.in_flight:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    async def run(self) -> None:
+        """Keep the limits up to date until cancelled."""
+        while True:
+            for service in self._admission.services:
+                self._refresh_limit(service)
+            await trio.sleep(LIMIT_INTERVAL_S)
+
+    def _refresh_limit(self, service: str) -> None:
+        context = self._context
+        entry_vms = len(context.members.live(context.now()))
+        slots = self._router.slots(service)
+        limit = limits.concurrency_limit(slots, entry_vms)
+        self._carry_out(
+            self._admission.set_limit(service, limit, context.now())
+        )
+
+    def _carry_out(self, decisions: limits.Decisions) -> None:
+        for decision in decisions:
+            waiter = self._waiters.get(decision.ticket)
+            if waiter is not None:
+                waiter.decision = decision
+                waiter.decided.set()
+
+    def _ask(
+        self, request: callers.CallerRequest, deadline: float
+    ) -> limits.Ask:
+        tokens = limits.estimated_tokens(
+            routing.token_count(request.prompt), request.max_tokens
+        )
+        return limits.Ask(
+            request.request_id,
+            request.service,
+            request.customer,
+            tokens,
+            request.priority,
+            deadline,
+        )
+
+    @contextlib.asynccontextmanager
+    async def admitted(
+        self, request: callers.CallerRequest, deadline: float
+    ) -> collections.abc.AsyncIterator[Work]:
+        """Hold a slot while the block runs.
+
+        :param request: the request.
+        :param deadline: local monotonic time in seconds.
+        :raises wasabilanding.callers.RequestFailed: when it is refused.
+        """
+        await self._enter(request, deadline)
+        work = Work()
+        try:
+            yield work
+        finally:
+            self._leave(request, work)
+
+    async def _enter(
+        self, request: callers.CallerRequest, deadline: float
+    ) -> None:
+        context = self._context
+        if request.service not in self._admission.services:
+            self._refresh_limit(request.service)
+        customers = context.known.configuration.customers
+        customer = customers.get(request.customer, configuration.Customer())
+        ticket = request.request_id
+        waiter = self._waiters[ticket] = _Waiter()
+        ask = self._ask(request, deadline)
+        try:
+            self._carry_out(
+                self._admission.offer(ask, customer, context.now())
+            )
+            if waiter.decision is None:
+                await self._wait(ticket, waiter)
+        finally:
+            del self._waiters[ticket]
+            if waiter.decision is None:
+                self._admission.withdraw(ticket)
+            self._note_idle()
+        if isinstance(waiter.decision, limits.Shed):
+            raise callers.RequestFailed(waiter.decision.outcome)
+
+    async def _wait(self, ticket: str, waiter: _Waiter) -> None:
+        try:
+            with trio.move_on_at(self._admission.give_up_at(ticket)):
+                await waiter.decided.wait()
+        except trio.Cancelled:
+            self._release_if_admitted(ticket, waiter)
+            raise
+        if waiter.decision is None:
+            now = self._context.now()
+            self._carry_out(self._admission.give_up(ticket, now))
+
+    def _release_if_admitted(self, ticket: str, waiter: _Waiter) -> None:
+        # Admitted and cancelled in the same step: nobody else gives it back.
+        if isinstance(waiter.decision, limits.Admitted):
+            now = self._context.now()
+            self._carry_out(self._admission.finish(ticket, now))
+
+    def _leave(self, request: callers.CallerRequest, work: Work) -> None:
+        tokens = None
+        if work.completed:
+            tokens = limits.estimated_tokens(
+                routing.token_count(request.prompt), max(1, work.generated)
+            )
+        now = self._context.now()
+        self._carry_out(
+            self._admission.finish(request.request_id, now, tokens)
+        )
+        self._note_idle()
+
+    def _note_idle(self) -> None:
+        if not self.in_flight:
+            self._idle.set()
--- a/packages/daemon/wasabilanding/daemon/attempts.py
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -1,6 +1,5 @@
 """Attempts of one request, until one completes or retries end."""
 
-import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -15,6 +14,7 @@
 from wasabilanding import endpoints
 from wasabilanding import model
 from wasabilanding import retries
+from wasabilanding import routing
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,14 +38,17 @@
 
 
 class AttemptRunner:
-    """Runs attempts on this node and counts them by replica.
+    """Runs attempts on this node.
 
     :param context: what the loops share.
+    :param router: selects replicas.
     """
 
-    def __init__(self, context: context_module.Context) -> None:
+    def __init__(
+        self, context: context_module.Context, router: selection.Router
+    ) -> None:
         self._context = context
-        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._router = router
 
     async def run(
         self,
@@ -61,11 +64,9 @@
         :raises wasabilanding.callers.RequestFailed: when retries end.
         """
         while True:
-            replica = selection.select_replica(
-                self._context, request, self._in_flight, progress.tried
-            )
+            replica = self._router.select(request, progress.tried)
             progress.attempts += 1
-            progress.tried |= {replica.replica_id}
+            progress.tried |= {routing.replica_key(replica)}
             attempt = self._attempt(request, replica, span, progress)
             try:
                 async with contextlib.aclosing(attempt) as batches:
@@ -123,7 +124,10 @@
             replica_id=replica.replica_id,
             epoch=replica.epoch,
             body=request.body,
-            headers=self._context.telemetry.headers(span),
+            headers={
+                **self._context.telemetry.headers(span),
+                "X-Priority": str(request.priority),
+            },
         )
 
     async def _attempt(
@@ -141,26 +145,25 @@
             attempt=attempt_id,
             replica=replica.replica_id,
         )
-        with telemetry.span_ended(span):
+        with telemetry.span_ended(span), self._router.counted(replica) as seen:
             sent = self._prepare(request, replica, attempt_id, span)
             stream = endpoints.stream_attempt(context.endpoints.http, sent)
-            async with self._counted(replica, sent) as finish:
+            async with self._cancelled(sent) as finish:
                 async with contextlib.aclosing(stream) as batches:
                     async for batch in batches:
+                        seen.note(len(batch), context.now())
                         self._check_deadline(progress.deadline)
                         yield [part.data for part in batch]
                 finish()
 
     @contextlib.asynccontextmanager
-    async def _counted(
-        self, replica: model.ReplicaRecord, sent: endpoints.AttemptRequest
+    async def _cancelled(
+        self, sent: endpoints.AttemptRequest
     ) -> collections.abc.AsyncIterator[collections.abc.Callable[[], None]]:
         finished = trio.Event()
-        self._in_flight[replica.replica_id] += 1
         try:
             yield finished.set
         finally:
-            self._in_flight[replica.replica_id] -= 1
             if not finished.is_set():
                 await self._cancel(sent)
 
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -5,16 +5,14 @@
 import dataclasses
 import logging
 
-import trio
-
 from wasabilanding import callers
-from wasabilanding import configuration
+from wasabilanding.daemon import admission
 from wasabilanding.daemon import attempts
 from wasabilanding.daemon import claims
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import plain
+from wasabilanding.daemon import selection
 from wasabilanding.daemon import telemetry
-from wasabilanding import limits
 from wasabilanding import model
 
 _LOG = logging.getLogger(__name__)
@@ -35,15 +33,20 @@
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
-        self._admission = limits.Admission(context.settings.max_in_flight)
-        self._attempts = attempts.AttemptRunner(context)
+        router = selection.Router(context)
+        self._gate = admission.AdmissionGate(context, router)
+        self._attempts = attempts.AttemptRunner(context, router)
         self._draining = False
-        self._idle = trio.Event()
+
+    @property
+    def gate(self) -> admission.AdmissionGate:
+        """Where requests wait for a slot."""
+        return self._gate
 
     @property
     def in_flight(self) -> int:
-        """Requests in flight."""
-        return self._admission.in_flight
+        """Requests in flight, those that wait for a slot included."""
+        return self._gate.in_flight
 
     @property
     def ready(self) -> bool:
@@ -57,9 +60,7 @@
 
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
-        while self.in_flight:
-            self._idle = trio.Event()
-            await self._idle.wait()
+        await self._gate.wait_idle()
 
     async def run(self, request: callers.CallerRequest) -> attempts.Batches:
         """Run a request and yield payloads, a batch at a time.
@@ -79,30 +80,18 @@
         with (
             telemetry.span_ended(span),
             self._recorded(request, progress) as ending,
-            self._admitted(request),
         ):
-            await claims.claim(context, request, span)
-            batches = self._attempts.run(request, span, progress)
-            async with contextlib.aclosing(batches):
-                async for batch in batches:
-                    yield batch
-            ending.outcome = model.completed()
-
-    @contextlib.contextmanager
-    def _admitted(
-        self, request: callers.CallerRequest
-    ) -> collections.abc.Iterator[None]:
-        customers = self._context.known.configuration.customers
-        customer = customers.get(request.customer, configuration.Customer())
-        refusal = self._admission.admit(request.customer, customer)
-        if refusal:
-            raise callers.RequestFailed(refusal)
-        try:
-            yield
-        finally:
-            self._admission.release(request.customer)
-            if not self.in_flight:
-                self._idle.set()
+            admitted = self._gate.admitted(request, progress.deadline)
+            async with admitted as work:
+                # After the wait, so that nothing holds a claim in a queue.
+                await claims.claim(context, request, span)
+                batches = self._attempts.run(request, span, progress)
+                async with contextlib.aclosing(batches):
+                    async for batch in batches:
+                        yield batch
+                work.generated = progress.delivered
+                work.completed = True
+                ending.outcome = model.completed()
 
     @contextlib.contextmanager
     def _recorded(
--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -1,6 +1,8 @@
 """Selects the replica of the next attempt from what the node knows."""
 
 import collections.abc
+import contextlib
+import dataclasses
 
 from wasabilanding import callers
 from wasabilanding.daemon import context as context_module
@@ -20,47 +22,121 @@
         )
 
 
-def _local(
-    context: context_module.Context,
-    replicas: tuple[model.ReplicaRecord, ...],
-) -> tuple[model.ReplicaRecord, ...]:
-    record = context.known.record(context.failure_domain)
-    own = {replica.replica_id for replica in record.replicas}
-    return tuple(r for r in replicas if r.replica_id in own)
+@dataclasses.dataclass
+class Observation:
+    """Times of the parts of one attempt.
 
+    :param first_at: local monotonic time of the first part in seconds.
+    :param last_at: that of the last part.
+    :param parts: parts that came.
+    """
+
+    first_at: float = 0.0
+    last_at: float = 0.0
+    parts: int = 0
+
+    def note(self, parts: int, now: float) -> None:
+        """Note parts that came.
+
+        :param parts: how many.
+        :param now: local monotonic time in seconds.
+        """
+        if not self.parts:
+            self.first_at = now
+        self.last_at = now
+        self.parts += parts
+
+    @property
+    def interval_s(self) -> float | None:
+        """Mean time between parts in seconds, None for too few."""
+        if self.parts < 2:
+            return None
+        return (self.last_at - self.first_at) / (self.parts - 1)
 
-def select_replica(
-    context: context_module.Context,
-    request: callers.CallerRequest,
-    in_flight: collections.abc.Mapping[str, int],
-    tried: frozenset[str],
-) -> model.ReplicaRecord:
-    """Select the replica of the next attempt.
+
+class Router:
+    """What this node knows about replicas, for routing.
 
     :param context: what the loops share.
-    :param request: the request.
-    :param in_flight: own attempts in flight by replica.
-    :param tried: replicas of earlier attempts.
-    :raises wasabilanding.callers.RequestFailed: when there is none.
     """
-    _check_service(context, request.service)
-    known = context.known
-    usable = routing.usable_replicas(
-        known.replicas, request.service, known.reports, context.now()
-    )
-    choice = routing.choose_replica(
-        _local(context, usable) or usable,
-        known.reports,
-        in_flight,
-        context.rng,
-        tried,
-    )
-    if choice is None:
-        raise callers.RequestFailed(
-            model.not_run(
-                model.Reason.NO_REPLICA,
-                f"no replica of service {request.service} is whole",
-                NO_REPLICA_COMEBACK_S,
-            )
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+        self._index = routing.ReplicaIndex(context.failure_domain)
+        self._loads = routing.LoadView()
+        self._paces = routing.PaceView()
+        self._prefixes = routing.PrefixView()
+        self._choose = routing.POLICIES["cost"]
+
+    @property
+    def prefixes(self) -> routing.PrefixView:
+        """What each replica is believed to have cached."""
+        return self._prefixes
+
+    def refresh(self) -> routing.ReplicaIndex:
+        """Return the index of usable replicas, brought up to date."""
+        known = self._context.known
+        now = self._context.now()
+        if self._index.refresh(known.records, known.reports, now):
+            self._loads.sweep(self._index.keys)
+            self._paces.sweep(self._index.keys)
+        return self._index
+
+    def slots(self, service: str) -> int:
+        """Return the batch slots of the usable replicas of a service.
+
+        :param service: name of the service.
+        """
+        return self.refresh().slots(service)
+
+    def select(
+        self, request: callers.CallerRequest, tried: frozenset[str]
+    ) -> model.ReplicaRecord:
+        """Select the replica of the next attempt.
+
+        :param request: the request.
+        :param tried: keys of the replicas of earlier attempts.
+        :raises wasabilanding.callers.RequestFailed: when there is none.
+        """
+        context = self._context
+        _check_service(context, request.service)
+        situation = routing.Situation(
+            self.refresh(),
+            context.known.reports,
+            self._loads,
+            self._paces,
+            self._prefixes,
+            context.now(),
         )
-    return choice
+        blocks = routing.block_hashes(request.prompt)
+        wish = routing.Wish(request.service, blocks, tried)
+        choice = self._choose(situation, wish, context.rng)
+        if choice is None:
+            raise callers.RequestFailed(
+                model.not_run(
+                    model.Reason.NO_REPLICA,
+                    f"no replica of service {request.service} is whole",
+                    NO_REPLICA_COMEBACK_S,
+                )
+            )
+        self._prefixes.store(routing.replica_key(choice.replica), blocks)
+        return choice.replica
+
+    @contextlib.contextmanager
+    def counted(
+        self, replica: model.ReplicaRecord
+    ) -> collections.abc.Iterator[Observation]:
+        """Count an attempt at a replica while the block runs.
+
+        :param replica: the replica.
+        """
+        context = self._context
+        observation = Observation()
+        self._loads.send(replica, context.now())
+        try:
+            yield observation
+        finally:
+            self._loads.finish(replica, context.now())
+            interval_s = observation.interval_s
+            if interval_s is not None:
+                self._paces.observe(replica, interval_s, context.now())
--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -1,5 +1,73 @@
-"""Limits: how much work is admitted, and from whom."""
+"""Limits: how much work is admitted, from whom and in which order.
+
+Explanation
+===========
+
+Each entry VM runs at most its share of the batch slots of the replicas that
+it can use (:func:`concurrency_limit`). Requests beyond it wait in one
+:class:`FairQueue` per service: customers are served by start-time fair
+queueing [1]_ over estimated tokens, and what a request really took is
+charged when it ends, as in the virtual token counter of [2]_. Within a
+customer, higher priorities go first. Priority does not reach across
+customers: otherwise any customer could take the shares of all others by
+marking its requests urgent.
+
+A request whose deadline can't be met is refused on arrival, and one that a
+later request of higher priority pushes out is refused then, not when its
+deadline passes. The wait is predicted from the same tags that order the
+queue (:meth:`FairQueue.work_before`) and from the time that a slot was held
+per token of late.
+
+All functions take the time as an argument and perform no input or output.
+
+Examples
+========
+
+>>> from wasabilanding import configuration
+>>> from wasabilanding import limits
+>>> admission = limits.Admission(max_in_flight=100)
+>>> admission.set_limit("escriba", 1, now=0.0)
+()
+>>> ask = limits.Ask("r1", "escriba", "salon", 64.0, 5, deadline=9.0)
+>>> admission.offer(ask, configuration.Customer(), now=0.0)
+(Admitted(ticket='r1'),)
+
+See Also
+========
+
+wasabilanding.routing : chooses the replica of an admitted request.
+wasabilanding.retries : what follows an attempt that did not complete.
+
+References
+==========
+
+.. [1] P. Goyal, H. M. Vin and H. Cheng, "Start-time fair queueing: a
+       scheduling algorithm for integrated services packet switching
+       networks", IEEE/ACM Transactions on Networking 5(5), 1997.
+.. [2] Y. Sheng et al., "Fairness in Serving Large Language Models",
+       OSDI 2024.
+"""
 
 from wasabilanding.limits.admission import Admission
+from wasabilanding.limits.admission import Admitted
+from wasabilanding.limits.admission import Decision
+from wasabilanding.limits.admission import Decisions
+from wasabilanding.limits.admission import Shed
+from wasabilanding.limits.asks import Ask
+from wasabilanding.limits.asks import estimated_tokens
+from wasabilanding.limits.fair_queue import FairQueue
+from wasabilanding.limits.share import concurrency_limit
+from wasabilanding.limits.slot_time import SlotTime
 
-__all__ = ["Admission"]
+__all__ = [
+    "Admission",
+    "Admitted",
+    "Ask",
+    "Decision",
+    "Decisions",
+    "FairQueue",
+    "Shed",
+    "SlotTime",
+    "concurrency_limit",
+    "estimated_tokens",
+]
--- /dev/null
+++ b/packages/decisions/wasabilanding/limits/fair_queue.py
@@ -0,0 +1,154 @@
+"""Queue that is fair among customers by weight."""
+
+import bisect
+import dataclasses
+
+from wasabilanding.limits import asks
+
+MIN_WEIGHT = 0.001
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class _Entry:
+    rank: tuple[int, int]
+    ask: asks.Ask = dataclasses.field(compare=False)
+
+
+class _Flow:
+    """Requests of one customer.
+
+    :param tag: start tag of its next request.
+    """
+
+    def __init__(self, tag: float) -> None:
+        self.tag = tag
+        self.weight = 1.0
+        self.tokens = 0.0
+        self.entries: list[_Entry] = []
+
+
+class FairQueue:
+    """Queue of one service: start-time fair queueing among customers."""
+
+    def __init__(self) -> None:
+        self._flows: dict[str, _Flow] = {}
+        self._entries: dict[str, _Entry] = {}
+        self._virtual = 0.0
+        self._arrivals = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, ticket: str) -> bool:
+        return ticket in self._entries
+
+    @property
+    def customers(self) -> tuple[str, ...]:
+        """Customers that the queue remembers."""
+        return tuple(self._flows)
+
+    def push(self, ask: asks.Ask, weight: float) -> None:
+        """Queue a request.
+
+        :param ask: the request.
+        :param weight: share of its customer.
+        """
+        flow = self._flows.setdefault(ask.customer, _Flow(self._virtual))
+        if not flow.entries:
+            flow.tag = max(flow.tag, self._virtual)
+        self._arrivals += 1
+        entry = _Entry((-ask.priority, self._arrivals), ask)
+        flow.weight = max(weight, MIN_WEIGHT)
+        flow.tokens += ask.tokens
+        bisect.insort(flow.entries, entry)
+        self._entries[ask.ticket] = entry
+
+    def pop(self) -> asks.Ask | None:
+        """Take the request that is served next.
+
+        :returns: the request, or None when the queue is empty.
+        """
+        waiting = [f for f in self._flows.values() if f.entries]
+        if not waiting:
+            return None
+        flow = min(waiting, key=lambda f: (f.tag, f.entries[0].rank[1]))
+        self._virtual = max(self._virtual, flow.tag)
+        ask = flow.entries[0].ask
+        flow.tag += ask.tokens / flow.weight
+        self._remove(flow, ask.ticket)
+        return ask
+
+    def remove(self, ticket: str) -> asks.Ask | None:
+        """Take a request out without serving it.
+
+        :param ticket: identity of the request.
+        :returns: the request, or None when it does not wait.
+        """
+        entry = self._entries.get(ticket)
+        if entry is None:
+            return None
+        self._remove(self._flows[entry.ask.customer], ticket)
+        return entry.ask
+
+    def _remove(self, flow: _Flow, ticket: str) -> None:
+        entry = self._entries.pop(ticket)
+        del flow.entries[bisect.bisect_left(flow.entries, entry)]
+        flow.tokens -= entry.ask.tokens
+        self._forget(entry.ask.customer)
+
+    def _forget(self, customer: str) -> None:
+        # A flow that is not ahead of the others starts afresh anyway.
+        flow = self._flows[customer]
+        if not flow.entries and flow.tag <= self._virtual:
+            del self._flows[customer]
+
+    def sweep(self) -> None:
+        """Forget customers that neither wait nor owe anything."""
+        for customer in list(self._flows):
+            self._forget(customer)
+
+    def charge(self, customer: str, tokens: float, weight: float) -> None:
+        """Correct what a customer was charged.
+
+        :param customer: the customer.
+        :param tokens: work beyond the estimate; negative for less.
+        :param weight: share of the customer.
+        """
+        flow = self._flows.setdefault(customer, _Flow(self._virtual))
+        flow.tag += tokens / max(weight, MIN_WEIGHT)
+        flow.tag = max(flow.tag, self._virtual)
+        self._forget(customer)
+
+    def last_of(self, customer: str) -> asks.Ask | None:
+        """Return the request of a customer that is served last.
+
+        :param customer: the customer.
+        """
+        flow = self._flows.get(customer)
+        return flow.entries[-1].ask if flow and flow.entries else None
+
+    def work_before(self, ticket: str) -> float:
+        """Return the work that is served before a waiting request.
+
+        Other customers are served until their tags reach the tag at which
+        the request starts.
+
+        :param ticket: identity of the request.
+        :returns: work in tokens.
+        """
+        entry = self._entries[ticket]
+        own = self._flows[entry.ask.customer]
+        ahead = self._own_work_before(own, entry)
+        start = own.tag + ahead / own.weight
+        others = sum(
+            min(flow.tokens, max(0.0, (start - flow.tag) * flow.weight))
+            for flow in self._flows.values()
+            if flow is not own
+        )
+        return ahead + others
+
+    def _own_work_before(self, flow: _Flow, entry: _Entry) -> float:
+        place = bisect.bisect_left(flow.entries, entry)
+        if place == len(flow.entries) - 1:
+            return flow.tokens - entry.ask.tokens
+        return sum(e.ask.tokens for e in flow.entries[:place])
