--- a/packages/daemon/wasabilanding/daemon/context.py
+++ b/packages/daemon/wasabilanding/daemon/context.py
@@ -29,6 +29,7 @@
     :param telemetry: traces and metrics.
     :param connect_peer: opens the connection to a peer at host:port.
     :param rng: source of randomness for decisions and identities.
+    :param joining: what the node has heard since it started.
     """
 
     settings: settings_module.Settings
@@ -39,6 +40,9 @@
     telemetry: telemetry_module.Telemetry
     connect_peer: collections.abc.Callable[[str], peers.Channel]
     rng: random.Random
+    joining: membership.Joining = dataclasses.field(
+        default_factory=membership.Joining
+    )
 
     @property
     def failure_domain(self) -> str:
@@ -52,3 +56,10 @@
     def new_id(self) -> str:
         """Return an identity that no other request or attempt has."""
         return f"{self.rng.getrandbits(ID_BITS):032x}"
+
+    def update_informed(self) -> None:
+        """Note when this node has heard what stands since it started."""
+        if self.known.informed:
+            return
+        if self.joining.is_complete(self.members, self.now()):
+            self.known.become_informed()
--- a/packages/daemon/wasabilanding/daemon/exchange.py
+++ b/packages/daemon/wasabilanding/daemon/exchange.py
@@ -6,8 +6,13 @@
 import trio
 
 from wasabilanding.daemon import context as context_module
+from wasabilanding import membership
 from wasabilanding import peers
 
+# Rounds start at slightly different intervals, so that nodes that started
+# together do not stay in step.
+JITTER_SHARE = 0.1
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -19,41 +24,103 @@
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
+        self._partners = membership.Partners(
+            context.settings.seeds, context.rng
+        )
         self._channels: dict[str, peers.Channel] = {}
+        self._cursors: dict[str, peers.Cursor] = {}
+        self._refused = peers.RefusedRevisions()
+        self._busy: set[str] = set()
+
+    async def run(self) -> None:
+        """Exchange with a few peers each round until cancelled.
+
+        A round does not wait for the peers of the round before; one that is
+        slow is not asked again before it has answered or timed out.
+        """
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._close)
+            async with trio.open_nursery() as nursery:
+                while True:
+                    for address in self._next_round():
+                        nursery.start_soon(self._exchange_once, address)
+                    await trio.sleep(self._interval_s())
 
-    def _addresses(self) -> set[str]:
+    def _interval_s(self) -> float:
         context = self._context
-        own = context.settings.peers.address
-        known = {node.address for node in context.members.others}
-        return {*known, *context.settings.seeds} - {own}
+        jitter = context.rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
+        return context.settings.exchange_interval_s * jitter
 
-    async def _exchange(self, address: str) -> None:
+    def _next_round(self) -> list[str]:
         context = self._context
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = context.connect_peer(address)
-            self._channels[address] = channel
-        sent_at = context.now()
-        request = peers.make_request(context.members, context.known, sent_at)
+        now = context.now()
+        context.members.beat(now)
+        context.members.forget(now)
+        self._drop_unknown()
+        chosen = self._partners.next_round(
+            context.members, now, not context.known.informed
+        )
+        return [address for address in chosen if address not in self._busy]
+
+    def _drop_unknown(self) -> None:
+        members = self._context.members
+        kept = {node.address for node in members.others}
+        kept |= {*self._context.settings.seeds, *members.lost_addresses}
+        for address in set(self._channels) - kept - self._busy:
+            self._disconnect(address)
+
+    def _disconnect(self, address: str) -> None:
+        self._cursors.pop(address, None)
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def _channel(self, address: str) -> peers.Channel:
+        if address not in self._channels:
+            self._channels[address] = self._context.connect_peer(address)
+        return self._channels[address]
+
+    async def _exchange_once(self, address: str) -> None:
+        self._busy.add(address)
         try:
-            reply = await channel.exchange(request)
+            await self._exchange(address)
         except peers.PeerUnreachable as error:
             _LOG.debug("%s", error)
-            self._channels.pop(address, None)
-            channel.close()
-            return
-        peers.apply_reply(context.members, context.known, reply, sent_at)
+            self._disconnect(address)
+        finally:
+            self._busy.discard(address)
 
-    async def run(self) -> None:
-        """Exchange with every other node until cancelled."""
-        interval_s = self._context.settings.exchange_interval_s
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._close)
-            while True:
-                async with trio.open_nursery() as nursery:
-                    for address in sorted(self._addresses()):
-                        nursery.start_soon(self._exchange, address)
-                await trio.sleep(interval_s)
+    async def _exchange(self, address: str) -> None:
+        context = self._context
+        request = peers.make_request(
+            context.members,
+            context.known,
+            context.now(),
+            self._cursors.get(address, peers.Cursor()),
+        )
+        learned = await self._call(address, request)
+        if learned.needs_followup:
+            followup = peers.make_followup(
+                context.members, context.known, learned, self._refused
+            )
+            learned = await self._call(address, followup)
+        context.joining.hear_peer(learned.peer, learned.informed)
+        context.update_informed()
+
+    async def _call(
+        self, address: str, request: peers.ExchangeRequest
+    ) -> peers.Learned:
+        context = self._context
+        sent_at = context.now()
+        reply = await self._channel(address).exchange(request)
+        learned = peers.apply_reply(
+            context.members, context.known, reply, sent_at
+        )
+        self._cursors[address] = learned.cursor
+        for error in learned.refused:
+            self._refused.add(error.identity)
+            _LOG.warning("document of peer %s: %s", learned.peer, error)
+        return learned
 
     def _close(self) -> None:
         for channel in self._channels.values():
@@ -66,7 +133,7 @@
     :param context: what the loops share.
     """
 
-    def answer(request: object) -> object:
+    def answer(request: peers.ExchangeRequest) -> peers.ExchangeReply:
         return peers.answer_request(
             context.members, context.known, request, context.now()
         )
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/joining.py
@@ -0,0 +1,40 @@
+"""Hears from the store what stands, once after the start of a node."""
+
+import trio
+
+from wasabilanding import configuration
+from wasabilanding.daemon import context as context_module
+from wasabilanding import model
+from wasabilanding import platform
+
+PAUSE_S = 0.5
+
+
+async def _read(context: context_module.Context) -> bool:
+    document = await platform.read_configuration(context.platform)
+    if not isinstance(document, configuration.Configuration):
+        return False
+    context.known.learn_configuration(document)
+    record = await platform.read_record(
+        context.platform, context.failure_domain
+    )
+    if not isinstance(record, model.DomainRecord):
+        return False
+    context.known.learn_record(record)
+    context.known.hear_store(context.now())
+    return True
+
+
+async def join(context: context_module.Context) -> None:
+    """Ask the store until this node has heard what stands.
+
+    The peers may tell it first.
+
+    :param context: what the loops share.
+    """
+    while not context.known.informed:
+        if await _read(context):
+            context.joining.hear_store()
+            context.update_informed()
+        else:
+            await trio.sleep(context.rng.uniform(PAUSE_S / 2, PAUSE_S))
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -18,6 +18,7 @@
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import control
 from wasabilanding.daemon import exchange
+from wasabilanding.daemon import joining
 from wasabilanding.daemon import observation
 from wasabilanding.daemon import requests
 from wasabilanding.daemon import settings as settings_module
@@ -115,7 +116,9 @@
         """
         context = self._context
         nursery.start_soon(self._exchanger.run)
-        nursery.start_soon(configuration_watch.follow_configuration, context)
+        nursery.start_soon(joining.join, context)
+        watch = configuration_watch.ConfigurationWatch(context)
+        nursery.start_soon(watch.run)
         nursery.start_soon(observation.observe_endpoints, context)
         nursery.start_soon(self.controller.run)
         nursery.start_soon(self.status.measure)
@@ -178,8 +181,14 @@
     incarnation = time.time_ns() // NS_PER_MS
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(trio_asyncio.open_loop())
+        rng = random.Random()
+        measures = telemetry.Telemetry(settings.node, settings.trace_file)
         store = await stack.enter_async_context(
-            platform.PlatformClient(settings.platform_url)
+            platform.PlatformClient(
+                settings.platform_url,
+                rng=rng,
+                count=measures.count_store_call,
+            )
         )
         engines = await stack.enter_async_context(endpoints.EndpointClient())
         context = context_module.Context(
@@ -188,9 +197,9 @@
             members=membership.MemberTable(own_node(settings, incarnation)),
             platform=store,
             endpoints=engines,
-            telemetry=telemetry.Telemetry(settings.node, settings.trace_file),
+            telemetry=measures,
             connect_peer=peers.PeerChannel,
-            rng=random.Random(),
+            rng=rng,
         )
         _LOG.info("node %s starts", settings.node)
         await _serve_node(Node(context))
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -48,8 +48,10 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests."""
-        known = self._context.known.configuration.revision > 0
-        return known and not self._draining
+        known = self._context.known
+        if not known.informed or known.configuration.revision == 0:
+            return False
+        return not self._draining
 
     def begin_drain(self) -> None:
         """Tell the balancer to send no further requests."""
--- a/packages/daemon/wasabilanding/daemon/telemetry.py
+++ b/packages/daemon/wasabilanding/daemon/telemetry.py
@@ -81,6 +81,9 @@
         self._attempts = self._meter.create_counter(
             "wasabilanding_attempts", description="Attempts by outcome"
         )
+        self._store_calls = self._meter.create_counter(
+            "wasabilanding_store_calls", description="Calls to the platform"
+        )
         self._downtime = self._meter.create_counter(
             "wasabilanding_group_downtime", unit="s"
         )
@@ -128,6 +131,11 @@
         """Count the end of an attempt."""
         self._attempts.add(1, _labels(service, outcome))
 
+    def count_store_call(self, operation: str, result: str) -> None:
+        """Count the end of a call to the platform's service."""
+        labels = {"operation": operation, "result": result}
+        self._store_calls.add(1, labels)
+
     def add_measures(
         self, failure_domain: str, downtime_s: float, stranded_s: float
     ) -> None:
--- a/packages/decisions/wasabilanding/knowledge/book.py
+++ b/packages/decisions/wasabilanding/knowledge/book.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from wasabilanding.configuration import document
+from wasabilanding.knowledge import whole_replicas
 from wasabilanding import model
 
 
@@ -21,6 +22,12 @@
     vms: tuple[model.Vm, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class _Learned:
+    position: int
+    source: str
+
+
 class Knowledge:
     """Latest documents and reports."""
 
@@ -29,6 +36,12 @@
         self._records: dict[str, model.DomainRecord] = {}
         self._listings: dict[str, VmListing] = {}
         self._reports: dict[str, model.VmReport] = {}
+        self._learned: dict[str, _Learned] = {}
+        self._position = 0
+        self._leaving: frozenset[str] = frozenset()
+        self._by_key: dict[str, dict[int, model.ReplicaRecord]] = {}
+        self._store_heard_at: float | None = None
+        self._informed = False
 
     @property
     def configuration(self) -> document.Configuration:
@@ -50,6 +63,21 @@
         """Youngest report by VM."""
         return self._reports
 
+    @property
+    def position(self) -> int:
+        """Position in the journal of learned reports."""
+        return self._position
+
+    @property
+    def store_heard_at(self) -> float | None:
+        """Local time at which this node, or a peer, last heard the store."""
+        return self._store_heard_at
+
+    @property
+    def informed(self) -> bool:
+        """Whether this node has heard what stands since it started."""
+        return self._informed
+
     @property
     def replicas(self) -> tuple[model.ReplicaRecord, ...]:
         """Recorded replicas of all failure domains."""
@@ -102,7 +130,12 @@
         known = self.record(candidate.failure_domain)
         if candidate.revision <= known.revision:
             return False
-        self._records[candidate.failure_domain] = candidate
+        domain = candidate.failure_domain
+        self._records[domain] = candidate
+        self._by_key[domain] = {
+            whole_replicas.replica_key(domain, replica): replica
+            for replica in candidate.replicas
+        }
         return True
 
     def learn_listing(self, candidate: VmListing) -> bool:
@@ -115,27 +148,96 @@
         if candidate.revision <= known.revision:
             return False
         self._listings[candidate.failure_domain] = candidate
+        self._leaving = frozenset(
+            vm.vm
+            for listing in self._listings.values()
+            for vm in listing.vms
+            if vm.leaving
+        )
+        for vm in self._leaving & self._reports.keys():
+            self._store_report(self._reports[vm], "")
         return True
 
-    def learn_report(self, candidate: model.VmReport) -> bool:
+    def learn_report(
+        self, candidate: model.VmReport, source: str = ""
+    ) -> bool:
         """Apply a VM's report if it is younger.
 
         :param candidate: the report, stamped with local time.
+        :param source: peer that told it; empty for an own observation.
         :returns: whether it was applied.
         """
         known = self._reports.get(candidate.vm)
         if known and known.observed_at >= candidate.observed_at:
             return False
-        self._reports[candidate.vm] = candidate
+        self._store_report(candidate, source)
         return True
 
+    def _store_report(self, report: model.VmReport, source: str) -> None:
+        # The first sign that a VM leaves counts: its own word or the list.
+        if report.vm in self._leaving and not report.leaving:
+            report = dataclasses.replace(report, leaving=True)
+        self._reports[report.vm] = report
+        self._position += 1
+        self._learned[report.vm] = _Learned(self._position, source)
+
+    def learn_refusal(self, vm: str) -> None:
+        """Note that a VM refused work that its latest report promised.
+
+        The report no longer counts as ready; a younger one replaces it.
+
+        :param vm: identity of the VM.
+        """
+        report = self._reports.get(vm)
+        if report and report.state is model.VmState.READY:
+            self._reports[vm] = dataclasses.replace(
+                report, state=model.VmState.LOADING
+            )
+
+    def replica_by_key(self, key: int) -> model.ReplicaRecord | None:
+        """Return the recorded replica that a key stands for.
+
+        :param key: key of a replica at its epoch.
+        """
+        for replicas in self._by_key.values():
+            if key in replicas:
+                return replicas[key]
+        return None
+
+    def is_news_for(self, vm: str, peer: str, since: int) -> bool:
+        """Tell whether a peer may lack the latest report of a VM.
+
+        :param vm: identity of the VM.
+        :param peer: name of the peer.
+        :param since: position up to which the peer has heard this node.
+        """
+        learned = self._learned.get(vm)
+        if learned is None:
+            return False
+        return learned.position > since and learned.source != peer
+
     def forget_reports(self, before: float) -> None:
         """Drop reports that were observed before a time.
 
         :param before: local monotonic time in seconds.
         """
-        self._reports = {
-            vm: report
+        old = [
+            vm
             for vm, report in self._reports.items()
-            if report.observed_at >= before
-        }
+            if report.observed_at < before
+        ]
+        for vm in old:
+            del self._reports[vm]
+            del self._learned[vm]
+
+    def hear_store(self, at: float) -> None:
+        """Note that the store was heard, by this node or a peer.
+
+        :param at: local monotonic time in seconds.
+        """
+        known = self._store_heard_at
+        self._store_heard_at = at if known is None else max(known, at)
+
+    def become_informed(self) -> None:
+        """Note that this node has heard what stands."""
+        self._informed = True
--- /dev/null
+++ b/packages/decisions/wasabilanding/knowledge/whole_replicas.py
@@ -0,0 +1,105 @@
+"""Reports of all members of a replica, told as one."""
+
+import collections.abc
+import dataclasses
+import functools
+import hashlib
+
+from wasabilanding import model
+
+KEY_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class WholeReplica:
+    """Says that every member of a replica reports it.
+
+    :param key: stands for failure domain, identity and epoch.
+    :param observed_at: local monotonic time of each member's report by
+        rank, in seconds.
+    :param running: requests that the leader runs.
+    :param queued: requests that wait for the leader.
+    """
+
+    key: int
+    observed_at: tuple[float, ...]
+    running: int = 0
+    queued: int = 0
+
+    @property
+    def oldest(self) -> float:
+        """Local monotonic time of the oldest report, in seconds."""
+        return min(self.observed_at)
+
+
+@functools.lru_cache(maxsize=100_000)
+def _key(failure_domain: str, replica_id: str, epoch: int) -> int:
+    text = f"{failure_domain}/{replica_id}/{epoch}".encode()
+    digest = hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def replica_key(failure_domain: str, replica: model.ReplicaRecord) -> int:
+    """Return the 64-bit key that stands for a replica at its epoch.
+
+    :param failure_domain: its failure domain.
+    :param replica: the replica.
+    """
+    return _key(failure_domain, replica.replica_id, replica.epoch)
+
+
+def _confirms(
+    report: model.VmReport | None, replica: model.ReplicaRecord
+) -> bool:
+    if report is None or report.state is not model.VmState.READY:
+        return False
+    if report.leaving:
+        return False
+    return (report.replica_id, report.epoch) == (
+        replica.replica_id,
+        replica.epoch,
+    )
+
+
+def summarise(
+    failure_domain: str,
+    replica: model.ReplicaRecord,
+    reports: collections.abc.Mapping[str, model.VmReport],
+) -> WholeReplica | None:
+    """Return the summary of a replica, or None when it is not whole.
+
+    :param failure_domain: its failure domain.
+    :param replica: the replica as recorded.
+    :param reports: latest report of each VM.
+    """
+    found = [reports.get(vm) for vm in replica.members]
+    if not all(_confirms(report, replica) for report in found):
+        return None
+    leader = reports[replica.leader]
+    return WholeReplica(
+        key=replica_key(failure_domain, replica),
+        observed_at=tuple(report.observed_at for report in found),
+        running=leader.running,
+        queued=leader.queued,
+    )
+
+
+def reports_of(
+    whole: WholeReplica, replica: model.ReplicaRecord
+) -> collections.abc.Iterator[model.VmReport]:
+    """Yield the members' reports that a summary stands for.
+
+    :param whole: the summary.
+    :param replica: the replica as recorded, at the same epoch.
+    """
+    for vm, observed_at in zip(replica.members, whole.observed_at):
+        is_leader = vm == replica.leader
+        yield model.VmReport(
+            vm=vm,
+            state=model.VmState.READY,
+            replica_id=replica.replica_id,
+            epoch=replica.epoch,
+            running=whole.running if is_leader else 0,
+            queued=whole.queued if is_leader else 0,
+            observed_at=observed_at,
+        )
--- /dev/null
+++ b/packages/decisions/wasabilanding/membership/partners.py
@@ -0,0 +1,116 @@
+"""Choice of the peers of the next exchange.
+
+Explanation
+===========
+
+Each round a node asks a fixed number of peers of its own failure domain, by
+turns in a shuffled order, so that the time between two exchanges with the
+same peer is bounded [1]_. The nodes of a failure domain share the exchanges
+with the other failure domains: each is asked by ``REMOTE_ASKERS`` of them a
+round, on average, at most once a round by each. Now and then one address
+that is not known as live is tried: a seed, or a lost peer. So the load of a
+node does not grow with the number of nodes, and partitions heal.
+
+References
+==========
+
+.. [1] A. Das, I. Gupta and A. Motivala, "SWIM: scalable weakly-consistent
+       infection-style process group membership protocol", DSN 2002.
+"""
+
+import random
+
+from wasabilanding.membership import joining
+from wasabilanding.membership import table as table_module
+
+LOCAL_FAN_OUT = 2
+REMOTE_ASKERS = 2.0
+RECONNECT_SHARE = 0.1
+
+
+class Partners:
+    """Turns among the peers of one node.
+
+    :param seeds: addresses from the settings.
+    :param rng: source of randomness.
+    :param local_fan_out: peers of the own failure domain in each round.
+    """
+
+    def __init__(
+        self,
+        seeds: tuple[str, ...],
+        rng: random.Random,
+        local_fan_out: int = LOCAL_FAN_OUT,
+    ) -> None:
+        self._seeds = seeds
+        self._rng = rng
+        self._local_fan_out = local_fan_out
+        self._turns: list[str] = []
+
+    def next_round(
+        self,
+        table: table_module.MemberTable,
+        now: float,
+        is_joining: bool = False,
+    ) -> tuple[str, ...]:
+        """Return the addresses to ask in this round.
+
+        :param table: the nodes that this node knows of.
+        :param now: local monotonic time in seconds.
+        :param is_joining: whether this node has yet to hear what stands;
+            it then asks many peers at once.
+        """
+        own = table.own
+        others = [n for n in table.live(now) if n.name != own.name]
+        unknown = self._unknown(table, {n.address for n in others})
+        if is_joining:
+            return self._joining_round([n.address for n in others], unknown)
+        domain = own.failure_domain
+        local = [n.address for n in others if n.failure_domain == domain]
+        remote = [n for n in others if n.failure_domain != domain]
+        chosen = self._local_round(local)
+        chosen += self._remote_round(remote, len(local) + 1)
+        chosen += self._reconnect(unknown, bool(others))
+        return tuple(chosen)
+
+    def _unknown(
+        self, table: table_module.MemberTable, live: set[str]
+    ) -> list[str]:
+        tried = {*self._seeds, *table.lost_addresses}
+        return sorted(tried - live - {table.own.address})
+
+    def _joining_round(
+        self, live: list[str], unknown: list[str]
+    ) -> tuple[str, ...]:
+        limit = joining.MAX_ASKED_PEERS
+        chosen = self._rng.sample(live, min(limit, len(live)))
+        spare = min(limit - len(chosen), len(unknown))
+        return tuple(chosen + self._rng.sample(unknown, spare))
+
+    def _local_round(self, local: list[str]) -> list[str]:
+        self._turns = [a for a in self._turns if a in local]
+        if len(self._turns) < min(self._local_fan_out, len(local)):
+            rest = [a for a in local if a not in self._turns]
+            self._rng.shuffle(rest)
+            self._turns += rest
+        chosen = self._turns[: self._local_fan_out]
+        self._turns = self._turns[self._local_fan_out :]
+        return chosen
+
+    def _remote_round(
+        self, remote: list[table_module.Node], local_count: int
+    ) -> list[str]:
+        domains = sorted({n.failure_domain for n in remote})
+        share = REMOTE_ASKERS * len(domains) / local_count
+        if not domains or self._rng.random() >= share:
+            return []
+        domain = self._rng.choice(domains)
+        there = [n.address for n in remote if n.failure_domain == domain]
+        return [self._rng.choice(there)]
+
+    def _reconnect(self, unknown: list[str], has_peers: bool) -> list[str]:
+        if not unknown:
+            return []
+        if has_peers and self._rng.random() >= RECONNECT_SHARE:
+            return []
+        return [self._rng.choice(unknown)]
--- a/packages/decisions/wasabilanding/membership/table.py
+++ b/packages/decisions/wasabilanding/membership/table.py
@@ -1,25 +1,45 @@
-"""Table of nodes, kept by heartbeats.
+"""Table of nodes, kept by counted heartbeats.
 
 Explanation
 ===========
 
 A node is named by its settings and stamped with an incarnation, which grows
-with each start, so that news of an earlier life never hides a later one.
-Work is shared among the live nodes of a failure domain by rendezvous hashing
-[1]_: when a node goes, only its own share moves.
+with each start, and with a heartbeat, which only the node itself counts up
+[1]_. News counts as new only when the pair of both rises, so what others
+repeat of a dead node never makes it look alive. Three bounds follow from the
+time of the last rise:
+
+``SUSPECT_AFTER_S``
+    the node is no longer counted as live, and no longer told to others.
+``FORGET_AFTER_S``
+    it leaves the table. Its last version is kept for ``REMEMBER_S``, so that
+    late news of it is recognised.
+``RECONNECT_FOR_S``
+    its address is still tried now and then, which heals a long partition.
+
+A node that hears of an earlier life of its own with a higher incarnation, as
+after its clock was set back, takes the next one [2]_.
 
 References
 ==========
 
-.. [1] D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to
-       increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+.. [1] R. van Renesse, Y. Minsky and M. Hayden, "A gossip-style failure
+       detection service", Middleware 1998.
+.. [2] A. Das, I. Gupta and A. Motivala, "SWIM: scalable weakly-consistent
+       infection-style process group membership protocol", DSN 2002.
 """
 
 import collections.abc
 import dataclasses
-import hashlib
+import functools
+import zlib
 
 SUSPECT_AFTER_S = 3.0
+# Nodes of other failure domains are heard of at a lower rate.
+REMOTE_SUSPECT_AFTER_S = 10.0
+FORGET_AFTER_S = 20.0
+REMEMBER_S = 120.0
+RECONNECT_FOR_S = 900.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,6 +52,7 @@
     :param address: host and port for its peers.
     :param leaving: whether it is shutting down.
     :param heard_at: local monotonic time of the last news of it, seconds.
+    :param heartbeat: count that the node itself raises.
     """
 
     name: str
@@ -40,14 +61,49 @@
     address: str
     leaving: bool = False
     heard_at: float = 0.0
+    heartbeat: int = 0
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """What orders news of one node."""
+        return (self.incarnation, self.heartbeat)
+
+
+@functools.lru_cache(maxsize=100_000)
+def _key(name: str, incarnation: int, leaving: bool) -> int:
+    return zlib.crc32(f"{name}/{incarnation}/{leaving}".encode())
+
+
+def node_key(node: Node) -> int:
+    """Return the 32-bit key that stands for a node in heartbeats.
+
+    It changes with the incarnation and with the notice to leave, so that a
+    peer which misses either can't resolve it and asks for the whole state.
+
+    :param node: the node.
+    """
+    return _key(node.name, node.incarnation, node.leaving)
+
+
+def _merge(known: Node, news: Node) -> Node:
+    # Within one incarnation the notice to leave is never taken back.
+    leaving = news.leaving or (
+        known.leaving and known.incarnation == news.incarnation
+    )
+    return dataclasses.replace(news, leaving=leaving)
 
 
 class MemberTable:
-    """The nodes that this node knows of, itself included."""
+    """The nodes that this node knows of, itself included.
+
+    :param own: this node.
+    """
 
     def __init__(self, own: Node) -> None:
         self._own = own
         self._others: dict[str, Node] = {}
+        self._keys: dict[int, str] = {}
+        self._forgotten: dict[str, Node] = {}
 
     @property
     def own(self) -> Node:
@@ -59,10 +115,25 @@
         """All other nodes, by name."""
         return tuple(self._others[name] for name in sorted(self._others))
 
+    @property
+    def lost_addresses(self) -> tuple[str, ...]:
+        """Addresses of nodes that went without a notice to leave."""
+        lost = {n.address for n in self._forgotten.values() if not n.leaving}
+        return tuple(sorted(lost - {n.address for n in self.others}))
+
     def leave(self) -> None:
         """Note that this node is shutting down."""
         self._own = dataclasses.replace(self._own, leaving=True)
 
+    def beat(self, now: float) -> None:
+        """Count up this node's heartbeat.
+
+        :param now: local monotonic time in seconds.
+        """
+        self._own = dataclasses.replace(
+            self._own, heartbeat=self._own.heartbeat + 1, heard_at=now
+        )
+
     def learn(self, node: Node) -> bool:
         """Merge news of another node.
 
@@ -70,28 +141,115 @@
         :returns: whether it is newer than what was known.
         """
         if node.name == self._own.name:
+            self._learn_of_own(node)
+            return False
+        forgotten = self._forgotten.get(node.name)
+        if forgotten and node.version <= forgotten.version:
             return False
         known = self._others.get(node.name)
-        if known and (known.incarnation, known.heard_at) >= (
-            node.incarnation,
-            node.heard_at,
-        ):
+        if known is None:
+            self._store(node)
+            return True
+        if node.version > known.version:
+            self._store(_merge(known, node))
+            return True
+        if node.incarnation == known.incarnation and node.leaving:
+            return self._note_leaving(known)
+        return False
+
+    def _learn_of_own(self, news: Node) -> None:
+        if news.incarnation > self._own.incarnation:
+            self._own = dataclasses.replace(
+                self._own, incarnation=news.incarnation + 1
+            )
+
+    def _note_leaving(self, known: Node) -> bool:
+        if known.leaving:
             return False
+        self._store(dataclasses.replace(known, leaving=True))
+        return True
+
+    def _store(self, node: Node) -> None:
+        known = self._others.get(node.name)
+        if known:
+            self._keys.pop(node_key(known), None)
         self._others[node.name] = node
+        self._keys[node_key(node)] = node.name
+        self._forgotten.pop(node.name, None)
+
+    def learn_heartbeat(
+        self, key: int, heartbeat: int, heard_at: float
+    ) -> bool:
+        """Merge the heartbeat of a node.
+
+        :param key: key of the node.
+        :param heartbeat: its count.
+        :param heard_at: local monotonic time of the news, seconds.
+        :returns: whether the key could be resolved.
+        """
+        if key == node_key(self._own):
+            return True
+        name = self._keys.get(key)
+        if name is None:
+            return False
+        known = self._others[name]
+        if heartbeat > known.heartbeat:
+            self._others[name] = dataclasses.replace(
+                known,
+                heartbeat=heartbeat,
+                heard_at=max(known.heard_at, heard_at),
+            )
         return True
 
+    def resolve(self, key: int) -> Node | None:
+        """Return the node that a key stands for.
+
+        :param key: key of the node.
+        """
+        if key == node_key(self._own):
+            return self._own
+        name = self._keys.get(key)
+        return self._others[name] if name else None
+
+    def forget(self, now: float) -> None:
+        """Drop nodes that were not heard of for long.
+
+        :param now: local monotonic time in seconds.
+        """
+        for node in self.others:
+            if now - node.heard_at > FORGET_AFTER_S:
+                del self._others[node.name]
+                self._keys.pop(node_key(node), None)
+                self._forgotten[node.name] = node
+        for node in tuple(self._forgotten.values()):
+            kept_s = REMEMBER_S if node.leaving else RECONNECT_FOR_S
+            if now - node.heard_at > kept_s:
+                del self._forgotten[node.name]
+
+    def is_heard(self, node: Node, now: float) -> bool:
+        """Tell whether a node was heard of lately.
+
+        :param node: the node.
+        :param now: local monotonic time in seconds.
+        """
+        is_local = node.failure_domain == self._own.failure_domain
+        bound_s = SUSPECT_AFTER_S if is_local else REMOTE_SUSPECT_AFTER_S
+        return now - node.heard_at <= bound_s
+
     def live(
         self, now: float, failure_domain: str | None = None
     ) -> tuple[Node, ...]:
         """Return the nodes that were heard of lately, this one included.
 
+        A node that is shutting down is not among them.
+
         :param now: local monotonic time in seconds.
         :param failure_domain: only nodes of this failure domain.
         """
         heard = [
             node
             for node in self.others
-            if now - node.heard_at <= SUSPECT_AFTER_S and not node.leaving
+            if self.is_heard(node, now) and not node.leaving
         ]
         nodes = sorted([self._own, *heard], key=lambda node: node.name)
         return tuple(
@@ -100,23 +258,18 @@
             if failure_domain in (None, node.failure_domain)
         )
 
+    def told(
+        self, now: float, failure_domain: str
+    ) -> collections.abc.Iterator[Node]:
+        """Yield the nodes of a failure domain that others are told of.
 
-def owner_of(key: str, names: collections.abc.Iterable[str]) -> str | None:
-    """Return the node that a key falls to, by rendezvous hashing.
-
-    :param key: the key.
-    :param names: names of the live nodes.
-    :returns: the owner, or None when there is no node.
-
-    Examples
-    ========
-
-    >>> from wasabilanding import membership
-    >>> membership.owner_of("vm-1", ["a", "b"]) in ("a", "b")
-    True
-    """
-
-    def score(name: str) -> bytes:
-        return hashlib.blake2b(f"{name}/{key}".encode()).digest()
-
-    return max(names, key=score, default=None)
+        :param now: local monotonic time in seconds.
+        :param failure_domain: the failure domain.
+        """
+        if failure_domain == self._own.failure_domain:
+            yield self._own
+        for node in self.others:
+            if node.failure_domain != failure_domain:
+                continue
+            if self.is_heard(node, now):
+                yield node
--- /dev/null
+++ b/packages/decisions/wasabilanding/membership/tests/membership.feature
@@ -0,0 +1,75 @@
+Feature: Membership by counted heartbeats
+
+  Scenario Outline: A dead node is forgotten, whatever others repeat of it
+    Given <nodes> nodes that exchange their tables every <interval> s
+    When one of them dies and <wait> s pass
+    Then it is <live> and <table> everywhere
+
+    Examples:
+      | nodes | interval | wait | live     | table     |
+      | 3     | 0.4      | 2    | live     | known     |
+      | 3     | 0.4      | 6    | not live | known     |
+      | 3     | 0.4      | 40   | not live | forgotten |
+      | 8     | 0.4      | 40   | not live | forgotten |
+
+  Scenario Outline: News of one node is ordered by incarnation and heartbeat
+    Given node "a" heard at incarnation <inc> heartbeat <beat> leaving <leaving>
+    When news comes at incarnation <inc2> heartbeat <beat2> leaving <leaving2>
+    Then node "a" is at incarnation <inc3> heartbeat <beat3> leaving <leaving3>
+
+    Examples:
+      | inc | beat | leaving | inc2 | beat2 | leaving2 | inc3 | beat3 | leaving3 |
+      | 1   | 5    | no      | 1    | 6     | no       | 1    | 6     | no       |
+      | 1   | 5    | no      | 1    | 4     | no       | 1    | 5     | no       |
+      | 1   | 5    | no      | 2    | 0     | no       | 2    | 0     | no       |
+      | 2   | 0    | no      | 1    | 9     | yes      | 2    | 0     | no       |
+      | 1   | 5    | yes     | 1    | 6     | no       | 1    | 6     | yes      |
+      | 1   | 5    | no      | 1    | 4     | yes      | 1    | 5     | yes      |
+      | 1   | 5    | yes     | 2    | 0     | no       | 2    | 0     | no       |
+
+  Scenario: Late news of a forgotten node does not bring it back
+    Given node "a" was heard of and then forgotten
+    When its last news comes once more
+    Then node "a" is not known
+
+  Scenario: A node whose clock was set back outlives its earlier life
+    Given a node at incarnation 5
+    When it hears of its own name at incarnation 9
+    Then it goes on at incarnation 10
+
+  Scenario Outline: The load of a node does not grow with the nodes
+    Given a node among <local> live peers in its failure domain and <remote> in <domains> others
+    When it chooses the peers of 200 rounds
+    Then a round has at most <most> peers
+    And each local peer is asked at least once in <turn> rounds
+
+    Examples:
+      | local | remote | domains | most | turn |
+      | 2     | 6      | 2       | 4    | 1    |
+      | 14    | 30     | 2       | 4    | 14   |
+      | 92    | 112    | 14      | 4    | 92   |
+
+  Scenario Outline: Addresses that are not known as live are tried now and then
+    Given a node with seed "seed:1" and <peers> live peers
+    When it chooses the peers of 200 rounds
+    Then "seed:1" is asked in <least> to <most> rounds
+
+    Examples:
+      | peers | least | most |
+      | 0     | 200   | 200  |
+      | 2     | 5     | 50   |
+
+  Scenario Outline: A started node is informed by the store or by its peers
+    Given a started node that knows <live> live peers
+    When the store answered <store> and <informed> informed and <fresh> fresh peers answered
+    Then the node is <verdict>
+
+    Examples:
+      | live | store | informed | fresh | verdict      |
+      | 0    | no    | 0        | 0     | not informed |
+      | 2    | yes   | 0        | 0     | informed     |
+      | 2    | no    | 1        | 0     | not informed |
+      | 2    | no    | 1        | 1     | informed     |
+      | 2    | no    | 0        | 2     | not informed |
+      | 90   | no    | 8        | 0     | informed     |
+      | 90   | no    | 7        | 0     | not informed |
--- a/packages/experiments/wasabilanding/experiments/cluster.py
+++ b/packages/experiments/wasabilanding/experiments/cluster.py
@@ -275,9 +275,10 @@
         self._starts += 1
         settings = self.settings(name, domain)
         transport = self.network.transport(domain)
+        rng = random.Random(self._rng.random())
         async with contextlib.AsyncExitStack() as stack:
             store = await stack.enter_async_context(
-                platform.PlatformClient(settings.platform_url, transport)
+                platform.PlatformClient(settings.platform_url, transport, rng)
             )
             engines = await stack.enter_async_context(
                 endpoints.EndpointClient(transport)
@@ -292,7 +293,7 @@
                 endpoints=engines,
                 telemetry=telemetry.Telemetry(name),
                 connect_peer=functools.partial(_MemoryChannel, self, domain),
-                rng=random.Random(self._rng.random()),
+                rng=rng,
             )
             await self._serve_node(context, task_status)
 
--- a/packages/peers/wasabilanding/peers/client.py
+++ b/packages/peers/wasabilanding/peers/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import google.protobuf.message
 import grpclib.client
 import grpclib.exceptions
 import trio_asyncio
@@ -76,7 +77,9 @@
             return await self._stub.Exchange(request, timeout=CALL_TIMEOUT_S)
         except (
             asyncio.TimeoutError,
+            google.protobuf.message.DecodeError,
             grpclib.exceptions.GRPCError,
+            grpclib.exceptions.ProtocolError,
             grpclib.exceptions.StreamTerminatedError,
             OSError,
         ) as error:
--- /dev/null
+++ b/packages/peers/wasabilanding/peers/documents.py
@@ -0,0 +1,204 @@
+"""Documents on the wire: by revision, compressed, checked on arrival.
+
+Explanation
+===========
+
+A request carries a digest of all revisions that its sender knows. Only when
+the callee's digest differs does the caller list its revisions, and the callee
+answers with the documents that are newer. A document that does not fit its
+type, as from a peer of another version, is refused and not asked for again.
+"""
+
+import collections.abc
+import dataclasses
+import hashlib
+import zlib
+
+from wasabilanding import configuration
+from wasabilanding import knowledge
+from wasabilanding import model
+from wasabilanding.peers import exchange_pb2
+
+CONFIGURATION = "configuration"
+RECORD = "record"
+LISTING = "listing"
+DIGEST_BYTES = 8
+MAX_CONTENT_BYTES = 4_000_000
+
+
+class RefusedDocument(ValueError):
+    """A peer's document can't be used.
+
+    :param identity: kind, failure domain and revision.
+    :param cause: what is wrong with it.
+    """
+
+    def __init__(
+        self, identity: exchange_pb2.DocumentRevision, cause: str
+    ) -> None:
+        super().__init__(
+            f"{identity.kind} {identity.failure_domain} revision "
+            f"{identity.revision} is refused: {cause}"
+        )
+        self.identity = identity
+
+
+def revisions(
+    known: knowledge.Knowledge,
+) -> collections.abc.Iterator[exchange_pb2.DocumentRevision]:
+    """Yield the revision of each known document.
+
+    :param known: knowledge of the node.
+    """
+    yield exchange_pb2.DocumentRevision(
+        kind=CONFIGURATION, revision=known.configuration.revision
+    )
+    for record in known.records.values():
+        yield exchange_pb2.DocumentRevision(
+            kind=RECORD,
+            failure_domain=record.failure_domain,
+            revision=record.revision,
+        )
+    for listing in known.listings.values():
+        yield exchange_pb2.DocumentRevision(
+            kind=LISTING,
+            failure_domain=listing.failure_domain,
+            revision=listing.revision,
+        )
+
+
+def digest(known: knowledge.Knowledge) -> int:
+    """Return a 64-bit digest of all known revisions.
+
+    :param known: knowledge of the node.
+    """
+    listed = sorted(
+        (d.kind, d.failure_domain, d.revision) for d in revisions(known)
+    )
+    text = repr(listed).encode()
+    hashed = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(hashed, "big")
+
+
+def _encode(
+    known: knowledge.Knowledge, identity: exchange_pb2.DocumentRevision
+) -> str:
+    if identity.kind == CONFIGURATION:
+        return model.encode(known.configuration)
+    if identity.kind == RECORD:
+        return model.encode(known.record(identity.failure_domain))
+    return model.encode(known.listing(identity.failure_domain))
+
+
+def newer_documents(
+    known: knowledge.Knowledge,
+    theirs: collections.abc.Iterable[exchange_pb2.DocumentRevision],
+) -> collections.abc.Iterator[exchange_pb2.Document]:
+    """Yield the documents that are newer than a peer's.
+
+    :param known: knowledge of the node.
+    :param theirs: revisions that the peer knows.
+    """
+    held = {(d.kind, d.failure_domain): d.revision for d in theirs}
+    for identity in revisions(known):
+        key = (identity.kind, identity.failure_domain)
+        if identity.revision > held.get(key, 0):
+            content = zlib.compress(_encode(known, identity).encode())
+            yield exchange_pb2.Document(identity=identity, content=content)
+
+
+def learn_document(
+    known: knowledge.Knowledge, document: exchange_pb2.Document
+) -> bool:
+    """Apply a peer's document if it is newer.
+
+    :param known: knowledge of the node.
+    :param document: the document.
+    :returns: whether it was applied.
+    :raises RefusedDocument: when it does not fit its type or identity.
+    """
+    identity = document.identity
+    text = _decompress(document)
+    try:
+        if identity.kind == CONFIGURATION:
+            return _learn_configuration(known, identity, text)
+        if identity.kind == RECORD:
+            decoded = model.decode(model.DomainRecord, text)
+            _check(identity, decoded.failure_domain, decoded.revision)
+            return known.learn_record(decoded)
+        if identity.kind == LISTING:
+            decoded = model.decode(knowledge.VmListing, text)
+            _check(identity, decoded.failure_domain, decoded.revision)
+            return known.learn_listing(decoded)
+    except model.InvalidDocument as error:
+        raise RefusedDocument(identity, str(error)) from None
+    raise RefusedDocument(identity, f"kind {identity.kind!r} is unknown")
+
+
+def _decompress(document: exchange_pb2.Document) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(document.content, MAX_CONTENT_BYTES)
+    except zlib.error as error:
+        raise RefusedDocument(document.identity, str(error)) from None
+    if not decompressor.eof:
+        raise RefusedDocument(
+            document.identity, f"it is cut or over {MAX_CONTENT_BYTES} bytes"
+        )
+    return text
+
+
+def _learn_configuration(
+    known: knowledge.Knowledge,
+    identity: exchange_pb2.DocumentRevision,
+    text: bytes,
+) -> bool:
+    decoded = model.decode(configuration.Configuration, text)
+    _check(identity, "", decoded.revision)
+    return known.learn_configuration(decoded)
+
+
+def _check(
+    identity: exchange_pb2.DocumentRevision, domain: str, revision: int
+) -> None:
+    if (identity.failure_domain, identity.revision) != (domain, revision):
+        raise RefusedDocument(
+            identity, f"its content is {domain!r} revision {revision}"
+        )
+
+
+@dataclasses.dataclass
+class RefusedRevisions:
+    """Revisions that were refused, so that they are not asked for again."""
+
+    _highest: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add(self, identity: exchange_pb2.DocumentRevision) -> None:
+        """Note a refused revision.
+
+        :param identity: kind, failure domain and revision.
+        """
+        key = (identity.kind, identity.failure_domain)
+        known = self._highest.get(key, 0)
+        self._highest[key] = max(known, identity.revision)
+
+    def held(
+        self, known: knowledge.Knowledge
+    ) -> list[exchange_pb2.DocumentRevision]:
+        """Return the revisions to list to a peer: known ones and refused.
+
+        :param known: knowledge of the node.
+        """
+        held = {
+            (d.kind, d.failure_domain): d.revision for d in revisions(known)
+        }
+        for key, revision in self._highest.items():
+            held[key] = max(held.get(key, 0), revision)
+        return [
+            exchange_pb2.DocumentRevision(
+                kind=kind, failure_domain=domain, revision=revision
+            )
+            for (kind, domain), revision in sorted(held.items())
+        ]
--- a/packages/peers/wasabilanding/peers/messages.py
+++ b/packages/peers/wasabilanding/peers/messages.py
@@ -1,127 +1,144 @@
-"""Conversion between a node's knowledge and the messages on the wire."""
+"""Requests and answers of the exchange, made and applied.
+
+Explanation
+===========
+
+Each call goes through these pure functions, in the daemon as in tests:
+:func:`make_request` at the caller, :func:`answer_request` at the callee,
+:func:`apply_reply` at the caller again. When the answer says so, a second
+call (:func:`make_followup`) fetches the members that the caller can't
+resolve and the documents that are newer.
+"""
 
 import collections.abc
 import dataclasses
+import re
 
-from wasabilanding import configuration
 from wasabilanding import knowledge
 from wasabilanding import membership
-from wasabilanding import model
+from wasabilanding.peers import documents
 from wasabilanding.peers import exchange_pb2
+from wasabilanding.peers import observations
+
+TOLD_REMOTE_MEMBERS = 3
+ADDRESS = re.compile(r"^[^\s:/]+:[0-9]{1,5}$")
+MAX_PORT = 65535
+
 
-CONFIGURATION = "configuration"
-RECORD = "record"
-LISTING = "listing"
-MAX_AGE_S = 3.0
-MS_PER_S = 1000
+@dataclasses.dataclass(frozen=True)
+class Cursor:
+    """How far this node has heard a peer.
 
+    :param incarnation: incarnation of the peer.
+    :param position: position in its journal.
+    """
+
+    incarnation: int = 0
+    position: int = 0
 
-def _age_ms(at: float, now: float) -> int:
-    return max(0, round((now - at) * MS_PER_S))
 
+@dataclasses.dataclass(frozen=True)
+class Learned:
+    """What came of an answer.
+
+    :param peer: name of the peer.
+    :param cursor: how far the peer was heard.
+    :param informed: whether the peer has heard what stands.
+    :param wanted_members: keys that can't be resolved.
+    :param documents_differ: whether the peer holds other revisions.
+    :param refused: documents that can't be used.
+    :param unusable: other entries that can't be used.
+    """
 
-def _node(node: membership.Node, now: float) -> exchange_pb2.NodeState:
+    peer: str
+    cursor: Cursor
+    informed: bool = False
+    wanted_members: tuple[int, ...] = ()
+    documents_differ: bool = False
+    refused: tuple[documents.RefusedDocument, ...] = ()
+    unusable: int = 0
+
+    @property
+    def needs_followup(self) -> bool:
+        """Whether a second call would bring more."""
+        return self.documents_differ or bool(self.wanted_members)
+
+
+def _state(node: membership.Node, now: float) -> exchange_pb2.NodeState:
     return exchange_pb2.NodeState(
         name=node.name,
         incarnation=node.incarnation,
         failure_domain=node.failure_domain,
         address=node.address,
         leaving=node.leaving,
-        age_ms=_age_ms(node.heard_at, now),
+        age_ms=observations.age_ms(node.heard_at, now),
+        heartbeat=node.heartbeat,
     )
 
 
-def _own(table: membership.MemberTable) -> exchange_pb2.NodeState:
-    own = dataclasses.replace(table.own, heard_at=0.0)
-    return _node(own, 0.0)
+def _own_state(table: membership.MemberTable) -> exchange_pb2.NodeState:
+    return _state(table.own, table.own.heard_at)
 
 
-def _others(
+def _heartbeats(
     table: membership.MemberTable, now: float
-) -> list[exchange_pb2.NodeState]:
-    return [
-        _node(node, now)
-        for node in table.others
-        if now - node.heard_at <= MAX_AGE_S
-    ]
-
-
-def _reports(
-    known: knowledge.Knowledge, now: float
-) -> list[exchange_pb2.Report]:
-    return [
-        exchange_pb2.Report(
-            vm=report.vm,
-            state=report.state.value,
-            replica_id=report.replica_id,
-            epoch=report.epoch,
-            running=report.running,
-            queued=report.queued,
-            leaving=report.leaving,
-            age_ms=_age_ms(report.observed_at, now),
-        )
-        for report in known.reports.values()
-        if now - report.observed_at <= MAX_AGE_S
+) -> exchange_pb2.Heartbeats:
+    own = table.own
+    told = [
+        node
+        for node in table.told(now, own.failure_domain)
+        if node.name != own.name
     ]
-
-
-def _revisions(
-    known: knowledge.Knowledge,
-) -> collections.abc.Iterator[exchange_pb2.DocumentRevision]:
-    yield exchange_pb2.DocumentRevision(
-        kind=CONFIGURATION, revision=known.configuration.revision
+    return exchange_pb2.Heartbeats(
+        keys=[membership.node_key(node) for node in told],
+        counts=[node.heartbeat for node in told],
+        ages_cs=[observations.age_cs(node.heard_at, now) for node in told],
     )
-    for record in known.records.values():
-        yield exchange_pb2.DocumentRevision(
-            kind=RECORD,
-            failure_domain=record.failure_domain,
-            revision=record.revision,
-        )
-    for listing in known.listings.values():
-        yield exchange_pb2.DocumentRevision(
-            kind=LISTING,
-            failure_domain=listing.failure_domain,
-            revision=listing.revision,
-        )
-
-
-def _content(
-    known: knowledge.Knowledge, identity: exchange_pb2.DocumentRevision
-) -> str:
-    if identity.kind == CONFIGURATION:
-        return model.encode(known.configuration)
-    if identity.kind == RECORD:
-        return model.encode(known.record(identity.failure_domain))
-    return model.encode(known.listing(identity.failure_domain))
-
-
-def _newer_documents(
-    known: knowledge.Knowledge, request: exchange_pb2.ExchangeRequest
-) -> collections.abc.Iterator[exchange_pb2.Document]:
-    theirs = {(d.kind, d.failure_domain): d.revision for d in request.known}
-    for identity in _revisions(known):
-        key = (identity.kind, identity.failure_domain)
-        if identity.revision > theirs.get(key, 0):
-            content = _content(known, identity).encode()
-            yield exchange_pb2.Document(identity=identity, content=content)
 
 
 def make_request(
     table: membership.MemberTable,
     known: knowledge.Knowledge,
     now: float,
+    cursor: Cursor = Cursor(),
 ) -> exchange_pb2.ExchangeRequest:
-    """Return what a node tells a peer.
+    """Return what a node asks a peer.
 
     :param table: the nodes that it knows of.
     :param known: its knowledge.
     :param now: local monotonic time in seconds.
+    :param cursor: how far it has heard the peer.
+    """
+    return exchange_pb2.ExchangeRequest(
+        sender=_own_state(table),
+        heartbeats=_heartbeats(table, now),
+        documents_digest=documents.digest(known),
+        heard_position=cursor.position,
+        heard_incarnation=cursor.incarnation,
+    )
+
+
+def make_followup(
+    table: membership.MemberTable,
+    known: knowledge.Knowledge,
+    learned: Learned,
+    refused: documents.RefusedRevisions,
+) -> exchange_pb2.ExchangeRequest:
+    """Return the second request, for what the first answer lacked.
+
+    :param table: the nodes that the caller knows of.
+    :param known: its knowledge.
+    :param learned: what came of the first answer.
+    :param refused: documents that it does not ask for again.
     """
+    held = refused.held(known) if learned.documents_differ else []
     return exchange_pb2.ExchangeRequest(
-        sender=_own(table),
-        members=_others(table, now),
-        reports=_reports(known, now),
-        known=list(_revisions(known)),
+        sender=_own_state(table),
+        wanted_members=learned.wanted_members,
+        documents_digest=documents.digest(known),
+        known=held,
+        heard_position=learned.cursor.position,
+        heard_incarnation=learned.cursor.incarnation,
     )
 
 
@@ -138,13 +155,89 @@
     :param request: the peer's request.
     :param now: local monotonic time in seconds.
     """
-    _learn(table, known, request, now)
-    return exchange_pb2.ExchangeReply(
-        sender=_own(table),
-        members=_others(table, now),
-        reports=_reports(known, now),
-        documents=list(_newer_documents(known, request)),
+    _learn_state(table, request.sender, now)
+    _learn_heartbeats(table, request.heartbeats, now)
+    own = table.own
+    since = 0
+    if request.heard_incarnation == own.incarnation:
+        since = request.heard_position
+    digest = documents.digest(known)
+    reply = exchange_pb2.ExchangeReply(
+        sender=_own_state(table),
+        heartbeats=_told_heartbeats(table, request, now),
+        members=_told_members(table, request, now),
+        reports=observations.single_reports(
+            known, own.failure_domain, request.sender, since, now
+        ),
+        whole_replicas=observations.whole_replicas(
+            known, own.failure_domain, request.sender, since, now
+        ),
+        documents_differ=digest != request.documents_digest,
+        position=known.position,
+        informed=known.informed,
     )
+    if request.known:
+        newer = documents.newer_documents(known, request.known)
+        reply.documents.extend(newer)
+    if known.store_heard_at is not None:
+        reply.store_age_ms = observations.age_ms(known.store_heard_at, now)
+    return reply
+
+
+def _told_heartbeats(
+    table: membership.MemberTable,
+    request: exchange_pb2.ExchangeRequest,
+    now: float,
+) -> exchange_pb2.Heartbeats | None:
+    if request.sender.failure_domain != table.own.failure_domain:
+        return None
+    return _heartbeats(table, now)
+
+
+def _told_members(
+    table: membership.MemberTable,
+    request: exchange_pb2.ExchangeRequest,
+    now: float,
+) -> list[exchange_pb2.NodeState]:
+    own = table.own
+    wanted = [table.resolve(key) for key in request.wanted_members]
+    told = {node.name: node for node in wanted if node}
+    if request.sender.failure_domain != own.failure_domain:
+        told.update(_sample(table, own.failure_domain, now))
+    else:
+        told.update(_remote_sample(table, now))
+    told.pop(own.name, None)
+    return [_state(node, now) for node in told.values()]
+
+
+def _sample(
+    table: membership.MemberTable, failure_domain: str, now: float
+) -> dict[str, membership.Node]:
+    # The members that fall to this heartbeat; they change by turns, so all
+    # are told in time without a source of randomness.
+    nodes = [
+        node
+        for node in table.told(now, failure_domain)
+        if node.name != table.own.name
+    ]
+    start = table.own.heartbeat * TOLD_REMOTE_MEMBERS
+    turn = [
+        nodes[(start + index) % len(nodes)]
+        for index in range(min(TOLD_REMOTE_MEMBERS, len(nodes)))
+    ]
+    return {node.name: node for node in turn}
+
+
+def _remote_sample(
+    table: membership.MemberTable, now: float
+) -> dict[str, membership.Node]:
+    own = table.own.failure_domain
+    domains = sorted({n.failure_domain for n in table.live(now)} - {own})
+    if not domains:
+        return {}
+    domain = domains[table.own.heartbeat % len(domains)]
+    sample = _sample(table, domain, now)
+    return dict(list(sample.items())[:1])
 
 
 def apply_reply(
@@ -152,7 +245,7 @@
     known: knowledge.Knowledge,
     reply: exchange_pb2.ExchangeReply,
     sent_at: float,
-) -> None:
+) -> Learned:
     """Learn from a peer's answer.
 
     :param table: the nodes that this node knows of.
@@ -160,55 +253,75 @@
     :param reply: the answer.
     :param sent_at: local monotonic time at which the request was sent; the
         answer's observations are counted from it, so never as too young.
+    :returns: what came of it.
     """
-    _learn(table, known, reply, sent_at)
-    for document in reply.documents:
-        _learn_document(known, document)
+    unusable = 0
+    for state in (reply.sender, *reply.members):
+        unusable += not _learn_state(table, state, sent_at)
+    wanted = _learn_heartbeats(table, reply.heartbeats, sent_at)
+    # Whole replicas are told apart by the records, so these come first.
+    refused = tuple(_learn_documents(known, reply.documents))
+    unusable += observations.learn_reports(known, reply, sent_at)
+    if reply.HasField("store_age_ms"):
+        age_s = reply.store_age_ms / observations.MS_PER_S
+        known.hear_store(sent_at - age_s)
+    return Learned(
+        peer=reply.sender.name,
+        cursor=Cursor(reply.sender.incarnation, reply.position),
+        informed=reply.informed,
+        wanted_members=wanted,
+        documents_differ=reply.documents_differ,
+        refused=refused,
+        unusable=unusable,
+    )
 
 
-def _learn(
-    table: membership.MemberTable,
+def _learn_documents(
     known: knowledge.Knowledge,
-    message: exchange_pb2.ExchangeRequest | exchange_pb2.ExchangeReply,
-    now: float,
-) -> None:
-    for state in (message.sender, *message.members):
-        table.learn(
-            membership.Node(
-                name=state.name,
-                incarnation=state.incarnation,
-                failure_domain=state.failure_domain,
-                address=state.address,
-                leaving=state.leaving,
-                heard_at=now - state.age_ms / MS_PER_S,
-            )
-        )
-    for report in message.reports:
-        known.learn_report(
-            model.VmReport(
-                vm=report.vm,
-                state=model.VmState(report.state),
-                replica_id=report.replica_id,
-                epoch=report.epoch,
-                running=report.running,
-                queued=report.queued,
-                leaving=report.leaving,
-                observed_at=now - report.age_ms / MS_PER_S,
-            )
+    received: collections.abc.Iterable[exchange_pb2.Document],
+) -> collections.abc.Iterator[documents.RefusedDocument]:
+    for document in received:
+        try:
+            documents.learn_document(known, document)
+        except documents.RefusedDocument as error:
+            yield error
+
+
+def _is_address(text: str) -> bool:
+    if not ADDRESS.match(text):
+        return False
+    return 0 < int(text.rpartition(":")[2]) <= MAX_PORT
+
+
+def _learn_state(
+    table: membership.MemberTable, state: exchange_pb2.NodeState, now: float
+) -> bool:
+    if not state.name or not _is_address(state.address):
+        return False
+    table.learn(
+        membership.Node(
+            name=state.name,
+            incarnation=state.incarnation,
+            failure_domain=state.failure_domain,
+            address=state.address,
+            leaving=state.leaving,
+            heard_at=now - state.age_ms / observations.MS_PER_S,
+            heartbeat=state.heartbeat,
         )
+    )
+    return True
 
 
-def _learn_document(
-    known: knowledge.Knowledge, document: exchange_pb2.Document
-) -> None:
-    kind = document.identity.kind
-    if kind == CONFIGURATION:
-        known.learn_configuration(
-            model.decode(configuration.Configuration, document.content)
-        )
-    elif kind == RECORD:
-        known.learn_record(model.decode(model.DomainRecord, document.content))
-    elif kind == LISTING:
-        known.learn_listing(
-            model.decode(knowledge.VmListing, document.content)
+def _learn_heartbeats(
+    table: membership.MemberTable,
+    heartbeats: exchange_pb2.Heartbeats,
+    now: float,
+) -> tuple[int, ...]:
+    columns = zip(heartbeats.keys, heartbeats.counts, heartbeats.ages_cs)
+    return tuple(
+        key
+        for key, count, age in columns
+        if not table.learn_heartbeat(
+            key, count, now - age / observations.CS_PER_S
         )
+    )
--- a/packages/platform/wasabilanding/platform/__init__.py
+++ b/packages/platform/wasabilanding/platform/__init__.py
@@ -5,11 +5,13 @@
 
 Every call ends in a tagged result. A write whose answer was lost ends in
 :class:`Unknown`: it may have taken effect, and the caller has to read back
-a writer token to find out.
+a writer token to find out. All calls of a node share one back-off
+(:mod:`wasabilanding.platform.backoff`).
 """
 
 from wasabilanding.platform.client import LeaseGranted
 from wasabilanding.platform.client import PlatformClient
+from wasabilanding.platform.client import ReadResult
 from wasabilanding.platform.client import VmList
 from wasabilanding.platform.documents import accept_change
 from wasabilanding.platform.documents import CONFIGURATION_KEY
@@ -32,6 +34,7 @@
     "LeaseGranted",
     "Missing",
     "PlatformClient",
+    "ReadResult",
     "Unavailable",
     "Unknown",
     "VmList",
--- a/packages/platform/wasabilanding/platform/client.py
+++ b/packages/platform/wasabilanding/platform/client.py
@@ -1,11 +1,15 @@
 """HTTP client of the platform's service."""
 
+import collections.abc
 import dataclasses
+import random
 import typing
 
 import httpx
+import trio
 
 from wasabilanding import model
+from wasabilanding.platform import backoff
 from wasabilanding.platform import results
 
 CALL_TIMEOUT_S = 2.0
@@ -14,12 +18,15 @@
 HTTP_NOT_FOUND = 404
 HTTP_TOO_MANY = 429
 HTTP_UNAVAILABLE = 503
+HTTP_SERVER_ERROR = 500
 NOT_TAKEN = (HTTP_TOO_MANY, HTTP_UNAVAILABLE)
+NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 WriteResult = (
     results.Written | results.Conflict | results.Unavailable | results.Unknown
 )
 ReadResult = results.Entry | results.Missing | results.Unavailable
+Count = collections.abc.Callable[[str, str], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,19 +51,56 @@
     vms: tuple[model.Vm, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class _ValueBody:
+    value: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _RevisionBody:
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _LeaseBody:
+    lease_id: str
+
+
+def _count_nothing(operation: str, result: str) -> None:
+    """Count nothing."""
+
+
+def _is_failure(response: httpx.Response) -> bool:
+    if response.status_code in NOT_TAKEN:
+        return True
+    return response.status_code >= HTTP_SERVER_ERROR
+
+
 class PlatformClient:
     """Client of the platform's service; a context manager.
 
+    All calls share one back-off: while the service fails, calls end as
+    :class:`wasabilanding.platform.Unavailable` without being sent.
+
     :param url: base URL of the service.
     :param transport: replaces the network in tests.
+    :param rng: source of randomness of the back-off.
+    :param count: counts each call by operation and result.
     """
 
     def __init__(
-        self, url: str, transport: httpx.AsyncBaseTransport | None = None
+        self,
+        url: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+        rng: random.Random | None = None,
+        count: Count = _count_nothing,
     ) -> None:
         self._http = httpx.AsyncClient(
             base_url=url, timeout=CALL_TIMEOUT_S, transport=transport
         )
+        self._backoff = backoff.Backoff(rng or random.Random())
+        self._count = count
 
     async def __aenter__(self) -> "PlatformClient":
         await self._http.__aenter__()
@@ -65,21 +109,39 @@
     async def __aexit__(self, *error: typing.Any) -> None:
         await self._http.__aexit__(*error)
 
+    async def _send(
+        self, operation: str, method: str, url: str, **arguments: typing.Any
+    ) -> httpx.Response | results.Unavailable | results.Unknown:
+        if not self._backoff.try_begin(trio.current_time()):
+            await trio.lowlevel.checkpoint()
+            self._count(operation, "not_sent")
+            return results.Unavailable("the service failed a moment ago")
+        try:
+            response = await self._http.request(method, url, **arguments)
+        except NOT_SENT as error:
+            self._note_failure(operation, "not_sent")
+            return results.Unavailable(repr(error))
+        except httpx.HTTPError as error:
+            self._note_failure(operation, "no_answer")
+            return results.Unknown(repr(error))
+        if _is_failure(response):
+            self._note_failure(operation, str(response.status_code))
+        else:
+            self._backoff.succeed()
+            self._count(operation, "answered")
+        return response
+
+    def _note_failure(self, operation: str, result: str) -> None:
+        self._backoff.fail(trio.current_time())
+        self._count(operation, result)
+
     async def get(self, key: str) -> ReadResult:
         """Read one key.
 
         :param key: the key.
         """
-        try:
-            response = await self._http.get(f"/v1/kv/{key}")
-        except httpx.HTTPError as error:
-            return results.Unavailable(repr(error))
-        if response.status_code == HTTP_NOT_FOUND:
-            return results.Missing(key)
-        if response.is_error:
-            return results.Unavailable(response.text)
-        body = response.json()
-        return results.Entry(key, body["value"], body["revision"])
+        response = await self._send("get", "GET", f"/v1/kv/{key}")
+        return _read_result(key, response)
 
     async def put(
         self,
@@ -95,15 +157,13 @@
         :param expected_revision: revision that it replaces; 0 for none.
         :param lease_id: lease whose end removes the key.
         """
-        params = {"expected": expected_revision, "lease": lease_id}
-        try:
-            response = await self._http.put(
-                f"/v1/kv/{key}", params=params, content=value.encode()
-            )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            return results.Unavailable(repr(error))
-        except httpx.HTTPError as error:
-            return results.Unknown(repr(error))
+        response = await self._send(
+            "put",
+            "PUT",
+            f"/v1/kv/{key}",
+            params={"expected": expected_revision, "lease": lease_id},
+            content=value.encode(),
+        )
         return _write_result(response)
 
     async def watch(
@@ -116,21 +176,14 @@
         :param timeout_s: longest wait in seconds.
         :returns: the newer entry, or :class:`Missing` when none came.
         """
-        params = {"after": after, "timeout": timeout_s}
-        try:
-            response = await self._http.get(
-                f"/v1/watch/{key}",
-                params=params,
-                timeout=timeout_s + WATCH_MARGIN_S,
-            )
-        except httpx.HTTPError as error:
-            return results.Unavailable(repr(error))
-        if response.status_code == HTTP_NOT_FOUND:
-            return results.Missing(key)
-        if response.is_error:
-            return results.Unavailable(response.text)
-        body = response.json()
-        return results.Entry(key, body["value"], body["revision"])
+        response = await self._send(
+            "watch",
+            "GET",
+            f"/v1/watch/{key}",
+            params={"after": after, "timeout": timeout_s},
+            timeout=timeout_s + WATCH_MARGIN_S,
+        )
+        return _read_result(key, response)
 
     async def grant_lease(
         self, ttl_s: float
@@ -139,15 +192,13 @@
 
         :param ttl_s: time to live in seconds.
         """
-        try:
-            response = await self._http.post(
-                "/v1/leases", json={"ttl_s": ttl_s}
-            )
-        except httpx.HTTPError as error:
-            return results.Unavailable(repr(error))
-        if response.is_error:
-            return results.Unavailable(response.text)
-        return LeaseGranted(response.json()["lease_id"], ttl_s)
+        response = await self._send(
+            "grant_lease", "POST", "/v1/leases", json={"ttl_s": ttl_s}
+        )
+        body = _decode_answer(_LeaseBody, response)
+        if isinstance(body, results.Unavailable):
+            return body
+        return LeaseGranted(body.lease_id, ttl_s)
 
     async def renew_lease(
         self, lease_id: str
@@ -156,25 +207,24 @@
 
         :param lease_id: identity of the lease.
         """
-        try:
-            response = await self._http.post(f"/v1/leases/{lease_id}/renew")
-        except httpx.HTTPError as error:
-            return results.Unavailable(repr(error))
-        if response.status_code == HTTP_NOT_FOUND:
+        response = await self._send(
+            "renew_lease", "POST", f"/v1/leases/{lease_id}/renew"
+        )
+        if _has_status(response, HTTP_NOT_FOUND):
             return results.Missing(lease_id)
-        if response.is_error:
-            return results.Unavailable(response.text)
-        return LeaseGranted(lease_id, response.json()["ttl_s"])
+        body = _decode_answer(dict[str, float], response)
+        if isinstance(body, results.Unavailable):
+            return body
+        if "ttl_s" not in body:
+            return results.Unavailable(f"answer has no ttl_s: {body}")
+        return LeaseGranted(lease_id, body["ttl_s"])
 
     async def revoke_lease(self, lease_id: str) -> None:
         """Give a lease back; without an answer it lapses by itself.
 
         :param lease_id: identity of the lease.
         """
-        try:
-            await self._http.delete(f"/v1/leases/{lease_id}")
-        except httpx.HTTPError:
-            return
+        await self._send("revoke_lease", "DELETE", f"/v1/leases/{lease_id}")
 
     async def list_vms(
         self, failure_domain: str
@@ -183,26 +233,69 @@
 
         :param failure_domain: the failure domain.
         """
-        try:
-            response = await self._http.get(
-                "/v1/vms", params={"failure_domain": failure_domain}
-            )
-        except httpx.HTTPError as error:
-            return results.Unavailable(repr(error))
-        if response.is_error:
-            return results.Unavailable(response.text)
-        try:
-            vms = model.decode(tuple[model.Vm, ...], response.content)
-        except model.InvalidDocument as error:
-            return results.Unavailable(f"VM list is malformed: {error}")
+        response = await self._send(
+            "list_vms",
+            "GET",
+            "/v1/vms",
+            params={"failure_domain": failure_domain},
+        )
+        vms = _decode_answer(tuple[model.Vm, ...], response)
+        if isinstance(vms, results.Unavailable):
+            return vms
         return VmList(vms)
 
 
-def _write_result(response: httpx.Response) -> WriteResult:
-    if response.status_code == HTTP_CONFLICT:
-        return results.Conflict(response.json()["revision"])
+def _has_status(
+    response: httpx.Response | results.Unavailable | results.Unknown,
+    status: int,
+) -> bool:
+    if not isinstance(response, httpx.Response):
+        return False
+    return response.status_code == status
+
+
+def _decode_answer(
+    kind: typing.Any,
+    response: httpx.Response | results.Unavailable | results.Unknown,
+) -> typing.Any:
+    if not isinstance(response, httpx.Response):
+        return results.Unavailable(response.detail)
+    if response.is_error:
+        return results.Unavailable(response.text)
+    try:
+        return model.decode(kind, response.content)
+    except model.InvalidDocument as error:
+        return results.Unavailable(f"answer is malformed: {error}")
+
+
+def _read_result(
+    key: str, response: httpx.Response | results.Unavailable | results.Unknown
+) -> ReadResult:
+    if _has_status(response, HTTP_NOT_FOUND):
+        return results.Missing(key)
+    body = _decode_answer(_ValueBody, response)
+    if isinstance(body, results.Unavailable):
+        return body
+    return results.Entry(key, body.value, body.revision)
+
+
+def _write_result(
+    response: httpx.Response | results.Unavailable | results.Unknown,
+) -> WriteResult:
+    if not isinstance(response, httpx.Response):
+        return response
     if response.status_code in NOT_TAKEN:
         return results.Unavailable(response.text)
-    if response.is_error:
+    if response.status_code == HTTP_CONFLICT:
+        return results.Conflict(_revision(response) or 0)
+    revision = None if response.is_error else _revision(response)
+    if revision is None:
         return results.Unknown(response.text)
-    return results.Written(response.json()["revision"])
+    return results.Written(revision)
+
+
+def _revision(response: httpx.Response) -> int | None:
+    try:
+        return model.decode(_RevisionBody, response.content).revision
+    except model.InvalidDocument:
+        return None
--- a/packages/platform/wasabilanding/platform/documents.py
+++ b/packages/platform/wasabilanding/platform/documents.py
@@ -53,10 +53,25 @@
         return model.DomainRecord(failure_domain)
     if isinstance(result, results.Unavailable):
         return result
-    record = model.decode(model.DomainRecord, result.value)
+    try:
+        record = model.decode(model.DomainRecord, result.value)
+    except model.InvalidDocument as error:
+        return _malformed(result, error)
+    if record.failure_domain != failure_domain:
+        return results.Unavailable(
+            f"{result.key} holds the record of {record.failure_domain!r}"
+        )
     return dataclasses.replace(record, revision=result.revision)
 
 
+def _malformed(
+    entry: results.Entry, error: model.InvalidDocument
+) -> results.Unavailable:
+    return results.Unavailable(
+        f"{entry.key} is malformed at revision {entry.revision}: {error}"
+    )
+
+
 async def write_record(
     platform: client.PlatformClient, record: model.DomainRecord
 ) -> model.DomainRecord | results.Conflict | results.Unavailable:
@@ -109,12 +124,16 @@
 
 def decode_configuration(
     entry: results.Entry,
-) -> configuration.Configuration:
+) -> configuration.Configuration | results.Unavailable:
     """Decode the stored configuration.
 
     :param entry: the stored value.
+    :returns: the document; :class:`Unavailable` when the value does not fit.
     """
-    document = model.decode(configuration.Configuration, entry.value)
+    try:
+        document = model.decode(configuration.Configuration, entry.value)
+    except model.InvalidDocument as error:
+        return _malformed(entry, error)
     return dataclasses.replace(document, revision=entry.revision)
 
 
@@ -131,30 +150,36 @@
         not apply to the document that stands.
     """
     writer = uuid.uuid4().hex
-    unresolved = False
+    # Revision that a write whose answer was lost may still replace, as it
+    # may be on its way.
+    unresolved: int | None = None
     for _ in range(MAX_RACES):
         current = await read_configuration(platform)
         if isinstance(current, results.Unavailable):
-            return _unresolved(current) if unresolved else current
+            return _given_up(current, unresolved)
         if writer in current.writers:
             return current
-        unresolved = False
+        if unresolved != current.revision:
+            unresolved = None
         result = await _write(platform, current, change, writer)
         if isinstance(result, configuration.Configuration):
             return result
         if isinstance(result, results.Unavailable):
-            return result
-        unresolved = isinstance(result, results.Unknown)
-    if unresolved:
-        return results.Unknown("the write's answer was lost")
-    return results.Unavailable(
-        f"{MAX_RACES} writes lost the race against other operators"
+            return _given_up(result, unresolved)
+        if isinstance(result, results.Unknown):
+            unresolved = current.revision
+    return _given_up(
+        results.Unavailable(f"{MAX_RACES} writes lost the race"), unresolved
     )
 
 
-def _unresolved(reason: results.Unavailable) -> results.Unknown:
+def _given_up(
+    reason: results.Unavailable, unresolved: int | None
+) -> results.Unavailable | results.Unknown:
+    if unresolved is None:
+        return reason
     return results.Unknown(
-        f"the write's answer was lost and reading back failed: {reason.detail}"
+        f"the answer to a write was lost and then: {reason.detail}"
     )
 
 
