Test the calls to the platform's service with faults

Found on the way: with a wait after the first failure, reading back a write whose answer was lost ended at once as unavailable (3 rows failed), so the first failure lets one call through.

--- a/packages/platform/wasabilanding/platform/backoff.py
+++ b/packages/platform/wasabilanding/platform/backoff.py
@@ -5,11 +5,13 @@
 
 All calls of a node share one back-off, so that its load on a service that
 is down or overloaded does not depend on how many of its loops want to call.
-After each failure in a row the time to the next call is drawn uniformly from
-an interval that doubles up to a bound [1]_; the random share keeps nodes that
-failed together from returning together. Until then calls end at once,
-without being sent. After the time one call is let through as a probe, and
-the others wait for what it finds.
+After the first failure one call is let through at once, so that a write whose
+answer was lost is read back without a wait. After each further failure in a
+row the time to the next call is drawn uniformly from an interval that doubles
+up to a bound [1]_; the random share keeps nodes that failed together from
+returning together. Until then calls end at once, without being sent. After
+the time one call is let through as a probe, and the others wait for what it
+finds.
 
 References
 ==========
@@ -59,6 +61,9 @@
         >>> state.try_begin(0.0)
         True
         >>> state.fail(0.0)
+        >>> state.try_begin(0.0)
+        True
+        >>> state.fail(0.0)
         >>> state.try_begin(0.0), state.try_begin(backoff.FIRST_S)
         (False, True)
         """
@@ -79,9 +84,15 @@
         if self._failures and not self._is_probing:
             return
         self._is_probing = False
-        bound_s = min(MAX_S, FIRST_S * 2 ** min(self._failures, MAX_DOUBLINGS))
         self._failures += 1
-        self._not_before = now + self._rng.uniform(bound_s / 2, bound_s)
+        self._not_before = now + self._wait_s()
+
+    def _wait_s(self) -> float:
+        if self._failures == 1:
+            return 0.0
+        doublings = min(self._failures - 2, MAX_DOUBLINGS)
+        bound_s = min(MAX_S, FIRST_S * 2**doublings)
+        return self._rng.uniform(bound_s / 2, bound_s)
 
     def succeed(self) -> None:
         """Note that the service answered."""
--- /dev/null
+++ b/packages/platform/wasabilanding/platform/tests/client.feature
@@ -0,0 +1,70 @@
+Feature: Calls to the platform's service
+
+  Scenario Outline: Every answer ends in a tagged result
+    When "<operation>" is answered with status <status> and body <body>
+    Then the result is <result>
+
+    Examples:
+      | operation   | status | body                            | result       |
+      | get         | 200    | {"value": "x", "revision": 3}   | Entry        |
+      | get         | 200    | {"value": "x"}                  | Unavailable  |
+      | get         | 200    | <html>proxy</html>              | Unavailable  |
+      | get         | 200    | []                              | Unavailable  |
+      | get         | 404    | {}                              | Missing      |
+      | get         | 429    | {}                              | Unavailable  |
+      | get         | 503    | {}                              | Unavailable  |
+      | watch       | 200    | null                            | Unavailable  |
+      | watch       | 404    | {}                              | Missing      |
+      | put         | 200    | {"revision": 4}                 | Written      |
+      | put         | 200    | <html>proxy</html>              | Unknown      |
+      | put         | 409    | {"revision": 4}                 | Conflict     |
+      | put         | 409    | <html>proxy</html>              | Conflict     |
+      | put         | 429    | {}                              | Unavailable  |
+      | put         | 503    | {}                              | Unavailable  |
+      | put         | 500    | {}                              | Unknown      |
+      | put         | 504    | {}                              | Unknown      |
+      | grant_lease | 200    | {"lease_id": "l"}               | LeaseGranted |
+      | grant_lease | 200    | {}                              | Unavailable  |
+      | renew_lease | 200    | {"ttl_s": 3.0}                  | LeaseGranted |
+      | renew_lease | 200    | {}                              | Unavailable  |
+      | renew_lease | 404    | {}                              | Missing      |
+      | list_vms    | 200    | []                              | VmList       |
+      | list_vms    | 200    | [{"vm": "x"}]                   | Unavailable  |
+
+  Scenario Outline: A value that does not fit is told as such
+    When the store holds <value> for the <document>
+    Then reading the <document> ends as Unavailable and names revision 5
+
+    Examples:
+      | document      | value                                |
+      | configuration | {"profiles": 7}                      |
+      | configuration | not JSON                             |
+      | record        | {"failure_domain": "prov", "fence":} |
+
+  Scenario Outline: A change is told as it went, also when answers are lost
+    When an operator's change meets <faults>
+    Then the change ends as <result>
+    And it took effect <times> times
+
+    Examples:
+      | faults                                     | result        | times |
+      | nothing                                    | Configuration | 1     |
+      | a lost answer                              | Configuration | 1     |
+      | a lost race                                | Configuration | 1     |
+      | a lost write                               | Configuration | 1     |
+      | a lost answer, an outage                   | Unknown       | 1     |
+      | an outage                                  | Unavailable   | 0     |
+      | a late write, an overload                  | Unknown       | 1     |
+      | a late write, another operator, an overload | Unavailable   | 0     |
+
+  Scenario Outline: The load on a service that is down is bounded
+    Given <nodes> nodes with <loops> loops that call every 0.1 s
+    When the service is down for <outage> s and then returns
+    Then each node sent at most <sent> calls during the outage
+    And every node was answered within <back> s of the return
+    And the most first calls in one tenth of a second was at most <burst>
+
+    Examples:
+      | nodes | loops | outage | sent | back | burst |
+      | 1     | 10    | 60     | 30   | 4    | 1     |
+      | 90    | 3     | 60     | 30   | 4    | 12    |
--- /dev/null
+++ b/packages/platform/wasabilanding/platform/tests/steps/client_steps.py
@@ -0,0 +1,279 @@
+"""Steps for calls to the platform's service."""
+
+import collections
+import dataclasses
+import json
+import random
+
+import behave
+import httpx
+import trio
+import trio.testing
+
+from wasabilanding import configuration
+from wasabilanding import platform
+
+URL = "http://platform"
+CALLS = {
+    "get": lambda client: client.get("k"),
+    "watch": lambda client: client.watch("k", 0, 1.0),
+    "put": lambda client: client.put("k", "v", 0),
+    "grant_lease": lambda client: client.grant_lease(3.0),
+    "renew_lease": lambda client: client.renew_lease("l"),
+    "list_vms": lambda client: client.list_vms("prov"),
+}
+REVISION = 5
+
+
+def _run(function, *arguments):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *arguments, clock=clock)
+
+
+def _client(handler, seed=1):
+    return platform.PlatformClient(
+        URL, httpx.MockTransport(handler), random.Random(seed)
+    )
+
+
+@behave.when(
+    '"{operation}" is answered with status {status:d} and body {body}'
+)
+def answer(context, operation, status, body):
+    """Make one call."""
+
+    async def handler(request):
+        return httpx.Response(status, text=body)
+
+    async def call():
+        async with _client(handler) as client:
+            return await CALLS[operation](client)
+
+    context.result = _run(call)
+
+
+@behave.then("the result is {name}")
+def check_result(context, name):
+    """Compare the tag."""
+    assert type(context.result).__name__ == name, context.result
+
+
+READS = {
+    "configuration": platform.read_configuration,
+    "record": lambda client: platform.read_record(client, "prov"),
+}
+
+
+@behave.when("the store holds {value} for the {document}")
+def hold(context, value, document):
+    """Read the document."""
+
+    async def handler(request):
+        body = {"value": value, "revision": REVISION}
+        return httpx.Response(200, text=json.dumps(body))
+
+    async def call():
+        async with _client(handler) as client:
+            return await READS[document](client)
+
+    context.result = _run(call)
+
+
+@behave.then("reading the {document} ends as Unavailable and names revision 5")
+def check_malformed(context, document):
+    """Compare the tag and its detail."""
+    assert isinstance(context.result, platform.Unavailable), context.result
+    assert f"{REVISION}" in context.result.detail, context.result
+
+
+class _FaultyStore:
+    """One key with compare-and-swap; each fault meets one call."""
+
+    def __init__(self, faults):
+        self.faults = faults
+        self.value = None
+        self.revision = 0
+        self.late = None
+
+    def handle(self, request):
+        """Answer a call."""
+        if request.method == "GET":
+            return self._get()
+        expected = int(request.url.params["expected"])
+        return self._put(request.content.decode(), expected)
+
+    def _next(self, *kinds):
+        if self.faults and self.faults[0] in kinds:
+            return self.faults.pop(0)
+        return ""
+
+    def _get(self):
+        if self._next("an outage"):
+            raise httpx.ConnectError("down")
+        if self._next("another operator"):
+            self.value = configuration_text(["other"])
+            self.revision += 1
+        if self.value is None:
+            return httpx.Response(404)
+        body = {"value": self.value, "revision": self.revision}
+        return httpx.Response(200, text=json.dumps(body))
+
+    def _put(self, text, expected):
+        fault = self._next(
+            "a lost answer",
+            "a lost race",
+            "a lost write",
+            "a late write",
+            "an overload",
+        )
+        if fault == "a lost race":
+            self.value = configuration_text(["other"])
+            self.revision += 1
+        if fault == "a late write":
+            self.late = text, expected
+            raise httpx.ReadTimeout("no answer")
+        if fault == "an overload":
+            return httpx.Response(429)
+        if fault == "a lost write":
+            raise httpx.ReadTimeout("no answer")
+        if expected != self.revision:
+            return httpx.Response(409, text=f'{{"revision": {self.revision}}}')
+        self._store(text)
+        if fault == "a lost answer":
+            raise httpx.ReadTimeout("no answer")
+        return httpx.Response(200, text=f'{{"revision": {self.revision}}}')
+
+    def _store(self, text):
+        self.value = text
+        self.revision += 1
+
+    def settle(self):
+        """Let a late write arrive."""
+        if self.late and self.late[1] == self.revision:
+            self._store(self.late[0])
+
+
+def configuration_text(customers):
+    """Return a stored configuration with customers."""
+    return json.dumps({"customers": {name: {} for name in customers}})
+
+
+def _change(document):
+    customers = {**document.customers}
+    count = sum(name.startswith("mine") for name in customers)
+    customers[f"mine{count}"] = configuration.Customer()
+    return dataclasses.replace(document, customers=customers)
+
+
+async def _accept(store):
+    async def handler(request):
+        return store.handle(request)
+
+    async with _client(handler) as client:
+        return await platform.accept_change(client, _change)
+
+
+@behave.when("an operator's change meets {faults}")
+def change(context, faults):
+    """Apply a change that counts how often it took effect."""
+    listed = [] if faults == "nothing" else faults.split(", ")
+    context.store = _FaultyStore(listed)
+    context.result = _run(_accept, context.store)
+    context.store.settle()
+
+
+@behave.then("the change ends as {name}")
+def check_change(context, name):
+    """Compare the tag."""
+    assert type(context.result).__name__ == name, context.result
+
+
+@behave.then("it took effect {times:d} times")
+def check_times(context, times):
+    """Count the marks of the change in the store."""
+    held = json.loads(context.store.value or "{}").get("customers", {})
+    count = sum(name.startswith("mine") for name in held)
+    assert count == times, held
+
+
+class _Service:
+    """Counts calls, and is down until it is told otherwise."""
+
+    def __init__(self):
+        self.down = True
+        self.sent = collections.Counter()
+        self.answered_at = {}
+
+    async def handle(self, node):
+        """Answer a call of a node."""
+        if self.down:
+            self.sent[node] += 1
+            raise httpx.ConnectError("down")
+        self.answered_at.setdefault(node, trio.current_time())
+        return httpx.Response(200, text='{"value": "x", "revision": 1}')
+
+
+async def _loop(client):
+    while True:
+        await client.get("k")
+        await trio.sleep(0.1)
+
+
+async def _outage(nodes, loops, outage_s):
+    service = _Service()
+    async with trio.open_nursery() as nursery:
+        for node in range(nodes):
+
+            async def handler(request, node=node):
+                return await service.handle(node)
+
+            client = _client(handler, seed=node)
+            for _ in range(loops):
+                nursery.start_soon(_loop, client)
+        await trio.sleep(outage_s)
+        service.down = False
+        returned_at = trio.current_time()
+        await trio.sleep(10.0)
+        nursery.cancel_scope.cancel()
+    return service, returned_at
+
+
+@behave.given("{nodes:d} nodes with {loops:d} loops that call every 0.1 s")
+def given_loops(context, nodes, loops):
+    """Note the sizes."""
+    context.sizes = nodes, loops
+
+
+@behave.when("the service is down for {outage:d} s and then returns")
+def outage(context, outage):
+    """Run the outage."""
+    context.service, context.returned_at = _run(
+        _outage, *context.sizes, outage
+    )
+
+
+@behave.then("each node sent at most {sent:d} calls during the outage")
+def check_sent(context, sent):
+    """Compare the busiest node."""
+    most = max(context.service.sent.values())
+    assert most <= sent, most
+
+
+@behave.then("every node was answered within {back:g} s of the return")
+def check_back(context, back):
+    """Compare the last node's first answer."""
+    answered = context.service.answered_at
+    assert len(answered) == context.sizes[0], answered
+    waits = [at - context.returned_at for at in answered.values()]
+    assert max(waits) <= back, max(waits)
+
+
+@behave.then(
+    "the most first calls in one tenth of a second was at most {burst:d}"
+)
+def check_burst(context, burst):
+    """Count the first answers in each tenth of a second."""
+    tenths = collections.Counter(
+        int(at * 10) for at in context.service.answered_at.values()
+    )
+    assert max(tenths.values()) <= burst, tenths
