--- a/packages/decisions/wasabilanding/model/tests/steps/boundary_steps.py
+++ b/packages/decisions/wasabilanding/model/tests/steps/boundary_steps.py
@@ -26,6 +26,7 @@
         "statistics",
         "typing",
         "wasabilanding",
+        "zlib",
     )
 )
 
