--- a/packages/decisions/wasabilanding/placement/draining.py
+++ b/packages/decisions/wasabilanding/placement/draining.py
@@ -5,18 +5,20 @@
 
 A draining replica takes no new request. Nodes that know an older record may
 still send some, so an idle report alone proves nothing. The holder orders
-the leader to drain; from then on the engine refuses new requests, and a
-report that says both draining and idle proves that nothing is cut.
+the leader to drain; from then on the engine refuses new requests. Load is
+reported with a lag, so a report that shows it idle counts only once it is
+younger than :data:`LOAD_LAG_S` after the order was confirmed.
 
 Where an engine does not confirm the order, the replica counts as drained
-when a report that is younger than :data:`UNCONFIRMED_SETTLE_S` after the
-record's change shows it idle.
+when a report that is :data:`UNCONFIRMED_SETTLE_S` younger than the record's
+change shows it idle.
 """
 
 from wasabilanding import model
 from wasabilanding.placement import draft as draft_module
 from wasabilanding.placement import situation as situation_module
 
+LOAD_LAG_S = 2.5
 UNCONFIRMED_SETTLE_S = 30.0
 
 Situation = situation_module.Situation
@@ -36,8 +38,9 @@
         return True
     if report.running or report.queued:
         return False
-    if report.state is model.VmState.DRAINING:
-        return True
+    track = situation.history.vms.get(replica.leader)
+    if report.state is model.VmState.DRAINING and track is not None:
+        return report.observed_at >= track.refuses_from + LOAD_LAG_S
     return report.observed_at >= since + UNCONFIRMED_SETTLE_S
 
 
--- a/packages/decisions/wasabilanding/placement/history.py
+++ b/packages/decisions/wasabilanding/placement/history.py
@@ -54,6 +54,8 @@
     :param placed_at: local time at which it was first seen there, seconds.
     :param was_ready: whether it was seen ready there.
     :param has_failed: whether it was seen to fail there.
+    :param refuses_from: local time from which it was seen to take no new
+        request there, in seconds.
     :param weights: model, version and adapters that it holds.
     :param losses: how often it was lost lately.
     :param held_until: local time up to which it is not used, in seconds.
@@ -65,6 +67,7 @@
     placed_at: float = -math.inf
     was_ready: bool = False
     has_failed: bool = False
+    refuses_from: float = math.inf
     weights: Weights = ()
     losses: int = 0
     held_until: float = -math.inf
@@ -176,7 +179,11 @@
             placed_at=now,
             was_ready=False,
             has_failed=False,
+            refuses_from=math.inf,
         )
+    if report.state is model.VmState.DRAINING:
+        refuses_from = min(now, track.refuses_from)
+        track = dataclasses.replace(track, refuses_from=refuses_from)
     if report.state is model.VmState.FAILED and not track.has_failed:
         return _failed_to_load(track, now)
     if report.state is model.VmState.READY:
--- a/packages/decisions/wasabilanding/placement/tests/fleet.py
+++ b/packages/decisions/wasabilanding/placement/tests/fleet.py
@@ -36,14 +36,17 @@
     running: int = 0
     broken: bool = False
     knows_drain: bool = True
+    lag_ticks: int = 0
+    loads: list[int] = dataclasses.field(default_factory=list)
 
     def report(self, now: float) -> model.VmReport:
-        """Return its report."""
+        """Return its report; its load is as old as its lag says."""
+        self.loads.append(self.running)
         return model.VmReport(
             self.vm.vm,
             self.state,
             *self.place,
-            running=self.running,
+            running=self.loads[-1 - self.lag_ticks],
             leaving=self.leaving,
             observed_at=now,
         )
--- a/packages/decisions/wasabilanding/placement/tests/planner.feature
+++ b/packages/decisions/wasabilanding/placement/tests/planner.feature
@@ -61,6 +61,8 @@
     Examples: the engine confirms the order to drain, or does not know it
       | events                                       | record     |
       | late 10, change version=v2, wait 12          | a2+a3(a0)  |
+      | lag 3, run a0, change version=v2, wait 2, finish a0, wait 12 | a2+a3(a0) |
+      | lag 3, change version=v2, wait 2, run a0, wait 9 | a0+a1! a2+a3 |
       | deaf a0, late 10, change version=v2, wait 30 | a0+a1! a2+a3 |
       | deaf a0, late 10, change version=v2, wait 60 | a2+a3(a0)  |
 
--- a/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
+++ b/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
@@ -57,6 +57,11 @@
     fleet.vms[name].knows_drain = False
 
 
+def _lag(fleet, ticks):
+    for vm in fleet.vms.values():
+        vm.lag_ticks = int(ticks)
+
+
 def _late(fleet, seconds):
     fleet.late_until = fleet.now + float(seconds)
 
@@ -87,6 +92,7 @@
     "bad": _bad,
     "broken": _broken,
     "deaf": _deaf,
+    "lag": _lag,
     "late": _late,
     "flap": _flap,
     "dark": _dark,
