Check histories of runs under faults; regroup VMs that a stale order moved

The cluster can pause a node, also just before a given call leaves it. Runs with a seed draw deaths, pauses, dark fabric domains, paused and replaced holders, store outages, slow stores, lost answers and changes of version, and check every record and what the engines say of themselves.

Found by it: a VM that an old holder's order moved was ordered back into the same epoch, because its track forgot the place that it came from. It now regroups its replica.

--- a/packages/daemon/wasabilanding/daemon/control.py
+++ b/packages/daemon/wasabilanding/daemon/control.py
@@ -23,9 +23,11 @@
     """Control of one failure domain, while this node holds its lease.
 
     :param context: what the loops share.
+    :ivar left_over: what becomes of VMs that are left over.
     """
 
     def __init__(self, context: context_module.Context) -> None:
+        self.left_over: placement.LeftOverPolicy = placement.use_left_over
         self._context = context
         self._keeper = control_lease.LeaseKeeper(context)
         self._history = placement.History()
@@ -136,7 +138,7 @@
         if not self.is_holder:
             return
         situation = self._situation()
-        planned = placement.plan(situation)
+        planned = placement.plan(situation, self.left_over)
         if planned == situation.record:
             return
         # Until the write is known to have taken effect or not, the record
--- a/packages/decisions/wasabilanding/placement/__init__.py
+++ b/packages/decisions/wasabilanding/placement/__init__.py
@@ -28,6 +28,10 @@
 from wasabilanding.placement.rolling import Reversal
 from wasabilanding.placement.rolling import reversals
 from wasabilanding.placement.situation import Situation
+from wasabilanding.placement.spares import leave_left_over
+from wasabilanding.placement.spares import LeftOverPolicy
+from wasabilanding.placement.spares import spares_only
+from wasabilanding.placement.spares import use_left_over
 from wasabilanding.placement.summary import service_lack
 from wasabilanding.placement.summary import summarise
 from wasabilanding.placement.summary import Summary
@@ -38,6 +42,7 @@
     "Drain",
     "Explanation",
     "History",
+    "LeftOverPolicy",
     "Load",
     "Order",
     "Preload",
@@ -50,12 +55,15 @@
     "explain",
     "is_candidate",
     "is_serving",
+    "leave_left_over",
     "misfit",
     "orders_for",
     "plan",
     "reversals",
     "service_lack",
+    "spares_only",
     "summarise",
+    "use_left_over",
     "wanted_profiles",
     "wanted_replicas",
 ]
--- a/packages/decisions/wasabilanding/placement/history.py
+++ b/packages/decisions/wasabilanding/placement/history.py
@@ -209,6 +209,10 @@
         if track.place in expected and track.was_ready:
             return _emptied(track, now)
         return _unplaced(track, report, preloaded)
+    if report.place not in expected and track.place in expected:
+        # A stale order displaced it; its place is remembered until the
+        # record gives it another.
+        return track
     return _placed(track, report, expected.get(report.place, ()), now)
 
 
--- a/packages/decisions/wasabilanding/placement/planner.py
+++ b/packages/decisions/wasabilanding/placement/planner.py
@@ -49,10 +49,14 @@
     }
 
 
-def plan(situation: situation_module.Situation) -> model.DomainRecord:
+def plan(
+    situation: situation_module.Situation,
+    left_over: spares.LeftOverPolicy = spares.use_left_over,
+) -> model.DomainRecord:
     """Return the next record of a failure domain.
 
     :param situation: what the holder of control knows.
+    :param left_over: what becomes of VMs that are left over.
     :returns: the record to agree on; equal to the current one when there is
         nothing to change.
     """
@@ -65,5 +69,5 @@
     repair.repair_all(situation, draft, wanted)
     rolling.adopt_revisions(draft, wanted)
     rolling.roll_all(situation, draft, wanted)
-    spares.use_left_over(draft, wanted)
+    left_over(draft, wanted)
     return draft.record
--- a/packages/decisions/wasabilanding/placement/spares.py
+++ b/packages/decisions/wasabilanding/placement/spares.py
@@ -28,6 +28,7 @@
 
 Wanted = collections.abc.Mapping[str, configuration.ProfileRevision]
 Services = collections.abc.Sequence[str]
+LeftOverPolicy = collections.abc.Callable[[draft_module.Draft, Wanted], None]
 
 
 def forms_extras(profile: model.ReplicaProfile) -> bool:
@@ -93,3 +94,23 @@
     for service in extra:
         _form_extras(draft, service, wanted[service])
     _assign(draft, extra)
+
+
+def leave_left_over(draft: draft_module.Draft, wanted: Wanted) -> None:
+    """Record no spare; a baseline.
+
+    :param draft: the record under construction.
+    :param wanted: profile in force of each service.
+    """
+
+
+def spares_only(draft: draft_module.Draft, wanted: Wanted) -> None:
+    """Record a spare for each replica, whatever its profile weighs.
+
+    It is the baseline of a fixed share.
+
+    :param draft: the record under construction.
+    :param wanted: profile in force of each service.
+    """
+    _withdraw_lost(draft)
+    _assign(draft, _by_weight(wanted))
--- a/packages/decisions/wasabilanding/placement/tests/planner.feature
+++ b/packages/decisions/wasabilanding/placement/tests/planner.feature
@@ -34,6 +34,7 @@
       | sizes | events                         |
       | 2     | restart a1, wait 9             |
       | 2     | kill a0, wait 1, restart a0, wait 9 |
+      | 2     | stray a0, wait 9               |
 
   Scenario Outline: Planned changes drain first and cut nothing
     Given fabric domains of <sizes> VMs
--- a/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
+++ b/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
@@ -53,6 +53,10 @@
     fleet.vms[name].broken = True
 
 
+def _stray(fleet, name):
+    fleet.vms[name].place = ("escriba-0", 0)
+
+
 def _deaf(fleet, name):
     fleet.vms[name].knows_drain = False
 
@@ -91,6 +95,7 @@
     "change": _change,
     "bad": _bad,
     "broken": _broken,
+    "stray": _stray,
     "deaf": _deaf,
     "lag": _lag,
     "late": _late,
--- a/packages/experiments/wasabilanding/experiments/cluster.py
+++ b/packages/experiments/wasabilanding/experiments/cluster.py
@@ -25,6 +25,7 @@
 from wasabilanding.daemon import settings as settings_module
 from wasabilanding.daemon import telemetry
 from wasabilanding import endpoints
+from wasabilanding.experiments import pausing
 from wasabilanding import knowledge
 from wasabilanding import membership
 from wasabilanding import model
@@ -82,21 +83,37 @@
 class _MemoryChannel:
     """Connection to a peer in the same process, by serialised messages."""
 
-    def __init__(self, cluster: "Cluster", origin: str, address: str) -> None:
+    def __init__(
+        self,
+        cluster: "Cluster",
+        origin: str,
+        gate: pausing.Gate,
+        address: str,
+    ) -> None:
         self._cluster = cluster
         self._origin = origin
+        self._gate = gate
         self._address = address
 
     async def exchange(
         self, request: exchange_pb2.ExchangeRequest
     ) -> exchange_pb2.ExchangeReply:
         """Exchange knowledge with the peer."""
+        await self._gate.passed()
+        reply = await self._call(request)
+        await self._gate.passed()
+        return reply
+
+    async def _call(
+        self, request: exchange_pb2.ExchangeRequest
+    ) -> exchange_pb2.ExchangeReply:
         target = self._cluster.node_at(self._address)
         network = self._cluster.network
         if target is None:
             raise self._unreachable("refused")
         location = target.context.failure_domain
-        if network.is_cut(self._origin, location):
+        paused = self._cluster.is_paused(target.context.settings.node)
+        if paused or network.is_cut(self._origin, location):
             await trio.sleep(PEER_TIMEOUT_S)
             raise self._unreachable("timed out")
         await network.travel(self._origin, location)
@@ -125,13 +142,18 @@
 
     :param node: the node.
     :param scope: its loops; cancelled when it dies.
+    :param gate: closed while it is paused.
     """
 
     def __init__(
-        self, node: node_module.Node, scope: trio.CancelScope
+        self,
+        node: node_module.Node,
+        scope: trio.CancelScope,
+        gate: pausing.Gate,
     ) -> None:
         self.node = node
         self.scope = scope
+        self.gate = gate
 
     @property
     def context(self) -> context_module.Context:
@@ -274,7 +296,10 @@
     ) -> None:
         self._starts += 1
         settings = self.settings(name, domain)
-        transport = self.network.transport(domain)
+        gate = pausing.Gate()
+        transport = pausing.GatedTransport(
+            gate, self.network.transport(domain)
+        )
         rng = random.Random(self._rng.random())
         async with contextlib.AsyncExitStack() as stack:
             store = await stack.enter_async_context(
@@ -292,14 +317,17 @@
                 platform=store,
                 endpoints=engines,
                 telemetry=telemetry.Telemetry(name),
-                connect_peer=functools.partial(_MemoryChannel, self, domain),
+                connect_peer=functools.partial(
+                    _MemoryChannel, self, domain, gate
+                ),
                 rng=rng,
             )
-            await self._serve_node(context, task_status)
+            await self._serve_node(context, gate, task_status)
 
     async def _serve_node(
         self,
         context: context_module.Context,
+        gate: pausing.Gate,
         task_status: trio.TaskStatus[RunningNode],
     ) -> None:
         node = node_module.Node(context)
@@ -307,10 +335,14 @@
         domain = context.failure_domain
         callers_address = context.settings.callers.address
         operators_address = context.settings.administration.address
-        self.network.listen(callers_address, node.callers_app(), domain)
-        self.network.listen(operators_address, node.operators_app(), domain)
+        for address, app in (
+            (callers_address, node.callers_app()),
+            (operators_address, node.operators_app()),
+        ):
+            gated = pausing.gated_app(gate, app)
+            self.network.listen(address, gated, domain)
         async with trio.open_nursery() as nursery:
-            running = RunningNode(node, nursery.cancel_scope)
+            running = RunningNode(node, nursery.cancel_scope, gate)
             self.nodes[name] = running
             node.start_loops(nursery)
             task_status.started(running)
@@ -330,6 +362,27 @@
         self.network.refuse(settings.administration.address)
         running.scope.cancel()
 
+    def pause_node(self, name: str) -> None:
+        """Pause a node; it keeps its memory, connections and beliefs.
+
+        :param name: name of the node.
+        """
+        self.nodes[name].gate.close()
+
+    def resume_node(self, name: str) -> None:
+        """Let a paused node go on.
+
+        :param name: name of the node.
+        """
+        self.nodes[name].gate.open()
+
+    def is_paused(self, name: str) -> bool:
+        """Tell whether a node is paused.
+
+        :param name: name of the node.
+        """
+        return self.nodes[name].gate.is_closed
+
     def node_at(self, address: str) -> node_module.Node | None:
         """Return the node that answers peers at an address.
 
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of one failure domain under faults, and their history checks."""
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/faults/runs.py
@@ -0,0 +1,323 @@
+"""Seeded runs of one failure domain under faults, with both measures.
+
+Explanation
+===========
+
+A run assembles replicas, draws faults from its seed (deaths, pauses and
+returns of VMs, a dark fabric domain, paused and replaced nodes, store
+outages and lost answers), heals everything at the end and waits for the
+replicas to serve. The history is checked all along.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import random
+
+import trio
+
+from wasabilanding.experiments import cluster as cluster_module
+from wasabilanding.experiments.faults import record_history
+from wasabilanding import model
+from wasabilanding import placement
+from wasabilanding import standins
+
+DOMAIN = "prov"
+SERVICE = "escriba"
+MEASURE_S = 0.1
+REQUEST_S = 0.25
+HEALED_TIMEOUT_S = 90.0
+PROFILE = model.ReplicaProfile(
+    name="draft",
+    model="tarifa",
+    version="v1",
+    vms_per_replica=2,
+    replicas_per_domain=3,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class RunPlan:
+    """What one run is made of.
+
+    :param seed: seed of the faults and of the schedule.
+    :param faults_s: time in which faults come, in seconds.
+    :param fault_every_s: mean time between faults, in seconds.
+    :param kinds: kinds of faults, drawn evenly.
+    :param checks_fence: whether engines refuse old fencing numbers.
+    :param profile: profile of the service.
+    :param vms_per_fabric: VMs in each of two fabric domains.
+    :param left_over: what becomes of VMs that are left over.
+    """
+
+    seed: int
+    faults_s: float = 40.0
+    fault_every_s: float = 4.0
+    kinds: tuple[str, ...] = ()
+    checks_fence: bool = True
+    profile: model.ReplicaProfile = PROFILE
+    vms_per_fabric: int = 4
+    left_over: placement.LeftOverPolicy = placement.use_left_over
+
+
+@dataclasses.dataclass(frozen=True)
+class RunResult:
+    """What came of one run.
+
+    :param violations: what must never be, and was.
+    :param downtime_s: group downtime while faults came, replica-seconds.
+    :param stranded_s: stranded accelerators, accelerator-seconds.
+    :param records: revisions of the record.
+    :param healed_s: time from the last fault until all replicas served.
+    :param outcomes: requests by outcome.
+    """
+
+    violations: tuple[record_history.Violation, ...]
+    downtime_s: float
+    stranded_s: float
+    records: int
+    healed_s: float
+    outcomes: dict[str, int]
+
+
+class _Run:
+    """State of one run."""
+
+    def __init__(self, plan: RunPlan, system: cluster_module.Cluster) -> None:
+        self.plan = plan
+        self.system = system
+        self.rng = random.Random(plan.seed)
+        self.history = record_history.RecordHistory(system, DOMAIN)
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.downtime_s = 0.0
+        self.stranded_s = 0.0
+
+    def _live(self) -> list[str]:
+        nodes = self.system.nodes
+        return [name for name in sorted(nodes) if not self._paused(name)]
+
+    def _paused(self, name: str) -> bool:
+        return self.system.is_paused(name)
+
+    def _engines(self) -> list[str]:
+        return sorted(self.system.fleets[DOMAIN].engines)
+
+    def _holder(self) -> str:
+        held = [
+            name
+            for name in self._live()
+            if self.system.nodes[name].node.controller.is_holder
+        ]
+        return held[0] if held else self.rng.choice(self._live())
+
+    async def kill_vm(self) -> None:
+        """Lose a VM; it comes back empty."""
+        vm = self.rng.choice(self._engines())
+        if not self.system.engine(vm).alive:
+            return
+        self.system.kill_vm(vm)
+        await trio.sleep(self.rng.uniform(1, 12))
+        self.system.restart_vm(vm)
+
+    async def pause_vm(self) -> None:
+        """Pause a VM; it comes back as if nothing had happened."""
+        engine = self.system.engine(self.rng.choice(self._engines()))
+        paused = engine.paused = trio.Event()
+        await trio.sleep(self.rng.uniform(1, 8))
+        paused.set()
+
+    async def darken(self) -> None:
+        """Lose a whole fabric domain; it comes back empty."""
+        fabric = f"{DOMAIN}-{self.rng.choice((0, 1))}-"
+        vms = [vm for vm in self._engines() if vm.startswith(fabric)]
+        alive = [vm for vm in vms if self.system.engine(vm).alive]
+        for vm in alive:
+            self.system.kill_vm(vm)
+        await trio.sleep(self.rng.uniform(4, 12))
+        for vm in alive:
+            self.system.restart_vm(vm)
+
+    async def pause_holder(self) -> None:
+        """Pause the holder of control, often past its lease."""
+        if len(self._live()) < 2:
+            return
+        name = self._holder()
+        running = self.system.nodes[name]
+        running.gate.close()
+        await trio.sleep(self.rng.uniform(0.5, 9))
+        running.gate.open()
+
+    async def pause_at_order(self) -> None:
+        """Pause the holder just before an order leaves it."""
+        await self._pause_before("/v1/orders/")
+
+    async def pause_at_write(self) -> None:
+        """Pause the holder just before it writes the record."""
+        await self._pause_before("/v1/kv/record/")
+
+    async def _pause_before(self, path: str) -> None:
+        if len(self._live()) < 2:
+            return
+        running = self.system.nodes[self._holder()]
+        running.gate.close_before(path)
+        engine = self.system.engine(self.rng.choice(self._engines()))
+        if engine.alive:
+            self.system.kill_vm(engine.vm)
+        await trio.sleep(self.rng.uniform(6, 12))
+        running.gate.open()
+        if not engine.alive:
+            self.system.restart_vm(engine.vm)
+
+    async def replace_node(self) -> None:
+        """Lose the holder of control and start a new node in its place."""
+        if len(self._live()) < 2:
+            return
+        name = self._holder()
+        self.system.kill_node(name)
+        await trio.sleep(self.rng.uniform(0.5, 5))
+        await self.system.start_node(name, DOMAIN)
+        self.system.nodes[name].node.controller.left_over = self.plan.left_over
+
+    async def lose_answers(self) -> None:
+        """Let the answers of the next writes be lost."""
+        self.system.platform.faults.lose_answers += self.rng.choice((1, 2))
+
+    async def stop_store(self) -> None:
+        """Let the store be down for a while."""
+        self.system.platform.faults.down = True
+        await trio.sleep(self.rng.uniform(1, 8))
+        self.system.platform.faults.down = False
+
+    async def slow_store(self) -> None:
+        """Let the store be slow for a while."""
+        self.system.platform.faults.delay_s = self.rng.uniform(0.1, 1.2)
+        await trio.sleep(self.rng.uniform(1, 6))
+        self.system.platform.faults.delay_s = 0.0
+
+    async def change_version(self) -> None:
+        """Write another version of the profile."""
+        version = f"v{self.rng.randint(1, 3)}"
+        known = self.system.nodes[self._live()[0]].context.known
+        entry = known.configuration.profile_of(SERVICE)
+        if self.system.platform.faults.down or entry is None:
+            return
+        changed = dataclasses.replace(self.plan.profile, version=version)
+        try:
+            await self.system.configure(SERVICE, changed, self._live()[0])
+        except Exception as error:  # noqa: H201
+            self.outcomes[f"configure {type(error).__name__}"] += 1
+
+    async def inject(self) -> None:
+        """Let faults come, then wait until each has ended."""
+        kinds = self.plan.kinds or ALL_KINDS
+        until = trio.current_time() + self.plan.faults_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                kind = self.rng.choice(kinds)
+                nursery.start_soon(getattr(self, kind))
+                mean_s = self.plan.fault_every_s
+                await trio.sleep(self.rng.uniform(0.3, 1.7) * mean_s)
+
+    async def measure(self) -> None:
+        """Add to both measures until cancelled."""
+        while True:
+            await trio.sleep(MEASURE_S)
+            node = self.system.nodes[self._live()[0]].node
+            summary = node.status.summary(DOMAIN)
+            self.downtime_s += summary.down * MEASURE_S
+            self.stranded_s += summary.stranded * MEASURE_S
+
+    async def send_requests(self) -> None:
+        """Send requests through all nodes until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                nursery.start_soon(self._send, self.rng.choice(self._live()))
+                await trio.sleep(REQUEST_S)
+
+    async def _send(self, name: str) -> None:
+        address = f"{name}:{cluster_module.CALLERS_PORT}"
+        body = {
+            "model": SERVICE,
+            "messages": [{"role": "user", "content": f"{self.rng.random()}"}],
+            "max_tokens": 40,
+        }
+        async with self.system.client(DOMAIN) as http:
+            try:
+                response = await http.post(
+                    f"http://{address}/v1/chat/completions",
+                    json=body,
+                    timeout=20.0,
+                )
+                outcome = response.headers.get("X-Outcome", "completed")
+            except Exception as error:  # noqa: H201
+                outcome = type(error).__name__
+        self.outcomes[outcome] += 1
+
+
+ALL_KINDS = (
+    "kill_vm",
+    "kill_vm",
+    "pause_vm",
+    "pause_holder",
+    "pause_at_order",
+    "pause_at_write",
+    "replace_node",
+    "lose_answers",
+    "stop_store",
+    "slow_store",
+    "darken",
+    "change_version",
+)
+
+
+async def run(plan: RunPlan) -> RunResult:
+    """Run one seeded fault run.
+
+    :param plan: what it is made of.
+    """
+    engine = standins.EngineSettings(checks_fence=plan.checks_fence)
+    made_of = cluster_module.Plan(
+        failure_domains=(DOMAIN,),
+        nodes_per_domain=3,
+        fabrics_per_domain=2,
+        vms_per_fabric=plan.vms_per_fabric,
+        engine=engine,
+        seed=plan.seed,
+    )
+    async with cluster_module.open_cluster(made_of) as system:
+        for running in system.nodes.values():
+            running.node.controller.left_over = plan.left_over
+        await system.configure(SERVICE, plan.profile)
+        wanted = plan.profile.replicas_per_domain
+        await system.wait_serving(DOMAIN, wanted)
+        return await _under_faults(_Run(plan, system), wanted)
+
+
+async def _under_faults(state: _Run, wanted: int) -> RunResult:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(state.history.watch)
+        nursery.start_soon(state.send_requests)
+        async with trio.open_nursery() as measured:
+            measured.start_soon(state.measure)
+            await state.inject()
+            measured.cancel_scope.cancel()
+        healed_s = await state.system.wait_serving(
+            DOMAIN, wanted, HEALED_TIMEOUT_S
+        )
+        nursery.cancel_scope.cancel()
+    return RunResult(
+        violations=tuple(state.history.violations),
+        downtime_s=round(state.downtime_s, 1),
+        stranded_s=round(state.stranded_s, 1),
+        records=len(state.history.records),
+        healed_s=round(healed_s, 2),
+        outcomes=dict(sorted(state.outcomes.items())),
+    )
+
+
+def run_seeded(plan: RunPlan) -> RunResult:
+    """Run one seeded fault run on the mock clock.
+
+    :param plan: what it is made of.
+    """
+    return cluster_module.run_seeded(run, plan, seed=plan.seed)
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/faults/tests/fencing.feature
@@ -0,0 +1,35 @@
+Feature: Control of a failure domain under pauses, races and lost answers
+
+  Scenario Outline: A former holder wakes up with a call under way
+    When a holder is paused before <path> at engines that <engines> old orders
+    Then nothing that must never be was seen
+    And the former holder no longer holds control
+    And the replica was down for <downtime> and took on <epochs> epochs since
+
+    Examples: an order that is old, and a write that lost its race
+      | path            | engines | downtime          | epochs |
+      | /v1/orders/load | refuse  | at most 0 seconds | 0      |
+      | /v1/orders/load | ignore  | at most 3 seconds | 1      |
+      | /v1/kv/record/  | refuse  | at most 0 seconds | 0      |
+      | /v1/kv/record/  | ignore  | at most 0 seconds | 0      |
+
+  Scenario: A write whose answer is lost takes effect once
+    When the answer to the write of a repair is lost
+    Then nothing that must never be was seen
+    And the repair took one write
+
+  Scenario Outline: Runs under random faults
+    When a run with seed <seed> has engines that <engines> old orders
+    Then nothing that must never be was seen
+    And all replicas serve again within 10 seconds of the last fault
+
+    Examples:
+      | seed | engines |
+      | 1    | ignore  |
+      | 2    | refuse  |
+      | 3    | ignore  |
+      | 4    | refuse  |
+      | 5    | ignore  |
+      | 6    | ignore  |
+      | 7    | refuse  |
+      | 8    | ignore  |
