--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/faults/baselines.py
@@ -0,0 +1,112 @@
+"""Measures both costs of placement against baselines, over seeded runs.
+
+Explanation
+===========
+
+``python -m wasabilanding.experiments.faults.baselines`` runs the same seeded
+faults (deaths, pauses, dark fabric domains) for each policy on VMs that are
+left over and for the weights of each user, and prints the means of group
+downtime and stranded accelerators, and the cost by the user's weights.
+"""
+
+import collections.abc
+import dataclasses
+import logging
+import statistics
+
+import typer
+
+from wasabilanding.experiments.faults import runs
+from wasabilanding import placement
+
+FAULTS_S = 120.0
+FAULT_EVERY_S = 8.0
+WEIGHT_S = 15.0
+VMS_PER_FABRIC = 9
+KINDS = ("kill_vm", "kill_vm", "kill_vm", "pause_vm", "darken")
+POLICIES: dict[str, placement.LeftOverPolicy] = {
+    "no spares": placement.leave_left_over,
+    "one spare per replica": placement.spares_only,
+    "weighed": placement.use_left_over,
+}
+USERS = {"Consorcio": (4.0, 1.0), "Council": (1.0, 4.0)}
+BASE = dataclasses.replace(
+    runs.PROFILE, vms_per_replica=3, replicas_per_domain=4
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """Means of one policy for one user.
+
+    :param user: whose weights.
+    :param policy: name of the policy.
+    :param downtime_s: group downtime in replica-seconds.
+    :param stranded_s: stranded accelerators in accelerator-seconds.
+    :param cost: both by the user's weights.
+    :param violations: violations in all runs.
+    """
+
+    user: str
+    policy: str
+    downtime_s: float
+    stranded_s: float
+    cost: float
+    violations: int
+
+
+def measure(
+    user: str, policy: str, seeds: collections.abc.Iterable[int]
+) -> Row:
+    """Run all seeds for one policy and one user.
+
+    :param user: name of the user.
+    :param policy: name of the policy.
+    :param seeds: seeds of the runs.
+    """
+    downtime_weight, stranding_weight = USERS[user]
+    profile = dataclasses.replace(
+        BASE,
+        downtime_weight=downtime_weight,
+        stranding_weight=stranding_weight,
+    )
+    results = [
+        runs.run_seeded(
+            runs.RunPlan(
+                seed=seed,
+                faults_s=FAULTS_S,
+                fault_every_s=FAULT_EVERY_S,
+                kinds=KINDS,
+                profile=profile,
+                vms_per_fabric=VMS_PER_FABRIC,
+                left_over=POLICIES[policy],
+                weight_s=WEIGHT_S,
+            )
+        )
+        for seed in seeds
+    ]
+    downtime_s = statistics.mean(r.downtime_s for r in results)
+    stranded_s = statistics.mean(r.stranded_s for r in results)
+    cost = downtime_weight * downtime_s + stranding_weight * stranded_s
+    violations = sum(len(r.violations) for r in results)
+    return Row(user, policy, downtime_s, stranded_s, cost, violations)
+
+
+def main(count: int = typer.Option(5, help="Seeds, from 1.")) -> None:
+    """Print the table."""
+    logging.disable(logging.CRITICAL)
+    typer.echo(
+        f"{'user':10} {'policy':22} {'downtime s':>10} "
+        f"{'stranded s':>10} {'cost':>10} violations"
+    )
+    for user in USERS:
+        for policy in POLICIES:
+            row = measure(user, policy, range(1, count + 1))
+            typer.echo(
+                f"{user:10} {policy:22} {row.downtime_s:10.1f} "
+                f"{row.stranded_s:10.1f} {row.cost:10.1f} {row.violations}"
+            )
+
+
+if __name__ == "__main__":
+    typer.run(main)
