Claims that end: released, finished, answers kept for repeats

Cause: a claim was one write that nothing ever resolved. A request that was not run could never be tried again, repeats of a completed one got no answer, and the store only filled.

A claim is now open, finished or released, names its owner, and carries the body's fingerprint. Open ones are never taken over (an owner may be paused); a claim given up after a lost answer is sealed by a released one, so that a late write conflicts. Keys hang on leases shared by five minutes of claims, which lapse by themselves: the store has no delete, and an own call per key would double the writes.

--- a/packages/callers/wasabilanding/callers/answers.py
+++ b/packages/callers/wasabilanding/callers/answers.py
@@ -19,6 +19,7 @@
     model.Reason.ENDPOINT_ERROR: 502,
     model.Reason.CLAIM_UNAVAILABLE: 503,
     model.Reason.DUPLICATE: 409,
+    model.Reason.KEY_REUSED: 422,
     model.Reason.POISONED: 422,
     model.Reason.CANCELLED: 499,
     model.Reason.SHUTTING_DOWN: 503,
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/claim_store.py
@@ -0,0 +1,201 @@
+"""Claims and kept answers in the platform's store.
+
+Explanation
+===========
+
+Every key is tied to a lease that is never renewed, so that the store drops
+it by itself. Claims of some minutes share one lease: that costs one call
+per node and share, and no call to remove anything.
+"""
+
+import base64
+import dataclasses
+import hashlib
+import zlib
+
+import trio
+
+from wasabilanding import claims
+from wasabilanding import model
+from wasabilanding import platform
+
+CLAIM_KEPT_S = 24 * 3600.0
+ANSWER_KEPT_S = 900.0
+LEASE_SHARED_S = 300.0
+ANSWER_TRIES = 2
+MAX_STORED_ANSWER_BYTES = 65_536
+
+
+def claim_key(customer: str, idempotency_key: str) -> str:
+    """Return the key of a claim in the store.
+
+    :param customer: the customer; customers do not share keys.
+    :param idempotency_key: key that the caller gave.
+    """
+    text = f"{customer}\0{idempotency_key}"
+    return f"claims/{hashlib.blake2b(text.encode()).hexdigest()[:32]}"
+
+
+def answer_key(token: str) -> str:
+    """Return the key of a kept answer.
+
+    :param token: token of its claim.
+    """
+    return f"answers/{token}"
+
+
+def pack_answer(payloads: list[bytes]) -> str:
+    """Return an answer as compressed text.
+
+    The payloads of one stream are alike but for a few words each.
+
+    :param payloads: the answer.
+
+    Examples
+    ========
+
+    >>> from wasabilanding.daemon import claim_store
+    >>> claim_store.unpack_answer(claim_store.pack_answer([b"a", b"b"]))
+    [b'a', b'b']
+    """
+    texts = [payload.decode() for payload in payloads]
+    document = model.encode(texts, list[str]).encode()
+    return base64.b85encode(zlib.compress(document)).decode()
+
+
+def unpack_answer(packed: str) -> list[bytes]:
+    """Return the answer that :func:`pack_answer` packed.
+
+    :param packed: the compressed text.
+    """
+    document = zlib.decompress(base64.b85decode(packed))
+    return [text.encode() for text in model.decode(list[str], document)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Standing:
+    """What stands under a claim's key.
+
+    :param claim: the claim, or None.
+    :param revision: its revision; 0 for none.
+    """
+
+    claim: claims.Claim | None
+    revision: int
+
+
+class SharedLease:
+    """Lease that the keys of some minutes share.
+
+    :param store: client of the platform's service.
+    :param kept_s: shortest time that a key is kept, in seconds.
+    """
+
+    def __init__(self, store: platform.PlatformClient, kept_s: float) -> None:
+        self._store = store
+        self._kept_s = kept_s
+        self._lock = trio.Lock()
+        self._lease_id = ""
+        self._use_until = float("-inf")
+
+    async def current(self) -> str | platform.Unavailable:
+        """Return the lease for a key that is written now."""
+        async with self._lock:
+            now = trio.current_time()
+            if now < self._use_until:
+                return self._lease_id
+            granted = await self._store.grant_lease(
+                self._kept_s + LEASE_SHARED_S
+            )
+            if isinstance(granted, platform.Unavailable):
+                return granted
+            self._lease_id = granted.lease_id
+            self._use_until = now + LEASE_SHARED_S
+            return self._lease_id
+
+    def forget(self) -> None:
+        """Take a new lease next time; this one may have lapsed."""
+        self._use_until = float("-inf")
+
+
+class ClaimStore:
+    """Reads and writes claims and kept answers.
+
+    :param store: client of the platform's service.
+    """
+
+    def __init__(self, store: platform.PlatformClient) -> None:
+        self._store = store
+        self._claim_lease = SharedLease(store, CLAIM_KEPT_S)
+        self._answer_lease = SharedLease(store, ANSWER_KEPT_S)
+
+    async def read(self, key: str) -> Standing | platform.Unavailable:
+        """Read the claim under a key.
+
+        :param key: the key.
+        """
+        found = await self._store.get(key)
+        if isinstance(found, platform.Unavailable):
+            return found
+        if isinstance(found, platform.Missing):
+            return Standing(None, 0)
+        claim = model.decode(claims.Claim, found.value)
+        return Standing(claim, found.revision)
+
+    async def write(
+        self, key: str, claim: claims.Claim, over: int
+    ) -> (
+        platform.Written
+        | platform.Conflict
+        | platform.Unavailable
+        | platform.Unknown
+    ):
+        """Write a claim by compare-and-swap.
+
+        :param key: the key.
+        :param claim: the claim.
+        :param over: revision that it replaces; 0 for none.
+        """
+        lease = await self._claim_lease.current()
+        if isinstance(lease, platform.Unavailable):
+            return lease
+        result = await self._store.put(key, model.encode(claim), over, lease)
+        if isinstance(result, platform.Conflict) and result.revision == over:
+            # The revision was met, so the lease has lapsed.
+            self._claim_lease.forget()
+        return result
+
+    async def keep_answer(self, token: str, payloads: list[bytes]) -> bool:
+        """Store an answer for repeats.
+
+        :param token: token of its claim.
+        :param payloads: the answer.
+        :returns: whether it is known to be stored.
+        """
+        text = pack_answer(payloads)
+        if len(text) > MAX_STORED_ANSWER_BYTES:
+            return False
+        lease = await self._answer_lease.current()
+        if isinstance(lease, platform.Unavailable):
+            return False
+        for _ in range(ANSWER_TRIES):
+            result = await self._store.put(answer_key(token), text, 0, lease)
+            if isinstance(result, platform.Written):
+                return True
+            if isinstance(result, platform.Conflict) and result.revision:
+                # An earlier write of the same answer took effect.
+                return True
+        self._answer_lease.forget()
+        return False
+
+    async def answer(
+        self, token: str
+    ) -> list[bytes] | platform.Missing | platform.Unavailable:
+        """Read a kept answer.
+
+        :param token: token of its claim.
+        """
+        found = await self._store.get(answer_key(token))
+        if isinstance(found, platform.Entry):
+            return unpack_answer(found.value)
+        return found
--- a/packages/daemon/wasabilanding/daemon/claims.py
+++ b/packages/daemon/wasabilanding/daemon/claims.py
@@ -1,70 +1,332 @@
-"""Claims of non-idempotent requests at the platform's service."""
+"""Claims of non-idempotent requests, from the first try to the last repeat."""
 
-import hashlib
+import collections.abc
+import contextlib
+import dataclasses
+import logging
+
+import trio
 
 from wasabilanding import callers
+from wasabilanding import claims
+from wasabilanding.daemon import claim_store
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import telemetry
 from wasabilanding import model
 from wasabilanding import platform
 
+CLAIM_TIMEOUT_S = 1.0
 CLAIM_COMEBACK_S = 2.0
+MAX_RACES = 4
+MAX_ANSWER_BYTES = 1_000_000
+MAX_UNSETTLED = 10_000
+SETTLERS = 4
+SETTLE_PAUSE_S = 1.0
+SETTLE_ON_SHUTDOWN_S = 5.0
 
+_LOG = logging.getLogger(__name__)
 
-def claim_key(request: callers.CallerRequest) -> str:
-    """Return the key under which a non-idempotent request is claimed.
 
-    :param request: the request.
+@dataclasses.dataclass(frozen=True)
+class Subject:
+    """What is claimed.
+
+    :param customer: customer of the caller.
+    :param idempotency_key: key that the caller gave.
+    :param fingerprint: fingerprint of the body.
     """
-    text = f"{request.customer}\0{request.idempotency_key}"
-    return f"claims/{hashlib.blake2b(text.encode()).hexdigest()[:32]}"
 
+    customer: str
+    idempotency_key: str
+    fingerprint: str
 
-async def claim(
-    context: context_module.Context,
-    request: callers.CallerRequest,
-    span: telemetry.Span,
-) -> None:
-    """Claim a request, so that it runs at most once.
+    @property
+    def key(self) -> str:
+        """Key of the claim in the store."""
+        return claim_store.claim_key(self.customer, self.idempotency_key)
+
+
+class Work:
+    """What was claimed, and its answer.
+
+    :param claim: the claim, or None where none is needed.
+    :param replayed: answer of the request that has completed before, or
+        None when the request is to be run.
+    """
+
+    def __init__(
+        self,
+        claim: claims.Claim | None = None,
+        replayed: list[bytes] | None = None,
+    ) -> None:
+        self.claim = claim
+        self.replayed = replayed
+        self._answer: list[bytes] | None = []
+        self._size = 0
+
+    @property
+    def answer(self) -> list[bytes] | None:
+        """The answer so far, or None when it is too large to be kept."""
+        return self._answer
+
+    def keep(self, batch: collections.abc.Iterable[bytes]) -> None:
+        """Keep a part of the answer for repeats.
+
+        :param batch: payloads as they go to the caller.
+        """
+        if self.claim is None or self._answer is None:
+            return
+        payloads = list(batch)
+        self._answer.extend(payloads)
+        self._size += sum(len(payload) for payload in payloads)
+        if self._size > MAX_ANSWER_BYTES:
+            self._answer = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Ending:
+    key: str
+    claim: claims.Claim
+    outcome: model.Outcome
+    answer: list[bytes] | None = None
+
+
+def subject_of(request: callers.CallerRequest) -> Subject | None:
+    """Return what a request claims, or None when it needs no claim.
+
+    A non-idempotent request without a key can't meet its repeats; it is
+    attempted once, and not again after it may have run.
 
-    :param context: what the loops share.
     :param request: the request.
-    :param span: span of the request.
-    :raises wasabilanding.callers.RequestFailed: when the claim is not had.
     """
     if request.idempotent or not request.idempotency_key:
-        return
-    token = context.new_id()
-    key = claim_key(request)
-    claim_span = context.telemetry.start_span("claim", parent=span)
-    with telemetry.span_ended(claim_span):
-        result = await context.platform.put(key, token, 0)
-        if isinstance(result, platform.Unknown):
-            result = await _resolve(context, key, token)
-    if isinstance(result, platform.Written):
-        return
-    if isinstance(result, platform.Conflict):
-        raise callers.RequestFailed(
-            model.may_have_run(
-                model.Reason.DUPLICATE,
-                f"key {request.idempotency_key!r} was used before",
-            )
-        )
-    raise callers.RequestFailed(
+        return None
+    return Subject(
+        request.customer,
+        request.idempotency_key,
+        claims.fingerprint(request.body),
+    )
+
+
+def _unavailable(detail: str) -> callers.RequestFailed:
+    return callers.RequestFailed(
         model.not_run(
             model.Reason.CLAIM_UNAVAILABLE,
-            f"no claim could be had: {result.detail}",
+            f"no claim could be had: {detail}",
             CLAIM_COMEBACK_S,
         )
     )
 
 
-async def _resolve(
-    context: context_module.Context, key: str, token: str
-) -> platform.Written | platform.Conflict | platform.Unavailable:
-    found = await context.platform.get(key)
-    if isinstance(found, platform.Entry):
-        if found.value == token:
-            return platform.Written(found.revision)
-        return platform.Conflict(found.revision)
-    return platform.Unavailable("the claim's answer was lost")
+class ClaimKeeper:
+    """Takes claims, and sees to it that each one's end gets into the store.
+
+    :param context: what the loops share.
+    """
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+        self._store = claim_store.ClaimStore(context.platform)
+        self._unsettled, self._waiting = trio.open_memory_channel[_Ending](
+            MAX_UNSETTLED
+        )
+        self._unsettled_count = 0
+        self._refuse_until = float("-inf")
+
+    @property
+    def unsettled(self) -> int:
+        """Ended requests whose end is not in the store yet."""
+        return self._unsettled_count
+
+    @contextlib.asynccontextmanager
+    async def claimed(
+        self,
+        subject: Subject | None,
+        deadline: float,
+        span: telemetry.Span | None = None,
+    ) -> collections.abc.AsyncIterator[Work]:
+        """Hold the claim of a request while the block runs it.
+
+        :param subject: what is claimed; None for nothing.
+        :param deadline: local monotonic time of the deadline in seconds.
+        :param span: span of the request.
+        :raises wasabilanding.callers.RequestFailed: when the claim is not
+            had; nothing was run then.
+        """
+        if subject is None:
+            yield Work()
+            return
+        claim_span = self._context.telemetry.start_span("claim", parent=span)
+        with telemetry.span_ended(claim_span):
+            work = await self._open(subject, deadline)
+        if work.claim is None:
+            yield work
+            return
+        outcome = model.may_have_run(
+            model.Reason.CANCELLED, "the caller of this key went away"
+        )
+        try:
+            yield work
+            outcome = model.completed()
+        except callers.RequestFailed as error:
+            outcome = error.outcome
+            raise
+        finally:
+            ending = _Ending(subject.key, work.claim, outcome, work.answer)
+            await self._end(ending)
+
+    async def _open(self, subject: Subject, deadline: float) -> Work:
+        context = self._context
+        if context.now() < self._refuse_until:
+            raise _unavailable("the platform's store did not answer lately")
+        wanted = claims.begin(
+            context.new_id(),
+            context.settings.node,
+            context.members.own.incarnation,
+            subject.fingerprint,
+        )
+        decision = await self._take_in_time(subject, wanted)
+        if isinstance(decision, str):
+            raise self._given_up(subject, wanted, decision)
+        if isinstance(decision, claims.Refuse):
+            context.telemetry.count_claim("refused")
+            raise callers.RequestFailed(decision.outcome)
+        if isinstance(decision, claims.Replay):
+            context.telemetry.count_claim("replayed")
+            return Work(replayed=await self._answer(decision.token))
+        if context.now() >= deadline:
+            raise self._given_up(subject, wanted, "the deadline has passed")
+        context.telemetry.count_claim("taken")
+        return Work(wanted)
+
+    async def _take_in_time(
+        self, subject: Subject, wanted: claims.Claim
+    ) -> claims.Decision | str:
+        decision: claims.Decision | str = "no answer in time"
+        try:
+            with trio.move_on_after(CLAIM_TIMEOUT_S) as scope:
+                decision = await self._take(subject.key, wanted)
+        except trio.Cancelled:
+            self._given_up(subject, wanted, "the caller went away")
+            raise
+        if scope.cancelled_caught:
+            self._refuse_until = self._context.now() + CLAIM_TIMEOUT_S
+        return decision
+
+    def _given_up(
+        self, subject: Subject, wanted: claims.Claim, detail: str
+    ) -> callers.RequestFailed:
+        # The write may have taken effect, or may still do so.
+        failure = _unavailable(detail)
+        self._queue(_Ending(subject.key, wanted, failure.outcome))
+        self._context.telemetry.count_claim("unavailable")
+        return failure
+
+    async def _take(
+        self, key: str, wanted: claims.Claim
+    ) -> claims.Decision | str:
+        standing = claim_store.Standing(None, 0)
+        detail = "other tries of this key came first"
+        for _ in range(MAX_RACES):
+            result = await self._store.write(key, wanted, standing.revision)
+            if isinstance(result, platform.Written):
+                return claims.Held()
+            if isinstance(result, platform.Unavailable):
+                self._refuse_until = self._context.now() + CLAIM_TIMEOUT_S
+                return result.detail
+            found = await self._store.read(key)
+            if isinstance(found, platform.Unavailable):
+                self._refuse_until = self._context.now() + CLAIM_TIMEOUT_S
+                return found.detail
+            standing = found
+            if standing.claim is None:
+                continue
+            decision = claims.decide(
+                standing.claim, wanted, self._is_live(standing.claim)
+            )
+            if not isinstance(decision, claims.Take):
+                return decision
+        return detail
+
+    def _is_live(self, claim: claims.Claim) -> bool:
+        members = self._context.members
+        return any(
+            (node.name, node.incarnation) == (claim.node, claim.incarnation)
+            for node in (members.own, *members.live(self._context.now()))
+        )
+
+    async def _answer(self, token: str) -> list[bytes]:
+        found = await self._store.answer(token)
+        if isinstance(found, list):
+            return found
+        outcome = claims.answer_gone()
+        if isinstance(found, platform.Unavailable):
+            outcome = dataclasses.replace(
+                outcome,
+                detail="the request with this key has completed; its answer "
+                f"can't be read now: {found.detail}",
+                retry_after_s=CLAIM_COMEBACK_S,
+            )
+        raise callers.RequestFailed(outcome)
+
+    async def _end(self, ending: _Ending) -> None:
+        settled = False
+        try:
+            if ending.outcome.verdict is model.Verdict.NOT_RUN:
+                # The caller may come back as soon as it is told.
+                with trio.move_on_after(CLAIM_TIMEOUT_S):
+                    settled = await self._settle(ending)
+        finally:
+            if not settled:
+                self._queue(ending)
+
+    def _queue(self, ending: _Ending) -> None:
+        try:
+            self._unsettled.send_nowait(ending)
+        except trio.WouldBlock:
+            # The claim stays open, so no repeat of it is ever run.
+            _LOG.error("%d ends of claims wait already", MAX_UNSETTLED)
+            return
+        self._unsettled_count += 1
+
+    async def _settle(self, ending: _Ending) -> bool:
+        kept = False
+        completed = ending.outcome.verdict is model.Verdict.COMPLETED
+        if completed and ending.answer is not None:
+            token = ending.claim.token
+            kept = await self._store.keep_answer(token, ending.answer)
+        final = claims.conclude(ending.claim, ending.outcome, kept)
+        for _ in range(MAX_RACES):
+            standing = await self._store.read(ending.key)
+            if isinstance(standing, platform.Unavailable):
+                return False
+            step = claims.settle(standing.claim, final)
+            if isinstance(step, claims.Settled):
+                return True
+            result = await self._store.write(
+                ending.key, final, standing.revision
+            )
+            if isinstance(result, platform.Written):
+                return True
+            if isinstance(result, platform.Unavailable):
+                return False
+        return False
+
+    async def run(self) -> None:
+        """Bring the ends of requests into the store until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(SETTLERS):
+                nursery.start_soon(self._settle_waiting)
+
+    async def _settle_waiting(self) -> None:
+        async for ending in self._waiting:
+            while not await self._settle(ending):
+                pause_s = SETTLE_PAUSE_S * (1 + self._context.rng.random())
+                await trio.sleep(pause_s)
+            self._unsettled_count -= 1
+
+    async def wait_settled(self) -> None:
+        """Wait, within a bound, until the ends of requests are stored."""
+        with trio.move_on_after(SETTLE_ON_SHUTDOWN_S):
+            while self._unsettled_count:
+                await trio.sleep(0.05)
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -119,6 +119,7 @@
         nursery.start_soon(observation.observe_endpoints, context)
         nursery.start_soon(self.controller.run)
         nursery.start_soon(self.status.measure)
+        nursery.start_soon(self.service.claims.run)
 
     async def drain(self) -> None:
         """Wait until the balancer has seen the notice and nothing runs."""
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/plain_claims.py
@@ -0,0 +1,72 @@
+"""Claims of non-idempotent calls to plain services."""
+
+import base64
+import json
+
+from wasabilanding import callers
+from wasabilanding import claims
+from wasabilanding.daemon import claims as claims_module
+
+MARK_HEADER = "x-non-idempotent"
+KEY_HEADER = "idempotency-key"
+CUSTOMER_HEADER = "x-customer"
+DEFAULT_CUSTOMER = "default"
+
+
+def subject_of(
+    service: str, path: str, call: callers.PlainCall
+) -> claims_module.Subject | None:
+    """Return what a call claims, or None when it needs no claim.
+
+    :param service: name of the service.
+    :param path: path below its base URL.
+    :param call: the call.
+    :raises wasabilanding.callers.InvalidRequest: when its mark is malformed.
+    """
+    headers = {name.lower(): text for name, text in call.headers.items()}
+    mark = headers.get(MARK_HEADER, "false").lower()
+    if mark not in ("true", "false"):
+        raise callers.InvalidRequest(
+            f"header X-Non-Idempotent: {mark!r} is neither true nor false"
+        )
+    key = headers.get(KEY_HEADER, "")
+    if mark == "false" or not key:
+        return None
+    scope = "\0".join((call.method, service, path, call.query))
+    return claims_module.Subject(
+        headers.get(CUSTOMER_HEADER, DEFAULT_CUSTOMER),
+        key,
+        claims.fingerprint(call.body, scope),
+    )
+
+
+def encode_answer(answer: callers.PlainAnswer) -> list[bytes]:
+    """Return an answer as texts that the store can keep.
+
+    :param answer: the answer.
+    """
+    return [
+        str(answer.status).encode(),
+        json.dumps(answer.headers).encode(),
+        base64.b64encode(answer.body),
+    ]
+
+
+def decode_answer(payloads: list[bytes]) -> callers.PlainAnswer:
+    """Return the answer that :func:`encode_answer` encoded.
+
+    :param payloads: the texts.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import callers
+    >>> from wasabilanding.daemon import plain_claims
+    >>> answer = callers.PlainAnswer(200, {"A": "b"}, b"body")
+    >>> plain_claims.decode_answer(plain_claims.encode_answer(answer))
+    PlainAnswer(status=200, headers={'A': 'b'}, body=b'body')
+    """
+    status, headers, body = payloads
+    return callers.PlainAnswer(
+        int(status), json.loads(headers), base64.b64decode(body)
+    )
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -13,6 +13,7 @@
 from wasabilanding.daemon import claims
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import plain
+from wasabilanding.daemon import plain_claims
 from wasabilanding.daemon import telemetry
 from wasabilanding import limits
 from wasabilanding import model
@@ -37,6 +38,7 @@
         self._context = context
         self._admission = limits.Admission(context.settings.max_in_flight)
         self._attempts = attempts.AttemptRunner(context)
+        self.claims = claims.ClaimKeeper(context)
         self._draining = False
         self._idle = trio.Event()
 
@@ -60,6 +62,7 @@
         while self.in_flight:
             self._idle = trio.Event()
             await self._idle.wait()
+        await self.claims.wait_settled()
 
     async def run(self, request: callers.CallerRequest) -> attempts.Batches:
         """Run a request and yield payloads, a batch at a time.
@@ -81,13 +84,30 @@
             self._recorded(request, progress) as ending,
             self._admitted(request),
         ):
-            await claims.claim(context, request, span)
-            batches = self._attempts.run(request, span, progress)
+            batches = self._claimed(request, span, progress)
             async with contextlib.aclosing(batches):
                 async for batch in batches:
                     yield batch
             ending.outcome = model.completed()
 
+    async def _claimed(
+        self,
+        request: callers.CallerRequest,
+        span: telemetry.Span,
+        progress: attempts.Progress,
+    ) -> attempts.Batches:
+        subject = claims.subject_of(request)
+        deadline = progress.deadline
+        async with self.claims.claimed(subject, deadline, span) as work:
+            if work.replayed is not None:
+                yield work.replayed
+                return
+            batches = self._attempts.run(request, span, progress)
+            async with contextlib.aclosing(batches):
+                async for batch in batches:
+                    work.keep(batch)
+                    yield batch
+
     @contextlib.contextmanager
     def _admitted(
         self, request: callers.CallerRequest
@@ -148,4 +168,11 @@
         :param call: the call.
         :raises wasabilanding.callers.RequestFailed: without an answer.
         """
-        return await plain.forward(self._context, service, path, call)
+        deadline = self._context.now() + plain.CALL_TIMEOUT_S
+        subject = plain_claims.subject_of(service, path, call)
+        async with self.claims.claimed(subject, deadline) as work:
+            if work.replayed is not None:
+                return plain_claims.decode_answer(work.replayed)
+            answer = await plain.forward(self._context, service, path, call)
+            work.keep(plain_claims.encode_answer(answer))
+            return answer
--- a/packages/daemon/wasabilanding/daemon/telemetry.py
+++ b/packages/daemon/wasabilanding/daemon/telemetry.py
@@ -81,6 +81,10 @@
         self._attempts = self._meter.create_counter(
             "wasabilanding_attempts", description="Attempts by outcome"
         )
+        self._claims = self._meter.create_counter(
+            "wasabilanding_claims",
+            description="Claims of non-idempotent requests by result",
+        )
         self._downtime = self._meter.create_counter(
             "wasabilanding_group_downtime", unit="s"
         )
@@ -128,6 +132,13 @@
         """Count the end of an attempt."""
         self._attempts.add(1, _labels(service, outcome))
 
+    def count_claim(self, result: str) -> None:
+        """Count the result of a claim.
+
+        :param result: taken, replayed, refused or unavailable.
+        """
+        self._claims.add(1, {"result": result})
+
     def add_measures(
         self, failure_domain: str, downtime_s: float, stranded_s: float
     ) -> None:
--- a/packages/decisions/wasabilanding/model/outcomes.py
+++ b/packages/decisions/wasabilanding/model/outcomes.py
@@ -38,6 +38,7 @@
     ENDPOINT_ERROR = "endpoint_error"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     DUPLICATE = "duplicate"
+    KEY_REUSED = "key_reused"
     POISONED = "poisoned"
     CANCELLED = "cancelled"
     SHUTTING_DOWN = "shutting_down"
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/histories/mixed_faults.py
@@ -0,0 +1,160 @@
+"""Seeded runs of non-idempotent requests under mixed faults."""
+
+import dataclasses
+import random
+
+import trio
+
+from wasabilanding.experiments import cluster
+from wasabilanding.experiments.histories import submissions
+from wasabilanding import model
+from wasabilanding import standins
+
+SERVICE = "escriba"
+PROFILE = model.ReplicaProfile(
+    name="sheets",
+    model="tarifa",
+    version="v1",
+    vms_per_replica=2,
+    replicas_per_domain=2,
+)
+REQUESTS = 24
+TRIES_PER_REQUEST = 4
+RUN_S = 20.0
+MAX_PARTS = 200
+FAULT_PAUSE_S = 1.5
+RESTART_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class MixedRun:
+    """What a run showed.
+
+    :param history: what callers sent and were told.
+    :param starts: starts of each prompt in the logs of all engines.
+    :param faults: faults in the order in which they came.
+    """
+
+    history: list[submissions.Submission]
+    starts: dict[str, int]
+    faults: list[str]
+
+
+class _Faults:
+    """Makes faults at random until it is cancelled."""
+
+    def __init__(self, system: cluster.Cluster, rng: random.Random) -> None:
+        self._system = system
+        self._rng = rng
+        self.made: list[str] = []
+
+    async def run(self) -> None:
+        """Make one fault after another."""
+        kinds = (
+            self._replace_entry_vm,
+            self._take_platform_down,
+            self._slow_platform,
+            self._lose_answers,
+            self._silence_answers,
+            self._cut_domain,
+            self._lose_vm,
+        )
+        while True:
+            kind = self._rng.choice(kinds)
+            self.made.append(kind.__name__.strip("_"))
+            await kind()
+            await trio.sleep(self._rng.uniform(0.0, FAULT_PAUSE_S))
+
+    async def _replace_entry_vm(self) -> None:
+        name = self._rng.choice(sorted(self._system.nodes))
+        domain = self._system.nodes[name].context.failure_domain
+        self._system.kill_node(name)
+        await trio.sleep(RESTART_S)
+        await self._system.start_node(name, domain)
+
+    async def _take_platform_down(self) -> None:
+        self._system.platform.faults.down = True
+        await trio.sleep(self._rng.uniform(0.1, 2.0))
+        self._system.platform.faults.down = False
+
+    async def _slow_platform(self) -> None:
+        self._system.platform.faults.delay_s = self._rng.uniform(0.1, 1.2)
+        await trio.sleep(1.0)
+        self._system.platform.faults.delay_s = 0.0
+
+    async def _lose_answers(self) -> None:
+        self._system.platform.faults.lose_answers = self._rng.randint(1, 4)
+
+    async def _silence_answers(self) -> None:
+        count = self._rng.randint(1, 6)
+        self._system.network.lose_answers(cluster.PLATFORM_ADDRESS, count)
+
+    async def _cut_domain(self) -> None:
+        domain = self._rng.choice(self._system.plan.failure_domains)
+        other = self._rng.choice(
+            (cluster.PLATFORM_LOCATION, *self._system.plan.failure_domains)
+        )
+        self._system.network.cut(domain, other)
+        await trio.sleep(self._rng.uniform(0.5, 3.0))
+        self._system.network.heal(domain, other)
+
+    async def _lose_vm(self) -> None:
+        vm = self._rng.choice(self._system.plan.vms).vm
+        self._system.kill_vm(vm)
+        await trio.sleep(RESTART_S)
+        self._system.restart_vm(vm)
+
+
+async def _call(
+    system: cluster.Cluster,
+    rng: random.Random,
+    index: int,
+    history: list[submissions.Submission],
+) -> None:
+    """Send tries of one key, some before the last one was answered."""
+    length = rng.randint(1, MAX_PARTS)
+    nodes = [
+        f"{domain}-node-{node}"
+        for domain in system.plan.failure_domains
+        for node in range(system.plan.nodes_per_domain)
+    ]
+
+    async def one(node: str) -> None:
+        history.append(
+            await submissions.submit(
+                system, node, f"sheet {index}", f"key-{index}", length=length
+            )
+        )
+
+    await trio.sleep(rng.uniform(0.0, RUN_S))
+    async with trio.open_nursery() as nursery:
+        for _ in range(TRIES_PER_REQUEST):
+            nursery.start_soon(one, rng.choice(nodes))
+            await trio.sleep(rng.choice((0.0, 0.01, 0.5, 2.0)))
+
+
+async def run_mixed(seed: int) -> MixedRun:
+    """Run requests under faults, to be called by :func:`run_seeded`.
+
+    :param seed: decides the requests and the faults.
+    """
+    plan = cluster.Plan(
+        nodes_per_domain=2,
+        engine=standins.EngineSettings(checks_fence=seed % 2 == 0),
+        seed=seed,
+    )
+    rng = random.Random(seed)
+    history: list[submissions.Submission] = []
+    async with cluster.open_cluster(plan) as system:
+        await system.configure(SERVICE, PROFILE)
+        for domain in plan.failure_domains:
+            await system.wait_serving(domain, PROFILE.replicas_per_domain)
+        faults = _Faults(system, random.Random(rng.random()))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(faults.run)
+            async with trio.open_nursery() as requests:
+                for index in range(REQUESTS):
+                    own = random.Random(rng.random())
+                    requests.start_soon(_call, system, own, index, history)
+            nursery.cancel_scope.cancel()
+        return MixedRun(history, dict(submissions.starts(system)), faults.made)
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/tests/claims.feature
@@ -0,0 +1,39 @@
+Feature: Non-idempotent requests run at most once
+
+  Scenario Outline: Tries of one key meet, whatever fails
+    Given a running system with seed <seed>
+    When tries of one key meet the fault "<fault>"
+    Then the engines started the request <starts> times
+    And the tries were told "<told>"
+    And no promise to non-idempotent requests is broken
+
+    Examples:
+      | fault                        | seed | starts | told                                     |
+      | none, six at the same time   | 1    | 1      | completed, may_have_run                  |
+      | none, repeated afterwards    | 1    | 1      | completed, completed, completed          |
+      | platform down                | 1    | 1      | not_run, completed                       |
+      | answer of the write lost     | 1    | 1      | completed                                |
+      | answers silent               | 1    | 1      | not_run, completed                       |
+      | domain cut off from platform | 1    | 1      | not_run, not_run, completed              |
+      | entry VM replaced            | 1    | 1      | unanswered, may_have_run, may_have_run   |
+      | engine dies in the middle    | 1    | 1      | may_have_run, may_have_run, may_have_run |
+      | no replica at first          | 1    | 1      | not_run, completed                       |
+      | another body                 | 1    | 1      | completed, not_run                       |
+      | platform down at the end     | 1    | 1      | completed, completed                     |
+
+  Scenario Outline: Runs under mixed faults break no promise
+    When requests run under mixed faults with seed <seed>
+    Then some tries completed and some were told not_run
+    And no promise to non-idempotent requests is broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
+  Scenario: The checker sees what happens without claims
+    Given that no claims are taken
+    When requests run under mixed faults with seed 1
+    Then the checker finds requests that were started more than once
