--- /dev/null
+++ b/packages/decisions/wasabilanding/claims/tests/claim_rules.feature
@@ -0,0 +1,41 @@
+Feature: Rules of claims
+
+  Scenario Outline: A repeat is told how the request of its key stands
+    Given a claim that is <state> by an owner that is <owner>
+    When another try comes with <body>
+    Then the decision is "<decision>"
+
+    Examples:
+      | state                  | owner | body         | decision                              |
+      | open                   | live  | its body     | may_have_run, duplicate, come back    |
+      | open                   | gone  | its body     | may_have_run, duplicate, final        |
+      | released               | live  | its body     | take                                  |
+      | released               | gone  | its body     | take                                  |
+      | completed, kept        | gone  | its body     | replay                                |
+      | completed, not kept    | live  | its body     | completed, duplicate, final           |
+      | lost in the middle     | live  | its body     | may_have_run, connection_lost, final  |
+      | open                   | live  | another body | not_run, key_reused, final            |
+      | released               | live  | another body | not_run, key_reused, final            |
+      | completed, kept        | live  | another body | not_run, key_reused, final            |
+
+  Scenario Outline: The fingerprint follows what is asked for
+    Then the bodies <one> and <other> are <relation>
+
+    Examples:
+      | one                     | other                     | relation  |
+      | {"a":1,"b":2}           | { "b": 2, "a": 1 }        | the same  |
+      | {"a":1}                 | {"a":1,"stream":true}     | the same  |
+      | {"a":1}                 | {"a":2}                   | different |
+      | not json                | not  json                 | different |
+
+  Scenario Outline: Any order of writes, losses, pauses and deaths
+    Given claims whose rules are <rules>
+    When tries, late writes and losses come in any order
+    Then the machine finds <found>
+
+    Examples:
+      | rules                             | found                          |
+      | whole                             | nothing                        |
+      | without compare-and-swap          | a request that ran twice       |
+      | without respect for open claims   | a request that ran twice       |
+      | without sealing                   | a claim that nobody ever ends  |
