--- a/packages/daemon/wasabilanding/daemon/claims.py
+++ b/packages/daemon/wasabilanding/daemon/claims.py
@@ -132,6 +132,7 @@
         )
         self._unsettled_count = 0
         self._refuse_until = float("-inf")
+        self._budget = claims.Budget()
 
     @property
     def unsettled(self) -> int:
@@ -179,6 +180,9 @@
         context = self._context
         if context.now() < self._refuse_until:
             raise _unavailable("the platform's store did not answer lately")
+        nodes = len(context.members.live(context.now()))
+        if not self._budget.spend(context.now(), nodes):
+            raise _unavailable("the store's budget of claims is spent")
         wanted = claims.begin(
             context.new_id(),
             context.settings.node,
--- a/packages/decisions/wasabilanding/claims/__init__.py
+++ b/packages/decisions/wasabilanding/claims/__init__.py
@@ -49,6 +49,7 @@
        Programming Languages and Systems 13(1), 1991.
 """
 
+from wasabilanding.claims.budget import Budget
 from wasabilanding.claims.record import begin
 from wasabilanding.claims.record import Claim
 from wasabilanding.claims.record import ClaimState
@@ -65,6 +66,7 @@
 from wasabilanding.claims.settlement import Settled
 
 __all__ = [
+    "Budget",
     "Claim",
     "ClaimState",
     "Decision",
--- /dev/null
+++ b/packages/decisions/wasabilanding/claims/budget.py
@@ -0,0 +1,49 @@
+"""Budget of claims, so that they leave the store its other writes."""
+
+CLAIMS_PER_S = 60.0
+BURST_S = 2.0
+
+
+class Budget:
+    """Token bucket of one node's share of all claims.
+
+    Each claim takes up to three writes of the several hundred a second that
+    the store takes; leases of control have to get through beside them.
+
+    :param claims_per_s: claims a second of all nodes together.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import claims
+    >>> budget = claims.Budget(claims_per_s=1.0)
+    >>> [budget.spend(now=0.0, nodes=2) for _ in range(2)]
+    [True, False]
+    >>> budget.spend(now=2.0, nodes=2)
+    True
+    """
+
+    def __init__(self, claims_per_s: float = CLAIMS_PER_S) -> None:
+        self._claims_per_s = claims_per_s
+        self._tokens: float | None = None
+        self._at = 0.0
+
+    def spend(self, now: float, nodes: int) -> bool:
+        """Take one claim from the budget.
+
+        :param now: local monotonic time in seconds.
+        :param nodes: live nodes that share the budget.
+        :returns: whether there was one left.
+        """
+        rate = self._claims_per_s / max(1, nodes)
+        most = max(1.0, rate * BURST_S)
+        if self._tokens is None:
+            self._tokens = most
+        else:
+            earned = (now - self._at) * rate
+            self._tokens = min(most, self._tokens + earned)
+        self._at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/packages/experiments/wasabilanding/experiments/tests/claims.feature
+++ b/packages/experiments/wasabilanding/experiments/tests/claims.feature
@@ -19,6 +19,7 @@
       | engine dies in the middle    | 1    | 1      | may_have_run, may_have_run, may_have_run |
       | no replica at first          | 1    | 1      | not_run, completed                       |
       | another body                 | 1    | 1      | completed, not_run                       |
+      | more claims than the budget  | 1    | 1      | completed                                |
       | platform down at the end     | 1    | 1      | completed, completed                     |
 
   Scenario Outline: Runs under mixed faults break no promise
--- a/packages/experiments/wasabilanding/experiments/tests/steps/claims_steps.py
+++ b/packages/experiments/wasabilanding/experiments/tests/steps/claims_steps.py
@@ -25,6 +25,9 @@
 NODES = ("prov-node-0", "nunoa-node-0", "maipu-node-0")
 SETTLE_S = 3.0
 LONG = 400
+MANY = 60
+# One of three nodes may take two seconds' worth of its share at once.
+BURST = 40
 
 Tries = list[histories.Submission]
 Scenario = collections.abc.Callable[
@@ -161,6 +164,23 @@
     return [*tries, await _try(system, NODES[1])]
 
 
+async def _too_many(system: cluster.Cluster) -> Tries:
+    tries: Tries = []
+
+    async def one(number: int) -> None:
+        tries.append(
+            await _try(system, NODES[0], f"k-{number}", f"sheet {number}")
+        )
+
+    async with trio.open_nursery() as nursery:
+        for number in range(MANY):
+            nursery.start_soon(one, number)
+    reasons = collections.Counter(s.reason for s in tries)
+    assert reasons["claim_unavailable"] == MANY - BURST, reasons
+    assert all(s.retry_after for s in tries if s.verdict == "not_run")
+    return [await _try(system, NODES[1])]
+
+
 SCENARIOS: dict[str, Scenario] = {
     "none, six at the same time": lambda s: _together(s, NODES * 2, LONG),
     "none, repeated afterwards": _one_after_another,
@@ -172,6 +192,7 @@
     "engine dies in the middle": _engine_dies,
     "no replica at first": _no_replica,
     "another body": _another_body,
+    "more claims than the budget": _too_many,
     "platform down at the end": _down_at_the_end,
 }
 
