--- a/packages/daemon/wasabilanding/daemon/telemetry.py
+++ b/packages/daemon/wasabilanding/daemon/telemetry.py
@@ -85,6 +85,9 @@
             "wasabilanding_claims",
             description="Claims of non-idempotent requests by result",
         )
+        self._store_calls = self._meter.create_counter(
+            "wasabilanding_store_calls", description="Calls to the platform"
+        )
         self._downtime = self._meter.create_counter(
             "wasabilanding_group_downtime", unit="s"
         )
@@ -139,6 +142,11 @@
         """
         self._claims.add(1, {"result": result})
 
+    def count_store_call(self, operation: str, result: str) -> None:
+        """Count the end of a call to the platform's service."""
+        labels = {"operation": operation, "result": result}
+        self._store_calls.add(1, labels)
+
     def add_measures(
         self, failure_domain: str, downtime_s: float, stranded_s: float
     ) -> None:
