--- a/packages/platform/wasabilanding/platform/client.py
+++ b/packages/platform/wasabilanding/platform/client.py
@@ -124,6 +124,10 @@
         except httpx.HTTPError as error:
             self._note_failure(operation, "no_answer")
             return results.Unknown(repr(error))
+        except trio.Cancelled:
+            # The caller would not wait longer; a probe ends here.
+            self._note_failure(operation, "cancelled")
+            raise
         if _is_failure(response):
             self._note_failure(operation, str(response.status_code))
         else:
