--- a/packages/experiments/wasabilanding/experiments/histories/configuration_run.py
+++ b/packages/experiments/wasabilanding/experiments/histories/configuration_run.py
@@ -136,6 +136,7 @@
             "replace": self._replace,
             "outage": self._outage,
             "slow store": self._slow_store,
+            "slow network": self._slow_network,
             "lost answers": self._lose_answers,
             "cut from platform": self._cut_from_platform,
             "cut from others": self._cut_from_others,
@@ -167,6 +168,14 @@
         await trio.sleep(self._rng.uniform(0.5, 6.0))
         faults.delay_s = 0.0
 
+    async def _slow_network(self) -> None:
+        domain = self._rng.choice(self._system.plan.failure_domains)
+        platform = cluster.PLATFORM_LOCATION
+        delay_s = self._rng.uniform(0.2, 0.9)
+        self._system.network.delay(domain, platform, delay_s)
+        await trio.sleep(self._rng.uniform(2.0, 8.0))
+        self._system.network.delay(domain, platform, 0.0)
+
     async def _lose_answers(self) -> None:
         self._system.platform.faults.lose_answers += 1
         await trio.sleep(self._rng.uniform(0.0, 2.0))
@@ -200,6 +209,7 @@
             (*domains, cluster.PLATFORM_LOCATION), 2
         ):
             system.network.heal(one, other)
+            system.network.delay(one, other, 0.0)
         for domain in domains:
             for index in range(system.plan.nodes_per_domain):
                 name = f"{domain}-node-{index}"
--- a/packages/experiments/wasabilanding/experiments/histories/tests/configuration.feature
+++ b/packages/experiments/wasabilanding/experiments/histories/tests/configuration.feature
@@ -27,6 +27,7 @@
       | replace                                    | 1    |
       | outage, replace                            | 2    |
       | slow store, lost answers                   | 3    |
+      | slow network                               | 9    |
       | cut from platform                          | 4    |
       | cut from others                            | 5    |
       | cut from both                              | 6    |
--- a/packages/experiments/wasabilanding/experiments/histories/tests/steps/configuration_steps.py
+++ b/packages/experiments/wasabilanding/experiments/histories/tests/steps/configuration_steps.py
@@ -10,6 +10,7 @@
     "replace",
     "outage",
     "slow store",
+    "slow network",
     "lost answers",
     "cut from platform",
     "cut from others",
--- a/packages/standins/wasabilanding/standins/memory_network.py
+++ b/packages/standins/wasabilanding/standins/memory_network.py
@@ -128,6 +128,15 @@
                 exchange.silent = True
         self._cuts.discard(frozenset((one, other)))
 
+    def delay(self, one: str, other: str, delay_s: float) -> None:
+        """Set the one-way delay between two locations.
+
+        :param one: a location.
+        :param other: another location.
+        :param delay_s: the delay in seconds.
+        """
+        self._delay_s[frozenset((one, other))] = delay_s
+
     def silence(self, address: str) -> None:
         """Let open streams of an address go silent for good.
 
