--- a/packages/experiments/wasabilanding/experiments/histories/__init__.py
+++ b/packages/experiments/wasabilanding/experiments/histories/__init__.py
@@ -5,7 +5,8 @@
 
 A run records what each caller sent and was told, and every engine logs what
 it started. A checker is a plain function from these records to the list of
-promises that were broken; an empty list is a pass.
+promises that were broken, and knows nothing of the mechanism; an empty list
+is a pass.
 """
 
 from wasabilanding.experiments.histories.at_most_once import broken_claims
