--- a/packages/decisions/wasabilanding/placement/__init__.py
+++ b/packages/decisions/wasabilanding/placement/__init__.py
@@ -1,7 +1,6 @@
 """Placement: which VMs form which replicas in one failure domain.
 
 Explanation
-===========
 
 The holder of control calls :func:`plan` on each tick. It returns the next
 record and, for the record that is already agreed, the orders that bring the
@@ -9,30 +8,54 @@
 until the VMs report what was ordered, so a lost order needs no bookkeeping.
 """
 
+from wasabilanding.placement.evidence import is_serving
 from wasabilanding.placement.explanation import explain
 from wasabilanding.placement.explanation import Explanation
 from wasabilanding.placement.fit import misfit
+from wasabilanding.placement.history import advance
+from wasabilanding.placement.history import History
+from wasabilanding.placement.history import VmTrack
 from wasabilanding.placement.lease import ControlLease
+from wasabilanding.placement.lease import is_candidate
+from wasabilanding.placement.orders import Drain
 from wasabilanding.placement.orders import Load
+from wasabilanding.placement.orders import Order
 from wasabilanding.placement.orders import orders_for
+from wasabilanding.placement.orders import Preload
 from wasabilanding.placement.orders import Release
 from wasabilanding.placement.planner import plan
-from wasabilanding.placement.planner import Situation
+from wasabilanding.placement.planner import wanted_profiles
+from wasabilanding.placement.rolling import Reversal
+from wasabilanding.placement.rolling import reversals
+from wasabilanding.placement.situation import Situation
+from wasabilanding.placement.summary import service_lack
 from wasabilanding.placement.summary import summarise
 from wasabilanding.placement.summary import Summary
 from wasabilanding.placement.summary import wanted_replicas
 
 __all__ = [
     "ControlLease",
+    "Drain",
     "Explanation",
+    "History",
     "Load",
+    "Order",
+    "Preload",
     "Release",
+    "Reversal",
     "Situation",
     "Summary",
+    "VmTrack",
+    "advance",
     "explain",
+    "is_candidate",
+    "is_serving",
     "misfit",
     "orders_for",
     "plan",
+    "reversals",
+    "service_lack",
     "summarise",
+    "wanted_profiles",
     "wanted_replicas",
 ]
