Show a non-idempotent request in the demo and time the repair rightly

Cause: the demo took any serving replica with a higher epoch for the rebuilt one, so its 0.5 s was another replica's. Ruled out: a repair that fast; the VM is called lost after 2 s. Before: 'rebuilt after 0.5 s'.

--- a/packages/experiments/wasabilanding/experiments/demo.py
+++ b/packages/experiments/wasabilanding/experiments/demo.py
@@ -11,8 +11,8 @@
 """
 
 import collections
+import collections.abc
 import concurrent.futures
-import dataclasses
 import json
 import pathlib
 import subprocess
@@ -24,8 +24,8 @@
 import rich.console
 import rich.table
 
+from wasabilanding.experiments import calling
 from wasabilanding.experiments import launcher
-from wasabilanding.standins import engine
 
 DOMAINS = ("stgo-prov", "stgo-nunoa", "stgo-maipu")
 SERVICE = "escriba"
@@ -45,20 +45,6 @@
 EXIT_BROKEN = 1
 
 
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """What a caller got.
-
-    :param status: HTTP status.
-    :param verdict: completed, not_run or may_have_run.
-    :param whole: whether the text is exactly the one that was due.
-    """
-
-    status: int
-    verdict: str
-    whole: bool
-
-
 class BrokenPromise(Exception):
     """Something that must always hold did not."""
 
@@ -68,36 +54,14 @@
     print(f"{time.strftime('%H:%M:%S')}  {text}", flush=True)
 
 
-def ask(url: str, prompt: str, length: int) -> Answer:
-    """Send one streamed request and check its answer.
-
-    :param url: base URL of an entry VM.
-    :param prompt: text of the request.
-    :param length: parts that are asked for.
-    """
-    body = {
-        "model": SERVICE,
-        "stream": True,
-        "max_tokens": length,
-        "messages": [{"role": "user", "content": prompt}],
-    }
-    text = ""
-    with httpx.stream(
-        "POST", f"{url}/v1/chat/completions", json=body, timeout=60.0
-    ) as response:
-        if response.is_error:
-            verdict = response.headers.get("X-Outcome", "may_have_run")
-            return Answer(response.status_code, verdict, False)
-        for line in response.iter_lines():
-            if not line.startswith("data: ") or line == "data: [DONE]":
-                continue
-            chunk = json.loads(line[6:])
-            if "error" in chunk:
-                verdict = chunk["error"]["outcome"]
-                return Answer(response.status_code, verdict, False)
-            text += chunk["choices"][0]["delta"]["content"]
-    due = "".join(engine.part_text(prompt, i) for i in range(length))
-    return Answer(response.status_code, "completed", text == due)
+def _ask(
+    node: launcher.NodeHandle,
+    prompt: str,
+    length: int,
+    headers: collections.abc.Mapping[str, str] | None = None,
+) -> calling.Answer:
+    question = calling.Question(SERVICE, prompt, length, headers or {})
+    return calling.ask(node.callers_url, question)
 
 
 def command(url: str, *arguments: str) -> str:
@@ -153,10 +117,12 @@
     say(command(url, "service", "choose", SERVICE, PROFILE["name"]))
 
 
-def _stream_everywhere(system: launcher.System, answers: list[Answer]) -> None:
+def _stream_everywhere(
+    system: launcher.System, answers: list[calling.Answer]
+) -> None:
     with concurrent.futures.ThreadPoolExecutor(12) as pool:
         futures = [
-            pool.submit(ask, node.callers_url, f"menu {i}", SHORT_ANSWER)
+            pool.submit(_ask, node, f"menu {i}", SHORT_ANSWER)
             for i in range(10)
             for node in system.nodes
         ]
@@ -164,50 +130,82 @@
     say(f"{len(futures)} requests were streamed through 3 entry VMs")
 
 
-def _kill_one_vm(system: launcher.System, answers: list[Answer]) -> None:
+def _runs(system: launcher.System, prompt: str) -> int:
+    logs = [
+        httpx.get(f"{url}/standin/log").json()
+        for url in system.fleet_urls.values()
+    ]
+    return sum(entry[1] == prompt for log in logs for entry in log)
+
+
+def _send_price_sheet(
+    system: launcher.System, answers: list[calling.Answer]
+) -> None:
+    prompt = "price sheet for the weekend"
+    headers = {"X-Non-Idempotent": "true", "Idempotency-Key": "sheet-1"}
+    with concurrent.futures.ThreadPoolExecutor(3) as pool:
+        futures = [
+            pool.submit(_ask, node, prompt, SHORT_ANSWER, headers)
+            for node in system.nodes
+        ]
+        found = [future.result() for future in futures]
+    answers.extend(found)
+    runs = _runs(system, prompt)
+    verdicts = ", ".join(sorted(answer.verdict for answer in found))
+    say(
+        f"one price sheet sent through 3 entry VMs ran {runs} time: {verdicts}"
+    )
+    if runs != 1:
+        raise BrokenPromise(f"a non-idempotent request ran {runs} times")
+
+
+def _kill_one_vm(
+    system: launcher.System, answers: list[calling.Answer]
+) -> None:
     node = system.nodes[0]
     domain = node.failure_domain
-    replica = _status(node)["failure_domains"][domain]["replicas"][0]
-    victim = replica["members"][1]
+    replicas = _status(node)["failure_domains"][domain]["replicas"]
+    victim = replicas[0]["members"][1]
     with concurrent.futures.ThreadPoolExecutor(8) as pool:
         futures = [
-            pool.submit(
-                ask, node.callers_url, f"promotion {i}", SHORT_ANSWER * 3
-            )
+            pool.submit(_ask, node, f"promotion {i}", SHORT_ANSWER * 3)
             for i in range(8)
         ]
         time.sleep(0.2)
         httpx.post(f"{system.fleet_urls[domain]}/standin/{victim}/kill")
         killed_at = time.monotonic()
-        say(f"VM {victim} of replica {replica['replica_id']} was killed")
+        say(f"VM {victim} of {replicas[0]['replica_id']} was killed")
         answers.extend(future.result() for future in futures)
-    _wait_for_epoch(node, replica, killed_at)
+    _wait_for_repair(node, replicas, killed_at)
 
 
-def _wait_for_epoch(
-    node: launcher.NodeHandle, replica: dict, begun: float
+def _wait_for_repair(
+    node: launcher.NodeHandle, before: list[dict], begun: float
 ) -> None:
+    known = {(r["replica_id"], r["epoch"]) for r in before}
     while time.monotonic() - begun < REPAIR_TIMEOUT_S:
         domain = _status(node)["failure_domains"][node.failure_domain]
         rebuilt = [
             r
             for r in domain["replicas"]
-            if r["epoch"] > replica["epoch"] and r["serving"]
+            if (r["replica_id"], r["epoch"]) not in known and r["serving"]
         ]
         if domain["serving"] == domain["wanted"] and rebuilt:
             took = time.monotonic() - begun
-            members = ", ".join(rebuilt[-1]["members"])
+            members = ", ".join(rebuilt[0]["members"])
             say(f"replica rebuilt on {members} after {took:.1f} s")
             return
         time.sleep(POLL_S)
-    raise BrokenPromise(f"replica {replica['replica_id']} was not rebuilt")
+    raise BrokenPromise(f"no replica was rebuilt in {REPAIR_TIMEOUT_S} s")
 
 
-def _stop_gracefully(system: launcher.System, answers: list[Answer]) -> None:
+def _stop_gracefully(
+    system: launcher.System, answers: list[calling.Answer]
+) -> None:
     node = system.nodes[1]
     with concurrent.futures.ThreadPoolExecutor(6) as pool:
         futures = [
-            pool.submit(ask, node.callers_url, f"notice {i}", LONG_ANSWER)
+            pool.submit(_ask, node, f"notice {i}", LONG_ANSWER)
             for i in range(6)
         ]
         time.sleep(0.5)
@@ -221,7 +219,9 @@
     say(f"entry VM {node.name} ended after its last stream")
 
 
-def _print_table(system: launcher.System, answers: list[Answer]) -> None:
+def _print_table(
+    system: launcher.System, answers: list[calling.Answer]
+) -> None:
     table = rich.table.Table("measure", "value")
     outcomes = collections.Counter(answer.verdict for answer in answers)
     for verdict, count in sorted(outcomes.items()):
@@ -241,7 +241,7 @@
     rich.console.Console().print(table)
 
 
-def _check_answers(answers: list[Answer]) -> None:
+def _check_answers(answers: list[calling.Answer]) -> None:
     broken = [
         answer
         for answer in answers
@@ -257,7 +257,7 @@
     :param folder: takes settings, logs and traces.
     :raises BrokenPromise: when something that must hold did not.
     """
-    answers: list[Answer] = []
+    answers: list[calling.Answer] = []
     with launcher.System(launcher.Plan(DOMAINS), folder) as system:
         say("stand-ins and 3 entry VMs run on loopback")
         _write_profile(system, folder)
@@ -266,6 +266,7 @@
         )
         say(f"all replicas were assembled after {waited:.1f} s")
         _stream_everywhere(system, answers)
+        _send_price_sheet(system, answers)
         _kill_one_vm(system, answers)
         _stop_gracefully(system, answers)
         _print_table(system, answers)
