--- a/packages/command/wasabilanding/command/tests/environment.py
+++ b/packages/command/wasabilanding/command/tests/environment.py
@@ -48,7 +48,8 @@
         context.files[name] = str(path)
     plan = launcher.Plan(("prov",), fabrics_per_domain=1)
     system = context.stack.enter_context(launcher.System(plan, folder))
-    context.url = system.nodes[0].administration_url
+    context.node = system.nodes[0]
+    context.url = context.node.administration_url
     demo.command(context.url, "profile", "put", context.files["valid"])
     demo.command(context.url, "service", "choose", "escriba", "draft")
     demo.wait_until_serving(system, 1, ASSEMBLY_TIMEOUT_S)
--- /dev/null
+++ b/packages/command/wasabilanding/command/tests/steps/observability_steps.py
@@ -0,0 +1,101 @@
+"""Steps for traces, logs, metrics and health."""
+
+import json
+import time
+import uuid
+
+import behave
+import httpx
+
+CALLER_SPAN = "00f067aa0ba902b7"
+WAIT_S = 5.0
+POLL_S = 0.05
+LOGGED = ("node", "failure_domain", "request", "service", "customer")
+
+
+def _lines(path):
+    for line in path.read_text().splitlines():
+        if line.startswith("{"):
+            yield json.loads(line)
+
+
+def _spans(context, trace):
+    path = context.folder / f"{context.node.name}.spans.jsonl"
+    return {
+        span["name"]: span
+        for span in _lines(path)
+        if span["context"]["trace_id"] == f"0x{trace}"
+    }
+
+
+def _wait(check):
+    deadline = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline:
+        if check():
+            return True
+        time.sleep(POLL_S)
+    return False
+
+
+@behave.when("a caller sends a request {kind} with trace {trace}")
+def send(context, kind, trace):
+    """Send a request that belongs to a caller's trace."""
+    headers = {
+        "traceparent": f"00-{trace}-{CALLER_SPAN}-01",
+        "X-Customer": "salon-maipu",
+    }
+    if kind == "non-idempotent":
+        headers["X-Non-Idempotent"] = "true"
+        headers["Idempotency-Key"] = uuid.uuid4().hex
+    body = {
+        "model": "escriba",
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": f"trace {trace}"}],
+    }
+    url = f"{context.node.callers_url}/v1/chat/completions"
+    response = httpx.post(url, json=body, headers=headers)
+    assert response.status_code == 200, response.text
+
+
+@behave.then(
+    "the spans {names} are in trace {trace}, each below the one before"
+)
+def check_spans(context, names, trace):
+    """Follow the parents of the spans up to the caller's."""
+    names = names.split()
+    assert _wait(lambda: set(names) <= set(_spans(context, trace)))
+    spans = _spans(context, trace)
+    parent = f"0x{CALLER_SPAN}"
+    for name in names:
+        assert spans[name]["parent_id"] == parent, spans[name]
+        parent = spans[name]["context"]["span_id"]
+
+
+@behave.then(
+    "a JSON log line has node, failure domain, request, service and customer"
+)
+def check_log(context):
+    """Look for a whole line."""
+    path = context.folder / f"{context.node.name}.log"
+
+    def found():
+        return any(set(LOGGED) <= set(line) for line in _lines(path))
+
+    assert _wait(found)
+
+
+@behave.when("{path} is read from the {port} port")
+def read(context, path, port):
+    """Read a page."""
+    urls = {
+        "callers": context.node.callers_url,
+        "administration": context.node.administration_url,
+    }
+    context.response = httpx.get(urls[port] + path)
+
+
+@behave.then("it answers {status:d} with {text}")
+def check_page(context, status, text):
+    """Compare the page."""
+    assert context.response.status_code == status
+    assert text in context.response.text, context.response.text
