--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/tests/steps/outages_steps.py
@@ -0,0 +1,500 @@
+"""Steps for outages, cuts and leaving VMs."""
+
+import collections
+import dataclasses
+import random
+
+import behave
+import trio
+
+from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import exchange
+from wasabilanding.experiments import cluster
+from wasabilanding.experiments.histories import submissions
+from wasabilanding import knowledge
+from wasabilanding import membership
+from wasabilanding import model
+from wasabilanding import peers
+
+PROFILE = model.ReplicaProfile(
+    name="draft",
+    model="tarifa",
+    version="v1",
+    vms_per_replica=2,
+    replicas_per_domain=1,
+)
+PLATFORM = cluster.PLATFORM_LOCATION
+DOMAINS = ("prov", "nunoa", "maipu")
+CUTS = {
+    "the platform": (PLATFORM,),
+    "the other failure domains": ("nunoa", "maipu"),
+    "both": ("nunoa", "maipu", PLATFORM),
+}
+SETTLE_S = 4.0
+IN_FORCE_S = 5.0
+
+
+def _run(scenario, *arguments):
+    return cluster.run_seeded(scenario, *arguments, seed=5)
+
+
+async def _serving(plan, work):
+    async with cluster.open_cluster(plan) as system:
+        await trio.sleep(1.0)
+        await system.configure("escriba", PROFILE)
+        for domain in DOMAINS:
+            await system.wait_serving(domain, 1)
+        await trio.sleep(SETTLE_S)
+        return await work(system)
+
+
+def _revisions(system):
+    return {
+        name: running.context.known.configuration.revision
+        for name, running in sorted(system.nodes.items())
+    }
+
+
+def _ready(system):
+    return {
+        name: running.node.service.ready
+        for name, running in sorted(system.nodes.items())
+    }
+
+
+async def _ask(system, names):
+    verdicts = {}
+
+    async def ask(name):
+        answer = await submissions.submit(system, name, f"{name} now")
+        verdicts[name] = (answer.verdict, answer.reason)
+
+    async with trio.open_nursery() as nursery:
+        for name in names:
+            nursery.start_soon(ask, name)
+    return verdicts
+
+
+async def _change(system, node, mark):
+    running = system.nodes[node]
+    address = running.context.settings.administration.address
+    async with system.client(running.context.failure_domain) as http:
+        response = await http.put(
+            f"http://{address}/v1/customers/{mark}", json={}, timeout=20.0
+        )
+    return response.json().get("revision")
+
+
+@behave.given(
+    "a system of 3 failure domains with {nodes:d} nodes each that serves"
+)
+def given_system(context, nodes):
+    """Note its shape."""
+    context.plan = cluster.Plan(
+        nodes_per_domain=nodes, fabrics_per_domain=1, vms_per_fabric=3, seed=3
+    )
+
+
+def _held(running):
+    known = running.context.known
+    domain = running.context.failure_domain
+    return (
+        known.configuration.revision,
+        known.record(domain).revision,
+        known.listing(domain).revision,
+    )
+
+
+async def _replace(system, names):
+    for name in names:
+        domain = system.nodes[name].context.failure_domain
+        system.kill_node(name)
+        await trio.sleep(0.2)
+        await system.start_node(name, domain)
+
+
+async def _replace_in_outage(system, names):
+    replaced = names or sorted(system.nodes)
+    before = {n: _held(system.nodes[n]) for n in replaced}
+    system.platform.faults.down = True
+    await trio.sleep(1.0)
+    await _replace(system, replaced)
+    await trio.sleep(6.0)
+    ready = _ready(system)
+    after = {n: _held(system.nodes[n]) for n in replaced if ready[n]}
+    answers = await _ask(system, [n for n in ready if ready[n]])
+    system.platform.faults.down = False
+    await trio.sleep(6.0)
+    return replaced, before, ready, after, answers, _ready(system)
+
+
+@behave.when(
+    'the platform goes down and {count:d} nodes of "prov" are replaced'
+)
+def replace_some(context, count):
+    """Replace them one after the other."""
+    names = [f"prov-node-{index}" for index in range(count)]
+    context.outcome = _run(
+        _serving, context.plan, lambda s: _replace_in_outage(s, names)
+    )
+
+
+@behave.when("the platform goes down and all nodes are replaced")
+def replace_all(context):
+    """Replace all at once."""
+
+    async def work(system):
+        names = sorted(system.nodes)
+        system.platform.faults.down = True
+        for name in names:
+            system.kill_node(name)
+        await trio.sleep(0.2)
+        for name in names:
+            await system.start_node(name, name.partition("-")[0])
+        await trio.sleep(6.0)
+        ready = _ready(system)
+        system.platform.faults.down = False
+        await trio.sleep(6.0)
+        return names, {}, ready, {}, {}, _ready(system)
+
+    context.outcome = _run(_serving, context.plan, work)
+
+
+@behave.then("the replaced nodes are {verdict} after 6 s")
+def check_ready(context, verdict):
+    """Compare readiness."""
+    replaced, _, ready, *_ = context.outcome
+    for name in replaced:
+        assert ready[name] == (verdict == "ready"), ready
+
+
+@behave.then("each ready node holds what the others held")
+def check_held(context):
+    """Compare revisions before and after."""
+    _, before, _, after, *_ = context.outcome
+    assert after == before, (before, after)
+
+
+@behave.then("requests through ready nodes complete")
+def check_requests(context):
+    """Compare the verdicts."""
+    answers = context.outcome[4]
+    assert answers, context.outcome
+    for name, (verdict, reason) in answers.items():
+        assert verdict == "completed", (name, verdict, reason)
+
+
+@behave.then("6 s after the return all nodes are ready")
+def check_all_ready(context):
+    """Compare readiness."""
+    ready = context.outcome[5]
+    assert all(ready.values()), ready
+
+
+async def _first_holders(system, timeout_s):
+    begun = trio.current_time()
+    holders = {}
+    while trio.current_time() - begun < timeout_s:
+        for running in system.nodes.values():
+            if running.node.controller.is_holder:
+                domain = running.context.failure_domain
+                holders.setdefault(domain, trio.current_time() - begun)
+        await trio.sleep(0.05)
+    return holders
+
+
+async def _return(system, fault, outage_s):
+    store = system.platform
+    store.faults.down = fault == "down"
+    store.faults.delay_s = 3.0 if fault == "slow" else 0.0
+    await trio.sleep(outage_s)
+    store.faults.down = False
+    store.faults.delay_s = 0.0
+    returned_at = trio.current_time()
+    holders = await _first_holders(system, IN_FORCE_S)
+    revision = await _change(system, "nunoa-node-0", "later")
+    await trio.sleep(IN_FORCE_S)
+    return {
+        "reads": store.reads.most(returned_at),
+        "writes": store.writes.most(returned_at),
+        "holders": holders,
+        "revision": revision,
+        "revisions": _revisions(system),
+    }
+
+
+@behave.when("the platform is {fault} for {outage:d} s and then returns")
+def return_from_outage(context, fault, outage):
+    """Run the outage."""
+    context.outcome = _run(
+        _serving, context.plan, lambda s: _return(s, fault, outage)
+    )
+
+
+@behave.then("no second had more than {reads:d} reads or {writes:d} writes")
+def check_rates(context, reads, writes):
+    """Compare the stand-in's own counts."""
+    assert context.outcome["reads"] <= reads, context.outcome
+    assert context.outcome["writes"] <= writes, context.outcome
+
+
+@behave.then("every failure domain has a holder of control within {bound:g} s")
+def check_holders(context, bound):
+    """Compare the times."""
+    holders = context.outcome["holders"]
+    assert sorted(holders) == sorted(DOMAINS), holders
+    assert max(holders.values()) <= bound, holders
+
+
+@behave.then(
+    "a change accepted at the return is in force everywhere within 5 s"
+)
+def check_change(context):
+    """Compare the revisions."""
+    outcome = context.outcome
+    assert outcome["revision"], outcome
+    assert set(outcome["revisions"].values()) == {outcome["revision"]}
+
+
+async def _cut(system, others):
+    for other in others:
+        system.network.cut("prov", other)
+    await trio.sleep(10.0)
+    revision = await _change(system, "nunoa-node-0", "during")
+    await trio.sleep(5.0)
+    answers = await _ask(system, sorted(system.nodes))
+    await trio.sleep(5.0)
+    during = _revisions(system)
+    for other in others:
+        system.network.heal("prov", other)
+    await trio.sleep(IN_FORCE_S)
+    return answers, revision, during, _revisions(system)
+
+
+@behave.when('"prov" is cut off from {others} for 20 s')
+def cut_off(context, others):
+    """Run the cut."""
+    context.outcome = _run(
+        _serving, context.plan, lambda s: _cut(s, CUTS[others])
+    )
+
+
+@behave.then("requests through every node complete during the cut")
+def check_answers(context):
+    """Compare the verdicts."""
+    for name, (verdict, reason) in context.outcome[0].items():
+        assert verdict == "completed", (name, verdict, reason)
+
+
+@behave.then('a change made elsewhere is {state} in "prov" during the cut')
+def check_state(context, state):
+    """Compare the revisions during the cut."""
+    _, revision, during, _ = context.outcome
+    expected = state == "in force"
+    for name, held in during.items():
+        is_in_force = held == revision
+        wanted = expected if name.startswith("prov") else True
+        assert is_in_force == wanted, (revision, during)
+
+
+@behave.then("5 s after the cut all nodes have the same configuration")
+def check_same(context):
+    """Compare the revisions after the cut."""
+    _, revision, _, after = context.outcome
+    assert set(after.values()) == {revision}, (revision, after)
+
+
+@behave.given("callers who ask through every node all the time")
+def given_callers(context):
+    """Leave it to the run."""
+
+
+async def _ask_on(system, name, answers):
+    for number in range(10_000):
+        prompt = f"{name} {number}"
+        answers.append(await submissions.submit(system, name, prompt))
+        await trio.sleep(0.1)
+
+
+def _give_sign(system, sign, leaving):
+    if sign == "its own report":
+        system.engine(leaving).leaving = True
+        return
+    system.list_vms(
+        dataclasses.replace(vm, leaving=vm.vm == leaving)
+        for vm in system.plan.vms
+    )
+
+
+async def _leave(system, sign):
+    context = system.nodes["prov-node-0"].context
+    leaving = context.known.record("prov").replicas[0].leader
+    answers, late = [], []
+    async with trio.open_nursery() as nursery:
+        for name in sorted(system.nodes):
+            nursery.start_soon(_ask_on, system, name, answers)
+        await trio.sleep(2.0)
+        before = len(_started(system, leaving))
+        _give_sign(system, sign, leaving)
+        await trio.sleep(3.0)
+        bound = len(_started(system, leaving))
+        await trio.sleep(6.0)
+        late = _started(system, leaving)[bound:]
+        nursery.cancel_scope.cancel()
+    return before, late, answers
+
+
+def _started(system, vm):
+    log = system.fleets["prov"].log
+    return [entry for entry in log if entry[2] == vm]
+
+
+@behave.when("the only sign that a serving VM leaves is {sign}")
+def leave(context, sign):
+    """Run the leaving."""
+    context.outcome = _run(_serving, context.plan, lambda s: _leave(s, sign))
+
+
+@behave.then("it starts no request later than 3 s after the sign")
+def check_late(context):
+    """Look into the engine's own log."""
+    before, late, _ = context.outcome
+    assert before, "the VM was not in use"
+    assert not late, late
+
+
+@behave.then("no request failed meanwhile")
+def check_none_failed(context):
+    """Compare the verdicts."""
+    for answer in context.outcome[2]:
+        assert answer.verdict == "completed", answer
+
+
+class _Peers:
+    """Peers that answer, but for one; counts calls and connections."""
+
+    def __init__(self, names):
+        self.names = names
+        self.calls = collections.Counter()
+        self.open_calls = collections.Counter()
+        self.most_open = collections.Counter()
+        self.connected = collections.Counter()
+        self.alive = set(names)
+
+    def connect(self, address):
+        """Return a connection."""
+        self.connected[address] += 1
+        return _Channel(self, address)
+
+
+class _Channel:
+    def __init__(self, peers_state, address):
+        self._state = peers_state
+        self._address = address
+        self._beats = 0
+
+    async def exchange(self, request):
+        """Answer, fail, or never answer."""
+        state, address = self._state, self._address
+        state.calls[address] += 1
+        if address not in state.alive:
+            await trio.lowlevel.checkpoint()
+            raise peers.PeerUnreachable(address, OSError("refused"))
+        if address == "slow:1":
+            state.open_calls[address] += 1
+            now_open = state.open_calls[address]
+            state.most_open[address] = max(state.most_open[address], now_open)
+            try:
+                await trio.sleep(peers.client.CALL_TIMEOUT_S)
+            finally:
+                state.open_calls[address] -= 1
+            raise peers.PeerUnreachable(address, OSError("timed out"))
+        await trio.sleep(0.001)
+        self._beats += 1
+        reply = peers.ExchangeReply(informed=True)
+        reply.sender.name = address.partition(":")[0]
+        reply.sender.address = address
+        reply.sender.failure_domain = "prov"
+        reply.sender.heartbeat = self._beats + 1000 * state.connected[address]
+        return reply
+
+    def close(self):
+        """Close the connection."""
+        self._state.connected[self._address] -= 1
+
+
+def _exchange_context(state):
+    settings = cluster.settings_module.Settings(
+        node="own",
+        failure_domain="prov",
+        callers=cluster.settings_module.Listener(1, "own"),
+        administration=cluster.settings_module.Listener(2, "own"),
+        peers=cluster.settings_module.Listener(3, "own"),
+        platform_url="http://platform",
+    )
+    table = membership.MemberTable(membership.Node("own", 1, "prov", "own:3"))
+    for address in state.names:
+        name = address.partition(":")[0]
+        table.learn(membership.Node(name, 0, "prov", address))
+    known = knowledge.Knowledge()
+    known.become_informed()
+    return context_module.Context(
+        settings=settings,
+        known=known,
+        members=table,
+        platform=None,
+        endpoints=None,
+        telemetry=None,
+        connect_peer=state.connect,
+        rng=random.Random(1),
+    )
+
+
+@behave.given("a node with 3 peers of which one never answers")
+def given_slow_peer(context):
+    """Make the peers."""
+    context.state = _Peers(["a:1", "b:1", "slow:1"])
+
+
+async def _exchange_for(state, duration_s, replaced=()):
+    context = _exchange_context(state)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(exchange.Exchanger(context).run)
+        await trio.sleep(2.0)
+        state.alive -= set(replaced)
+        await trio.sleep(duration_s)
+        state.connected_at_end = dict(state.connected)
+        nursery.cancel_scope.cancel()
+
+
+@behave.when("{duration:d} s pass in the exchange")
+def exchange_for(context, duration):
+    """Run the exchange."""
+    _run(_exchange_for, context.state, duration)
+
+
+@behave.when("{duration:d} s pass in the exchange after 2 peers were replaced")
+def exchange_after(context, duration):
+    """Run the exchange while two of its peers are gone."""
+    _run(_exchange_for, context.state, duration, ("b:1", "slow:1"))
+
+
+@behave.then("each other peer was asked at least {count:d} times")
+def check_asked(context, count):
+    """Count the calls."""
+    calls = context.state.calls
+    assert min(calls["a:1"], calls["b:1"]) >= count, calls
+
+
+@behave.then("the slow peer was never asked twice at once")
+def check_open(context):
+    """Compare the calls that were open at once."""
+    assert context.state.most_open["slow:1"] == 1, context.state.most_open
+
+
+@behave.then("connections to the replaced peers are closed")
+def check_closed(context):
+    """Compare the open connections."""
+    connected = context.state.connected_at_end
+    assert connected["a:1"] == 1, connected
+    assert connected["b:1"] == connected["slow:1"] == 0, connected
--- a/packages/standins/wasabilanding/standins/platform_http.py
+++ b/packages/standins/wasabilanding/standins/platform_http.py
@@ -6,9 +6,15 @@
 import quart_trio
 import trio
 
+from wasabilanding.standins import rate_limit
 from wasabilanding.standins import store as store_module
 
 WEIGHT_SECONDS = 0.5
+READS_PER_S = 2000
+WRITES_PER_S = 500
+READ_METHOD = "GET"
+WEIGHTS_PATH = "/v1/weights/"
+HTTP_TOO_MANY = 429
 
 
 @dataclasses.dataclass
@@ -46,6 +52,27 @@
         default_factory=lambda: trio.CapacityLimiter(4)
     )
 
+    reads: rate_limit.RateLimit = dataclasses.field(
+        default_factory=lambda: rate_limit.RateLimit(READS_PER_S)
+    )
+    writes: rate_limit.RateLimit = dataclasses.field(
+        default_factory=lambda: rate_limit.RateLimit(WRITES_PER_S)
+    )
+
+    def take_call(self, method: str, path: str) -> bool:
+        """Count a call and tell whether the service takes it.
+
+        A waiting watch counts as one read. The weight store has a limit of
+        its own.
+
+        :param method: HTTP method.
+        :param path: path of the call.
+        """
+        if path.startswith(WEIGHTS_PATH):
+            return True
+        limit = self.reads if method == READ_METHOD else self.writes
+        return limit.take()
+
     def listed(self) -> list[dict]:
         """Return the VM list as old as the lag says."""
         at = trio.current_time() - self.faults.list_lag_s
@@ -162,6 +189,8 @@
             return None
         endpoint = quart.request.endpoint or "unknown"
         state.store.calls[endpoint] += 1
+        if not state.take_call(quart.request.method, quart.request.path):
+            return {"error": "too many calls"}, HTTP_TOO_MANY
         if state.faults.delay_s:
             await trio.sleep(state.faults.delay_s)
         if state.faults.down:
