Refuse requests that crash each endpoint that runs them

Cause: nothing kept a poisonous request, sent again through any entry VM, from killing one endpoint after another.

Nodes note the fingerprints of their requests at a replica that died and tell each other; two deaths that weigh one together, or three, condemn. Notes take time, so each request may reach three replicas of a domain at most from the start, its homes, which all nodes compute alike: two by the beginning of the prompt, for prefix caches, one by the whole text. Suspects run one copy at a time on a node, and apart from other suspects. Ruled out: hashing by the whole text only, which scatters the turns of one conversation; asking a home node, a hop more for each request; trusting the record to tell planned moves from deaths, since repair changes it before a silent death is seen.

--- a/packages/daemon/wasabilanding/daemon/attempts.py
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -9,6 +9,7 @@
 
 from wasabilanding import callers
 from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import poison_guard
 from wasabilanding.daemon import selection
 from wasabilanding.daemon import telemetry
 from wasabilanding import endpoints
@@ -42,13 +43,18 @@
 
     :param context: what the loops share.
     :param router: selects replicas.
+    :param guard: is told of the end of each attempt.
     """
 
     def __init__(
-        self, context: context_module.Context, router: selection.Router
+        self,
+        context: context_module.Context,
+        router: selection.Router,
+        guard: poison_guard.PoisonGuard,
     ) -> None:
         self._context = context
         self._router = router
+        self._guard = guard
 
     async def run(
         self,
@@ -64,18 +70,39 @@
         :raises wasabilanding.callers.RequestFailed: when retries end.
         """
         while True:
-            replica = self._router.select(request, progress.tried)
-            progress.attempts += 1
-            progress.tried |= {routing.replica_key(replica)}
-            attempt = self._attempt(request, replica, span, progress)
-            try:
-                async with contextlib.aclosing(attempt) as batches:
-                    async for batch in batches:
-                        progress.delivered += len(batch)
-                        yield batch
-                return
-            except endpoints.AttemptFailed as error:
-                self._after_failure(request, progress, error)
+            async with self._guard.turn(request):
+                replica = self._router.select(request, progress.tried)
+                progress.attempts += 1
+                progress.tried |= {routing.replica_key(replica)}
+                try:
+                    attempt = self._guarded(request, replica, span, progress)
+                    async with contextlib.aclosing(attempt) as batches:
+                        async for batch in batches:
+                            progress.delivered += len(batch)
+                            yield batch
+                    return
+                except endpoints.AttemptFailed as error:
+                    self._after_failure(request, progress, error)
+
+    async def _guarded(
+        self,
+        request: callers.CallerRequest,
+        replica: model.ReplicaRecord,
+        span: telemetry.Span,
+        progress: Progress,
+    ) -> Batches:
+        attempt = self._attempt(request, replica, span, progress)
+        try:
+            async with (
+                self._guard.alone(request, replica),
+                contextlib.aclosing(attempt) as batches,
+            ):
+                async for batch in batches:
+                    yield batch
+        except endpoints.AttemptFailed as error:
+            self._guard.failed(request, replica, error.outcome)
+            raise
+        self._guard.completed(request)
 
     def _after_failure(
         self,
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -123,6 +123,7 @@
         nursery.start_soon(self.controller.run)
         nursery.start_soon(self.status.measure)
         nursery.start_soon(self.service.claims.run)
+        nursery.start_soon(self.service.guard.run)
         nursery.start_soon(self.service.gate.run)
 
     async def drain(self) -> None:
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/poison_guard.py
@@ -0,0 +1,255 @@
+"""Keeps poisonous requests from crashing one endpoint after another.
+
+Explanation
+===========
+
+An attempt whose stream is lost counts as a death of its replica at once, so
+that the next attempt is already confined; it is withdrawn when all VMs of
+the replica report later that they still hold their places in it. A VM that
+restarted does not.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+
+import trio
+
+from wasabilanding import callers
+from wasabilanding.daemon import context as context_module
+from wasabilanding import model
+from wasabilanding import poison
+from wasabilanding import routing
+
+CHECK_INTERVAL_S = 1.0
+CHECKED_FOR_S = 60.0
+COMEBACK_S = 60.0
+PREFIX_BLOCKS = 4
+LOST = frozenset((model.Reason.CONNECTION_LOST, model.Reason.STALLED))
+
+
+@dataclasses.dataclass(frozen=True)
+class _Death:
+    fingerprint: str
+    replica: model.ReplicaRecord
+    at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Seen:
+    fingerprint: str
+    prefix: str
+    standing: poison.Standing
+    tried: frozenset[str]
+    index: routing.ReplicaIndex
+
+
+def _prefix(request: callers.CallerRequest, fingerprint: str) -> str:
+    blocks = routing.block_hashes(request.prompt)[:PREFIX_BLOCKS]
+    return f"{blocks[-1]:x}" if blocks else fingerprint
+
+
+class PoisonGuard:
+    """What this node does against poisonous requests.
+
+    :param context: what the loops share.
+    """
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+        self._recent: dict[tuple[str, str], poison.RecentlyUsable] = {}
+        self._deaths: list[_Death] = []
+        self._lanes: dict[str, trio.Lock] = {}
+        self._waiting: collections.Counter[str] = collections.Counter()
+
+    def _fingerprint(self, request: callers.CallerRequest) -> str:
+        return poison.fingerprint(request.service, request.prompt)
+
+    def _standing(self, fingerprint: str) -> poison.Standing:
+        return self._context.known.suspicions.standing(
+            fingerprint, self._context.now()
+        )
+
+    def swept(self, index: routing.ReplicaIndex) -> None:
+        """Note the replicas that are usable.
+
+        :param index: the index, just swept.
+        """
+        usable: dict[tuple[str, str], list[str]] = {}
+        for located in index.all_swept:
+            group = (located.replica.service, located.failure_domain)
+            key = routing.replica_key(located.replica)
+            usable.setdefault(group, []).append(key)
+        for group in usable:
+            self._recent.setdefault(group, poison.RecentlyUsable())
+        now = self._context.now()
+        for group, recent in self._recent.items():
+            recent.update(usable.get(group, ()), now)
+
+    def confine(
+        self,
+        request: callers.CallerRequest,
+        index: routing.ReplicaIndex,
+        tried: frozenset[str],
+    ) -> frozenset[str]:
+        """Return the keys of the replicas that a request may reach.
+
+        :param request: the request.
+        :param index: usable replicas.
+        :param tried: keys of the replicas of earlier attempts.
+        :raises wasabilanding.callers.RequestFailed: when it is condemned.
+        """
+        fingerprint = self._fingerprint(request)
+        standing = self._standing(fingerprint)
+        if standing.condemned:
+            raise callers.RequestFailed(self._refusal(standing))
+        prefix = _prefix(request, fingerprint)
+        local, *remote = self._domains(request.service, fingerprint)
+        seen = _Seen(fingerprint, prefix, standing, tried, index)
+        allowed = self._homes(request.service, local, seen)
+        if allowed and standing.suspected:
+            return frozenset(allowed)
+        for domain in remote:
+            found = self._homes(request.service, domain, seen)
+            if found:
+                return frozenset((*allowed, *found))
+        return frozenset(allowed)
+
+    def _domains(self, service: str, fingerprint: str) -> list[str]:
+        own = self._context.failure_domain
+        others = [d for s, d in self._recent if s == service and d != own]
+        start = int(fingerprint, 16) % max(1, len(others))
+        others.sort()
+        return [own, *others[start:], *others[:start]]
+
+    def _homes(
+        self, service: str, domain: str, seen: _Seen
+    ) -> tuple[str, ...]:
+        recent = self._recent.get((service, domain))
+        if recent is None:
+            return ()
+        homes = poison.home_names(seen.prefix, seen.fingerprint, recent.names)
+        usable = [
+            key
+            for key in homes
+            if key not in seen.tried and self._is_usable(key, seen.index)
+        ]
+        if seen.standing.suspected:
+            return poison.trial_names(homes, seen.standing.crashed, usable)
+        return tuple(usable)
+
+    def _is_usable(self, key: str, index: routing.ReplicaIndex) -> bool:
+        located = index.get(key)
+        return located is not None and index.is_usable(
+            located, self._context.known.reports, self._context.now()
+        )
+
+    def _refusal(self, standing: poison.Standing) -> model.Outcome:
+        left_s = max(1.0, standing.until - self._context.now())
+        return model.not_run(
+            model.Reason.POISONED,
+            f"{len(standing.crashed)} endpoints died while they ran this "
+            "request; it is refused for a time",
+            min(COMEBACK_S, left_s),
+        )
+
+    @contextlib.asynccontextmanager
+    async def turn(
+        self, request: callers.CallerRequest
+    ) -> collections.abc.AsyncIterator[None]:
+        """Let one copy of a suspected request run at a time on this node.
+
+        :param request: the request.
+        """
+        fingerprint = self._fingerprint(request)
+        if not self._standing(fingerprint).suspected:
+            yield
+            return
+        async with self._lane(fingerprint):
+            yield
+
+    @contextlib.asynccontextmanager
+    async def alone(
+        self, request: callers.CallerRequest, replica: model.ReplicaRecord
+    ) -> collections.abc.AsyncIterator[None]:
+        """Keep a suspected request apart from others at one replica.
+
+        :param request: the request.
+        :param replica: the replica.
+        """
+        if not self._standing(self._fingerprint(request)).suspected:
+            yield
+            return
+        async with self._lane(routing.replica_key(replica)):
+            yield
+
+    @contextlib.asynccontextmanager
+    async def _lane(self, name: str) -> collections.abc.AsyncIterator[None]:
+        lock = self._lanes.setdefault(name, trio.Lock())
+        self._waiting[name] += 1
+        try:
+            async with lock:
+                yield
+        finally:
+            self._waiting[name] -= 1
+            if not self._waiting[name]:
+                del self._waiting[name]
+                del self._lanes[name]
+
+    def completed(self, request: callers.CallerRequest) -> None:
+        """Note that a request has completed.
+
+        :param request: the request.
+        """
+        fingerprint = self._fingerprint(request)
+        if self._standing(fingerprint).suspected:
+            now = self._context.now()
+            self._context.known.suspicions.clear(fingerprint, now)
+
+    def failed(
+        self,
+        request: callers.CallerRequest,
+        replica: model.ReplicaRecord,
+        outcome: model.Outcome,
+    ) -> None:
+        """Note how an attempt ended that did not complete.
+
+        :param request: the request.
+        :param replica: replica of the attempt.
+        :param outcome: outcome of the attempt.
+        """
+        if outcome.verdict is not model.Verdict.MAY_HAVE_RUN:
+            return
+        if outcome.reason not in LOST:
+            return
+        death = _Death(
+            self._fingerprint(request), replica, self._context.now()
+        )
+        self._deaths.append(death)
+        self._context.known.suspicions.note_crash(
+            death.fingerprint, routing.replica_key(replica), death.at
+        )
+
+    async def run(self) -> None:
+        """Withdraw deaths that were none, until cancelled."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            now = self._context.now()
+            self._context.known.suspicions.forget(now)
+            self._deaths = [x for x in self._deaths if self._stands(x, now)]
+
+    def _stands(self, death: _Death, now: float) -> bool:
+        if now - death.at > CHECKED_FOR_S:
+            return False
+        reports = self._context.known.reports
+        heard = all(
+            vm in reports and reports[vm].observed_at > death.at
+            for vm in death.replica.members
+        )
+        if not heard or not routing.is_usable(death.replica, reports, now):
+            return True
+        self._context.known.suspicions.withdraw(
+            death.fingerprint, routing.replica_key(death.replica), now
+        )
+        return False
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -12,6 +12,7 @@
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import plain
 from wasabilanding.daemon import plain_claims
+from wasabilanding.daemon import poison_guard
 from wasabilanding.daemon import selection
 from wasabilanding.daemon import telemetry
 from wasabilanding import model
@@ -34,9 +35,10 @@
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
-        router = selection.Router(context)
+        self.guard = poison_guard.PoisonGuard(context)
+        router = selection.Router(context, self.guard)
         self._gate = admission.AdmissionGate(context, router)
-        self._attempts = attempts.AttemptRunner(context, router)
+        self._attempts = attempts.AttemptRunner(context, router, self.guard)
         self.claims = claims.ClaimKeeper(context)
         self._draining = False
 
--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -6,6 +6,7 @@
 
 from wasabilanding import callers
 from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import poison_guard
 from wasabilanding import model
 from wasabilanding import routing
 
@@ -58,10 +59,16 @@
     """What this node knows about replicas, for routing.
 
     :param context: what the loops share.
+    :param guard: confines requests to few replicas.
     """
 
-    def __init__(self, context: context_module.Context) -> None:
+    def __init__(
+        self,
+        context: context_module.Context,
+        guard: poison_guard.PoisonGuard,
+    ) -> None:
         self._context = context
+        self._guard = guard
         self._index = routing.ReplicaIndex(context.failure_domain)
         self._loads = routing.LoadView()
         self._paces = routing.PaceView()
@@ -80,6 +87,7 @@
         if self._index.refresh(known.records, known.reports, now):
             self._loads.sweep(self._index.keys)
             self._paces.sweep(self._index.keys)
+            self._guard.swept(self._index)
         return self._index
 
     def slots(self, service: str) -> int:
@@ -109,7 +117,8 @@
             context.now(),
         )
         blocks = routing.block_hashes(request.prompt)
-        wish = routing.Wish(request.service, blocks, tried)
+        allowed = self._guard.confine(request, situation.index, tried)
+        wish = routing.Wish(request.service, blocks, tried, allowed)
         choice = self._choose(situation, wish, context.rng)
         if choice is None:
             raise callers.RequestFailed(
--- a/packages/decisions/wasabilanding/knowledge/book.py
+++ b/packages/decisions/wasabilanding/knowledge/book.py
@@ -6,6 +6,7 @@
 from wasabilanding.configuration import document
 from wasabilanding.knowledge import whole_replicas
 from wasabilanding import model
+from wasabilanding import poison
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,12 +43,18 @@
         self._by_key: dict[str, dict[int, model.ReplicaRecord]] = {}
         self._store_heard_at: float | None = None
         self._informed = False
+        self._suspicions = poison.Suspicions()
 
     @property
     def configuration(self) -> document.Configuration:
         """The configuration in force on this node."""
         return self._configuration
 
+    @property
+    def suspicions(self) -> poison.Suspicions:
+        """Who is suspected of crashing endpoints."""
+        return self._suspicions
+
     @property
     def records(self) -> collections.abc.Mapping[str, model.DomainRecord]:
         """Latest record by failure domain."""
--- /dev/null
+++ b/packages/decisions/wasabilanding/poison/homes.py
@@ -0,0 +1,91 @@
+"""The few replicas of a failure domain that one request may reach."""
+
+import collections.abc
+import hashlib
+
+HOMES = 3
+PREFIX_HOMES = 2
+# Longer than it takes to see a death and to tell all nodes of it.
+KEPT_HOME_S = 10.0
+
+
+def _score(seed: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{seed}/{name}".encode(), digest_size=8).digest()
+
+
+def _ranked(seed: str, names: collections.abc.Iterable[str]) -> list[str]:
+    return sorted(names, key=lambda name: _score(seed, name), reverse=True)
+
+
+def home_names(
+    prefix: str, fingerprint: str, names: collections.abc.Collection[str]
+) -> tuple[str, ...]:
+    """Return the homes of a request, the one by its text first.
+
+    :param prefix: stands for the beginning of its prompt.
+    :param fingerprint: its fingerprint.
+    :param names: replicas of one failure domain that serve it or did so a
+        moment ago.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import poison
+    >>> names = [f"vm-{index}" for index in range(8)]
+    >>> one = poison.home_names("menu", "a", names)
+    >>> other = poison.home_names("menu", "b", reversed(names))
+    >>> len(one), len(set(one) & set(other)) >= 2
+    (3, True)
+    """
+    listed = sorted(names)
+    by_prefix = _ranked(prefix, listed)[:PREFIX_HOMES]
+    others = [name for name in listed if name not in by_prefix]
+    by_text = _ranked(fingerprint, others)[: HOMES - PREFIX_HOMES]
+    return (*by_text, *by_prefix)
+
+
+def trial_names(
+    homes: collections.abc.Iterable[str],
+    crashed: collections.abc.Container[str],
+    usable: collections.abc.Container[str],
+) -> tuple[str, ...]:
+    """Return the home at which a suspect may run, if there is one.
+
+    :param homes: its homes.
+    :param crashed: replicas that died while they ran it.
+    :param usable: replicas that serve at this moment.
+    """
+    left = [name for name in homes if name not in crashed and name in usable]
+    return tuple(left[:1])
+
+
+class RecentlyUsable:
+    """Replicas that serve or did so a moment ago.
+
+    :param kept_s: how long a replica counts after it was last usable, in
+        seconds.
+    """
+
+    def __init__(self, kept_s: float = KEPT_HOME_S) -> None:
+        self._kept_s = kept_s
+        self._seen_at: dict[str, float] = {}
+
+    def update(
+        self, usable: collections.abc.Iterable[str], now: float
+    ) -> None:
+        """Note the replicas that are usable.
+
+        :param usable: their names.
+        :param now: local monotonic time in seconds.
+        """
+        self._seen_at.update((name, now) for name in usable)
+        self._seen_at = {
+            name: at
+            for name, at in self._seen_at.items()
+            if now - at <= self._kept_s
+        }
+
+    @property
+    def names(self) -> collections.abc.Collection[str]:
+        """Names of the replicas."""
+        return self._seen_at.keys()
--- a/packages/decisions/wasabilanding/routing/choice.py
+++ b/packages/decisions/wasabilanding/routing/choice.py
@@ -80,11 +80,13 @@
     :param service: name of the service.
     :param blocks: chained hashes of the prompt.
     :param avoid: keys of replicas that earlier attempts used.
+    :param allowed: keys of the only replicas to choose from; None for all.
     """
 
     service: str
     blocks: tuple[int, ...] = ()
     avoid: frozenset[str] = frozenset()
+    allowed: frozenset[str] | None = None
 
 
 Located = index_module.Located
@@ -122,6 +124,16 @@
     return wait_s + (0.0 if is_local else costs.distance_s)
 
 
+def _allowed(situation: Situation, wish: Wish) -> list[Located]:
+    located = [situation.index.get(key) for key in sorted(wish.allowed or ())]
+    return [
+        x
+        for x in located
+        if x is not None
+        and situation.index.is_usable(x, situation.reports, situation.now)
+    ]
+
+
 def _draw(
     situation: Situation,
     wish: Wish,
@@ -129,8 +141,9 @@
     local_count: int,
     remote_count: int,
 ) -> list[Located]:
-    found = []
-    for local, count in ((True, local_count), (False, remote_count)):
+    found = _allowed(situation, wish)
+    counts = ((True, local_count), (False, remote_count))
+    for local, count in counts if wish.allowed is None else ():
         found += situation.index.draw(
             wish.service,
             local,
@@ -151,6 +164,9 @@
     situation: Situation, wish: Wish, matches: dict[str, int]
 ) -> list[Located]:
     candidates = []
+    if wish.allowed is not None:
+        # All that are allowed are drawn.
+        return candidates
     for key in matches:
         located = situation.index.get(key)
         if (
--- a/packages/decisions/wasabilanding/routing/index.py
+++ b/packages/decisions/wasabilanding/routing/index.py
@@ -136,6 +136,12 @@
         """
         return self._usable.get((service, local), [])
 
+    @property
+    def all_swept(self) -> collections.abc.Iterator[Located]:
+        """All replicas that were usable at the last sweep."""
+        for group in self._usable.values():
+            yield from group
+
     def slots(self, service: str) -> int:
         """Return the batch slots of the replicas usable at the last sweep.
 
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/histories/tests/poison.feature
@@ -0,0 +1,31 @@
+Feature: Poisonous requests
+
+  Scenario Outline: A poisonous request kills three endpoints at most
+    Given a poisonous request that is sent "<how>" with seed <seed>
+    Then at most 3 endpoints of each failure domain died
+    And later copies are refused as poisoned under any key and customer
+    And no innocent request is refused as poisoned
+    And of the innocent requests 95 in 100 completed, and all later ones
+
+    Examples:
+      | how                        | seed |
+      | one after another          | 1    |
+      | together                   | 1    |
+      | together                   | 2    |
+      | non-idempotent             | 1    |
+      | beside innocent requests   | 1    |
+
+  Scenario Outline: The bound needs its mechanism
+    Given the poison guard without <part>
+    And a poisonous request that is sent "<how>" with seed <seed>
+    Then the checker finds more than 3 deaths
+
+    Examples:
+      | part       | how               | seed |
+      | refusal    | one after another | 1    |
+      | homes      | together          | 1    |
+
+  Scenario: Innocent requests that saw two deaths are not condemned
+    Given innocent requests whose replicas are killed twice
+    Then none of them is refused as poisoned
+    And a repeat of each completes
--- a/packages/peers/wasabilanding/peers/messages.py
+++ b/packages/peers/wasabilanding/peers/messages.py
@@ -18,6 +18,7 @@
 from wasabilanding import membership
 from wasabilanding.peers import documents
 from wasabilanding.peers import exchange_pb2
+from wasabilanding.peers import notices
 from wasabilanding.peers import observations
 
 TOLD_REMOTE_MEMBERS = 3
@@ -115,6 +116,7 @@
         documents_digest=documents.digest(known),
         heard_position=cursor.position,
         heard_incarnation=cursor.incarnation,
+        notices=notices.told_notices(known, cursor.incarnation == 0, now),
     )
 
 
@@ -157,6 +159,7 @@
     """
     _learn_state(table, request.sender, now)
     _learn_heartbeats(table, request.heartbeats, now)
+    notices.learn_notices(known, request.notices, now)
     own = table.own
     since = 0
     if request.heard_incarnation == own.incarnation:
@@ -175,6 +178,9 @@
         documents_differ=digest != request.documents_digest,
         position=known.position,
         informed=known.informed,
+        notices=notices.told_notices(
+            known, request.heard_incarnation != own.incarnation, now
+        ),
     )
     if request.known:
         newer = documents.newer_documents(known, request.known)
@@ -260,6 +266,7 @@
         unusable += not _learn_state(table, state, sent_at)
     wanted = _learn_heartbeats(table, reply.heartbeats, sent_at)
     # Whole replicas are told apart by the records, so these come first.
+    unusable += notices.learn_notices(known, reply.notices, sent_at)
     refused = tuple(_learn_documents(known, reply.documents))
     unusable += observations.learn_reports(known, reply, sent_at)
     if reply.HasField("store_age_ms"):
