--- a/packages/decisions/wasabilanding/poison/homes.py
+++ b/packages/decisions/wasabilanding/poison/homes.py
@@ -60,15 +60,21 @@
 
 
 class RecentlyUsable:
-    """Replicas that serve or did so a moment ago.
+    """Replicas that may be homes.
 
-    :param kept_s: how long a replica counts after it was last usable, in
-        seconds.
+    One that died stays until all nodes have heard of it, and a new one
+    waits as long: else a request could go on from a dead home to one that
+    took its place before the notice of the death arrives. Where too few are
+    left without them, new ones count at once.
+
+    :param kept_s: how long a replica stays, or waits, in seconds.
     """
 
     def __init__(self, kept_s: float = KEPT_HOME_S) -> None:
         self._kept_s = kept_s
-        self._seen_at: dict[str, float] = {}
+        self._first_at: dict[str, float] = {}
+        self._last_at: dict[str, float] = {}
+        self._now = 0.0
 
     def update(
         self, usable: collections.abc.Iterable[str], now: float
@@ -78,14 +84,27 @@
         :param usable: their names.
         :param now: local monotonic time in seconds.
         """
-        self._seen_at.update((name, now) for name in usable)
-        self._seen_at = {
-            name: at
-            for name, at in self._seen_at.items()
-            if now - at <= self._kept_s
-        }
+        self._now = now
+        # What a node sees first has not just taken another's place.
+        first_at = now if self._last_at else now - self._kept_s
+        for name in usable:
+            self._first_at.setdefault(name, first_at)
+            self._last_at[name] = now
+        gone = [
+            name
+            for name, at in self._last_at.items()
+            if now - at > self._kept_s
+        ]
+        for name in gone:
+            del self._first_at[name]
+            del self._last_at[name]
 
     @property
     def names(self) -> collections.abc.Collection[str]:
-        """Names of the replicas."""
-        return self._seen_at.keys()
+        """Names of the replicas that may be homes."""
+        settled = [
+            name
+            for name, at in self._first_at.items()
+            if self._now - at >= self._kept_s
+        ]
+        return settled if len(settled) >= HOMES else list(self._first_at)
