--- a/packages/decisions/wasabilanding/placement/rolling.py
+++ b/packages/decisions/wasabilanding/placement/rolling.py
@@ -115,16 +115,41 @@
         _drain_first(situation, draft, victims, active, keep)
 
 
+def _extras(draft: draft_module.Draft, wanted: Wanted) -> Replicas:
+    found = []
+    for service, entry in wanted.items():
+        active = draft.active(service)
+        surplus = len(active) - entry.profile.replicas_per_domain
+        if surplus > 0 and spares.forms_extras(entry.profile):
+            found += active
+    return found
+
+
+def _yield_extra(
+    situation: Situation,
+    draft: draft_module.Draft,
+    profile: model.ReplicaProfile,
+    wanted: Wanted,
+) -> None:
+    if any(r.state is model.ReplicaState.DRAINING for r in draft.replicas):
+        return
+    extras = _with_room(draft, _extras(draft, wanted), profile)
+    for victim in _victims(situation, extras)[:1]:
+        draft.drain(victim)
+
+
 def _scale(
     situation: Situation,
     draft: draft_module.Draft,
     service: str,
-    entry: configuration.ProfileRevision,
+    wanted: Wanted,
 ) -> None:
+    entry = wanted[service]
     active = draft.active(service)
     target = entry.profile.replicas_per_domain
     for _ in range(target - len(active)):
         if not draft.form(service, entry):
+            _yield_extra(situation, draft, entry.profile, wanted)
             return
     if spares.forms_extras(entry.profile):
         return
@@ -150,7 +175,7 @@
         entry = wanted[service]
         active = draft.active(service)
         if all(evidence.has_content(r, entry) for r in active):
-            _scale(situation, draft, service, entry)
+            _scale(situation, draft, service, wanted)
         else:
             _roll(situation, draft, service, entry)
     for replica in list(draft.replicas):
--- /dev/null
+++ b/packages/decisions/wasabilanding/placement/tests/left_over.feature
@@ -0,0 +1,32 @@
+Feature: What becomes of VMs that are left over
+
+  Scenario Outline: A profile weighs spares against extra replicas
+    Given fabric domains of <sizes> VMs
+    And a profile that weighs downtime <downtime> and stranding <stranding>
+    When these happen: wait 20
+    Then the record holds <record>
+
+    Examples: 1 wanted replica of 2 VMs
+      | sizes | downtime | stranding | record                |
+      | 5     | 1        | 1         | a0+a1(a2)             |
+      | 5     | 4        | 1         | a0+a1(a2)             |
+      | 5     | 1        | 4         | a0+a1(a4) a2+a3       |
+      | 4,3   | 1        | 4         | a0+a1 a2+a3 b0+b1(b2) |
+
+  Scenario: An extra replica drains to make room for a wanted one
+    Given fabric domains of 6 VMs
+    And a profile that weighs downtime 1 and stranding 4
+    When these happen: wait 20, run a2, other 3, wait 9
+    Then the record holds a0+a1(a4) a2+a3!
+    And 0 running requests were cut
+
+  Scenario: A wanted replica takes the place of extra ones
+    Given fabric domains of 6 VMs
+    And a profile that weighs downtime 1 and stranding 4
+    When these happen: wait 20, other 3, wait 30
+    Then the record holds a0+a1(a4) a2+a3+a5
+
+  Scenario: The one spare goes to the replica that weighs downtime most
+    Given fabric domains of 5 VMs
+    When a light service and a heavy one want 1 replica of 2 VMs each
+    Then the spare is recorded with the heavy service
--- a/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
+++ b/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
@@ -57,6 +57,17 @@
     fleet.vms[name].place = ("escriba-0", 0)
 
 
+def _other(fleet, size):
+    profile = dataclasses.replace(
+        fleet_module.PROFILE,
+        name="other",
+        model="carta",
+        vms_per_replica=int(size),
+        downtime_weight=9.0,
+    )
+    fleet.configure("zeta", profile)
+
+
 def _deaf(fleet, name):
     fleet.vms[name].knows_drain = False
 
@@ -96,6 +107,7 @@
     "bad": _bad,
     "broken": _broken,
     "stray": _stray,
+    "other": _other,
     "deaf": _deaf,
     "lag": _lag,
     "late": _late,
@@ -284,3 +296,34 @@
 def check_first(context):
     """Compare the times at which the services were whole."""
     assert context.first["zeta"] < context.first["alba"], context.first
+
+
+@behave.given(
+    "a profile that weighs downtime {downtime:g} and stranding {stranding:g}"
+)
+def given_weights(context, downtime, stranding):
+    """Write a profile with these weights."""
+    profile = dataclasses.replace(
+        fleet_module.PROFILE,
+        downtime_weight=downtime,
+        stranding_weight=stranding,
+    )
+    context.fleet.configure(fleet_module.SERVICE, profile)
+
+
+@behave.when("a light service and a heavy one want 1 replica of 2 VMs each")
+def light_and_heavy(context):
+    """Write two profiles of different weight."""
+    for name, weight in (("alba", 1.0), ("zeta", 5.0)):
+        profile = dataclasses.replace(
+            fleet_module.PROFILE, name=name, downtime_weight=weight
+        )
+        context.fleet.configure(name, profile)
+    context.fleet.wait(20)
+
+
+@behave.then("the spare is recorded with the heavy service")
+def check_spare(context):
+    """Compare the service whose replica has the spare."""
+    found = [r.service for r in context.fleet.record.replicas if r.spares]
+    assert found == ["zeta"], found
