Replace a lost member while the platform's service is down

Cause: repair stops with the store.

Each replica's record agrees beforehand on one spare and on an epoch for each member that it may replace. The last holder of control orders the form without the lost member; the reports alone decide which form serves, and any two forms share a VM, so at most one is whole. The form that was taken is recorded when the store is back.

Ruled out: several spares as substitutes at a time (forms with different spares may share no VM), a replica of one VM (same reason), and letting any node decide on members (the record would not be the only authority).

--- a/packages/daemon/wasabilanding/daemon/control.py
+++ b/packages/daemon/wasabilanding/daemon/control.py
@@ -50,11 +50,14 @@
                 await trio.sleep(interval_s)
 
     async def _tick(self) -> None:
+        if self._keeper.has_lapsed:
+            await self._substitute()
         if not self.is_holder:
             return
         if self._fence != self._keeper.fence:
             self._take_over(self._keeper.fence)
         if not self._is_record_certain and not await self._read_record():
+            await self._substitute()
             return
         await self._refresh_listing()
         self._observe()
@@ -170,9 +173,22 @@
             for order in orders:
                 nursery.start_soon(self._send, vms[order.vm], order)
 
-    async def _send(self, vm: model.Vm, order: placement.Order) -> None:
-        if not self.is_holder:
+    async def _substitute(self) -> None:
+        record = self._context.known.record(self._context.failure_domain)
+        if record.fence != self._fence:
             return
+        self._observe()
+        vms = self._vms()
+        async with trio.open_nursery() as nursery:
+            for order in placement.substitution_orders(self._situation()):
+                if order.vm in vms:
+                    nursery.start_soon(self._order, vms[order.vm], order)
+
+    async def _send(self, vm: model.Vm, order: placement.Order) -> None:
+        if self.is_holder:
+            await self._order(vm, order)
+
+    async def _order(self, vm: model.Vm, order: placement.Order) -> None:
         result = await self._context.endpoints.order(vm, order)
         if not result.taken:
             _LOG.warning(
--- a/packages/daemon/wasabilanding/daemon/control_lease.py
+++ b/packages/daemon/wasabilanding/daemon/control_lease.py
@@ -48,6 +48,11 @@
         lease = self._lease
         return lease is not None and lease.is_held(self._context.now())
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether the lease lapsed and the service has not said so yet."""
+        return self._lease is not None and not self.is_held
+
     @property
     def fence(self) -> int:
         """Fencing number of the lease; 0 without one."""
--- a/packages/daemon/wasabilanding/daemon/status.py
+++ b/packages/daemon/wasabilanding/daemon/status.py
@@ -118,7 +118,7 @@
             "fabric_domain": replica.fabric_domain,
             "members": list(replica.members),
             "state": replica.state.value,
-            "serving": routing.is_usable(replica, known.reports, now),
+            "serving": bool(routing.whole_form(replica, known.reports, now)),
         }
 
     def _vm(self, vm: model.Vm) -> dict:
--- a/packages/decisions/wasabilanding/model/replicas.py
+++ b/packages/decisions/wasabilanding/model/replicas.py
@@ -33,6 +33,8 @@
     :param adapters: adapters loaded beside the model.
     :param spares: VMs of the same fabric domain that hold the weights and
         may replace a member.
+    :param substitute_epoch: first of the epochs that are set apart for the
+        first spare in place of each member; 0 for none.
     """
 
     replica_id: str
@@ -48,6 +50,30 @@
     max_running: int = 32
     adapters: tuple[str, ...] = ()
     spares: tuple[str, ...] = ()
+    substitute_epoch: int = 0
+
+    @property
+    def forms(self) -> tuple["ReplicaRecord", ...]:
+        """The replica, then with its first spare in place of each member.
+
+        The forms are agreed beforehand, so that a lost member can be
+        replaced while nothing can be written. Any two of them share a VM,
+        and a VM reports one epoch, so at most one form is whole.
+        """
+        if not self.substitute_epoch:
+            return (self,)
+        return (self, *map(self._form, range(len(self.members))))
+
+    def _form(self, rank: int) -> "ReplicaRecord":
+        members = list(self.members)
+        members[rank] = self.spares[0]
+        return dataclasses.replace(
+            self,
+            epoch=self.substitute_epoch + rank,
+            members=tuple(members),
+            spares=(),
+            substitute_epoch=0,
+        )
 
     @property
     def place(self) -> Place:
--- a/packages/decisions/wasabilanding/placement/__init__.py
+++ b/packages/decisions/wasabilanding/placement/__init__.py
@@ -32,6 +32,7 @@
 from wasabilanding.placement.spares import LeftOverPolicy
 from wasabilanding.placement.spares import spares_only
 from wasabilanding.placement.spares import use_left_over
+from wasabilanding.placement.substitution import substitution_orders
 from wasabilanding.placement.summary import service_lack
 from wasabilanding.placement.summary import summarise
 from wasabilanding.placement.summary import Summary
@@ -62,6 +63,7 @@
     "reversals",
     "service_lack",
     "spares_only",
+    "substitution_orders",
     "summarise",
     "use_left_over",
     "wanted_profiles",
--- a/packages/decisions/wasabilanding/placement/draft.py
+++ b/packages/decisions/wasabilanding/placement/draft.py
@@ -23,6 +23,10 @@
     }
 
 
+def _group(replica: model.ReplicaRecord) -> tuple:
+    return replica.epoch, replica.members, replica.spares
+
+
 class Draft:
     """Replicas, free VMs and next epoch of the record under construction.
 
@@ -135,13 +139,35 @@
 
     def _put(self, replica: model.ReplicaRecord, **changes: object) -> None:
         index = self.replicas.index(replica)
-        self.replicas[index] = dataclasses.replace(replica, **changes)
+        changed = dataclasses.replace(replica, **changes)
+        if _group(changed) != _group(replica):
+            epoch = self._reserve_epochs(changed)
+            changed = dataclasses.replace(changed, substitute_epoch=epoch)
+        self.replicas[index] = changed
+
+    def _reserve_epochs(self, replica: model.ReplicaRecord) -> int:
+        # With a single member two forms would share no VM.
+        if not replica.spares or len(replica.members) < 2:
+            return 0
+        epoch = self._next_epoch
+        self._next_epoch += len(replica.members)
+        return epoch
 
     def _take_epoch(self) -> int:
         epoch = self._next_epoch
         self._next_epoch += 1
         return epoch
 
+    def adopt_form(
+        self, replica: model.ReplicaRecord, form: model.ReplicaRecord
+    ) -> None:
+        """Record the form that a replica has taken as the replica.
+
+        :param replica: the replica.
+        :param form: one of its forms.
+        """
+        self._put(replica, members=form.members, epoch=form.epoch, spares=())
+
     def dissolve(self, replica: model.ReplicaRecord) -> None:
         """Remove a replica.
 
--- a/packages/decisions/wasabilanding/placement/evidence.py
+++ b/packages/decisions/wasabilanding/placement/evidence.py
@@ -31,7 +31,8 @@
     :param situation: what the holder of control knows.
     :param replica: the replica.
     """
-    return routing.is_usable(replica, situation.reports, situation.now)
+    form = routing.whole_form(replica, situation.reports, situation.now)
+    return form is not None
 
 
 def failed_members(
--- a/packages/decisions/wasabilanding/placement/history.py
+++ b/packages/decisions/wasabilanding/placement/history.py
@@ -220,7 +220,7 @@
     return {
         (replica.profile, replica.profile_revision)
         for replica in record.replicas
-        if routing.is_usable(replica, reports, now)
+        if routing.whole_form(replica, reports, now)
     }
 
 
@@ -263,7 +263,11 @@
     reports: Reports,
     now: float,
 ) -> History:
-    expected = {r.place: r.weights for r in record.replicas}
+    expected = {
+        form.place: form.weights
+        for replica in record.replicas
+        for form in replica.forms
+    }
     spares = {vm: r.weights for r in record.replicas for vm in r.spares}
     vms = {
         vm: _advance_vm(
--- a/packages/decisions/wasabilanding/placement/planner.py
+++ b/packages/decisions/wasabilanding/placement/planner.py
@@ -5,7 +5,8 @@
 
 The planner keeps what runs where it is. In this order it
 
-1. removes replicas that have drained, and drains those with a leaving VM,
+1. records which replicas took another form while nothing could be written,
+   removes those that have drained, and drains those with a leaving VM,
 2. repairs replicas that lost members,
 3. lets replicas adopt a revision that asks nothing new of their VMs,
 4. forms missing replicas and supersedes old ones, one at a time,
@@ -29,6 +30,7 @@
 from wasabilanding.placement import rolling
 from wasabilanding.placement import situation as situation_module
 from wasabilanding.placement import spares
+from wasabilanding.placement import substitution
 
 
 def wanted_profiles(
@@ -64,6 +66,7 @@
         return situation.record
     wanted = wanted_profiles(situation.configuration)
     draft = draft_module.Draft(situation)
+    substitution.adopt_forms(situation, draft)
     draining.drop_drained(situation, draft)
     draining.drain_leaving(situation, draft)
     repair.repair_all(situation, draft, wanted)
--- a/packages/decisions/wasabilanding/placement/situation.py
+++ b/packages/decisions/wasabilanding/placement/situation.py
@@ -76,6 +76,8 @@
         :param vm: identity of the VM.
         :param replica: the replica as recorded.
         """
+        if any(self.is_at(vm, form) for form in replica.forms[1:]):
+            return True
         track = self.history.vms.get(vm)
         if track is None or not self.is_alive(vm):
             return False
--- /dev/null
+++ b/packages/decisions/wasabilanding/placement/substitution.py
@@ -0,0 +1,90 @@
+"""Replacing a lost member while nothing can be written.
+
+Explanation
+===========
+
+A record agrees beforehand on one spare for each replica and on an epoch for
+each member that the spare may replace: the replica's forms. While the
+platform's service is down, the last holder of control orders the VMs of a
+broken replica into the form without the lost member. The record stays the
+only authority on which VM belongs to which replica, and the VMs' reports
+alone decide which form serves: any two forms share a VM, which reports one
+epoch, so two nodes that see different losses can at worst keep a replica
+from being whole. Once the service is back, the form that was taken is
+recorded.
+
+Only VMs without a place or in another form of the same replica are moved, so
+that a former holder that was cut off does not disturb a newer record.
+"""
+
+from wasabilanding import model
+from wasabilanding.placement import draft as draft_module
+from wasabilanding.placement import orders
+from wasabilanding.placement import situation as situation_module
+from wasabilanding import routing
+
+Situation = situation_module.Situation
+
+
+def adopt_forms(situation: Situation, draft: draft_module.Draft) -> None:
+    """Record the forms that replicas have taken.
+
+    :param situation: what the holder of control knows.
+    :param draft: the record under construction.
+    """
+    for replica in list(draft.replicas):
+        for form in replica.forms[1:]:
+            if _is_taken(situation, form):
+                draft.adopt_form(replica, form)
+
+
+def _is_taken(situation: Situation, form: model.ReplicaRecord) -> bool:
+    return all(
+        situation.is_alive(vm) and situation.is_at(vm, form)
+        for vm in form.members
+    )
+
+
+def _form_without_lost(
+    situation: Situation, replica: model.ReplicaRecord
+) -> model.ReplicaRecord | None:
+    lost = [
+        rank
+        for rank, vm in enumerate(replica.members)
+        if not situation.is_alive(vm)
+        or situation.reports[vm].place == model.NO_PLACE
+    ]
+    if len(lost) != 1 or len(replica.forms) == 1:
+        return None
+    form = replica.forms[1 + lost[0]]
+    places = {model.NO_PLACE, *(f.place for f in replica.forms)}
+    for vm in form.members:
+        if not situation.is_alive(vm) or vm not in situation.reports:
+            return None
+        if situation.reports[vm].place not in places:
+            return None
+    return form
+
+
+def substitution_orders(situation: Situation) -> tuple[orders.Load, ...]:
+    """Return the orders that replace lost members as agreed beforehand.
+
+    :param situation: what the last holder of control knows.
+    """
+    if situation.history.is_settling(situation.now):
+        return ()
+    found = []
+    for replica in situation.record.replicas:
+        if replica.state is not model.ReplicaState.ACTIVE:
+            continue
+        if routing.whole_form(replica, situation.reports, situation.now):
+            continue
+        form = _form_without_lost(situation, replica)
+        if form is None:
+            continue
+        found += [
+            orders.Load(vm, form, situation.record.fence)
+            for vm in form.members
+            if not situation.is_at(vm, form)
+        ]
+    return tuple(found)
--- a/packages/decisions/wasabilanding/placement/summary.py
+++ b/packages/decisions/wasabilanding/placement/summary.py
@@ -61,7 +61,8 @@
     :param reports: latest report of each VM.
     :param now: local monotonic time in seconds.
     """
-    usable = [r for r in record.replicas if routing.is_usable(r, reports, now)]
+    forms = [routing.whole_form(r, reports, now) for r in record.replicas]
+    usable = [form for form in forms if form is not None]
     draining = [r for r in record.replicas if _is_busy(r, reports, now)]
     placed = {vm for r in (*usable, *draining) for vm in r.members}
     accelerators = {vm.vm: vm.accelerators for vm in vms}
--- a/packages/decisions/wasabilanding/placement/tests/fleet.py
+++ b/packages/decisions/wasabilanding/placement/tests/fleet.py
@@ -76,6 +76,7 @@
         self.bad_versions: set[str] = set()
         self.cut = 0
         self.late_until = 0.0
+        self.store_down = False
         self.max_loading = 16
         self.orders: tuple[placement.Order, ...] = ()
 
@@ -121,7 +122,9 @@
             self.history, self.record, self.reports, self.now
         )
         planned = placement.plan(self.situation())
-        if self._write(planned):
+        if self.store_down:
+            self.substitute(self.record)
+        elif self._write(planned):
             self._carry_out()
         self._take_back()
         return planned
@@ -161,7 +164,17 @@
             self.records.append(self.record)
         return fate == "taken"
 
+    def substitute(self, record: model.DomainRecord) -> None:
+        """Carry out what a record agreed on for when nothing is written."""
+        situation = dataclasses.replace(self.situation(), record=record)
+        for order in placement.substitution_orders(situation):
+            vm = self.vms[order.vm]
+            if vm.alive and not vm.paused:
+                self.obey(vm, order)
+
     def _take_back(self) -> None:
+        if self.store_down:
+            return
         for reversal in placement.reversals(self.situation()):
             document = reversal.apply(self.configuration)
             self.configuration = dataclasses.replace(
--- a/packages/decisions/wasabilanding/placement/tests/machine.py
+++ b/packages/decisions/wasabilanding/placement/tests/machine.py
@@ -24,7 +24,8 @@
     for replica in record.replicas:
         fabrics = {vm[0] for vm in (*replica.members, *replica.spares)}
         assert fabrics == {replica.fabric_domain}, replica
-        assert replica.epoch < record.next_epoch, record
+        for form in replica.forms:
+            assert form.epoch < record.next_epoch, record
 
 
 class Planner(stateful.RuleBasedStateMachine):
@@ -131,6 +132,17 @@
                 order = placement.Load(vm, replica, record.fence)
                 self.fleet.obey(target, order)
 
+    @stateful.rule(down=strategies.booleans())
+    def reach_store(self, down):
+        """Let the store go down or come back."""
+        self.fleet.store_down = down
+
+    @stateful.rule(back=strategies.integers(1, 5))
+    def substitute_late(self, back):
+        """Let a former holder act on an old record."""
+        records = self.fleet.records
+        self.fleet.substitute(records[-min(back, len(records))])
+
     @stateful.rule(ticks=strategies.integers(1, 12))
     def step(self, ticks):
         """Let time pass."""
@@ -169,9 +181,10 @@
 
     def _check_epochs(self) -> None:
         for replica in self.fleet.record.replicas:
-            content = (replica.replica_id, replica.members)
-            known = self.epochs.setdefault(replica.epoch, content)
-            assert known == content, (replica, known)
+            for form in replica.forms:
+                content = (form.replica_id, form.members)
+                known = self.epochs.setdefault(form.epoch, content)
+                assert known == content, (form, known)
 
     def _check_minimum(self, before, planned, situation) -> None:
         after = {r.replica_id: r for r in planned.replicas}
--- a/packages/decisions/wasabilanding/placement/tests/planner.feature
+++ b/packages/decisions/wasabilanding/placement/tests/planner.feature
@@ -35,6 +35,7 @@
       | 2     | restart a1, wait 9             |
       | 2     | kill a0, wait 1, restart a0, wait 9 |
       | 2     | stray a0, wait 9               |
+      | 3     | down, pause a1, wait 3, kill a2, resume a1, wait 3, up, wait 9 |
 
   Scenario Outline: Planned changes drain first and cut nothing
     Given fabric domains of <sizes> VMs
@@ -67,6 +68,25 @@
       | deaf a0, late 10, change version=v2, wait 30 | a0+a1! a2+a3 |
       | deaf a0, late 10, change version=v2, wait 60 | a2+a3(a0)  |
 
+  Scenario Outline: A recorded spare replaces a member while nothing is written
+    Given fabric domains of <sizes> VMs
+    And 1 wanted replicas of 2 VMs
+    When these happen: <events>
+    Then <serving> replicas serve
+    And the record holds <record>
+
+    Examples:
+      | sizes | events                                              | serving | record    |
+      | 3     | down, kill a1, wait 5                               | 1       | a0+a1(a2) |
+      | 3     | down, kill a0, wait 5                               | 1       | a0+a1(a2) |
+      | 3     | down, kill a1, wait 5, up, wait 1                   | 1       | a0+a2     |
+      | 3     | down, kill a1, wait 5, restart a1, wait 9           | 1       | a0+a1(a2) |
+      | 3     | down, pause a1, wait 5, resume a1, wait 9, up, wait 5 | 1     | a0+a2(a1) |
+      | 3     | down, restart a1, wait 9                            | 1       | a0+a1(a2) |
+      | 3     | down, kill a1, wait 5, kill a2, wait 5              | 0       | a0+a1(a2) |
+      | 3     | down, stray a0, kill a1, wait 5                     | 0       | a0+a1(a2) |
+      | 2     | down, kill a1, wait 5                               | 0       | a0+a1     |
+
   Scenario Outline: Nothing is written while nothing changes
     Given fabric domains of <sizes> VMs
     And <count> wanted replicas of <vms> VMs
--- a/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
+++ b/packages/decisions/wasabilanding/placement/tests/steps/planner_steps.py
@@ -108,6 +108,8 @@
     "broken": _broken,
     "stray": _stray,
     "other": _other,
+    "down": lambda fleet, _: setattr(fleet, "store_down", True),
+    "up": lambda fleet, _: setattr(fleet, "store_down", False),
     "deaf": _deaf,
     "lag": _lag,
     "late": _late,
--- a/packages/decisions/wasabilanding/routing/__init__.py
+++ b/packages/decisions/wasabilanding/routing/__init__.py
@@ -62,6 +62,7 @@
 from wasabilanding.routing.evidence import FRESHNESS_S
 from wasabilanding.routing.evidence import is_usable
 from wasabilanding.routing.evidence import usable_replicas
+from wasabilanding.routing.evidence import whole_form
 from wasabilanding.routing.index import Located
 from wasabilanding.routing.index import replica_key
 from wasabilanding.routing.index import ReplicaIndex
@@ -95,4 +96,5 @@
     "replica_key",
     "token_count",
     "usable_replicas",
+    "whole_form",
 ]
--- a/packages/decisions/wasabilanding/routing/evidence.py
+++ b/packages/decisions/wasabilanding/routing/evidence.py
@@ -46,6 +46,25 @@
     )
 
 
+def whole_form(
+    replica: model.ReplicaRecord,
+    reports: Reports,
+    now: float,
+    freshness_s: float = FRESHNESS_S,
+) -> model.ReplicaRecord | None:
+    """Return the form of a replica that may receive new work, if any.
+
+    :param replica: the replica as recorded.
+    :param reports: latest report of each VM.
+    :param now: local monotonic time in seconds.
+    :param freshness_s: age in seconds up to which a report counts.
+    """
+    for form in replica.forms:
+        if is_usable(form, reports, now, freshness_s):
+            return form
+    return None
+
+
 def usable_replicas(
     replicas: collections.abc.Iterable[model.ReplicaRecord],
     service: str,
@@ -61,9 +80,9 @@
     :param now: local monotonic time in seconds.
     :param freshness_s: age in seconds up to which a report counts.
     """
-    return tuple(
-        replica
+    forms = (
+        whole_form(replica, reports, now, freshness_s)
         for replica in replicas
         if replica.service == service
-        and is_usable(replica, reports, now, freshness_s)
     )
+    return tuple(form for form in forms if form is not None)
--- a/packages/decisions/wasabilanding/routing/index.py
+++ b/packages/decisions/wasabilanding/routing/index.py
@@ -91,9 +91,10 @@
         if changed:
             self._revisions = revisions
             self._all = {
-                replica_key(replica): Located(replica, domain)
+                replica_key(form): Located(form, domain)
                 for domain, record in records.items()
                 for replica in record.replicas
+                for form in replica.forms
             }
         if changed or now - self._swept_at >= SWEEP_S:
             self._sweep(reports, now)
--- a/packages/experiments/wasabilanding/experiments/faults/record_history.py
+++ b/packages/experiments/wasabilanding/experiments/faults/record_history.py
@@ -78,10 +78,10 @@
         ]
         if len(placed) != len(set(placed)):
             self._note(f"a VM is placed twice: {record.replicas}")
-        for replica in record.replicas:
-            known = self._members.setdefault(replica.place, replica.members)
-            if known != replica.members:
-                self._note(f"{replica.place} has {known}, {replica.members}")
+        for form in (f for r in record.replicas for f in r.forms):
+            known = self._members.setdefault(form.place, form.members)
+            if known != form.members:
+                self._note(f"{form.place} has {known}, {form.members}")
 
     def _read_engines(self) -> None:
         busy: dict[str, str] = {}
--- a/packages/experiments/wasabilanding/experiments/faults/repair_runs.py
+++ b/packages/experiments/wasabilanding/experiments/faults/repair_runs.py
@@ -22,11 +22,13 @@
     :param violations: what must never be, and was.
     :param writes: writes of the record.
     :param downtime_s: time in which the replica did not serve, in seconds.
+    :param later_downtime_s: the same once the store is up again.
     """
 
     violations: tuple[record_history.Violation, ...]
     writes: int
     downtime_s: float
+    later_downtime_s: float
 
 
 async def _run(
@@ -55,18 +57,25 @@
         nursery.start_soon(history.watch)
         await trio.sleep(SAMPLE_S)
         system.kill_vm(history.records[-1].replicas[0].members[1])
-        downtime_s = 0.0
-        until = trio.current_time() + REPAIR_S
-        while trio.current_time() < until:
-            await trio.sleep(SAMPLE_S)
-            downtime_s += SAMPLE_S * _is_down(system)
+        downtime_s = await _downtime(system)
+        system.platform.faults.down = False
+        later_downtime_s = await _downtime(system)
         nursery.cancel_scope.cancel()
     writes = len(history.records) - 1
     return RepairResult(
-        tuple(history.violations), writes, round(downtime_s, 2)
+        tuple(history.violations), writes, downtime_s, later_downtime_s
     )
 
 
+async def _downtime(system: cluster_module.Cluster) -> float:
+    downtime_s = 0.0
+    until = trio.current_time() + REPAIR_S
+    while trio.current_time() < until:
+        await trio.sleep(SAMPLE_S)
+        downtime_s += SAMPLE_S * _is_down(system)
+    return round(downtime_s, 2)
+
+
 def _is_down(system: cluster_module.Cluster) -> bool:
     serving = [
         running.node.status.summary(DOMAIN).serving
--- a/packages/experiments/wasabilanding/experiments/faults/tests/fencing.feature
+++ b/packages/experiments/wasabilanding/experiments/faults/tests/fencing.feature
@@ -18,6 +18,17 @@
     Then nothing that must never be was seen
     And the repair took one write
 
+  Scenario Outline: A member dies while the store is down
+    When a member of a replica dies among <vms> VMs and the store is down
+    Then nothing that must never be was seen
+    And the replica was down for <least> to <most> seconds
+    And it did not stop serving when the store came back: <kept>
+
+    Examples: with a recorded spare and without
+      | vms | least | most | kept |
+      | 3   | 0     | 1    | yes  |
+      | 2   | 9     | 12   | no   |
+
   Scenario Outline: Runs under random faults
     When a run with seed <seed> has engines that <engines> old orders
     Then nothing that must never be was seen
--- a/packages/experiments/wasabilanding/experiments/faults/tests/steps/fencing_steps.py
+++ b/packages/experiments/wasabilanding/experiments/faults/tests/steps/fencing_steps.py
@@ -68,3 +68,24 @@
 def check_writes(context):
     """Compare the revisions of the record."""
     assert context.result.writes == 1, context.result
+
+
+@behave.when(
+    "a member of a replica dies among {vms:d} VMs and the store is down"
+)
+def die_without_store(context, vms):
+    """Kill a VM while nothing can be written."""
+    context.result = repair_runs.run_seeded(store_down=True, vms=vms)
+
+
+@behave.then("the replica was down for {least:d} to {most:d} seconds")
+def check_range(context, least, most):
+    """Compare the time without service."""
+    assert least <= context.result.downtime_s <= most, context.result
+
+
+@behave.then("it did not stop serving when the store came back: {kept}")
+def check_kept(context, kept):
+    """Compare the time without service once the store is back."""
+    served = context.result.later_downtime_s == 0
+    assert served == (kept == "yes"), context.result
