--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -1,13 +1,11 @@
 """Shared, immutable types: profiles, replicas, reports and outcomes.
 
 Explanation
-===========
 
 Every other package speaks in these types. They hold no behaviour beyond
 small derived values, and none of them performs input or output.
 
 See Also
-========
 
 wasabilanding.configuration : the operators' document built from profiles.
 wasabilanding.placement : decisions about replicas.
@@ -28,6 +26,8 @@
 from wasabilanding.model.profiles import Profile
 from wasabilanding.model.profiles import ReplicaProfile
 from wasabilanding.model.replicas import DomainRecord
+from wasabilanding.model.replicas import NO_PLACE
+from wasabilanding.model.replicas import Place
 from wasabilanding.model.replicas import ReplicaRecord
 from wasabilanding.model.replicas import ReplicaState
 from wasabilanding.model.reports import Vm
@@ -37,8 +37,10 @@
 __all__ = [
     "DomainRecord",
     "InvalidDocument",
+    "NO_PLACE",
     "Name",
     "Outcome",
+    "Place",
     "PlainProfile",
     "Profile",
     "Reason",
