--- a/packages/experiments/wasabilanding/experiments/histories/tests/poison.feature
+++ b/packages/experiments/wasabilanding/experiments/histories/tests/poison.feature
@@ -13,6 +13,9 @@
       | together                   | 1    |
       | together                   | 2    |
       | non-idempotent             | 1    |
+      | staggered                  | 1    |
+      | staggered, VMs restart     | 1    |
+      | staggered, VMs restart     | 2    |
       | beside innocent requests   | 1    |
 
   Scenario Outline: The bound needs its mechanism
--- a/packages/experiments/wasabilanding/experiments/histories/tests/steps/poison_steps.py
+++ b/packages/experiments/wasabilanding/experiments/histories/tests/steps/poison_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import random
 import unittest.mock
 
 import behave
@@ -28,6 +29,8 @@
 ROUNDS = 3
 INNOCENTS = 60
 TELL_S = 2.0
+STAGGERED_S = 6.0
+RESTART_S = 1.0
 LONG = 200
 
 
@@ -39,9 +42,15 @@
     ]
 
 
-def _watch_deaths(system: cluster.Cluster) -> list[histories.Death]:
+def _watch_deaths(
+    system: cluster.Cluster, restarter: trio.Nursery | None
+) -> list[histories.Death]:
     deaths: list[histories.Death] = []
 
+    async def restart(vm: str) -> None:
+        await trio.sleep(RESTART_S)
+        system.restart_vm(vm)
+
     def watch(domain: str, fleet) -> None:
         kill = fleet.kill
 
@@ -49,6 +58,8 @@
             now = trio.current_time()
             deaths.append(histories.Death(domain, PILL, vm, now))
             kill(vm)
+            if restarter is not None:
+                restarter.start_soon(restart, vm)
 
         fleet.kill = noted
 
@@ -57,10 +68,13 @@
     return deaths
 
 
-async def _all(system, calls) -> list[histories.Submission]:
+async def _all(
+    system, calls, delays_s=lambda: 0.0
+) -> list[histories.Submission]:
     tries: list[histories.Submission] = []
 
     async def one(node: str, prompt: str, options: dict) -> None:
+        await trio.sleep(delays_s())
         tries.append(await histories.submit(system, node, prompt, **options))
 
     async with trio.open_nursery() as nursery:
@@ -100,15 +114,23 @@
 async def _poison_run(how: str, seed: int) -> _Run:
     plan = dataclasses.replace(PLAN, seed=seed)
     rounds = 8 if how == "one after another" else ROUNDS
+    spread_s = STAGGERED_S if how.startswith("staggered") else 0.0
+    rng = random.Random(seed)
     innocent = []
-    async with cluster.open_cluster(plan) as system:
+    async with (
+        cluster.open_cluster(plan) as system,
+        trio.open_nursery() as nursery,
+    ):
         await system.configure(SERVICE, PROFILE)
         for domain in plan.failure_domains:
             await system.wait_serving(domain, PROFILE.replicas_per_domain)
-        deaths = _watch_deaths(system)
+        restarts = how.endswith("VMs restart")
+        deaths = _watch_deaths(system, nursery if restarts else None)
         for number in range(rounds):
             tries = await _all(
-                system, _innocents(how, number) + _copies(how, number)
+                system,
+                _innocents(how, number) + _copies(how, number),
+                lambda: rng.uniform(0.0, spread_s),
             )
             innocent += [x for x in tries if x.prompt != PILL]
             await trio.sleep(TELL_S)
