Add experiments: load and faults from one seed, results, comparison, plots

'wasabilanding experiment run|compare|plot|schema'. Mode direct drives the daemon's own admission and routing against the stand-in engines without HTTP; mode whole drives the whole in-process system.

--- a/packages/command/wasabilanding/command/main.py
+++ b/packages/command/wasabilanding/command/main.py
@@ -5,6 +5,7 @@
 import typer
 
 from wasabilanding.command import customer
+from wasabilanding.command import experiment
 from wasabilanding.command import profile
 from wasabilanding.command import service
 from wasabilanding.command import settings
@@ -22,6 +23,7 @@
 application.add_typer(service.app, name="service")
 application.add_typer(customer.app, name="customer")
 application.add_typer(settings.app, name="settings")
+application.add_typer(experiment.app, name="experiment")
 application.command("status")(status.status)
 
 
--- a/packages/daemon/wasabilanding/daemon/admission.py
+++ b/packages/daemon/wasabilanding/daemon/admission.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import typing
 
 import trio
 
@@ -15,15 +16,19 @@
 
 LIMIT_INTERVAL_S = 0.25
 
+Limit = collections.abc.Callable[[int, int], int]
+
 
 @dataclasses.dataclass
 class Work:
     """What an admitted request has done so far.
 
+    :param engine_priority: priority that its engine is told.
     :param generated: tokens of its answer.
     :param completed: whether its whole answer was delivered.
     """
 
+    engine_priority: int
     generated: int = 0
     completed: bool = False
 
@@ -39,12 +44,18 @@
 
     :param context: what the loops share.
     :param router: knows the usable replicas.
+    :param limit: returns the limit from the batch slots and the number of
+        entry VMs that share them.
     """
 
     def __init__(
-        self, context: context_module.Context, router: selection.Router
+        self,
+        context: context_module.Context,
+        router: selection.Router,
+        limit: Limit = limits.concurrency_limit,
     ) -> None:
         self._context = context
+        self._limit = limit
         self._router = router
         self._admission = limits.Admission(context.settings.max_in_flight)
         self._waiters: dict[str, _Waiter] = {}
@@ -77,7 +88,7 @@
         context = self._context
         entry_vms = len(context.members.live(context.now()))
         slots = self._router.slots(service)
-        limit = limits.concurrency_limit(slots, entry_vms)
+        limit = self._limit(slots, entry_vms)
         self._carry_out(
             self._admission.set_limit(service, limit, context.now())
         )
@@ -114,8 +125,10 @@
         :param deadline: local monotonic time in seconds.
         :raises wasabilanding.callers.RequestFailed: when it is refused.
         """
-        await self._enter(request, deadline)
-        work = Work()
+        admitted = await self._enter(request, deadline)
+        work = Work(
+            limits.engine_priority(request.priority, admitted.within_share)
+        )
         try:
             yield work
         finally:
@@ -123,7 +136,7 @@
 
     async def _enter(
         self, request: callers.CallerRequest, deadline: float
-    ) -> None:
+    ) -> limits.Admitted:
         context = self._context
         if request.service not in self._admission.services:
             self._refresh_limit(request.service)
@@ -145,6 +158,7 @@
             self._note_idle()
         if isinstance(waiter.decision, limits.Shed):
             raise callers.RequestFailed(waiter.decision.outcome)
+        return typing.cast(limits.Admitted, waiter.decision)
 
     async def _wait(self, ticket: str, waiter: _Waiter) -> None:
         try:
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/cache_watch.py
@@ -0,0 +1,45 @@
+"""Asks engines for their cache events, a few a second."""
+
+import trio
+
+from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import selection
+from wasabilanding import routing
+
+# One question costs about 1.5 ms of processor time.
+QUESTIONS_PER_S = 4.0
+
+
+async def _ask(
+    context: context_module.Context,
+    router: selection.Router,
+    cursor: routing.CacheCursor,
+) -> None:
+    index = router.refresh()
+    key = cursor.next_key(index.keys)
+    located = index.get(key) if key else None
+    if key is None or located is None:
+        return
+    vm = context.known.vm(located.replica.leader)
+    if vm is None:
+        return
+    answer = await context.endpoints.cache_events(vm, cursor.after(key))
+    place = (located.replica.replica_id, located.replica.epoch)
+    if answer is None or (answer.replica_id, answer.epoch) != place:
+        return
+    cursor.note(key, answer.events)
+    router.prefixes.apply(key, answer.events)
+
+
+async def follow_caches(
+    context: context_module.Context, router: selection.Router
+) -> None:
+    """Keep the view of the engines' caches up to date until cancelled.
+
+    :param context: what the loops share.
+    :param router: holds the view.
+    """
+    cursor = routing.CacheCursor()
+    while True:
+        await _ask(context, router, cursor)
+        await trio.sleep(1 / QUESTIONS_PER_S)
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -14,6 +14,7 @@
 import trio_asyncio
 
 from wasabilanding import callers
+from wasabilanding.daemon import cache_watch
 from wasabilanding.daemon import configuration_watch
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import control
@@ -120,6 +121,9 @@
         nursery.start_soon(self.controller.run)
         nursery.start_soon(self.status.measure)
         nursery.start_soon(self.service.gate.run)
+        nursery.start_soon(
+            cache_watch.follow_caches, context, self.service.router
+        )
 
     async def drain(self) -> None:
         """Wait until the balancer has seen the notice and nothing runs."""
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -33,9 +33,9 @@
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
-        router = selection.Router(context)
-        self._gate = admission.AdmissionGate(context, router)
-        self._attempts = attempts.AttemptRunner(context, router)
+        self._router = selection.Router(context)
+        self._gate = admission.AdmissionGate(context, self._router)
+        self._attempts = attempts.AttemptRunner(context, self._router)
         self._draining = False
 
     @property
@@ -43,6 +43,11 @@
         """Where requests wait for a slot."""
         return self._gate
 
+    @property
+    def router(self) -> selection.Router:
+        """What is known for routing."""
+        return self._router
+
     @property
     def in_flight(self) -> int:
         """Requests in flight, those that wait for a slot included."""
@@ -85,7 +90,10 @@
             async with admitted as work:
                 # After the wait, so that nothing holds a claim in a queue.
                 await claims.claim(context, request, span)
-                batches = self._attempts.run(request, span, progress)
+                sent = dataclasses.replace(
+                    request, priority=work.engine_priority
+                )
+                batches = self._attempts.run(sent, span, progress)
                 async with contextlib.aclosing(batches):
                     async for batch in batches:
                         yield batch
--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -58,15 +58,20 @@
     """What this node knows about replicas, for routing.
 
     :param context: what the loops share.
+    :param choose: policy by which replicas are chosen.
     """
 
-    def __init__(self, context: context_module.Context) -> None:
+    def __init__(
+        self,
+        context: context_module.Context,
+        choose: routing.Policy = routing.choose_by_cost,
+    ) -> None:
         self._context = context
+        self._choose = choose
         self._index = routing.ReplicaIndex(context.failure_domain)
         self._loads = routing.LoadView()
         self._paces = routing.PaceView()
         self._prefixes = routing.PrefixView()
-        self._choose = routing.POLICIES["cost"]
 
     @property
     def prefixes(self) -> routing.PrefixView:
@@ -107,6 +112,7 @@
             self._paces,
             self._prefixes,
             context.now(),
+            len(context.members.live(context.now())),
         )
         blocks = routing.block_hashes(request.prompt)
         wish = routing.Wish(request.service, blocks, tried)
--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -30,7 +30,7 @@
 ()
 >>> ask = limits.Ask("r1", "escriba", "salon", 64.0, 5, deadline=9.0)
 >>> admission.offer(ask, configuration.Customer(), now=0.0)
-(Admitted(ticket='r1'),)
+(Admitted(ticket='r1', within_share=True),)
 
 See Also
 ========
@@ -57,6 +57,7 @@
 from wasabilanding.limits.asks import estimated_tokens
 from wasabilanding.limits.fair_queue import FairQueue
 from wasabilanding.limits.share import concurrency_limit
+from wasabilanding.limits.share import engine_priority
 from wasabilanding.limits.slot_time import SlotTime
 
 __all__ = [
@@ -69,5 +70,6 @@
     "Shed",
     "SlotTime",
     "concurrency_limit",
+    "engine_priority",
     "estimated_tokens",
 ]
--- a/packages/decisions/wasabilanding/limits/admission.py
+++ b/packages/decisions/wasabilanding/limits/admission.py
@@ -1,14 +1,18 @@
 """Admission of requests: at once, after a wait, or not at all."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from wasabilanding import configuration
 from wasabilanding.limits import asks
 from wasabilanding.limits import fair_queue
 from wasabilanding.limits import slot_time
+from wasabilanding.limits import stretch
 from wasabilanding import model
 
+# Share of the limit that customers beyond their own share may fill.
+SHARED_FILL = 0.8
 COMEBACK_S = 1.0
 MAX_COMEBACK_S = 60.0
 
@@ -18,9 +22,11 @@
     """A request may run now.
 
     :param ticket: identity of the request.
+    :param within_share: whether its customer runs no more than its share.
     """
 
     ticket: str
+    within_share: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,6 +50,7 @@
     ask: asks.Ask
     weight: float
     since: float
+    predicted_s: float = 0.0
 
 
 class _Service:
@@ -53,25 +60,62 @@
         # None until the first limit is known: then nothing waits.
         self.limit: int | None = None
         self.running = 0
+        self.by_customer: collections.Counter[str] = collections.Counter()
+        # Of customers that ran something since the last sweep.
+        self.weights: dict[str, float] = {}
         self.queue = fair_queue.FairQueue()
         self.slot_time = slot_time.SlotTime()
+        self.stretch = stretch.Stretch()
 
-    @property
-    def has_room(self) -> bool:
-        """Whether a slot is free; without a limit, always."""
-        return not self.limit or self.running < self.limit
+    def has_room(self, within_share: bool) -> bool:
+        """Tell whether a slot is free; without a limit, always.
+
+        :param within_share: whether the request's customer runs no more
+            than its share.
+        """
+        if not self.limit:
+            return True
+        fill = 1.0 if within_share else SHARED_FILL
+        return self.running < max(1.0, self.limit * fill)
 
     def run_s(self, ask: asks.Ask) -> float:
         """Return how long a request is expected to run, in seconds."""
-        return ask.tokens * self.slot_time.per_token_s
+        return self.slot_time.expected_s(ask.tokens)
 
-    def lateness_s(self, ask: asks.Ask, now: float) -> float:
-        """Return by how much a waiting request would miss its deadline."""
+    def predicted_s(self, ask: asks.Ask) -> float:
+        """Return how long the work before a waiting request takes."""
         work = self.queue.work_before(ask.ticket)
-        per_slot = work * self.slot_time.per_token_s
-        wait_s = per_slot / max(1, self.limit or 1)
+        held_s = work * self.slot_time.mean_per_token_s
+        return held_s / max(1, self.limit or 1)
+
+    def lateness_s(
+        self, ask: asks.Ask, predicted_s: float, now: float
+    ) -> float:
+        """Return by how much a waiting request would miss its deadline."""
+        wait_s = self.stretch.corrected_s(
+            ask.customer, ask.priority, predicted_s
+        )
         return now + wait_s + self.run_s(ask) - ask.deadline
 
+    def sweep(self, customers: collections.abc.Container[str]) -> None:
+        """Forget customers that neither run nor wait."""
+        self.queue.sweep()
+        self.stretch.sweep(customers)
+        self.weights = {
+            name: weight
+            for name, weight in self.weights.items()
+            if name in customers
+        }
+
+    def learn(self, holder: _Holder, now: float) -> None:
+        """Learn from the wait of a request that is served or gives up."""
+        self.stretch.observe(
+            holder.ask.customer,
+            holder.ask.priority,
+            holder.predicted_s,
+            now - holder.since,
+        )
+
 
 def _overloaded(ask: asks.Ask, late_s: float) -> Shed:
     comeback_s = min(MAX_COMEBACK_S, max(COMEBACK_S, late_s))
@@ -156,35 +200,77 @@
 
     def _serve(self, service: _Service, now: float) -> Decisions:
         decisions: list[Decision] = []
-        while service.has_room:
-            ask = service.queue.pop()
-            if ask is None:
+        while service.has_room(True):
+            found = self._next(service)
+            if found is None:
                 break
-            holder = self._waiting.pop(ask.ticket)
-            late_s = now + service.run_s(ask) - ask.deadline
-            if late_s > 0:
-                service.queue.charge(ask.customer, -ask.tokens, holder.weight)
-                self._leave(ask.customer)
-                decisions.append(_overloaded(ask, late_s))
-                continue
-            service.running += 1
-            holder = dataclasses.replace(holder, since=now)
-            self._running[ask.ticket] = holder
-            decisions.append(Admitted(ask.ticket))
+            decisions.append(self._decide(service, found, now))
         return tuple(decisions)
 
+    def _next(self, service: _Service) -> Admitted | None:
+        # A customer beyond its share does not hold up one within it.
+        for ask in service.queue.heads():
+            within_share = self._is_within_share(service, ask)
+            if service.has_room(within_share):
+                return Admitted(ask.ticket, within_share)
+        return None
+
+    def _decide(
+        self, service: _Service, found: Admitted, now: float
+    ) -> Decision:
+        holder = self._waiting.pop(found.ticket)
+        ask = holder.ask
+        service.queue.serve(found.ticket)
+        service.learn(holder, now)
+        late_s = now + service.run_s(ask) - ask.deadline
+        if late_s > 0:
+            return self._refuse_late(service, holder, late_s)
+        self._start(service, holder, now)
+        return found
+
+    def _refuse_late(
+        self, service: _Service, holder: _Holder, late_s: float
+    ) -> Shed:
+        ask = holder.ask
+        service.queue.charge(ask.customer, -ask.tokens, holder.weight)
+        self._leave(ask.customer)
+        return _overloaded(ask, late_s)
+
+    def _start(self, service: _Service, holder: _Holder, now: float) -> None:
+        service.running += 1
+        service.by_customer[holder.ask.customer] += 1
+        self._running[holder.ask.ticket] = dataclasses.replace(
+            holder, since=now
+        )
+
+    def _is_within_share(self, service: _Service, ask: asks.Ask) -> bool:
+        """Tell whether a customer would run no more than its share."""
+        if not service.limit:
+            return True
+        weight = self._waiting[ask.ticket].weight
+        service.weights[ask.customer] = weight
+        total = sum(service.weights.values())
+        share = max(1.0, service.limit * weight / total)
+        return service.by_customer[ask.customer] + 1 <= share
+
     def _shed_late(
         self, service: _Service, ask: asks.Ask, now: float
     ) -> Decisions:
         decisions = []
         if ask.ticket in service.queue:
-            late_s = service.lateness_s(ask, now)
+            predicted_s = service.predicted_s(ask)
+            holder = self._waiting[ask.ticket]
+            self._waiting[ask.ticket] = dataclasses.replace(
+                holder, predicted_s=predicted_s
+            )
+            late_s = service.lateness_s(ask, predicted_s, now)
             if late_s > 0:
                 decisions.append(self._shed(service, ask, late_s))
         # What the request pushed back is last: the lowest priority.
         last = service.queue.last_of(ask.customer)
         while last and last.priority < ask.priority:
-            late_s = service.lateness_s(last, now)
+            predicted_s = service.predicted_s(last)
+            late_s = service.lateness_s(last, predicted_s, now)
             if late_s <= 0:
                 break
             decisions.append(self._shed(service, last, late_s))
@@ -222,7 +308,8 @@
             return ()
         ask = holder.ask
         service = self._service(ask.service)
-        late_s = service.lateness_s(ask, now)
+        service.learn(holder, now)
+        late_s = service.lateness_s(ask, service.predicted_s(ask), now)
         return (self._shed(service, ask, late_s),)
 
     def withdraw(self, ticket: str) -> None:
@@ -249,6 +336,9 @@
         ask = holder.ask
         service = self._service(ask.service)
         service.running -= 1
+        service.by_customer[ask.customer] -= 1
+        if not service.by_customer[ask.customer]:
+            del service.by_customer[ask.customer]
         self._leave(ask.customer)
         if tokens is not None:
             service.slot_time.observe(ask.tokens, now - holder.since)
@@ -267,5 +357,5 @@
         """
         state = self._service(service)
         state.limit = limit
-        state.queue.sweep()
+        state.sweep(self._by_customer)
         return self._serve(state, now)
--- a/packages/decisions/wasabilanding/limits/fair_queue.py
+++ b/packages/decisions/wasabilanding/limits/fair_queue.py
@@ -63,20 +63,22 @@
         bisect.insort(flow.entries, entry)
         self._entries[ask.ticket] = entry
 
-    def pop(self) -> asks.Ask | None:
-        """Take the request that is served next.
+    def heads(self) -> list[asks.Ask]:
+        """Return each customer's next request, fairest first."""
+        waiting = [f for f in self._flows.values() if f.entries]
+        waiting.sort(key=lambda f: (f.tag, f.entries[0].rank[1]))
+        return [flow.entries[0].ask for flow in waiting]
+
+    def serve(self, ticket: str) -> None:
+        """Take out a request to serve it and charge its customer.
 
-        :returns: the request, or None when the queue is empty.
+        :param ticket: a request that :meth:`heads` returned.
         """
-        waiting = [f for f in self._flows.values() if f.entries]
-        if not waiting:
-            return None
-        flow = min(waiting, key=lambda f: (f.tag, f.entries[0].rank[1]))
+        ask = self._entries[ticket].ask
+        flow = self._flows[ask.customer]
         self._virtual = max(self._virtual, flow.tag)
-        ask = flow.entries[0].ask
         flow.tag += ask.tokens / flow.weight
-        self._remove(flow, ask.ticket)
-        return ask
+        self._remove(flow, ticket)
 
     def remove(self, ticket: str) -> asks.Ask | None:
         """Take a request out without serving it.
--- a/packages/decisions/wasabilanding/limits/slot_time.py
+++ b/packages/decisions/wasabilanding/limits/slot_time.py
@@ -1,22 +1,40 @@
-"""How long a request holds a batch slot, per token of estimated work."""
+"""How long a request holds a batch slot, given its estimated work.
 
-LEARNING_RATE = 0.05
+Explanation
+===========
+
+A request holds its slot for a fixed part, until its first token, and a part
+in proportion to its tokens. Both follow from a least-squares line through
+exponentially weighted observations [1]_.
+
+References
+==========
+
+.. [1] P. Young, "Recursive Estimation and Time-Series Analysis", 2nd ed.,
+       Springer, 2011.
+"""
+
+LEARNING_RATE = 0.02
 
 
 class SlotTime:
-    """Moving average of the slot time per token.
+    """Line through the observed slot times.
 
     :param learning_rate: weight of each new observation.
     """
 
     def __init__(self, learning_rate: float = LEARNING_RATE) -> None:
         self._learning_rate = learning_rate
-        self._per_token_s: float | None = None
+        self._count = 0
+        self._tokens = 0.0
+        self._held_s = 0.0
+        self._tokens_squared = 0.0
+        self._tokens_held_s = 0.0
 
     @property
-    def per_token_s(self) -> float:
-        """Seconds per token; 0 before the first observation."""
-        return self._per_token_s or 0.0
+    def mean_per_token_s(self) -> float:
+        """Mean slot time over mean tokens; 0 before any observation."""
+        return self._held_s / self._tokens if self._tokens else 0.0
 
     def observe(self, tokens: float, held_s: float) -> None:
         """Learn from a request that completed.
@@ -24,9 +42,35 @@
         :param tokens: its estimated work.
         :param held_s: time in which it held its slot, in seconds.
         """
-        seen = held_s / max(1.0, tokens)
-        known = self._per_token_s
-        if known is None:
-            self._per_token_s = seen
-            return
-        self._per_token_s = known + self._learning_rate * (seen - known)
+        self._count += 1
+        rate = max(self._learning_rate, 1 / self._count)
+        self._tokens += rate * (tokens - self._tokens)
+        self._held_s += rate * (held_s - self._held_s)
+        squared = tokens * tokens
+        self._tokens_squared += rate * (squared - self._tokens_squared)
+        product = tokens * held_s
+        self._tokens_held_s += rate * (product - self._tokens_held_s)
+
+    def expected_s(self, tokens: float) -> float:
+        """Return how long a request is expected to hold a slot.
+
+        :param tokens: its estimated work.
+        :returns: seconds, 0 before any observation.
+
+        Examples
+        ========
+
+        >>> from wasabilanding import limits
+        >>> times = limits.SlotTime()
+        >>> for tokens in (10, 20, 30):
+        ...     times.observe(tokens, 0.1 + 0.01 * tokens)
+        >>> round(times.expected_s(100), 3)
+        1.1
+        """
+        variance = self._tokens_squared - self._tokens**2
+        if variance <= 0:
+            return self.mean_per_token_s * tokens
+        covariance = self._tokens_held_s - self._tokens * self._held_s
+        slope_s = max(0.0, covariance / variance)
+        fixed_s = max(0.0, self._held_s - slope_s * self._tokens)
+        return fixed_s + slope_s * tokens
--- a/packages/decisions/wasabilanding/routing/__init__.py
+++ b/packages/decisions/wasabilanding/routing/__init__.py
@@ -9,8 +9,8 @@
 cannot make one serve with a foreign or missing VM.
 
 Among usable replicas the choice weighs four things that are each known only
-roughly: load (:class:`LoadView`: the last report, which is late, and what
-this node sent and finished since), cached prefixes (:class:`PrefixView`:
+roughly: load (:class:`LoadView`: reports, which are late, and this node's
+own requests in flight), cached prefixes (:class:`PrefixView`:
 the node's own sends and the engines' cache events, which come late and with
 gaps), stragglers (:class:`PaceView`: the time between parts in observed
 streams) and distance. :class:`ReplicaIndex` keeps the cost of a choice
@@ -59,22 +59,30 @@
 from wasabilanding.routing.choice import Policy
 from wasabilanding.routing.choice import Situation
 from wasabilanding.routing.choice import Wish
+from wasabilanding.routing.cursor import CacheCursor
 from wasabilanding.routing.evidence import FRESHNESS_S
 from wasabilanding.routing.evidence import is_usable
 from wasabilanding.routing.evidence import usable_replicas
-from wasabilanding.routing.index import Located
-from wasabilanding.routing.index import replica_key
 from wasabilanding.routing.index import ReplicaIndex
+from wasabilanding.routing.load_view import Crowd
 from wasabilanding.routing.load_view import LoadView
+from wasabilanding.routing.located import Located
+from wasabilanding.routing.located import replica_key
 from wasabilanding.routing.pace import PaceView
 from wasabilanding.routing.prefix import block_hashes
 from wasabilanding.routing.prefix import BLOCK_TOKENS
+from wasabilanding.routing.prefix import CacheEvent
+from wasabilanding.routing.prefix import CacheEvents
 from wasabilanding.routing.prefix import PrefixView
 from wasabilanding.routing.prefix import token_count
 
 __all__ = [
     "BLOCK_TOKENS",
+    "CacheCursor",
+    "CacheEvent",
+    "CacheEvents",
     "Costs",
+    "Crowd",
     "FRESHNESS_S",
     "LoadView",
     "Located",
--- a/packages/decisions/wasabilanding/routing/choice.py
+++ b/packages/decisions/wasabilanding/routing/choice.py
@@ -26,6 +26,7 @@
 from wasabilanding.routing import evidence
 from wasabilanding.routing import index as index_module
 from wasabilanding.routing import load_view
+from wasabilanding.routing import located as located_module
 from wasabilanding.routing import pace as pace_module
 from wasabilanding.routing import prefix
 
@@ -61,6 +62,7 @@
     :param paces: how slow each replica is.
     :param prefixes: what each replica has cached.
     :param now: local monotonic time in seconds.
+    :param entry_vms: live entry VMs, this one included.
     :param costs: what parts of the expected time cost.
     """
 
@@ -70,6 +72,7 @@
     paces: pace_module.PaceView
     prefixes: prefix.PrefixView
     now: float
+    entry_vms: int = 1
     costs: Costs = Costs()
 
 
@@ -87,16 +90,16 @@
     avoid: frozenset[str] = frozenset()
 
 
-Located = index_module.Located
+Located = located_module.Located
 Policy = collections.abc.Callable[
     [Situation, Wish, random.Random], Located | None
 ]
 
 
-def _load(situation: Situation, located: Located) -> float:
+def _reported_load(situation: Situation, located: Located) -> float:
     replica = located.replica
     report = situation.reports.get(replica.leader)
-    load = situation.loads.estimate(replica, report)
+    load = situation.loads.latest(replica, report)
     return load / replica.max_running
 
 
@@ -113,7 +116,12 @@
     """
     costs = situation.costs
     room = located.replica.max_running
-    load = _load(situation, located) * room
+    load = situation.loads.estimate(
+        located.replica,
+        situation.reports.get(located.replica.leader),
+        situation.index.crowd(located.replica.service, situation.entry_vms),
+        situation.now,
+    )
     wait_s = costs.full_batch_s * min(1.0, load / room)
     wait_s += costs.slot_s * max(0.0, load + 1 - room)
     wait_s += costs.block_s * uncached_blocks
@@ -142,7 +150,7 @@
     fresh = [
         x
         for x in found
-        if index_module.replica_key(x.replica) not in wish.avoid
+        if located_module.replica_key(x.replica) not in wish.avoid
     ]
     return fresh or found
 
@@ -184,7 +192,7 @@
         return None
 
     def cost(located: Located) -> float:
-        key = index_module.replica_key(located.replica)
+        key = located_module.replica_key(located.replica)
         uncached = len(wish.blocks) - matches.get(key, 0)
         return expected_wait_s(situation, located, uncached)
 
@@ -214,7 +222,7 @@
     :param rng: source of randomness.
     """
     found = _draw(situation, wish, rng, EVERY_REPLICA, EVERY_REPLICA)
-    return min(found, key=lambda x: _load(situation, x), default=None)
+    return min(found, key=lambda x: _reported_load(situation, x), default=None)
 
 
 def choose_of_two(
@@ -228,7 +236,7 @@
     """
     found = _draw(situation, wish, rng, EVERY_REPLICA, EVERY_REPLICA)
     drawn = rng.sample(found, min(2, len(found)))
-    return min(drawn, key=lambda x: _load(situation, x), default=None)
+    return min(drawn, key=lambda x: _reported_load(situation, x), default=None)
 
 
 POLICIES: dict[str, Policy] = {
--- a/packages/decisions/wasabilanding/routing/index.py
+++ b/packages/decisions/wasabilanding/routing/index.py
@@ -11,38 +11,19 @@
 """
 
 import collections.abc
-import dataclasses
 import random
 
 from wasabilanding import model
 from wasabilanding.routing import evidence
+from wasabilanding.routing import load_view
+from wasabilanding.routing import located as located_module
 
 SWEEP_S = 0.25
 
 Records = collections.abc.Mapping[str, model.DomainRecord]
 
 
-def replica_key(replica: model.ReplicaRecord) -> str:
-    """Return a name of a replica that is unique among failure domains.
-
-    Replica identities are unique in one failure domain only. A replica whose
-    members changed has an empty cache and counts as another one.
-
-    :param replica: the replica.
-    """
-    return f"{replica.leader}@{replica.epoch}"
-
-
-@dataclasses.dataclass(frozen=True)
-class Located:
-    """A replica and where it is.
-
-    :param replica: the replica.
-    :param failure_domain: its failure domain.
-    """
-
-    replica: model.ReplicaRecord
-    failure_domain: str
+Located = located_module.Located
 
 
 class ReplicaIndex:
@@ -62,6 +43,7 @@
         self._revisions: dict[str, int] = {}
         self._all: dict[str, Located] = {}
         self._usable: dict[tuple[str, bool], list[Located]] = {}
+        self._loads: dict[str, tuple[int, int]] = {}
         self._swept_at = float("-inf")
 
     @property
@@ -91,7 +73,7 @@
         if changed:
             self._revisions = revisions
             self._all = {
-                replica_key(replica): Located(replica, domain)
+                located_module.replica_key(replica): Located(replica, domain)
                 for domain, record in records.items()
                 for replica in record.replicas
             }
@@ -103,10 +85,28 @@
     def _sweep(self, reports: evidence.Reports, now: float) -> None:
         self._swept_at = now
         self._usable = {}
+        self._loads = {}
         for located in self._all.values():
             if self.is_usable(located, reports, now):
                 group = (located.replica.service, self.is_local(located))
                 self._usable.setdefault(group, []).append(located)
+                self._add_load(located, reports)
+
+    def _add_load(self, located: Located, reports: evidence.Reports) -> None:
+        report = reports[located.replica.leader]
+        service = located.replica.service
+        count, load = self._loads.get(service, (0, 0))
+        load += report.running + report.queued
+        self._loads[service] = (count + 1, load)
+
+    def crowd(self, service: str, entry_vms: int) -> load_view.Crowd:
+        """Return all replicas of a service as of the last sweep.
+
+        :param service: name of the service.
+        :param entry_vms: live entry VMs, this one included.
+        """
+        count, load = self._loads.get(service, (0, 0))
+        return load_view.Crowd(count, load / max(1, count), entry_vms)
 
     def is_local(self, located: Located) -> bool:
         """Tell whether a replica is in the own failure domain.
--- a/packages/decisions/wasabilanding/routing/pace.py
+++ b/packages/decisions/wasabilanding/routing/pace.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from wasabilanding import model
-from wasabilanding.routing import index
+from wasabilanding.routing import located
 
 LEARNING_RATE = 0.2
 MEAN_LEARNING_RATE = 0.02
@@ -37,7 +37,7 @@
         :param interval_s: mean time between its parts in seconds.
         :param now: local monotonic time in seconds.
         """
-        key = index.replica_key(replica)
+        key = located.replica_key(replica)
         pace = self._paces.setdefault(key, _Pace(interval_s, now))
         pace.interval_s += LEARNING_RATE * (interval_s - pace.interval_s)
         pace.at = now
@@ -53,7 +53,7 @@
         :param now: local monotonic time in seconds.
         :returns: at least 1.
         """
-        pace = self._paces.get(index.replica_key(replica))
+        pace = self._paces.get(located.replica_key(replica))
         if pace is None or not self._mean_s:
             return 1.0
         excess = min(MAX_FACTOR, pace.interval_s / self._mean_s) - 1.0
--- a/packages/decisions/wasabilanding/routing/prefix.py
+++ b/packages/decisions/wasabilanding/routing/prefix.py
@@ -19,7 +19,9 @@
 
 import collections
 import collections.abc
+import dataclasses
 import hashlib
+import typing
 
 CHARACTERS_PER_TOKEN = 4
 BLOCK_TOKENS = 64
@@ -65,6 +67,36 @@
     return tuple(hashes)
 
 
+@dataclasses.dataclass(frozen=True)
+class CacheEvent:
+    """One change of an engine's cache, as the engine published it.
+
+    :param sequence: number of the event, counted from 1.
+    :param kind: stored or removed.
+    :param block: chained hash of the block.
+    :param at: the engine's time of the change in seconds.
+    """
+
+    sequence: int
+    kind: typing.Literal["stored", "removed"]
+    block: int
+    at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheEvents:
+    """What an engine published about its cache.
+
+    :param replica_id: replica that it leads.
+    :param epoch: epoch of that replica; events count anew in each.
+    :param events: the events in order; some may be missing.
+    """
+
+    replica_id: str
+    epoch: int
+    events: tuple[CacheEvent, ...]
+
+
 class PrefixView:
     """What a node believes that each replica has cached.
 
@@ -112,6 +144,20 @@
             if not places:
                 del self._places[block]
 
+    def apply(
+        self, replica: str, events: collections.abc.Iterable[CacheEvent]
+    ) -> None:
+        """Note what an engine published; events may be missing.
+
+        :param replica: key of the replica.
+        :param events: the events in order.
+        """
+        for event in events:
+            if event.kind == "stored":
+                self.store(replica, (event.block,))
+            else:
+                self.remove(replica, event.block)
+
     def forget(self, replica: str) -> None:
         """Forget all blocks of a replica.
 
--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -7,6 +7,7 @@
 
 from wasabilanding import model
 from wasabilanding import placement
+from wasabilanding import routing
 
 CALL_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 1000
@@ -74,6 +75,25 @@
             return None
         return dataclasses.replace(report, observed_at=now)
 
+    async def cache_events(
+        self, vm: model.Vm, after: int
+    ) -> routing.CacheEvents | None:
+        """Ask a VM for its published cache events.
+
+        :param vm: the VM.
+        :param after: sequence number that is already known.
+        :returns: the events, or None without a usable answer.
+        """
+        try:
+            response = await self._http.get(
+                f"{vm.address}/v1/cache-events", params={"after": after}
+            )
+            if response.is_error:
+                return None
+            return model.decode(routing.CacheEvents, response.content)
+        except (httpx.HTTPError, model.InvalidDocument):
+            return None
+
     async def order(
         self, vm: model.Vm, order: placement.Load | placement.Release
     ) -> OrderResult:
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/study/load.py
@@ -0,0 +1,131 @@
+"""Open arrivals: requests come whether or not earlier ones are answered."""
+
+import collections.abc
+import dataclasses
+import heapq
+import itertools
+import random
+
+from wasabilanding.experiments.study import specification
+from wasabilanding.routing import prefix
+
+WORD_SPACE = 36**6
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request.
+
+    :param at_s: when it arrives, in seconds from the start.
+    :param request_id: its identity.
+    :param customer: its customer.
+    :param prompt: its text.
+    :param answer_tokens: length of its answer.
+    :param priority: from 0, shed first, to 9.
+    :param deadline_s: seconds from arrival.
+    :param idempotent: whether it may run more than once.
+    """
+
+    at_s: float
+    request_id: str
+    customer: str
+    prompt: str
+    answer_tokens: int
+    priority: int
+    deadline_s: float
+    idempotent: bool
+
+
+def _text(rng: random.Random, tokens: int) -> str:
+    size = tokens * prefix.CHARACTERS_PER_TOKEN
+    words = size // 8 + 1
+    return " ".join(f"{rng.randrange(WORD_SPACE):07d}" for _ in range(words))[
+        :size
+    ]
+
+
+def _beginnings(experiment: specification.Experiment) -> list[str]:
+    load = experiment.load
+    rng = random.Random(f"{experiment.seed}/prefixes")
+    return [_text(rng, load.prefix_tokens) for _ in range(load.prefix_groups)]
+
+
+def _length(rng: random.Random, mean: int, most: int) -> int:
+    return max(1, min(most, round(rng.expovariate(1 / mean))))
+
+
+class _Source:
+    """Requests of one customer.
+
+    Each customer has a random source of its own, so that the others keep
+    their requests when one is added or left out.
+    """
+
+    def __init__(
+        self,
+        experiment: specification.Experiment,
+        customer: specification.CustomerLoad,
+        beginnings: list[str],
+    ) -> None:
+        self._load = experiment.load
+        self._customer = customer
+        self._beginnings = beginnings
+        self._rng = random.Random(f"{experiment.seed}/{customer.name}")
+        self._until = min(
+            experiment.duration_s,
+            customer.until_s or experiment.duration_s,
+        )
+        self._weights = list(
+            itertools.accumulate(
+                (place + 1) ** -experiment.load.prefix_skew
+                for place in range(len(beginnings))
+            )
+        )
+
+    def arrivals(self) -> collections.abc.Iterator[Arrival]:
+        """Yield its requests in order of time."""
+        rate = self._customer.rate_per_s
+        at_s = self._customer.from_s
+        for number in itertools.count():
+            if not rate:
+                return
+            at_s += self._rng.expovariate(rate)
+            if at_s >= self._until:
+                return
+            yield self._arrival(at_s, number)
+
+    def _arrival(self, at_s: float, number: int) -> Arrival:
+        rng = self._rng
+        load = self._load
+        beginning = ""
+        if self._beginnings:
+            drawn = rng.choices(self._beginnings, cum_weights=self._weights)
+            beginning = drawn[0]
+        rest = _length(rng, load.prompt_tokens, 8 * load.prompt_tokens)
+        return Arrival(
+            at_s=at_s,
+            request_id=f"{self._customer.name}-{number}",
+            customer=self._customer.name,
+            prompt=beginning + _text(rng, rest),
+            answer_tokens=_length(
+                rng, load.answer_tokens, load.max_answer_tokens
+            ),
+            priority=rng.choice(load.priorities),
+            deadline_s=load.deadline_s,
+            idempotent=rng.random() >= load.non_idempotent,
+        )
+
+
+def arrivals(
+    experiment: specification.Experiment,
+) -> collections.abc.Iterator[Arrival]:
+    """Yield all requests of an experiment in order of time.
+
+    :param experiment: the experiment.
+    """
+    beginnings = _beginnings(experiment)
+    sources = [
+        _Source(experiment, customer, beginnings).arrivals()
+        for customer in experiment.load.customers
+    ]
+    return heapq.merge(*sources, key=lambda arrival: arrival.at_s)
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/study/run.py
@@ -0,0 +1,122 @@
+"""Runs an experiment on the mock clock."""
+
+import collections.abc
+import dataclasses
+import functools
+import typing
+
+import trio
+
+from wasabilanding.experiments import cluster
+from wasabilanding.experiments.study import direct
+from wasabilanding.experiments.study import faults
+from wasabilanding.experiments.study import load
+from wasabilanding.experiments.study import results
+from wasabilanding.experiments.study import specification
+from wasabilanding.experiments.study import whole
+from wasabilanding import standins
+
+WATCH_INTERVAL_S = 0.25
+ACCELERATORS_PER_VM = 8
+
+Progress = collections.abc.Callable[[float, float], None]
+
+
+class System(faults.Faulty, typing.Protocol):
+    """What an experiment runs against."""
+
+    @property
+    def engines(self) -> collections.abc.Mapping[str, standins.Engine]:
+        """Engines by VM."""
+
+    async def start(self) -> None:
+        """Start it and wait until it serves."""
+
+    async def serve(self, arrival: load.Arrival) -> None:
+        """Serve one request and note how it ended."""
+
+    def wanted(self) -> int:
+        """Return how many replicas it is to hold."""
+
+
+MODES = {"direct": direct.DirectSystem, "whole": whole.WholeSystem}
+
+
+def _moment(system: System, at_s: float) -> results.Moment:
+    engines = system.engines
+    leaders = [e for e in engines.values() if e.alive and e.is_whole()]
+    serving = [e for e in leaders if e.paused.is_set()]
+    placed = sum(len(engine.members) for engine in serving)
+    return results.Moment(
+        at_s=round(at_s, 3),
+        down=max(0, system.wanted() - len(serving)),
+        stranded=ACCELERATORS_PER_VM * (len(engines) - placed),
+    )
+
+
+async def _watch(
+    experiment: specification.Experiment,
+    system: System,
+    recorder: results.Recorder,
+    progress: Progress,
+    begun_s: float,
+) -> None:
+    steps = round(experiment.duration_s / WATCH_INTERVAL_S)
+    for step in range(steps + 1):
+        at_s = step * WATCH_INTERVAL_S
+        await trio.sleep_until(begun_s + at_s)
+        recorder.watch(_moment(system, at_s))
+        progress(at_s, experiment.duration_s)
+
+
+async def _arrive(
+    experiment: specification.Experiment, system: System, begun_s: float
+) -> None:
+    async with trio.open_nursery() as requests:
+        for arrival in load.arrivals(experiment):
+            await trio.sleep_until(begun_s + arrival.at_s)
+            requests.start_soon(system.serve, arrival)
+
+
+async def _run(
+    experiment: specification.Experiment, progress: Progress
+) -> results.Results:
+    recorder = results.Recorder(experiment.warmup_s)
+    async with trio.open_nursery() as background:
+        kind = MODES[experiment.system.mode]
+        system = kind(experiment, background, recorder)
+        await system.start()
+        begun_s = trio.current_time()
+        watch = functools.partial(
+            _watch, experiment, system, recorder, progress, begun_s
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            nursery.start_soon(
+                faults.follow, experiment.faults, system, begun_s
+            )
+            nursery.start_soon(_arrive, experiment, system, begun_s)
+        background.cancel_scope.cancel()
+    return recorder.results(
+        experiment.name,
+        experiment.seed,
+        dataclasses.asdict(experiment.policies),
+        experiment.duration_s,
+    )
+
+
+def _silent(at_s: float, duration_s: float) -> None:
+    pass
+
+
+def run_experiment(
+    experiment: specification.Experiment, progress: Progress = _silent
+) -> results.Results:
+    """Run an experiment.
+
+    :param experiment: the experiment.
+    :param progress: is told the time reached and the whole time, in
+        seconds of the mock clock.
+    :returns: its results, the same for the same experiment.
+    """
+    return cluster.run_seeded(_run, experiment, progress, seed=experiment.seed)
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/study/specification.py
@@ -0,0 +1,287 @@
+"""The document that describes an experiment, checked."""
+
+import collections.abc
+import dataclasses
+import pathlib
+import typing
+
+import pydantic
+
+from wasabilanding import model
+from wasabilanding.model import codec
+from wasabilanding import standins
+
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+]
+Count = typing.Annotated[int, pydantic.Field(ge=1, le=10_000)]
+Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
+Moment = typing.Annotated[float, pydantic.Field(ge=0, le=86_400)]
+Rate = typing.Annotated[float, pydantic.Field(ge=0, le=100_000)]
+Share = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
+Priority = typing.Annotated[int, pydantic.Field(ge=0, le=9)]
+
+VM_FAULTS = frozenset(("kill_vm", "restart_vm", "pause_vm", "resume_vm"))
+SLOW_FAULTS = frozenset(("slow_vm",))
+NODE_FAULTS = frozenset(("kill_node", "start_node", "drain_node"))
+PLATFORM_FAULTS = frozenset(("platform_down", "platform_up", "platform_slow"))
+DOMAIN_FAULTS = frozenset(("cut", "heal"))
+DIRECT_FAULTS = VM_FAULTS | SLOW_FAULTS
+FaultKind = typing.Literal[
+    "kill_vm",
+    "restart_vm",
+    "pause_vm",
+    "resume_vm",
+    "slow_vm",
+    "silence_vm",
+    "kill_node",
+    "start_node",
+    "drain_node",
+    "platform_down",
+    "platform_up",
+    "platform_slow",
+    "cut",
+    "heal",
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class System:
+    """What the system is made of.
+
+    :param mode: direct or whole.
+    :param failure_domains: names of the failure domains.
+    :param nodes_per_domain: entry VMs in each.
+    :param fabrics_per_domain: fabric domains in each.
+    :param vms_per_fabric: VMs in each fabric domain.
+    :param vms_per_replica: VMs that a replica spans.
+    :param replicas_per_domain: replicas wanted in each failure domain.
+    :param observation_interval_s: time between reports in seconds.
+    :param engine: how the engines behave.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    mode: typing.Literal["direct", "whole"] = "direct"
+    failure_domains: typing.Annotated[
+        tuple[Name, ...], pydantic.Field(min_length=1)
+    ] = ("prov", "nunoa", "maipu")
+    nodes_per_domain: Count = 1
+    fabrics_per_domain: Count = 2
+    vms_per_fabric: Count = 2
+    vms_per_replica: Count = 2
+    replicas_per_domain: Count = 2
+    observation_interval_s: Seconds = 0.7
+    engine: standins.EngineSettings = standins.EngineSettings()
+
+    def __post_init__(self) -> None:
+        """Refuse replicas that do not fit."""
+        per_fabric = self.vms_per_fabric // self.vms_per_replica
+        room = per_fabric * self.fabrics_per_domain
+        if self.replicas_per_domain > room:
+            raise ValueError(
+                f"replicas_per_domain: {self.replicas_per_domain} replicas "
+                f"of {self.vms_per_replica} VMs do not fit, {room} do"
+            )
+
+
+@dataclasses.dataclass(frozen=True)
+class CustomerLoad:
+    """Requests of one customer.
+
+    :param name: its name.
+    :param rate_per_s: requests a second, arriving by a Poisson process.
+    :param weight: its share relative to the other customers.
+    :param max_in_flight: requests in flight per entry VM; 0 for no limit.
+    :param from_s: when it begins, in seconds.
+    :param until_s: when it ends, in seconds; 0 for the end of the run.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    name: Name
+    rate_per_s: Rate
+    weight: typing.Annotated[float, pydantic.Field(gt=0, le=1000)] = 1.0
+    max_in_flight: typing.Annotated[int, pydantic.Field(ge=0)] = 0
+    from_s: Moment = 0.0
+    until_s: Moment = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """The load as a whole.
+
+    :param customers: the customers.
+    :param prefix_groups: prompts of one group begin alike; 0 for none.
+    :param prefix_skew: exponent of the Zipf distribution over groups.
+    :param prefix_tokens: length of the common beginning.
+    :param prompt_tokens: mean length of the rest, exponentially distributed.
+    :param answer_tokens: mean length of an answer, exponentially
+        distributed.
+    :param max_answer_tokens: bound on the length of an answer.
+    :param deadline_s: deadline of each request in seconds.
+    :param priorities: each request takes one of these at random.
+    :param non_idempotent: share of requests that must run at most once.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    customers: typing.Annotated[
+        tuple[CustomerLoad, ...], pydantic.Field(min_length=1)
+    ]
+    prefix_groups: typing.Annotated[int, pydantic.Field(ge=0, le=10_000)] = 0
+    prefix_skew: typing.Annotated[float, pydantic.Field(ge=0, le=4)] = 1.0
+    prefix_tokens: Count = 1024
+    prompt_tokens: Count = 128
+    answer_tokens: Count = 64
+    max_answer_tokens: Count = 512
+    deadline_s: Seconds = 30.0
+    priorities: typing.Annotated[
+        tuple[Priority, ...], pydantic.Field(min_length=1)
+    ] = (5,)
+    non_idempotent: Share = 0.0
+
+    def __post_init__(self) -> None:
+        """Refuse customers of the same name."""
+        names = [customer.name for customer in self.customers]
+        twice = sorted({name for name in names if names.count(name) > 1})
+        if twice:
+            raise ValueError(f"customers: {twice[0]!r} is listed twice")
+
+
+@dataclasses.dataclass(frozen=True)
+class Policies:
+    """Policies by name.
+
+    :param routing: how replicas are chosen.
+    :param admission: ``fair`` queues by customer; ``none`` lets all through.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    routing: typing.Literal[
+        "cost", "least_loaded", "random", "two_choices"
+    ] = "cost"
+    admission: typing.Literal["fair", "none"] = "fair"
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault on the timeline.
+
+    :param at_s: when it happens, in seconds.
+    :param kind: what happens.
+    :param target: VM, node or failure domain; ``platform`` names the
+        platform as the end of a cut.
+    :param other: other end of a cut.
+    :param amount: factor of ``slow_vm``, seconds of ``platform_slow``.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    at_s: Moment
+    kind: FaultKind
+    target: str = ""
+    other: str = ""
+    amount: typing.Annotated[float, pydantic.Field(gt=0, le=3600)] = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Experiment:
+    """An experiment.
+
+    :param name: its name.
+    :param load: the load.
+    :param system: what the system is made of.
+    :param policies: policies by name.
+    :param faults: faults on the timeline.
+    :param seed: seed of all random choices.
+    :param duration_s: time in which requests arrive, in seconds.
+    :param warmup_s: time whose requests are not counted, in seconds.
+    """
+
+    __pydantic_config__ = codec.STRICT
+
+    name: Name
+    load: Load
+    system: System = System()
+    policies: Policies = Policies()
+    faults: tuple[Fault, ...] = ()
+    seed: int = 1
+    duration_s: Seconds = 60.0
+    warmup_s: Moment = 5.0
+
+    def __post_init__(self) -> None:
+        """Refuse what does not fit together."""
+        if self.warmup_s >= self.duration_s:
+            raise ValueError(
+                f"warmup_s: {self.warmup_s} is not less than duration_s, "
+                f"{self.duration_s}"
+            )
+        for place, fault in enumerate(self.faults):
+            self._check_fault(f"faults.{place}", fault)
+
+    def _check_fault(self, path: str, fault: Fault) -> None:
+        if self.system.mode == "direct" and fault.kind not in DIRECT_FAULTS:
+            raise ValueError(
+                f"{path}.kind: {fault.kind!r} needs the system's mode whole"
+            )
+        if fault.at_s > self.duration_s:
+            raise ValueError(
+                f"{path}.at_s: {fault.at_s} is after the run's end, "
+                f"{self.duration_s}"
+            )
+        for field, allowed in self._allowed(fault.kind).items():
+            value = getattr(fault, field)
+            if value not in allowed:
+                raise ValueError(
+                    f"{path}.{field}: {value!r} is none of "
+                    f"{', '.join(sorted(allowed)) or 'nothing'}"
+                )
+
+    def _allowed(
+        self, kind: str
+    ) -> dict[str, collections.abc.Collection[str]]:
+        if kind in PLATFORM_FAULTS:
+            return {"target": ("", "platform")}
+        if kind in DOMAIN_FAULTS:
+            ends = (*self.system.failure_domains, "platform")
+            return {"target": ends, "other": ends}
+        if kind in NODE_FAULTS:
+            return {"target": node_names(self.system)}
+        return {"target": vm_names(self.system)}
+
+
+def node_names(system: System) -> tuple[str, ...]:
+    """Return the names of all entry VMs.
+
+    :param system: what the system is made of.
+    """
+    return tuple(
+        f"{domain}-node-{index}"
+        for domain in system.failure_domains
+        for index in range(system.nodes_per_domain)
+    )
+
+
+def vm_names(system: System) -> tuple[str, ...]:
+    """Return the names of all VMs of endpoints.
+
+    :param system: what the system is made of.
+    """
+    return tuple(
+        f"{domain}-{fabric}-{index}"
+        for domain in system.failure_domains
+        for fabric in range(system.fabrics_per_domain)
+        for index in range(system.vms_per_fabric)
+    )
+
+
+def load_experiment(path: pathlib.Path) -> Experiment:
+    """Read and check an experiment.
+
+    :param path: the JSON file.
+    :raises OSError: when the file can't be read.
+    :raises wasabilanding.model.InvalidDocument: when it does not fit.
+    """
+    return model.decode(Experiment, path.read_bytes())
--- a/packages/standins/wasabilanding/standins/__init__.py
+++ b/packages/standins/wasabilanding/standins/__init__.py
@@ -11,6 +11,7 @@
 from wasabilanding.standins.engine import Engine
 from wasabilanding.standins.engine import EngineSettings
 from wasabilanding.standins.engine import Fleet
+from wasabilanding.standins.engine import Run
 from wasabilanding.standins.engine_http import engine_app
 from wasabilanding.standins.memory_network import MemoryNetwork
 from wasabilanding.standins.platform_http import platform_app
@@ -23,6 +24,7 @@
     "Fleet",
     "MemoryNetwork",
     "PlatformState",
+    "Run",
     "Store",
     "engine_app",
     "platform_app",
--- a/packages/standins/wasabilanding/standins/batching.py
+++ b/packages/standins/wasabilanding/standins/batching.py
@@ -21,6 +21,7 @@
 
 import trio
 
+from wasabilanding.model import codec
 from wasabilanding import routing
 from wasabilanding.standins import prefix_cache
 
@@ -49,6 +50,8 @@
     :param slow_factor: by which all steps take longer.
     """
 
+    __pydantic_config__ = codec.STRICT
+
     step_s: float = 0.008
     step_slope_s: float = 0.0
     prefill_token_s: float = 0.0
@@ -97,6 +100,7 @@
         self.cached_blocks = 0
         self.generated = 0
         self.first_at: float | None = None
+        self.replica = ""
         self.ended = trio.Event()
         # running (also while it waits), finished, cancelled or failed.
         self.state = "running"
--- a/packages/standins/wasabilanding/standins/engine.py
+++ b/packages/standins/wasabilanding/standins/engine.py
@@ -168,6 +168,7 @@
         if attempt_id in self.runs:
             return self.runs[attempt_id]
         run = Run(attempt_id, prompt, length, priority)
+        run.replica = f"{self.vm}@{self.epoch}"
         self.runs[attempt_id] = run
         self.fleet.log.append((attempt_id, prompt, self.vm))
         self.batch.add(run)
--- a/packages/standins/wasabilanding/standins/prefix_cache.py
+++ b/packages/standins/wasabilanding/standins/prefix_cache.py
@@ -10,25 +10,13 @@
 
 import collections
 import collections.abc
-import dataclasses
+import typing
 
-KEPT_EVENTS = 4096
-
-
-@dataclasses.dataclass(frozen=True)
-class CacheEvent:
-    """One change of the cache.
+from wasabilanding import routing
 
-    :param sequence: number of the event, counted from 1.
-    :param kind: stored or removed.
-    :param block: chained hash of the block.
-    :param at: time of the change in seconds.
-    """
+KEPT_EVENTS = 4096
 
-    sequence: int
-    kind: str
-    block: int
-    at: float
+Kind = typing.Literal["stored", "removed"]
 
 
 class PrefixCache:
@@ -42,8 +30,8 @@
         self._blocks: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
-        self._events: collections.deque[CacheEvent] = collections.deque(
-            maxlen=KEPT_EVENTS
+        self._events: collections.deque[routing.CacheEvent] = (
+            collections.deque(maxlen=KEPT_EVENTS)
         )
         self._sequence = 0
 
@@ -76,13 +64,15 @@
             evicted, _ = self._blocks.popitem(last=False)
             self._note("removed", evicted, now)
 
-    def _note(self, kind: str, block: int, now: float) -> None:
+    def _note(self, kind: Kind, block: int, now: float) -> None:
         self._sequence += 1
-        self._events.append(CacheEvent(self._sequence, kind, block, now))
+        self._events.append(
+            routing.CacheEvent(self._sequence, kind, block, now)
+        )
 
     def published(
         self, after: int, until: float, lost_every: int = 0
-    ) -> tuple[CacheEvent, ...]:
+    ) -> tuple[routing.CacheEvent, ...]:
         """Return the events that are published.
 
         :param after: sequence number that is already known.
