--- a/packages/daemon/wasabilanding/daemon/poison_guard.py
+++ b/packages/daemon/wasabilanding/daemon/poison_guard.py
@@ -60,11 +60,13 @@
         self._context = context
         self._recent: dict[tuple[str, str], poison.RecentlyUsable] = {}
         self._deaths: list[_Death] = []
+        self._fingerprints: dict[str, str] = {}
         self._lanes: dict[str, trio.Lock] = {}
         self._waiting: collections.Counter[str] = collections.Counter()
 
     def _fingerprint(self, request: callers.CallerRequest) -> str:
-        return poison.fingerprint(request.service, request.prompt)
+        found = self._fingerprints.get(request.request_id)
+        return found or poison.fingerprint(request.service, request.prompt)
 
     def _standing(self, fingerprint: str) -> poison.Standing:
         return self._context.known.suspicions.standing(
@@ -163,11 +165,15 @@
         :param request: the request.
         """
         fingerprint = self._fingerprint(request)
-        if not self._standing(fingerprint).suspected:
-            yield
-            return
-        async with self._lane(fingerprint):
-            yield
+        self._fingerprints[request.request_id] = fingerprint
+        try:
+            if not self._standing(fingerprint).suspected:
+                yield
+                return
+            async with self._lane(fingerprint):
+                yield
+        finally:
+            self._fingerprints.pop(request.request_id, None)
 
     @contextlib.asynccontextmanager
     async def alone(
