--- a/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
+++ b/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
@@ -1,5 +1,6 @@
 """All proofs, and what is not proved yet."""
 
+from wasabilanding.experiments.proofs import claims
 from wasabilanding.experiments.proofs import proof
 
 Subject = proof.Subject
@@ -7,6 +8,7 @@
 OPERATORS = "packages/operators/wasabilanding/operators/tests"
 
 PROOFS = (
+    *claims.PROOFS,
     proof.Proof(
         (Subject.OPERATORS_RACE, Subject.IN_FORCE),
         f"{OPERATORS}/changes.feature",
