Measure the token relay against a plain relay

The relay is the first limit of the data path, and nothing in the repository measured it. The benchmark runs an engine, a relay and callers as three processes and reads the relay's processor time between a quarter and nine tenths of the parts.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/installed
 PROJECTS := $(wildcard packages/*/pyproject.toml)
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format relay-benchmark
 
 setup: $(STAMP)
 
@@ -23,6 +23,9 @@
 test: setup
 	$(VENV)/bin/python bin/run-tests
 
+relay-benchmark: setup
+	$(VENV)/bin/python -m wasabilanding.experiments.relay_benchmark
+
 lint: setup
 	$(VENV)/bin/ruff format --check . $(SCRIPTS)
 	$(VENV)/bin/flake8 packages $(SCRIPTS)
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/relay_processes.py
@@ -0,0 +1,268 @@
+"""Processes of the relay benchmark: an engine and the two relays."""
+
+import collections.abc
+import json
+import random
+import time
+import typing
+
+import httpx
+import hypercorn.config
+import hypercorn.trio
+import quart
+import quart_trio
+import trio
+import typer
+
+from wasabilanding import callers
+from wasabilanding.configuration import document
+from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import requests
+from wasabilanding.daemon import settings as settings_module
+from wasabilanding.daemon import telemetry
+from wasabilanding import endpoints
+from wasabilanding.experiments import launcher
+from wasabilanding import knowledge
+from wasabilanding import membership
+from wasabilanding import model
+from wasabilanding import peers
+from wasabilanding import platform
+
+SERVICE = "benchmark"
+VM = "engine"
+FAILURE_DOMAIN = "loopback"
+START_SHARE = 0.25
+END_SHARE = 0.9
+US_PER_S = 1_000_000
+
+app = typer.Typer()
+
+
+class Meter:
+    """Processor time per part of the parts that pass.
+
+    It is read when a share of the parts has passed and again near the end, so
+    that neither the start nor the end of the streams counts.
+
+    :param expected: parts of the whole run.
+    """
+
+    def __init__(self, expected: int) -> None:
+        self._first = int(expected * START_SHARE)
+        self._last = int(expected * END_SHARE)
+        self._count = 0
+        self._begun = (0, 0.0)
+        self.cost_us = 0.0
+
+    def passed(self, count: int) -> None:
+        """Count parts.
+
+        :param count: how many.
+        """
+        before = self._count
+        self._count += count
+        if before < self._first <= self._count:
+            self._begun = (self._count, time.process_time())
+        if before < self._last <= self._count:
+            parts = self._count - self._begun[0]
+            spent_s = time.process_time() - self._begun[1]
+            self.cost_us = spent_s / parts * US_PER_S
+
+
+async def serve(application: quart.Quart, port: int) -> None:
+    """Serve an application on loopback until the process ends.
+
+    :param application: the application.
+    :param port: port.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [f"{launcher.HOST}:{port}"]
+    config.accesslog = None
+    config.errorlog = None
+    await hypercorn.trio.serve(
+        application, config, shutdown_trigger=trio.sleep_forever
+    )
+
+
+def _event(offset: int) -> bytes:
+    chunk = {
+        "id": "chatcmpl-benchmark",
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": f"token-{offset} "}}],
+    }
+    return f"id: {offset}\ndata: {json.dumps(chunk)}\n\n".encode()
+
+
+def engine_app(rate: int, length: int) -> quart_trio.QuartTrio:
+    """Return an engine that sends one event for each token.
+
+    :param rate: tokens a second of one stream.
+    :param length: tokens of one stream.
+    """
+    application = quart_trio.QuartTrio("engine")
+
+    @application.get("/healthz")
+    async def live() -> quart.ResponseReturnValue:
+        return {}
+
+    async def events() -> collections.abc.AsyncIterator[bytes]:
+        begun = trio.current_time()
+        for offset in range(length):
+            yield _event(offset)
+            await trio.sleep_until(begun + (offset + 1) / rate)
+        yield b"data: [DONE]\n\n"
+
+    @application.post("/v1/chat/completions")
+    async def complete() -> quart.Response:
+        response = quart.Response(events(), content_type="text/event-stream")
+        response.timeout = None
+        return response
+
+    return application
+
+
+def plain_app(
+    http: httpx.AsyncClient, engine_url: str, meter: Meter
+) -> quart_trio.QuartTrio:
+    """Return the plain relay.
+
+    :param http: HTTP client.
+    :param engine_url: base URL of the engine.
+    :param meter: counts the parts.
+    """
+    application = quart_trio.QuartTrio("plain")
+    url = f"{engine_url}/v1/chat/completions"
+
+    async def relay(body: bytes) -> collections.abc.AsyncIterator[bytes]:
+        async with http.stream("POST", url, content=body) as response:
+            async for line in response.aiter_lines():
+                if line.startswith("data: "):
+                    meter.passed(1)
+                    yield f"{line}\n\n".encode()
+
+    @application.post("/v1/chat/completions")
+    async def complete() -> quart.Response:
+        body = await quart.request.get_data()
+        response = quart.Response(
+            relay(body), content_type="text/event-stream"
+        )
+        response.timeout = None
+        return response
+
+    return application
+
+
+class _MeteredService:
+    """Counts the parts that the node's own service yields."""
+
+    def __init__(self, service: requests.RequestService, meter: Meter) -> None:
+        self._service = service
+        self._meter = meter
+        self.ready = True
+
+    async def run(
+        self, request: callers.CallerRequest
+    ) -> collections.abc.AsyncIterator[list[bytes]]:
+        """Run a request."""
+        async for batch in self._service.run(request):
+            self._meter.passed(len(batch))
+            yield batch
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._service, name)
+
+
+def _known(engine_url: str) -> knowledge.Knowledge:
+    profile = model.ReplicaProfile(SERVICE, "m", "v1", 1, 1)
+    revision = document.ProfileRevision(1, profile)
+    replica = model.ReplicaRecord(
+        "r", 1, SERVICE, SERVICE, 1, "m", "v1", "f", (VM,), max_running=4096
+    )
+    vm = model.Vm(VM, engine_url, FAILURE_DOMAIN, "f")
+    known = knowledge.Knowledge()
+    known.learn_configuration(
+        document.Configuration(
+            revision=1,
+            profiles={SERVICE: document.ProfileHistory((revision,))},
+            services={SERVICE: document.ServiceChoice(SERVICE, 1)},
+        )
+    )
+    known.learn_record(
+        model.DomainRecord(FAILURE_DOMAIN, 1, replicas=(replica,))
+    )
+    known.learn_listing(knowledge.VmListing(FAILURE_DOMAIN, 1, (vm,)))
+    forever = float("inf")
+    known.learn_report(
+        model.VmReport(VM, model.VmState.READY, "r", 1, observed_at=forever)
+    )
+    return known
+
+
+def _add_cost(application: quart.Quart, meter: Meter) -> None:
+    @application.get("/benchmark/cost")
+    async def cost() -> quart.ResponseReturnValue:
+        return {"cost_us": meter.cost_us}
+
+
+def _context(engine_url: str) -> context_module.Context:
+    listener = settings_module.Listener(1)
+    settings = settings_module.Settings(
+        node="benchmark",
+        failure_domain=FAILURE_DOMAIN,
+        callers=listener,
+        administration=listener,
+        peers=listener,
+        platform_url=engine_url,
+    )
+    member = membership.Node("benchmark", 1, FAILURE_DOMAIN, "")
+    return context_module.Context(
+        settings=settings,
+        known=_known(engine_url),
+        members=membership.MemberTable(member),
+        platform=platform.PlatformClient(engine_url),
+        endpoints=endpoints.EndpointClient(),
+        telemetry=telemetry.Telemetry("benchmark"),
+        connect_peer=peers.PeerChannel,
+        rng=random.Random(1),
+    )
+
+
+async def _run_node(port: int, engine_url: str, parts: int) -> None:
+    meter = Meter(parts)
+    context = _context(engine_url)
+    async with context.endpoints:
+        service = requests.RequestService(context)
+        application = callers.callers_app(_MeteredService(service, meter))
+        _add_cost(application, meter)
+        await serve(application, port)
+
+
+async def _run_plain(port: int, engine_url: str, parts: int) -> None:
+    meter = Meter(parts)
+    limits = httpx.Limits(max_connections=None)
+    async with httpx.AsyncClient(limits=limits, timeout=None) as http:
+        application = plain_app(http, engine_url, meter)
+        _add_cost(application, meter)
+        await serve(application, port)
+
+
+@app.command()
+def engine(port: int, rate: int, length: int) -> None:
+    """Run the engine."""
+    trio.run(serve, engine_app(rate, length), port)
+
+
+@app.command()
+def node(port: int, engine_url: str, parts: int) -> None:
+    """Run the node's own relay."""
+    trio.run(_run_node, port, engine_url, parts)
+
+
+@app.command()
+def plain(port: int, engine_url: str, parts: int) -> None:
+    """Run the plain relay."""
+    trio.run(_run_plain, port, engine_url, parts)
+
+
+if __name__ == "__main__":
+    app()
