Read streams in a task of their own and coalesce their parts

Cause: each part cost one wake-up, one read and one write. A stream is now read by a task of the endpoint client; on a busy node it pauses for a whole number of part intervals, at most 36 ms, and the parts that came meanwhile are written at once. The first part never waits.

The same task gives what the verdict needs: the deadline holds while waiting, the bound on progress follows the stream's own interval, a refusal is 'not run' only when the endpoint then says that it knows no such stream, parts out of order are kept and put in order, and the cancel runs off the caller's path.

--- a/packages/daemon/wasabilanding/daemon/attempts.py
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -6,8 +6,6 @@
 import dataclasses
 import logging
 
-import trio
-
 from wasabilanding import callers
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import selection
@@ -143,35 +141,23 @@
         )
         with telemetry.span_ended(span):
             sent = self._prepare(request, replica, attempt_id, span)
-            stream = endpoints.stream_attempt(context.endpoints.http, sent)
-            async with self._counted(replica, sent) as finish:
-                async with contextlib.aclosing(stream) as batches:
-                    async for batch in batches:
-                        self._check_deadline(progress.deadline)
-                        yield [part.data for part in batch]
-                finish()
-
-    @contextlib.asynccontextmanager
-    async def _counted(
-        self, replica: model.ReplicaRecord, sent: endpoints.AttemptRequest
-    ) -> collections.abc.AsyncIterator[collections.abc.Callable[[], None]]:
-        finished = trio.Event()
+            with self._started(replica, sent, progress) as attempt:
+                while batch := await attempt.receive():
+                    yield batch
+
+    @contextlib.contextmanager
+    def _started(
+        self,
+        replica: model.ReplicaRecord,
+        sent: endpoints.AttemptRequest,
+        progress: Progress,
+    ) -> collections.abc.Iterator[endpoints.Attempt]:
         self._in_flight[replica.replica_id] += 1
+        attempt = self._context.endpoints.start_attempt(
+            sent, progress.deadline
+        )
         try:
-            yield finished.set
+            yield attempt
         finally:
+            attempt.close()
             self._in_flight[replica.replica_id] -= 1
-            if not finished.is_set():
-                await self._cancel(sent)
-
-    def _check_deadline(self, deadline: float) -> None:
-        if self._context.now() >= deadline:
-            raise endpoints.AttemptFailed(
-                model.may_have_run(
-                    model.Reason.DEADLINE, "the deadline has passed"
-                )
-            )
-
-    async def _cancel(self, sent: endpoints.AttemptRequest) -> None:
-        with trio.CancelScope(shield=True):
-            await endpoints.cancel_attempt(self._context.endpoints.http, sent)
--- /dev/null
+++ b/packages/decisions/wasabilanding/delivery/__init__.py
@@ -0,0 +1,54 @@
+"""Delivery: the parts of one answer, whole, in order and in time.
+
+Explanation
+===========
+
+The parts of a stream carry offsets. They may come late, twice or out of
+order, and over several connections, as a stream is resumed after its
+connection broke or went silent. :class:`PartOrder` lets each part through
+once, in order, and knows when the answer is whole.
+
+:func:`stall_bound_s` says how long a connection may make no progress. Before
+the first part an engine may queue or prefill for long, so the bound only
+decides when to ask on a new connection whether the engine still holds the
+stream, and it doubles with each time that the engine said so [1]_. Between
+parts it follows the interval that the stream itself has shown, which is the
+idea of an adaptive failure detector [2]_.
+
+:func:`pause_s` lets a busy node read and write several parts at a time. A
+stream that makes a part each few milliseconds is read once per pause; the
+pause grows with the number of streams, so that the number of wake-ups per
+second stays near a bound, and it never spans more than the gap between
+tokens that callers were promised. The first part never waits. This is
+interrupt coalescing as network cards do it [3]_.
+
+Examples
+========
+
+>>> from wasabilanding import delivery
+>>> order = delivery.PartOrder()
+>>> order.accept(1, b"b"), order.accept(0, b"a"), order.accept(0, b"a")
+([], [b'a', b'b'], [])
+
+See Also
+========
+
+wasabilanding.endpoints : reads the parts.
+wasabilanding.retries : what follows a stream that did not complete.
+
+References
+==========
+
+.. [1] R. Fielding, M. Nottingham, J. Reschke, HTTP Semantics, RFC 9110, 2022.
+.. [2] N. Hayashibara, X. Defago, R. Yared, T. Katayama, The phi accrual
+   failure detector, SRDS 2004.
+.. [3] J. Mogul, K. Ramakrishnan, Eliminating receive livelock in an
+   interrupt-driven kernel, ACM TOCS 15(3), 1997.
+"""
+
+from wasabilanding.delivery.order import PartOrder
+from wasabilanding.delivery.pacing import MAX_GAP_S
+from wasabilanding.delivery.pacing import pause_s
+from wasabilanding.delivery.progress import stall_bound_s
+
+__all__ = ["MAX_GAP_S", "PartOrder", "pause_s", "stall_bound_s"]
--- /dev/null
+++ b/packages/decisions/wasabilanding/delivery/pacing.py
@@ -0,0 +1,33 @@
+"""Coalescing of the parts of one stream."""
+
+MAX_GAP_S = 0.036
+MAX_WAKE_UPS_PER_S = 500.0
+
+
+def pause_s(streams: int, interval_s: float) -> float:
+    """Return how long a stream waits for further parts before it is read.
+
+    The pause ends half an interval before a part is due, so that the time
+    between two reads is a whole number of intervals.
+
+    :param streams: streams that the node relays.
+    :param interval_s: time between parts of this stream in seconds; 0 before
+        it is known.
+    :returns: pause in seconds; 0 to pass each part on as it comes.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import delivery
+    >>> delivery.pause_s(1, 0.008), delivery.pause_s(100, 0.008)
+    (0.0, 0.028)
+    >>> delivery.pause_s(100, 0.030)
+    0.0
+    """
+    if interval_s <= 0.0:
+        return 0.0
+    gap_s = min(MAX_GAP_S, streams / MAX_WAKE_UPS_PER_S)
+    parts = int(gap_s / interval_s)
+    if parts < 2:
+        return 0.0
+    return (parts - 0.5) * interval_s
--- /dev/null
+++ b/packages/decisions/wasabilanding/delivery/progress.py
@@ -0,0 +1,30 @@
+"""Bound on the time without progress of a stream's connection."""
+
+FIRST_BOUND_S = 2.0
+MAX_FIRST_BOUND_S = 15.0
+MIN_BOUND_S = 1.0
+MAX_BOUND_S = 10.0
+INTERVALS = 25
+
+
+def stall_bound_s(interval_s: float, confirmations: int) -> float:
+    """Return how long a connection may make no progress.
+
+    :param interval_s: time between parts of the stream in seconds; 0 before
+        the first part.
+    :param confirmations: how often the engine has said, since the last part,
+        that it holds the stream.
+    :returns: bound in seconds.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import delivery
+    >>> [delivery.stall_bound_s(0.0, n) for n in (0, 1, 5)]
+    [2.0, 4.0, 15.0]
+    >>> delivery.stall_bound_s(0.008, 0), delivery.stall_bound_s(0.1, 0)
+    (1.0, 2.5)
+    """
+    if interval_s <= 0.0:
+        return min(FIRST_BOUND_S * 2**confirmations, MAX_FIRST_BOUND_S)
+    return min(max(MIN_BOUND_S, INTERVALS * interval_s), MAX_BOUND_S)
--- a/packages/endpoints/wasabilanding/endpoints/__init__.py
+++ b/packages/endpoints/wasabilanding/endpoints/__init__.py
@@ -11,17 +11,15 @@
 from wasabilanding.endpoints.client import EndpointClient
 from wasabilanding.endpoints.events import EventParser
 from wasabilanding.endpoints.events import Part
+from wasabilanding.endpoints.streams import Attempt
 from wasabilanding.endpoints.streams import AttemptFailed
 from wasabilanding.endpoints.streams import AttemptRequest
-from wasabilanding.endpoints.streams import cancel_attempt
-from wasabilanding.endpoints.streams import stream_attempt
 
 __all__ = [
+    "Attempt",
     "AttemptFailed",
     "AttemptRequest",
     "EndpointClient",
     "EventParser",
     "Part",
-    "cancel_attempt",
-    "stream_attempt",
 ]
--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -1,10 +1,14 @@
 """Client for reports and orders."""
 
+import contextlib
 import dataclasses
 import typing
 
 import httpx
+import trio
 
+from wasabilanding import delivery
+from wasabilanding.endpoints import streams
 from wasabilanding import model
 from wasabilanding import placement
 
@@ -42,19 +46,61 @@
         self._http = httpx.AsyncClient(
             timeout=CALL_TIMEOUT_S, limits=limits, transport=transport
         )
+        # Streams must not keep reports and orders waiting for a connection.
+        self._streams_http = httpx.AsyncClient(
+            timeout=CALL_TIMEOUT_S,
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=KEPT_CONNECTIONS,
+            ),
+            transport=transport,
+        )
+        self._stack = contextlib.AsyncExitStack()
+        self._nursery: trio.Nursery | None = None
+        self._open_attempts = 0
 
     async def __aenter__(self) -> "EndpointClient":
-        await self._http.__aenter__()
+        await self._stack.enter_async_context(self._http)
+        await self._stack.enter_async_context(self._streams_http)
+        self._nursery = await self._stack.enter_async_context(
+            trio.open_nursery()
+        )
         return self
 
     async def __aexit__(self, *error: typing.Any) -> None:
-        await self._http.__aexit__(*error)
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+        await self._stack.__aexit__(*error)
 
     @property
     def http(self) -> httpx.AsyncClient:
-        """The HTTP client that request streams use."""
+        """The HTTP client of plain calls."""
         return self._http
 
+    def start_attempt(
+        self, request: streams.AttemptRequest, deadline: float
+    ) -> streams.Attempt:
+        """Start an attempt; its caller closes it.
+
+        :param request: what is sent.
+        :param deadline: local monotonic time in seconds at which it ends.
+        """
+        attempt = streams.Attempt(
+            self._streams_http, request, deadline, self._pause_s
+        )
+        self._nursery.start_soon(self._run, attempt)
+        return attempt
+
+    async def _run(self, attempt: streams.Attempt) -> None:
+        self._open_attempts += 1
+        try:
+            await attempt.run()
+        finally:
+            self._open_attempts -= 1
+
+    def _pause_s(self, interval_s: float) -> float:
+        return delivery.pause_s(self._open_attempts, interval_s)
+
     async def report(self, vm: model.Vm, now: float) -> model.VmReport | None:
         """Ask a VM for its report.
 
--- a/packages/endpoints/wasabilanding/endpoints/events.py
+++ b/packages/endpoints/wasabilanding/endpoints/events.py
@@ -4,9 +4,10 @@
 
 END_OF_EVENT = b"\n\n"
 DONE = b"[DONE]"
+NO_OFFSET = -1
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Part:
     """One event of a stream.
 
@@ -23,15 +24,30 @@
         return self.data == DONE
 
 
-def _parse(event: bytes) -> Part:
-    offset = -1
-    data = b""
+def _field(line: bytes, name: bytes) -> bytes | None:
+    if not line.startswith(name):
+        return None
+    value = line[len(name) :]
+    return value[1:] if value.startswith(b" ") else value
+
+
+def _offset(text: bytes) -> int:
+    # bytes.isdigit is true for ASCII digits only.
+    return int(text) if text.isdigit() else NO_OFFSET
+
+
+def _parse(event: bytes) -> Part | None:
+    offset = NO_OFFSET
+    data = []
     for line in event.split(b"\n"):
-        if line.startswith(b"data: "):
-            data = line[6:]
-        elif line.startswith(b"id: "):
-            offset = int(line[4:])
-    return Part(offset, data)
+        if (value := _field(line, b"data:")) is not None:
+            data.append(value)
+        elif (value := _field(line, b"id:")) is not None:
+            offset = _offset(value)
+    if not data:
+        # Comments and fields without data keep the connection alive.
+        return None
+    return Part(offset, b"\n".join(data))
 
 
 class EventParser:
@@ -50,11 +66,24 @@
 
     def __init__(self) -> None:
         self._rest = b""
+        self._held = b""
 
     def feed(self, received: bytes) -> list[Part]:
         """Return the events that the received bytes complete.
 
         :param received: bytes as read from the connection.
         """
+        if self._held or b"\r" in received:
+            received = self._normalize(received)
         *events, self._rest = (self._rest + received).split(END_OF_EVENT)
-        return [_parse(event) for event in events]
+        parsed = [_parse(event) for event in events]
+        return [part for part in parsed if part is not None]
+
+    def _normalize(self, received: bytes) -> bytes:
+        received = self._held + received
+        self._held = b""
+        if received.endswith(b"\r"):
+            # The next read may bring the line feed that belongs to it.
+            self._held = b"\r"
+            received = received[:-1]
+        return received.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
--- a/packages/endpoints/wasabilanding/endpoints/streams.py
+++ b/packages/endpoints/wasabilanding/endpoints/streams.py
@@ -3,28 +3,51 @@
 Explanation
 ===========
 
-The attempt is resumed on a new connection when no byte came for a while:
-the connection may have gone silent while new ones work. Parts are taken in
-the order of their offsets; a part that comes twice is dropped.
+A task of its own reads the attempt's stream, so that an answer never waits
+for the clean-up of a connection, and several parts that came together are
+passed on together. A connection that makes no progress may have gone silent
+while new ones work: the stream is then resumed on a new one, at the first
+part that is missing.
+
+"Not run" is said in two cases only. No connection was had, so nothing was
+sent; or the endpoint answered with a refusal and then, asked for the stream
+of the attempt, said that it knows none. An endpoint that does know it, in
+spite of the refusal, goes on with it.
 """
 
 import collections.abc
 import contextlib
 import dataclasses
+import logging
 
 import httpx
 import trio
 
+from wasabilanding import delivery
 from wasabilanding.endpoints import events
 from wasabilanding import model
 
 CONNECT_TIMEOUT_S = 1.0
-PROGRESS_TIMEOUT_S = 2.0
+WRITE_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 1.0
+CONFIRM_TIMEOUT_S = 1.0
 MAX_RESUMES = 3
-HTTP_CONFLICT = 409
+MAX_BUFFERED_PARTS = 2048
+MAX_DETAIL_LENGTH = 200
+SMOOTHING = 0.3
+BURST_S = 0.001
+NO_LIMIT = float("inf")
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
-REFUSALS = (HTTP_CONFLICT, HTTP_NOT_FOUND, HTTP_UNAVAILABLE)
+INVALID = (400, 413, 415, 422)
+REFUSALS = (HTTP_NOT_FOUND, 409, 429, HTTP_UNAVAILABLE)
+TIMEOUT = httpx.Timeout(
+    None, connect=CONNECT_TIMEOUT_S, write=WRITE_TIMEOUT_S, pool=1.0
+)
+
+_LOG = logging.getLogger(__name__)
+
+Pace = collections.abc.Callable[[float], float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,6 +69,11 @@
     body: bytes
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
+    @property
+    def stream_url(self) -> str:
+        """URL by which the stream is resumed and cancelled."""
+        return f"{self.address}/v1/streams/{self.attempt_id}"
+
 
 class AttemptFailed(Exception):
     """An attempt did not complete.
@@ -58,84 +86,272 @@
         self.outcome = outcome
 
 
-@dataclasses.dataclass
-class _Progress:
-    next_offset: int = 0
-    done: bool = False
-    resumes: int = 0
+class _Ended(Exception):
+    """The attempt ends with an outcome that no resume changes."""
 
+    def __init__(self, outcome: model.Outcome) -> None:
+        super().__init__(outcome.detail)
+        self.outcome = outcome
 
-def _timeout() -> httpx.Timeout:
-    return httpx.Timeout(PROGRESS_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
 
+class Attempt:
+    """One attempt, read by a task that runs :meth:`run`.
 
-def _open(
-    http: httpx.AsyncClient, request: AttemptRequest, offset: int | None
-) -> contextlib.AbstractAsyncContextManager[httpx.Response]:
-    if offset is not None:
-        return http.stream(
-            "GET",
-            f"{request.address}/v1/streams/{request.attempt_id}",
-            params={"offset": offset},
-            timeout=_timeout(),
+    :param http: HTTP client.
+    :param request: what is sent.
+    :param deadline: local monotonic time in seconds at which it ends.
+    :param pace: maps the time between parts to the pause before a read, both
+        in seconds.
+    """
+
+    def __init__(
+        self,
+        http: httpx.AsyncClient,
+        request: AttemptRequest,
+        deadline: float,
+        pace: Pace,
+    ) -> None:
+        self._http = http
+        self._request = request
+        self._deadline = deadline
+        self._pace = pace
+        self._order = delivery.PartOrder()
+        self._ready: list[bytes] = []
+        self._changed = trio.Event()
+        self._taken = trio.Event()
+        self._outcome: model.Outcome | None = None
+        self._scope = trio.CancelScope(deadline=deadline)
+        self._connection = trio.CancelScope()
+        self._closed = False
+        self._interval_s = 0.0
+        self._burst_ends_at = 0.0
+        self._measured_at = 0.0
+        self._measured_offset = 0
+        self._resumes = 0
+        self._confirmations = 0
+
+    async def receive(self) -> list[bytes]:
+        """Return the next parts; none at the end of a whole answer.
+
+        :raises AttemptFailed: when the answer does not become whole.
+        """
+        while not self._ready:
+            if self._outcome is not None:
+                return self._end(self._outcome)
+            self._changed = trio.Event()
+            await self._changed.wait()
+        ready = self._ready
+        self._ready = []
+        self._taken.set()
+        return ready
+
+    @staticmethod
+    def _end(outcome: model.Outcome) -> list[bytes]:
+        if outcome.verdict is model.Verdict.COMPLETED:
+            return []
+        raise AttemptFailed(outcome)
+
+    def close(self) -> None:
+        """Stop reading; the endpoint is told unless the answer is whole."""
+        self._closed = True
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Read the stream to its end and tell the endpoint when cut short."""
+        outcome = model.may_have_run(
+            model.Reason.CANCELLED, "the attempt was given up"
+        )
+        try:
+            with self._scope:
+                outcome = await self._run_connections()
+        except Exception as error:
+            _LOG.exception("attempt %s failed", self._request.attempt_id)
+            outcome = model.may_have_run(
+                model.Reason.ENDPOINT_ERROR, repr(error)
+            )
+        if self._scope.cancelled_caught and not self._closed:
+            outcome = model.may_have_run(
+                model.Reason.DEADLINE, "the deadline has passed"
+            )
+        self._outcome = outcome
+        self._changed.set()
+        if outcome.verdict is model.Verdict.MAY_HAVE_RUN:
+            await self._cancel()
+
+    async def _cancel(self) -> None:
+        with trio.move_on_after(CANCEL_TIMEOUT_S):
+            try:
+                await self._http.delete(self._request.stream_url)
+            except httpx.HTTPError as error:
+                _LOG.debug(
+                    "attempt %s was not cancelled: %r",
+                    self._request.attempt_id,
+                    error,
+                )
+
+    async def _run_connections(self) -> model.Outcome:
+        resume = False
+        while True:
+            before = self._order.next_offset
+            try:
+                failure = await self._run_connection(resume)
+            except _Ended as error:
+                return error.outcome
+            if self._order.is_whole:
+                return model.completed()
+            if failure.verdict is model.Verdict.NOT_RUN:
+                return failure
+            if self._order.next_offset > before:
+                self._resumes = 0
+                self._confirmations = 0
+            if self._resumes >= MAX_RESUMES:
+                return failure
+            self._resumes += 1
+            resume = True
+            await trio.lowlevel.checkpoint()
+
+    async def _run_connection(self, resume: bool) -> model.Outcome:
+        with trio.CancelScope() as self._connection:
+            self._note_progress()
+            try:
+                await self._read(resume)
+            except httpx.HTTPError as error:
+                return _failure(error, resume)
+        if self._connection.cancelled_caught:
+            return model.may_have_run(
+                model.Reason.STALLED,
+                f"stream of attempt {self._request.attempt_id} made no "
+                f"progress after {self._order.next_offset} parts",
+            )
+        return model.may_have_run(
+            model.Reason.CONNECTION_LOST,
+            f"stream of attempt {self._request.attempt_id} ended after "
+            f"{self._order.next_offset} parts",
         )
-    headers = {
-        **request.headers,
-        "Content-Type": "application/json",
-        "X-Attempt-Id": request.attempt_id,
-        "X-Replica-Id": request.replica_id,
-        "X-Replica-Epoch": str(request.epoch),
-    }
-    return http.stream(
-        "POST",
-        f"{request.address}/v1/chat/completions",
-        content=request.body,
-        headers=headers,
-        timeout=_timeout(),
-    )
 
+    def _note_progress(self) -> None:
+        bound_s = delivery.stall_bound_s(self._interval_s, self._confirmations)
+        self._connection.deadline = trio.current_time() + bound_s
 
-def _accept(
-    received: list[events.Part], progress: _Progress
-) -> list[events.Part]:
-    accepted = []
-    for part in received:
-        if part.is_last:
-            progress.done = True
-        elif part.offset == progress.next_offset:
-            progress.next_offset += 1
-            accepted.append(part)
-    return accepted
-
-
-async def _check(response: httpx.Response) -> None:
-    if not response.is_error:
-        return
-    await response.aread()
-    detail = response.text[:200]
-    if response.status_code in REFUSALS:
-        outcome = model.not_run(model.Reason.REFUSED, detail)
-    else:
-        outcome = model.may_have_run(model.Reason.ENDPOINT_ERROR, detail)
-    raise AttemptFailed(outcome)
-
-
-async def _read(
-    http: httpx.AsyncClient,
-    request: AttemptRequest,
-    progress: _Progress,
-    resume: bool,
-) -> collections.abc.AsyncIterator[list[events.Part]]:
-    offset = progress.next_offset if resume else None
-    parser = events.EventParser()
-    async with _open(http, request, offset) as response:
-        await _check(response)
-        async for received in response.aiter_raw():
-            accepted = _accept(parser.feed(received), progress)
-            if accepted:
-                yield accepted
-            if progress.done:
+    async def _read(self, resume: bool) -> None:
+        parser = events.EventParser()
+        async with self._open(resume) as response:
+            if response.is_error:
+                await self._refused(response, resume)
                 return
+            if resume and not self._order.next_offset:
+                # The engine holds the stream and has not begun to answer.
+                self._confirmations += 1
+                self._resumes = 0
+            self._note_progress()
+            async for received in response.aiter_raw():
+                self._take(parser.feed(received))
+                if self._order.is_whole:
+                    return
+                await self._between_parts()
+
+    def _open(
+        self, resume: bool
+    ) -> contextlib.AbstractAsyncContextManager[httpx.Response]:
+        request = self._request
+        if resume:
+            return self._http.stream(
+                "GET",
+                request.stream_url,
+                params={"offset": self._order.next_offset},
+                timeout=TIMEOUT,
+            )
+        headers = {
+            **request.headers,
+            "Content-Type": "application/json",
+            "X-Attempt-Id": request.attempt_id,
+            "X-Replica-Id": request.replica_id,
+            "X-Replica-Epoch": str(request.epoch),
+        }
+        return self._http.stream(
+            "POST",
+            f"{request.address}/v1/chat/completions",
+            content=request.body,
+            headers=headers,
+            timeout=TIMEOUT,
+        )
+
+    async def _refused(self, response: httpx.Response, resume: bool) -> None:
+        await response.aread()
+        detail = response.text[:MAX_DETAIL_LENGTH]
+        status = response.status_code
+        if resume:
+            if status != HTTP_UNAVAILABLE:
+                raise _Ended(
+                    model.may_have_run(model.Reason.CONNECTION_LOST, detail)
+                )
+            return
+        if status not in REFUSALS and status not in INVALID:
+            raise _Ended(
+                model.may_have_run(model.Reason.ENDPOINT_ERROR, detail)
+            )
+        if await self._is_unknown():
+            invalid = status in INVALID
+            reason = model.Reason.INVALID_REQUEST
+            raise _Ended(
+                model.not_run(
+                    reason if invalid else model.Reason.REFUSED, detail
+                )
+            )
+
+    async def _is_unknown(self) -> bool:
+        with trio.move_on_after(CONFIRM_TIMEOUT_S):
+            async with self._open(True) as response:
+                return response.status_code == HTTP_NOT_FOUND
+        return False
+
+    def _take(self, parts: list[events.Part]) -> None:
+        for part in parts:
+            if part.is_last:
+                self._order.end(part.offset)
+            elif part.offset == events.NO_OFFSET:
+                detail = part.data[:MAX_DETAIL_LENGTH].decode(errors="replace")
+                raise _Ended(
+                    model.may_have_run(
+                        model.Reason.ENDPOINT_ERROR,
+                        f"event without an offset: {detail}",
+                    )
+                )
+            else:
+                self._ready += self._order.accept(part.offset, part.data)
+
+    async def _between_parts(self) -> None:
+        now = trio.current_time()
+        if now < self._burst_ends_at:
+            # It came together with the part before.
+            self._changed.set()
+            return
+        pause_s = self._measure(now)
+        if pause_s:
+            await trio.sleep(pause_s)
+            now += pause_s
+        self._burst_ends_at = now + BURST_S
+        self._note_progress()
+        self._changed.set()
+        if len(self._ready) >= MAX_BUFFERED_PARTS:
+            await self._wait_for_caller()
+
+    def _measure(self, now: float) -> float:
+        offset = self._order.next_offset
+        parts = offset - self._measured_offset
+        if self._measured_at and parts > 0:
+            interval_s = (now - self._measured_at) / parts
+            weight = SMOOTHING if self._interval_s else 1.0
+            self._interval_s += weight * (interval_s - self._interval_s)
+        self._measured_at = now
+        self._measured_offset = offset
+        return self._pace(self._interval_s)
+
+    async def _wait_for_caller(self) -> None:
+        self._connection.deadline = NO_LIMIT
+        self._taken = trio.Event()
+        await self._taken.wait()
+        self._note_progress()
 
 
 def _failure(error: httpx.HTTPError, resume: bool) -> model.Outcome:
@@ -144,61 +360,4 @@
     )
     if connecting and not resume:
         return model.not_run(model.Reason.CONNECT_FAILED, repr(error))
-    if isinstance(error, httpx.TimeoutException):
-        return model.may_have_run(model.Reason.STALLED, repr(error))
     return model.may_have_run(model.Reason.CONNECTION_LOST, repr(error))
-
-
-async def stream_attempt(
-    http: httpx.AsyncClient, request: AttemptRequest
-) -> collections.abc.AsyncIterator[list[events.Part]]:
-    """Run an attempt and yield its parts in order, each exactly once.
-
-    :param http: HTTP client.
-    :param request: what is sent.
-    :returns: parts, as many at a time as one read brought.
-    :raises AttemptFailed: when the stream does not end whole.
-    """
-    progress = _Progress()
-    resume = False
-    while not progress.done:
-        before = progress.next_offset
-        failure = model.may_have_run(
-            model.Reason.CONNECTION_LOST,
-            f"stream of attempt {request.attempt_id} ended early",
-        )
-        reader = _read(http, request, progress, resume)
-        try:
-            async with contextlib.aclosing(reader) as parts:
-                async for accepted in parts:
-                    yield accepted
-        except httpx.HTTPError as error:
-            failure = _failure(error, resume)
-        except AttemptFailed as error:
-            if not resume:
-                raise
-            failure = dataclasses.replace(
-                error.outcome, verdict=model.Verdict.MAY_HAVE_RUN
-            )
-        if progress.done:
-            return
-        if failure.verdict is model.Verdict.NOT_RUN:
-            raise AttemptFailed(failure)
-        moved = progress.next_offset > before
-        progress.resumes = 0 if moved else progress.resumes + 1
-        if progress.resumes >= MAX_RESUMES:
-            raise AttemptFailed(failure)
-        resume = True
-        await trio.lowlevel.checkpoint()
-
-
-async def cancel_attempt(
-    http: httpx.AsyncClient, request: AttemptRequest
-) -> None:
-    """Tell the endpoint to stop an attempt; errors are left to it.
-
-    :param http: HTTP client.
-    :param request: the attempt.
-    """
-    with contextlib.suppress(httpx.HTTPError):
-        await http.delete(f"{request.address}/v1/streams/{request.attempt_id}")
