--- a/packages/endpoints/wasabilanding/endpoints/events.py
+++ b/packages/endpoints/wasabilanding/endpoints/events.py
@@ -37,6 +37,16 @@
 
 
 def _parse(event: bytes) -> Part | None:
+    # Nearly all events are one line of each; the long way costs three times
+    # as much.
+    head, _, data = event.partition(b"\ndata: ")
+    if head.startswith(b"id: ") and data and b"\n" not in data:
+        if head[4:].isdigit():
+            return Part(int(head[4:]), data)
+    return _parse_fields(event)
+
+
+def _parse_fields(event: bytes) -> Part | None:
     offset = NO_OFFSET
     data = []
     for line in event.split(b"\n"):
--- a/packages/endpoints/wasabilanding/endpoints/streams.py
+++ b/packages/endpoints/wasabilanding/endpoints/streams.py
@@ -124,6 +124,7 @@
         self._connection = trio.CancelScope()
         self._closed = False
         self._interval_s = 0.0
+        self._paused = False
         self._burst_ends_at = 0.0
         self._measured_at = 0.0
         self._measured_offset = 0
@@ -140,6 +141,9 @@
                 return self._end(self._outcome)
             self._changed = trio.Event()
             await self._changed.wait()
+            if self._paused:
+                # The reader takes what came during its pause in this turn.
+                await trio.lowlevel.checkpoint()
         ready = self._ready
         self._ready = []
         self._taken.set()
@@ -248,7 +252,12 @@
                 self._take(parser.feed(received))
                 if self._order.is_whole:
                     return
-                await self._between_parts()
+                now = trio.current_time()
+                if now < self._burst_ends_at:
+                    # It came together with the part before.
+                    self._changed.set()
+                else:
+                    await self._between_bursts(now)
 
     def _open(
         self, resume: bool
@@ -320,14 +329,10 @@
             else:
                 self._ready += self._order.accept(part.offset, part.data)
 
-    async def _between_parts(self) -> None:
-        now = trio.current_time()
-        if now < self._burst_ends_at:
-            # It came together with the part before.
-            self._changed.set()
-            return
+    async def _between_bursts(self, now: float) -> None:
         pause_s = self._measure(now)
-        if pause_s:
+        self._paused = pause_s > 0.0
+        if self._paused:
             await trio.sleep(pause_s)
             now += pause_s
         self._burst_ends_at = now + BURST_S
