--- a/packages/daemon/wasabilanding/daemon/attempts.py
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -27,12 +27,14 @@
     :param attempts: attempts made.
     :param delivered: parts handed to the caller.
     :param tried: replicas of its attempts.
+    :param may_have_run: whether any attempt may have run.
     """
 
     deadline: float
     attempts: int = 0
     delivered: int = 0
     tried: frozenset[str] = frozenset()
+    may_have_run: bool = False
 
 
 class AttemptRunner:
@@ -44,6 +46,7 @@
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
         self._in_flight: collections.Counter[str] = collections.Counter()
+        self._budget = retries.RetryBudget()
 
     async def run(
         self,
@@ -58,10 +61,9 @@
         :param progress: is kept up to date.
         :raises wasabilanding.callers.RequestFailed: when retries end.
         """
+        self._budget.deposit(request.service)
         while True:
-            replica = selection.select_replica(
-                self._context, request, self._in_flight, progress.tried
-            )
+            replica = self._select(request, progress)
             progress.attempts += 1
             progress.tried |= {replica.replica_id}
             attempt = self._attempt(request, replica, span, progress)
@@ -74,6 +76,19 @@
             except endpoints.AttemptFailed as error:
                 self._after_failure(request, progress, error)
 
+    def _select(
+        self, request: callers.CallerRequest, progress: Progress
+    ) -> model.ReplicaRecord:
+        try:
+            return selection.select_replica(
+                self._context, request, self._in_flight, progress.tried
+            )
+        except callers.RequestFailed as error:
+            outcome = retries.final_outcome(
+                error.outcome, progress.may_have_run
+            )
+            raise callers.RequestFailed(outcome) from error
+
     def _after_failure(
         self,
         request: callers.CallerRequest,
@@ -82,13 +97,7 @@
     ) -> None:
         outcome = error.outcome
         self._context.telemetry.count_attempt(request.service, outcome)
-        made = retries.Attempts(
-            progress.attempts,
-            progress.deadline,
-            request.idempotent,
-            progress.delivered,
-        )
-        step = retries.next_step(outcome, made, self._context.now())
+        step = self._next_step(request, progress, outcome)
         _LOG.warning(
             "attempt %d of request %s: %s, %s",
             progress.attempts,
@@ -100,6 +109,35 @@
         if isinstance(step, retries.GiveUp):
             raise callers.RequestFailed(step.outcome) from error
 
+    def _next_step(
+        self,
+        request: callers.CallerRequest,
+        progress: Progress,
+        outcome: model.Outcome,
+    ) -> retries.Retry | retries.GiveUp:
+        made = retries.Attempts(
+            progress.attempts,
+            progress.deadline,
+            request.idempotent,
+            progress.delivered,
+            progress.may_have_run,
+        )
+        step = retries.next_step(outcome, made, self._context.now())
+        if outcome.verdict is model.Verdict.MAY_HAVE_RUN:
+            progress.may_have_run = True
+        if isinstance(step, retries.GiveUp):
+            return step
+        if self._budget.spend(request.service):
+            return step
+        _LOG.warning(
+            "retry budget of service %s is spent",
+            request.service,
+            extra={"request": request.request_id},
+        )
+        return retries.GiveUp(
+            retries.final_outcome(outcome, progress.may_have_run)
+        )
+
     def _prepare(
         self,
         request: callers.CallerRequest,
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -81,13 +81,29 @@
             self._recorded(request, progress) as ending,
             self._admitted(request),
         ):
-            await claims.claim(context, request, span)
+            await self._claim(request, span, progress)
             batches = self._attempts.run(request, span, progress)
             async with contextlib.aclosing(batches):
                 async for batch in batches:
                     yield batch
             ending.outcome = model.completed()
 
+    async def _claim(
+        self,
+        request: callers.CallerRequest,
+        span: telemetry.Span,
+        progress: attempts.Progress,
+    ) -> None:
+        with trio.move_on_at(progress.deadline) as scope:
+            await claims.claim(self._context, request, span)
+        if scope.cancelled_caught:
+            raise callers.RequestFailed(
+                model.not_run(
+                    model.Reason.DEADLINE,
+                    "the deadline has passed before the request was claimed",
+                )
+            )
+
     @contextlib.contextmanager
     def _admitted(
         self, request: callers.CallerRequest
--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -48,8 +48,10 @@
     usable = routing.usable_replicas(
         known.replicas, request.service, known.reports, context.now()
     )
+    # A retry leaves the failure domain rather than ask a replica again.
+    fresh = tuple(r for r in usable if r.replica_id not in tried) or usable
     choice = routing.choose_replica(
-        _local(context, usable) or usable,
+        _local(context, fresh) or fresh,
         known.reports,
         in_flight,
         context.rng,
