Prove the outcome of requests against the engines' own logs

The stand-in engine is taught the faults and ends its stream with an event that carries the number of parts; the in-memory network breaks sends.

--- /dev/null
+++ b/packages/endpoints/wasabilanding/endpoints/tests/outcomes.feature
@@ -0,0 +1,66 @@
+Feature: Outcome of a request, from the wire to its caller
+
+  Scenario Outline: <fault>, <kind> request: <verdict> with <runs> runs
+    Given the next request at its engine meets "<fault>"
+    When a <kind> request is sent
+    Then its caller is told "<verdict>"
+    And engines ran it <runs> times
+    And the answer is whole when it is called completed
+
+    Examples:
+      | fault                         | kind           | verdict      | runs |
+      | nothing                       | non-idempotent | completed    | 1    |
+      | refused connections           | non-idempotent | completed    | 1    |
+      | break in the send             | non-idempotent | may_have_run | 0    |
+      | break in the send             | idempotent     | completed    | 1    |
+      | break before the start        | non-idempotent | may_have_run | 0    |
+      | break before the start        | idempotent     | completed    | 1    |
+      | break after the start         | non-idempotent | completed    | 1    |
+      | refuse before the start       | non-idempotent | completed    | 1    |
+      | refuse after the start        | non-idempotent | completed    | 1    |
+      | reject as invalid             | idempotent     | not_run      | 0    |
+      | fail after the start          | non-idempotent | may_have_run | 1    |
+      | fail after the start          | idempotent     | completed    | 2    |
+      | break between parts           | non-idempotent | completed    | 1    |
+      | break before the end          | non-idempotent | completed    | 1    |
+      | silent before the first part  | non-idempotent | completed    | 1    |
+      | silent between parts          | non-idempotent | completed    | 1    |
+      | repeat parts                  | non-idempotent | completed    | 1    |
+      | reorder parts                 | non-idempotent | completed    | 1    |
+      | end before the last part      | non-idempotent | completed    | 1    |
+      | lose a part                   | non-idempotent | completed    | 1    |
+      | comments and carriage returns | non-idempotent | completed    | 1    |
+      | error event                   | idempotent     | may_have_run | 1    |
+      | forget the stream between parts | idempotent   | may_have_run | 1    |
+
+  Scenario Outline: A request that nobody took after <first>: <verdict>
+    Given all engines refuse after "<first>"
+    When an idempotent request is sent
+    Then its caller is told "<verdict>"
+    And engines ran it <runs> times
+    And coming back is <advice>
+
+    Examples:
+      | first                | verdict      | runs | advice      |
+      | refuse before the start | not_run   | 0    | advised     |
+      | fail after the start | may_have_run | 1    | not advised |
+
+  Scenario Outline: The deadline of <deadline> ms holds while <wait>
+    Given the request must wait for <wait>
+    When a request with a deadline of <deadline> ms is sent
+    Then its caller is told "<verdict>"
+    And the answer came after <deadline> ms
+
+    Examples:
+      | wait              | deadline | verdict      |
+      | a paused engine   | 700      | may_have_run |
+      | its claim         | 300      | not_run      |
+
+  Scenario: A caller that goes away frees its endpoint
+    When a caller goes away after 5 parts
+    Then the engine stops its run within 1 second
+
+  Scenario: Retries end with the budget
+    Given every engine fails each request after its start
+    When 60 idempotent requests are sent
+    Then at most 16 of them were tried again
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/submissions.py
@@ -0,0 +1,138 @@
+"""Requests to a small system whose engines meet faults."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import json
+
+import httpx
+import trio
+
+from wasabilanding.experiments import cluster
+from wasabilanding import model
+from wasabilanding import standins
+from wasabilanding.standins import engine as engine_module
+
+SERVICE = "escriba"
+LENGTH = 20
+PROFILE = model.ReplicaProfile(
+    name="draft",
+    model="tarifa",
+    version="v1",
+    vms_per_replica=2,
+    replicas_per_domain=1,
+)
+PLAN = cluster.Plan(
+    failure_domains=("prov", "nunoa"), fabrics_per_domain=1, vms_per_fabric=2
+)
+URL = f"http://prov-node-0:{cluster.CALLERS_PORT}/v1/chat/completions"
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """What the caller of a request and the engines saw.
+
+    :param verdict: what the caller was told.
+    :param text: what it received.
+    :param runs: how often engines ran it.
+    :param elapsed_s: time until the end of the answer in seconds.
+    :param retry_after: header of the answer, where it has one.
+    """
+
+    verdict: str
+    text: str
+    runs: int
+    elapsed_s: float
+    retry_after: str | None = None
+
+
+def whole_text(prompt: str, length: int = LENGTH) -> str:
+    """Return the whole answer to a prompt."""
+    return "".join(engine_module.part_text(prompt, i) for i in range(length))
+
+
+def leader(system: cluster.Cluster, domain: str = "prov") -> str:
+    """Return the VM that takes the requests of a domain's replica."""
+    node = next(iter(system.nodes.values()))
+    return node.context.known.record(domain).replicas[0].leader
+
+
+def add_faults(system: cluster.Cluster, domain: str, *kinds: str) -> None:
+    """Let the next requests at a domain's replica meet faults."""
+    engine = system.engine(leader(system, domain))
+    for kind in kinds:
+        fault = standins.Fault(standins.FaultKind(kind))
+        engine.faults.append(fault)
+
+
+def runs_of(system: cluster.Cluster, prompt: str) -> int:
+    """Count the runs of a prompt at all engines."""
+    return sum(
+        logged == prompt
+        for fleet in system.fleets.values()
+        for _, logged, _ in fleet.log
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_system() -> collections.abc.AsyncIterator[cluster.Cluster]:
+    """Run a system whose replicas all serve."""
+    async with cluster.open_cluster(PLAN) as system:
+        await system.configure(SERVICE, PROFILE)
+        for domain in PLAN.failure_domains:
+            await system.wait_serving(domain, 1)
+        # Nodes learn of the other domain's replica with the next exchange.
+        await trio.sleep(2.0)
+        yield system
+
+
+def _read(lines: list[str]) -> tuple[str, str]:
+    text = ""
+    for line in lines:
+        if line == "data: [DONE]":
+            return "completed", text
+        chunk = json.loads(line.removeprefix("data: "))
+        if "error" in chunk:
+            return chunk["error"]["outcome"], text
+        text += chunk["choices"][0]["delta"]["content"]
+    return "cut", text
+
+
+async def send(
+    system: cluster.Cluster,
+    prompt: str,
+    headers: dict[str, str] | None = None,
+) -> Seen:
+    """Send a streamed request and read its answer."""
+    body = {
+        "model": SERVICE,
+        "stream": True,
+        "max_tokens": LENGTH,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    begun = trio.current_time()
+    async with system.client("prov") as http:
+        response = await http.post(
+            URL, json=body, headers=headers, timeout=None
+        )
+    elapsed_s = trio.current_time() - begun
+    return _seen(system, prompt, response, elapsed_s)
+
+
+def _seen(
+    system: cluster.Cluster,
+    prompt: str,
+    response: httpx.Response,
+    elapsed_s: float,
+) -> Seen:
+    verdict, text = response.headers.get("X-Outcome", ""), ""
+    if response.is_success:
+        lines = [line for line in response.text.split("\n") if line]
+        verdict, text = _read(lines)
+    return Seen(
+        verdict,
+        text,
+        runs_of(system, prompt),
+        elapsed_s,
+        response.headers.get("Retry-After"),
+    )
--- a/packages/standins/wasabilanding/standins/__init__.py
+++ b/packages/standins/wasabilanding/standins/__init__.py
@@ -12,6 +12,8 @@
 from wasabilanding.standins.engine import EngineSettings
 from wasabilanding.standins.engine import Fleet
 from wasabilanding.standins.engine_http import engine_app
+from wasabilanding.standins.faults import Fault
+from wasabilanding.standins.faults import FaultKind
 from wasabilanding.standins.memory_network import MemoryNetwork
 from wasabilanding.standins.platform_http import platform_app
 from wasabilanding.standins.platform_http import PlatformState
@@ -20,6 +22,8 @@
 __all__ = [
     "Engine",
     "EngineSettings",
+    "Fault",
+    "FaultKind",
     "Fleet",
     "MemoryNetwork",
     "PlatformState",
--- a/packages/standins/wasabilanding/standins/engine.py
+++ b/packages/standins/wasabilanding/standins/engine.py
@@ -10,12 +10,15 @@
 of what it ran.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import hashlib
 
 import trio
 
+from wasabilanding.standins import faults
+
 POISON = "POISON-PILL"
 
 
@@ -100,6 +103,7 @@
         self.loaded: str = ""
         self.ready = False
         self.runs: dict[str, Run] = {}
+        self.faults: collections.deque[faults.Fault] = collections.deque()
 
     @property
     def running(self) -> int:
--- a/packages/standins/wasabilanding/standins/engine_http.py
+++ b/packages/standins/wasabilanding/standins/engine_http.py
@@ -5,8 +5,10 @@
 
 import quart
 import quart_trio
+import trio
 
 from wasabilanding.standins import engine as engine_module
+from wasabilanding.standins import faults
 
 DEFAULT_LENGTH = 16
 
@@ -20,6 +22,21 @@
     return f"id: {offset}\ndata: {json.dumps(chunk)}\n\n".encode()
 
 
+END = b"[DONE]"
+BREAKS = {
+    faults.FaultKind.BREAK_BETWEEN,
+    faults.FaultKind.FORGET,
+}
+SILENCES = {
+    faults.FaultKind.SILENT_BEFORE_FIRST,
+    faults.FaultKind.SILENT_BETWEEN,
+}
+
+
+def _end(run: engine_module.Run) -> bytes:
+    return f"id: {run.length}\ndata: {END.decode()}\n\n".encode()
+
+
 async def _events(
     run: engine_module.Run, offset: int
 ) -> collections.abc.AsyncIterator[bytes]:
@@ -28,21 +45,96 @@
             yield _event(run, offset)
             offset += 1
         if run.state == "finished":
-            yield b"data: [DONE]\n\n"
+            yield _end(run)
             return
         if run.state != "running":
             raise ConnectionAbortedError(f"{run.attempt_id} {run.state}")
         await run.changed.wait()
 
 
-def _stream(run: engine_module.Run, offset: int) -> quart.Response:
-    response = quart.Response(
-        _events(run, offset), content_type="text/event-stream"
-    )
+async def _reordered(
+    events: collections.abc.AsyncIterator[bytes],
+) -> collections.abc.AsyncIterator[bytes]:
+    held = b""
+    async for event in events:
+        if held:
+            yield event
+            yield held
+            held = b""
+        else:
+            held = event
+    yield held
+
+
+async def _altered(
+    engine: engine_module.Engine, run: engine_module.Run, fault: faults.Fault
+) -> collections.abc.AsyncIterator[bytes]:
+    events = _events(run, 0)
+    if fault.kind is faults.FaultKind.REORDER:
+        events = _reordered(events)
+    count = 0
+    async for event in events:
+        last = END in event
+        if fault.kind is faults.FaultKind.BREAK_BEFORE_END and last:
+            raise ConnectionAbortedError("before the end")
+        if count == fault.after_parts:
+            if fault.kind is faults.FaultKind.FORGET:
+                del engine.runs[run.attempt_id]
+            if fault.kind in BREAKS:
+                raise ConnectionAbortedError("between parts")
+            if fault.kind in SILENCES:
+                await trio.sleep_forever()
+            if fault.kind is faults.FaultKind.ERROR_EVENT:
+                yield b'data: {"error": {"message": "out of memory"}}\n\n'
+                return
+            if fault.kind is faults.FaultKind.END_EARLY:
+                yield _end(run)
+        yield _changed(event, fault.kind, count == fault.after_parts)
+        count += 1
+
+
+def _changed(event: bytes, kind: faults.FaultKind, here: bool) -> bytes:
+    if kind is faults.FaultKind.REPEAT:
+        return event + event
+    if kind is faults.FaultKind.LOSE_PART and here:
+        return b""
+    if kind is faults.FaultKind.COMMENT:
+        return b": still here\r\n\r\n" + event.replace(b"\n", b"\r\n")
+    return event
+
+
+def _stream(
+    events: collections.abc.AsyncIterator[bytes],
+) -> quart.Response:
+    response = quart.Response(events, content_type="text/event-stream")
     response.timeout = None
     return response
 
 
+def _before_start(
+    kind: faults.FaultKind | None,
+) -> quart.ResponseReturnValue | None:
+    if kind is faults.FaultKind.BREAK_BEFORE_START:
+        raise ConnectionAbortedError("before the start")
+    if kind is faults.FaultKind.REFUSE_BEFORE_START:
+        return {"error": "batch is full"}, 503
+    if kind is faults.FaultKind.REJECT:
+        return {"error": "prompt is too long"}, 400
+    return None
+
+
+def _after_start(
+    kind: faults.FaultKind | None,
+) -> quart.ResponseReturnValue | None:
+    if kind is faults.FaultKind.BREAK_AFTER_START:
+        raise ConnectionAbortedError("after the start")
+    if kind is faults.FaultKind.REFUSE_AFTER_START:
+        return {"error": "batch is full"}, 503
+    if kind is faults.FaultKind.FAIL_AFTER_START:
+        return {"error": "internal error"}, 500
+    return None
+
+
 def _prompt(body: dict) -> str:
     return "\n".join(str(m["content"]) for m in body["messages"])
 
@@ -62,16 +154,23 @@
             return {"error": "replica is not whole or leaving"}, 503
         if engine.running >= engine.settings.max_running:
             return {"error": "batch is full"}, 503
+        fault = engine.faults.popleft() if engine.faults else None
+        if answer := _before_start(fault and fault.kind):
+            return answer
         length = int(body.get("max_tokens") or DEFAULT_LENGTH)
         run = engine.start(headers["X-Attempt-Id"], _prompt(body), length)
-        return _stream(run, 0)
+        if answer := _after_start(fault and fault.kind):
+            return answer
+        if fault:
+            return _stream(_altered(engine, run, fault))
+        return _stream(_events(run, 0))
 
     @app.get("/v1/streams/<attempt_id>")
     async def resume(attempt_id: str) -> quart.ResponseReturnValue:
         run = engine.runs.get(attempt_id)
         if run is None:
             return {"error": f"attempt {attempt_id} is unknown"}, 404
-        return _stream(run, int(quart.request.args["offset"]))
+        return _stream(_events(run, int(quart.request.args["offset"])))
 
     @app.delete("/v1/streams/<attempt_id>")
     async def cancel(attempt_id: str) -> quart.ResponseReturnValue:
@@ -88,6 +187,8 @@
     :param engine: the engine.
     """
     app = quart_trio.QuartTrio(f"engine-{engine.vm}")
+    # A fault breaks the connection instead of answering with status 500.
+    app.config["PROPAGATE_EXCEPTIONS"] = True
     _add_streams(app, engine)
 
     @app.before_request
--- a/packages/standins/wasabilanding/standins/memory_network.py
+++ b/packages/standins/wasabilanding/standins/memory_network.py
@@ -18,6 +18,8 @@
     open streams of an address go silent for good while new ones work.
 ``lose_answers``
     the next answers of an address are lost after the call took effect.
+``break_sends``
+    the next connections to an address break in the middle of the send.
 
 See Also
 ========
@@ -90,6 +92,7 @@
         self._cuts: set[frozenset[str]] = set()
         self._open: set[_Exchange] = set()
         self._lost_answers: collections.Counter[str] = collections.Counter()
+        self._broken_sends: collections.Counter[str] = collections.Counter()
 
     def listen(self, address: str, app: AsgiApp, location: str) -> None:
         """Serve an application.
@@ -144,6 +147,14 @@
         """
         self._lost_answers[address] += count
 
+    def break_sends(self, address: str, count: int = 1) -> None:
+        """Break the next connections to an address in the middle of the send.
+
+        :param address: host and port.
+        :param count: how many connections.
+        """
+        self._broken_sends[address] += count
+
     def is_cut(self, one: str, other: str) -> bool:
         """Tell whether two locations are cut off from each other.
 
@@ -181,12 +192,16 @@
         :param address: host and port.
         :returns: the exchange, or None when the address is out of reach.
         :raises httpx.ConnectError: when the address refuses.
+        :raises httpx.WriteError: when the send breaks off.
         """
         listener = self._listeners.get(address)
         if listener is None:
             raise httpx.ConnectError(f"{address} refuses connections")
         if self.is_cut(origin, listener.location):
             return None
+        if self._broken_sends[address] > 0:
+            self._broken_sends[address] -= 1
+            raise httpx.WriteError(f"{address} broke off during the send")
         exchange = _Exchange(origin, address, listener.location)
         if self._lost_answers[address] > 0:
             self._lost_answers[address] -= 1
