--- a/packages/daemon/wasabilanding/daemon/attempts.py
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -1,6 +1,5 @@
 """Attempts of one request, until one completes or retries end."""
 
-import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -13,6 +12,7 @@
 from wasabilanding import endpoints
 from wasabilanding import model
 from wasabilanding import retries
+from wasabilanding import routing
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,14 +38,17 @@
 
 
 class AttemptRunner:
-    """Runs attempts on this node and counts them by replica.
+    """Runs attempts on this node.
 
     :param context: what the loops share.
+    :param router: selects replicas.
     """
 
-    def __init__(self, context: context_module.Context) -> None:
+    def __init__(
+        self, context: context_module.Context, router: selection.Router
+    ) -> None:
         self._context = context
-        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._router = router
         self._budget = retries.RetryBudget()
 
     async def run(
@@ -65,7 +68,7 @@
         while True:
             replica = self._select(request, progress)
             progress.attempts += 1
-            progress.tried |= {replica.replica_id}
+            progress.tried |= {routing.replica_key(replica)}
             attempt = self._attempt(request, replica, span, progress)
             try:
                 async with contextlib.aclosing(attempt) as batches:
@@ -80,9 +83,7 @@
         self, request: callers.CallerRequest, progress: Progress
     ) -> model.ReplicaRecord:
         try:
-            return selection.select_replica(
-                self._context, request, self._in_flight, progress.tried
-            )
+            return self._router.select(request, progress.tried)
         except callers.RequestFailed as error:
             outcome = retries.final_outcome(
                 error.outcome, progress.may_have_run
@@ -159,7 +160,10 @@
             replica_id=replica.replica_id,
             epoch=replica.epoch,
             body=request.body,
-            headers=self._context.telemetry.headers(span),
+            headers={
+                **self._context.telemetry.headers(span),
+                "X-Priority": str(request.priority),
+            },
         )
 
     async def _attempt(
@@ -177,20 +181,19 @@
             attempt=attempt_id,
             replica=replica.replica_id,
         )
-        with telemetry.span_ended(span):
+        with telemetry.span_ended(span), self._router.counted(replica) as seen:
             sent = self._prepare(request, replica, attempt_id, span)
-            with self._started(replica, sent, progress) as attempt:
+            with self._started(sent, progress) as attempt:
                 while batch := await attempt.receive():
+                    seen.note(len(batch), context.now())
                     yield batch
 
     @contextlib.contextmanager
     def _started(
         self,
-        replica: model.ReplicaRecord,
         sent: endpoints.AttemptRequest,
         progress: Progress,
     ) -> collections.abc.Iterator[endpoints.Attempt]:
-        self._in_flight[replica.replica_id] += 1
         attempt = self._context.endpoints.start_attempt(
             sent, progress.deadline
         )
@@ -198,4 +201,3 @@
             yield attempt
         finally:
             attempt.close()
-            self._in_flight[replica.replica_id] -= 1
--- a/packages/standins/wasabilanding/standins/engine_http.py
+++ b/packages/standins/wasabilanding/standins/engine_http.py
@@ -7,21 +7,11 @@
 import quart_trio
 import trio
 
+from wasabilanding.standins import batching
 from wasabilanding.standins import engine as engine_module
 from wasabilanding.standins import faults
 
 DEFAULT_LENGTH = 16
-
-
-def _event(run: engine_module.Run, offset: int) -> bytes:
-    chunk = {
-        "id": f"chatcmpl-{run.attempt_id}",
-        "object": "chat.completion.chunk",
-        "choices": [{"index": 0, "delta": {"content": run.part(offset)}}],
-    }
-    return f"id: {offset}\ndata: {json.dumps(chunk)}\n\n".encode()
-
-
 END = b"[DONE]"
 BREAKS = {
     faults.FaultKind.BREAK_BETWEEN,
@@ -33,6 +23,15 @@
 }
 
 
+def _event(run: engine_module.Run, offset: int) -> bytes:
+    chunk = {
+        "id": f"chatcmpl-{run.attempt_id}",
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": run.part(offset)}}],
+    }
+    return f"id: {offset}\ndata: {json.dumps(chunk)}\n\n".encode()
+
+
 def _end(run: engine_module.Run) -> bytes:
     return f"id: {run.length}\ndata: {END.decode()}\n\n".encode()
 
@@ -152,13 +151,16 @@
             return {"error": f"not in replica {meant}"}, 409
         if engine.leaving or not engine.is_whole():
             return {"error": "replica is not whole or leaving"}, 503
-        if engine.running >= engine.settings.max_running:
-            return {"error": "batch is full"}, 503
+        if engine.is_full:
+            return {"error": "batch and queue are full"}, 503
         fault = engine.faults.popleft() if engine.faults else None
         if answer := _before_start(fault and fault.kind):
             return answer
         length = int(body.get("max_tokens") or DEFAULT_LENGTH)
-        run = engine.start(headers["X-Attempt-Id"], _prompt(body), length)
+        priority = int(headers.get("X-Priority", batching.DEFAULT_PRIORITY))
+        run = engine.start(
+            headers["X-Attempt-Id"], _prompt(body), length, priority
+        )
         if answer := _after_start(fault and fault.kind):
             return answer
         if fault:
@@ -175,9 +177,8 @@
     @app.delete("/v1/streams/<attempt_id>")
     async def cancel(attempt_id: str) -> quart.ResponseReturnValue:
         run = engine.runs.get(attempt_id)
-        if run and run.state == "running":
-            run.state = "cancelled"
-            run.notify()
+        if run:
+            run.end("cancelled")
         return {}
 
 
@@ -199,6 +200,10 @@
     async def status() -> quart.ResponseReturnValue:
         return engine.status()
 
+    @app.get("/v1/cache-events")
+    async def cache_events() -> quart.ResponseReturnValue:
+        return engine.cache_events(int(quart.request.args.get("after", 0)))
+
     @app.post("/v1/orders/load")
     async def load() -> quart.ResponseReturnValue:
         body = await quart.request.get_json()
