Shut down gracefully without a bound, and bound resumes that break at once

Daemon: a second SIGTERM ended the process at once, because the receiver was closed after the first; listeners waited for an idle moment that steady traffic never gives, and plain calls were not counted at all. Now the node gives notice (not ready, 'Connection: close' on each answer), stops to listen and ends with its last connection; operators can watch until then.

An answer to a resume counts now only when the connection then stays open; resumes are spaced by a growing delay.

--- a/packages/callers/wasabilanding/callers/app.py
+++ b/packages/callers/wasabilanding/callers/app.py
@@ -160,6 +160,13 @@
     _add_plain(app, service)
     _add_health(app, service)
 
+    @app.after_request
+    async def leave(response: quart.Response) -> quart.Response:
+        if not service.ready:
+            # Callers on kept connections go elsewhere with their next request.
+            response.headers["Connection"] = "close"
+        return response
+
     @app.errorhandler(werkzeug.exceptions.RequestEntityTooLarge)
     async def too_large(error: Exception) -> quart.ResponseReturnValue:
         outcome = model.not_run(
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import random
 import signal
 import time
@@ -33,7 +34,7 @@
 
 KEEP_ALIVE_S = 3600.0
 # A graceful shutdown has no bound: open streams decide when it ends.
-SHUTDOWN_BOUND_S = 7 * 86_400.0
+SHUTDOWN_BOUND_S = math.inf
 NS_PER_MS = 1_000_000
 
 _LOG = logging.getLogger(__name__)
@@ -124,16 +125,21 @@
         nursery.start_soon(self.status.measure)
         nursery.start_soon(self.service.gate.run)
 
-    async def drain(self) -> None:
-        """Wait until the balancer has seen the notice and nothing runs."""
+    async def give_notice(self) -> None:
+        """Tell balancer, callers and peers, and wait until they know."""
         self.service.begin_drain()
         self._context.members.leave()
         await trio.sleep(self._context.settings.drain_notice_s)
+
+    async def drain(self) -> None:
+        """Wait until the balancer has seen the notice and nothing runs."""
+        await self.give_notice()
         await self.service.wait_idle()
 
 
 async def _drain_on_signal(node: Node, stopping: trio.Event) -> None:
     signals = (signal.SIGTERM, signal.SIGINT)
+    # The receiver stays open: a second signal must not end the process.
     with trio.open_signal_receiver(*signals) as received:
         async for number in received:
             _LOG.info(
@@ -141,9 +147,9 @@
                 node.service.in_flight,
                 number,
             )
-            await node.drain()
-            stopping.set()
-            return
+            if not stopping.is_set():
+                await node.give_notice()
+                stopping.set()
 
 
 async def _serve_node(node: Node) -> None:
@@ -160,16 +166,16 @@
             stopping,
             callers_stopped,
         )
+        # Operators can watch the drain until the last caller is served.
         nursery.start_soon(
             _serve,
             node.operators_app(),
             settings.administration,
-            stopping,
+            callers_stopped,
             administration_stopped,
         )
         nursery.start_soon(exchange.serve_peers, node.context)
         node.start_loops(nursery)
-        await callers_stopped.wait()
         await administration_stopped.wait()
         nursery.cancel_scope.cancel()
 
--- a/packages/endpoints/wasabilanding/endpoints/streams.py
+++ b/packages/endpoints/wasabilanding/endpoints/streams.py
@@ -32,6 +32,7 @@
 CANCEL_TIMEOUT_S = 1.0
 CONFIRM_TIMEOUT_S = 1.0
 MAX_RESUMES = 3
+RESUME_BACKOFF_S = 0.2
 MAX_BUFFERED_PARTS = 2048
 MAX_DETAIL_LENGTH = 200
 SMOOTHING = 0.3
@@ -129,6 +130,7 @@
         self._measured_at = 0.0
         self._measured_offset = 0
         self._resumes = 0
+        self._confirmed = False
         self._confirmations = 0
 
     async def receive(self) -> list[bytes]:
@@ -210,11 +212,12 @@
                 self._confirmations = 0
             if self._resumes >= MAX_RESUMES:
                 return failure
-            self._resumes += 1
             resume = True
-            await trio.lowlevel.checkpoint()
+            await trio.sleep(self._resumes * RESUME_BACKOFF_S)
+            self._resumes += 1
 
     async def _run_connection(self, resume: bool) -> model.Outcome:
+        self._confirmed = False
         with trio.CancelScope() as self._connection:
             self._note_progress()
             try:
@@ -222,6 +225,10 @@
             except httpx.HTTPError as error:
                 return _failure(error, resume)
         if self._connection.cancelled_caught:
+            if self._confirmed:
+                # The engine holds the stream and keeps it open: it is slow.
+                self._confirmations += 1
+                self._resumes = 0
             return model.may_have_run(
                 model.Reason.STALLED,
                 f"stream of attempt {self._request.attempt_id} made no "
@@ -243,10 +250,7 @@
             if response.is_error:
                 await self._refused(response, resume)
                 return
-            if resume:
-                # The engine holds the stream, so it is not given up.
-                self._confirmations += 1
-                self._resumes = 0
+            self._confirmed = resume
             self._note_progress()
             async for received in response.aiter_raw():
                 self._take(parser.feed(received))
--- a/packages/endpoints/wasabilanding/endpoints/tests/outcomes.feature
+++ b/packages/endpoints/wasabilanding/endpoints/tests/outcomes.feature
@@ -32,6 +32,7 @@
       | comments and carriage returns | non-idempotent | completed    | 1    |
       | error event                   | idempotent     | may_have_run | 1    |
       | forget the stream between parts | idempotent   | may_have_run | 1    |
+      | fail the run between parts    | idempotent     | may_have_run | 1    |
 
   Scenario Outline: A request that nobody took after <first>: <verdict>
     Given all engines refuse after "<first>"
--- a/packages/standins/wasabilanding/standins/engine_http.py
+++ b/packages/standins/wasabilanding/standins/engine_http.py
@@ -15,6 +15,7 @@
 END = b"[DONE]"
 BREAKS = {
     faults.FaultKind.BREAK_BETWEEN,
+    faults.FaultKind.FAIL_RUN,
     faults.FaultKind.FORGET,
 }
 SILENCES = {
@@ -79,6 +80,8 @@
         if count == fault.after_parts:
             if fault.kind is faults.FaultKind.FORGET:
                 del engine.runs[run.attempt_id]
+            if fault.kind is faults.FaultKind.FAIL_RUN:
+                engine.fail_runs()
             if fault.kind in BREAKS:
                 raise ConnectionAbortedError("between parts")
             if fault.kind in SILENCES:
--- a/packages/standins/wasabilanding/standins/faults.py
+++ b/packages/standins/wasabilanding/standins/faults.py
@@ -23,6 +23,7 @@
     LOSE_PART = "lose a part"
     COMMENT = "comments and carriage returns"
     ERROR_EVENT = "error event"
+    FAIL_RUN = "fail the run between parts"
     FORGET = "forget the stream between parts"
 
 
