--- a/packages/daemon/wasabilanding/daemon/attempts.py
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -7,6 +7,7 @@
 
 from wasabilanding import callers
 from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import poison_guard
 from wasabilanding.daemon import selection
 from wasabilanding.daemon import telemetry
 from wasabilanding import endpoints
@@ -28,6 +29,7 @@
     :param delivered: parts handed to the caller.
     :param tried: replicas of its attempts.
     :param may_have_run: whether any attempt may have run.
+    :param completed: whether an attempt has delivered the whole answer.
     """
 
     deadline: float
@@ -35,6 +37,7 @@
     delivered: int = 0
     tried: frozenset[str] = frozenset()
     may_have_run: bool = False
+    completed: bool = False
 
 
 class AttemptRunner:
@@ -42,14 +45,19 @@
 
     :param context: what the loops share.
     :param router: selects replicas.
+    :param guard: is told of the end of each attempt.
     """
 
     def __init__(
-        self, context: context_module.Context, router: selection.Router
+        self,
+        context: context_module.Context,
+        router: selection.Router,
+        guard: poison_guard.PoisonGuard,
     ) -> None:
         self._context = context
         self._router = router
         self._budget = retries.RetryBudget()
+        self._guard = guard
 
     async def run(
         self,
@@ -65,31 +73,61 @@
         :raises wasabilanding.callers.RequestFailed: when retries end.
         """
         self._budget.deposit(request.service)
-        while True:
-            replica = self._select(request, progress)
-            progress.attempts += 1
-            progress.tried |= {routing.replica_key(replica)}
-            attempt = self._attempt(request, replica, span, progress)
-            try:
-                async with contextlib.aclosing(attempt) as batches:
-                    async for batch in batches:
-                        progress.delivered += len(batch)
-                        yield batch
-                return
-            except endpoints.AttemptFailed as error:
-                self._after_failure(request, progress, error)
-
-    def _select(
-        self, request: callers.CallerRequest, progress: Progress
-    ) -> model.ReplicaRecord:
         try:
-            return self._router.select(request, progress.tried)
+            while True:
+                async with self._guard.turn(request):
+                    batches = self._next(request, span, progress)
+                    async with contextlib.aclosing(batches):
+                        async for batch in batches:
+                            yield batch
+                if progress.completed:
+                    return
         except callers.RequestFailed as error:
+            # The last word alone is no promise for all attempts.
             outcome = retries.final_outcome(
                 error.outcome, progress.may_have_run
             )
             raise callers.RequestFailed(outcome) from error
 
+    async def _next(
+        self,
+        request: callers.CallerRequest,
+        span: telemetry.Span,
+        progress: Progress,
+    ) -> Batches:
+        replica = self._router.select(request, progress.tried)
+        progress.attempts += 1
+        progress.tried |= {routing.replica_key(replica)}
+        attempt = self._guarded(request, replica, span, progress)
+        try:
+            async with contextlib.aclosing(attempt) as batches:
+                async for batch in batches:
+                    progress.delivered += len(batch)
+                    yield batch
+            progress.completed = True
+        except endpoints.AttemptFailed as error:
+            self._after_failure(request, progress, error)
+
+    async def _guarded(
+        self,
+        request: callers.CallerRequest,
+        replica: model.ReplicaRecord,
+        span: telemetry.Span,
+        progress: Progress,
+    ) -> Batches:
+        attempt = self._attempt(request, replica, span, progress)
+        try:
+            async with (
+                self._guard.alone(request, replica),
+                contextlib.aclosing(attempt) as batches,
+            ):
+                async for batch in batches:
+                    yield batch
+        except endpoints.AttemptFailed as error:
+            self._guard.failed(request, replica, error.outcome)
+            raise
+        self._guard.completed(request)
+
     def _after_failure(
         self,
         request: callers.CallerRequest,
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -123,6 +123,8 @@
         nursery.start_soon(observation.observe_endpoints, context)
         nursery.start_soon(self.controller.run)
         nursery.start_soon(self.status.measure)
+        nursery.start_soon(self.service.claims.run)
+        nursery.start_soon(self.service.guard.run)
         nursery.start_soon(self.service.gate.run)
 
     async def give_notice(self) -> None:
@@ -156,6 +158,7 @@
     settings = node.context.settings
     stopping = trio.Event()
     callers_stopped = trio.Event()
+    administration_stopping = trio.Event()
     administration_stopped = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_drain_on_signal, node, stopping)
@@ -171,11 +174,14 @@
             _serve,
             node.operators_app(),
             settings.administration,
-            callers_stopped,
+            administration_stopping,
             administration_stopped,
         )
         nursery.start_soon(exchange.serve_peers, node.context)
         node.start_loops(nursery)
+        await callers_stopped.wait()
+        await node.service.wait_idle()
+        administration_stopping.set()
         await administration_stopped.wait()
         nursery.cancel_scope.cancel()
 
--- a/packages/daemon/wasabilanding/daemon/telemetry.py
+++ b/packages/daemon/wasabilanding/daemon/telemetry.py
@@ -81,6 +81,10 @@
         self._attempts = self._meter.create_counter(
             "wasabilanding_attempts", description="Attempts by outcome"
         )
+        self._claims = self._meter.create_counter(
+            "wasabilanding_claims",
+            description="Claims of non-idempotent requests by result",
+        )
         self._store_calls = self._meter.create_counter(
             "wasabilanding_store_calls", description="Calls to the platform"
         )
@@ -131,6 +135,13 @@
         """Count the end of an attempt."""
         self._attempts.add(1, _labels(service, outcome))
 
+    def count_claim(self, result: str) -> None:
+        """Count the result of a claim.
+
+        :param result: taken, replayed, refused or unavailable.
+        """
+        self._claims.add(1, {"result": result})
+
     def count_store_call(self, operation: str, result: str) -> None:
         """Count the end of a call to the platform's service."""
         labels = {"operation": operation, "result": result}
--- a/packages/daemon/wasabilanding/daemon/tests/steps/shutdown_steps.py
+++ b/packages/daemon/wasabilanding/daemon/tests/steps/shutdown_steps.py
@@ -15,6 +15,7 @@
 import httpx
 import trio
 
+from wasabilanding.experiments import calling
 from wasabilanding.experiments import cluster
 from wasabilanding.experiments import demo
 from wasabilanding.experiments import launcher
@@ -93,7 +94,8 @@
 
 
 def _stream(url, prompt):
-    return demo.ask(url, prompt, LENGTH).whole
+    question = calling.Question(demo.SERVICE, prompt, LENGTH)
+    return calling.ask(url, question).whole
 
 
 def _plain(url):
--- a/packages/standins/wasabilanding/standins/platform_http.py
+++ b/packages/standins/wasabilanding/standins/platform_http.py
@@ -6,9 +6,15 @@
 import quart_trio
 import trio
 
+from wasabilanding.standins import rate_limit
 from wasabilanding.standins import store as store_module
 
 WEIGHT_SECONDS = 0.5
+READS_PER_S = 2000
+WRITES_PER_S = 500
+READ_METHOD = "GET"
+WEIGHTS_PATH = "/v1/weights/"
+HTTP_TOO_MANY = 429
 
 
 @dataclasses.dataclass
@@ -35,6 +41,8 @@
     :param store: the key-value store.
     :param faults: faults in force.
     :param vms: lists of VMs with the time from which they hold.
+    :param weight_s: time that one fetch of weights takes, in seconds.
+    :param weights: fetches at a time.
     """
 
     store: store_module.Store
@@ -42,10 +50,32 @@
     vms: list[tuple[float, list[dict]]] = dataclasses.field(
         default_factory=lambda: [(float("-inf"), [])]
     )
+    weight_s: float = WEIGHT_SECONDS
     weights: trio.CapacityLimiter = dataclasses.field(
         default_factory=lambda: trio.CapacityLimiter(4)
     )
 
+    reads: rate_limit.RateLimit = dataclasses.field(
+        default_factory=lambda: rate_limit.RateLimit(READS_PER_S)
+    )
+    writes: rate_limit.RateLimit = dataclasses.field(
+        default_factory=lambda: rate_limit.RateLimit(WRITES_PER_S)
+    )
+
+    def take_call(self, method: str, path: str) -> bool:
+        """Count a call and tell whether the service takes it.
+
+        A waiting watch counts as one read. The weight store has a limit of
+        its own.
+
+        :param method: HTTP method.
+        :param path: path of the call.
+        """
+        if path.startswith(WEIGHTS_PATH):
+            return True
+        limit = self.reads if method == READ_METHOD else self.writes
+        return limit.take()
+
     def listed(self) -> list[dict]:
         """Return the VM list as old as the lag says."""
         at = trio.current_time() - self.faults.list_lag_s
@@ -120,11 +150,11 @@
             ]
         )
 
-    @app.get("/v1/weights/<model>/<version>")
-    async def weights(model: str, version: str) -> quart.ResponseReturnValue:
+    @app.get("/v1/weights/<path:name>")
+    async def weights(name: str) -> quart.ResponseReturnValue:
         async with state.weights:
-            await trio.sleep(WEIGHT_SECONDS)
-        return {"model": model, "version": version}
+            await trio.sleep(state.weight_s)
+        return {"weights": name}
 
 
 def _add_controls(app: quart.Quart, state: PlatformState) -> None:
@@ -162,6 +192,8 @@
             return None
         endpoint = quart.request.endpoint or "unknown"
         state.store.calls[endpoint] += 1
+        if not state.take_call(quart.request.method, quart.request.path):
+            return {"error": "too many calls"}, HTTP_TOO_MANY
         if state.faults.delay_s:
             await trio.sleep(state.faults.delay_s)
         if state.faults.down:
