--- a/packages/standins/wasabilanding/standins/engine.py
+++ b/packages/standins/wasabilanding/standins/engine.py
@@ -10,12 +10,14 @@
 of what it ran.
 """
 
+import collections
 import collections.abc
 import dataclasses
 
 import trio
 
 from wasabilanding.standins import batching
+from wasabilanding.standins import faults
 
 EngineSettings = batching.EngineSettings
 POISON = batching.POISON
@@ -63,6 +65,7 @@
         self.fetching = ""
         self.wanted = ""
         self.runs: dict[str, Run] = {}
+        self.faults: collections.deque[faults.Fault] = collections.deque()
         self.batch = batching.Batch(self.settings)
 
     @property
