Tell the young reports of a replica with an old one; spend less per exchange

Now the young ones are told one by one. A node also hashed each VM of its failure domain with each node every 0.7 s to find its share; it stops at the first higher score and keeps the result while nodes and VMs are the same.

--- a/packages/daemon/wasabilanding/daemon/observation.py
+++ b/packages/daemon/wasabilanding/daemon/observation.py
@@ -17,13 +17,12 @@
     :param context: what the loops share.
     """
     nodes = context.members.live(context.now(), context.failure_domain)
-    names = [node.name for node in nodes]
+    names = tuple(node.name for node in nodes)
     listing = context.known.listing(context.failure_domain)
-    return [
-        vm
-        for vm in listing.vms
-        if membership.owner_of(vm.vm, names) == context.settings.node
-    ]
+    own = membership.own_keys(
+        context.settings.node, names, tuple(vm.vm for vm in listing.vms)
+    )
+    return [vm for vm in listing.vms if vm.vm in own]
 
 
 async def _observe(context: context_module.Context, vm: model.Vm) -> None:
--- a/packages/decisions/wasabilanding/knowledge/whole_replicas.py
+++ b/packages/decisions/wasabilanding/knowledge/whole_replicas.py
@@ -48,19 +48,6 @@
     return _key(failure_domain, replica.replica_id, replica.epoch)
 
 
-def _confirms(
-    report: model.VmReport | None, replica: model.ReplicaRecord
-) -> bool:
-    if report is None or report.state is not model.VmState.READY:
-        return False
-    if report.leaving:
-        return False
-    return (report.replica_id, report.epoch) == (
-        replica.replica_id,
-        replica.epoch,
-    )
-
-
 def summarise(
     failure_domain: str,
     replica: model.ReplicaRecord,
@@ -72,27 +59,38 @@
     :param replica: the replica as recorded.
     :param reports: latest report of each VM.
     """
-    found = [reports.get(vm) for vm in replica.members]
-    if not all(_confirms(report, replica) for report in found):
-        return None
+    place = (replica.replica_id, replica.epoch)
+    observed_at = []
+    for vm in replica.members:
+        report = reports.get(vm)
+        if report is None or report.state is not model.VmState.READY:
+            return None
+        if report.leaving or (report.replica_id, report.epoch) != place:
+            return None
+        observed_at.append(report.observed_at)
     leader = reports[replica.leader]
     return WholeReplica(
         key=replica_key(failure_domain, replica),
-        observed_at=tuple(report.observed_at for report in found),
+        observed_at=tuple(observed_at),
         running=leader.running,
         queued=leader.queued,
     )
 
 
 def reports_of(
-    whole: WholeReplica, replica: model.ReplicaRecord
+    whole: WholeReplica,
+    replica: model.ReplicaRecord,
+    vms: collections.abc.Container[str],
 ) -> collections.abc.Iterator[model.VmReport]:
     """Yield the members' reports that a summary stands for.
 
     :param whole: the summary.
     :param replica: the replica as recorded, at the same epoch.
+    :param vms: the members that are wanted.
     """
     for vm, observed_at in zip(replica.members, whole.observed_at):
+        if vm not in vms:
+            continue
         is_leader = vm == replica.leader
         yield model.VmReport(
             vm=vm,
--- a/packages/decisions/wasabilanding/membership/__init__.py
+++ b/packages/decisions/wasabilanding/membership/__init__.py
@@ -12,7 +12,10 @@
 
 from wasabilanding.membership.joining import Joining
 from wasabilanding.membership.joining import MAX_ASKED_PEERS
+from wasabilanding.membership.partners import LOCAL_FAN_OUT
 from wasabilanding.membership.partners import Partners
+from wasabilanding.membership.partners import REMOTE_ASKERS
+from wasabilanding.membership.shares import own_keys
 from wasabilanding.membership.shares import owner_of
 from wasabilanding.membership.shares import owners_of
 from wasabilanding.membership.table import FORGET_AFTER_S
@@ -25,13 +28,16 @@
 __all__ = [
     "FORGET_AFTER_S",
     "Joining",
+    "LOCAL_FAN_OUT",
     "MAX_ASKED_PEERS",
     "MemberTable",
     "Node",
     "Partners",
+    "REMOTE_ASKERS",
     "REMOTE_SUSPECT_AFTER_S",
     "SUSPECT_AFTER_S",
     "node_key",
+    "own_keys",
     "owner_of",
     "owners_of",
 ]
--- a/packages/decisions/wasabilanding/membership/shares.py
+++ b/packages/decisions/wasabilanding/membership/shares.py
@@ -14,9 +14,14 @@
 """
 
 import collections.abc
+import functools
 import hashlib
 
 
+def _score(name: str, key: str) -> bytes:
+    return hashlib.blake2b(f"{name}/{key}".encode()).digest()
+
+
 def owners_of(
     key: str, names: collections.abc.Iterable[str], count: int
 ) -> tuple[str, ...]:
@@ -35,11 +40,8 @@
     >>> len(owners), again == owners
     (2, True)
     """
-
-    def score(name: str) -> bytes:
-        return hashlib.blake2b(f"{name}/{key}".encode()).digest()
-
-    return tuple(sorted(names, key=score, reverse=True)[:count])
+    ranked = sorted(names, key=lambda name: _score(name, key), reverse=True)
+    return tuple(ranked[:count])
 
 
 def owner_of(key: str, names: collections.abc.Iterable[str]) -> str | None:
@@ -58,3 +60,36 @@
     """
     owners = owners_of(key, names, 1)
     return owners[0] if owners else None
+
+
+@functools.lru_cache(maxsize=4)
+def own_keys(
+    own: str, names: tuple[str, ...], keys: tuple[str, ...]
+) -> frozenset[str]:
+    """Return the keys that fall to one node.
+
+    A key is given up at the first node with a higher score, so this takes
+    far fewer hashes than finding the owner of each key.
+
+    :param own: name of the node.
+    :param names: names of the live nodes.
+    :param keys: the keys.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import membership
+    >>> names, keys = ("a", "b", "c"), ("vm-1", "vm-2", "vm-3", "vm-4")
+    >>> own = membership.own_keys("a", names, keys)
+    >>> own == {k for k in keys if membership.owner_of(k, names) == "a"}
+    True
+    """
+    return frozenset(
+        key for key in keys if _is_highest(own, _score(own, key), names, key)
+    )
+
+
+def _is_highest(
+    own: str, score: bytes, names: tuple[str, ...], key: str
+) -> bool:
+    return all(name == own or _score(name, key) <= score for name in names)
--- a/packages/decisions/wasabilanding/membership/table.py
+++ b/packages/decisions/wasabilanding/membership/table.py
@@ -216,7 +216,7 @@
 
         :param now: local monotonic time in seconds.
         """
-        for node in self.others:
+        for node in tuple(self._others.values()):
             if now - node.heard_at > FORGET_AFTER_S:
                 del self._others[node.name]
                 self._keys.pop(node_key(node), None)
@@ -248,8 +248,8 @@
         """
         heard = [
             node
-            for node in self.others
-            if self.is_heard(node, now) and not node.leaving
+            for node in self._others.values()
+            if not node.leaving and self.is_heard(node, now)
         ]
         nodes = sorted([self._own, *heard], key=lambda node: node.name)
         return tuple(
@@ -268,7 +268,7 @@
         """
         if failure_domain == self._own.failure_domain:
             yield self._own
-        for node in self.others:
+        for node in self._others.values():
             if node.failure_domain != failure_domain:
                 continue
             if self.is_heard(node, now):
--- a/packages/peers/wasabilanding/peers/messages.py
+++ b/packages/peers/wasabilanding/peers/messages.py
@@ -165,16 +165,15 @@
     if request.heard_incarnation == own.incarnation:
         since = request.heard_position
     digest = documents.digest(known)
+    told = observations.tell(
+        known, own.failure_domain, request.sender, since, now
+    )
     reply = exchange_pb2.ExchangeReply(
         sender=_own_state(table),
         heartbeats=_told_heartbeats(table, request, now),
         members=_told_members(table, request, now),
-        reports=observations.single_reports(
-            known, own.failure_domain, request.sender, since, now
-        ),
-        whole_replicas=observations.whole_replicas(
-            known, own.failure_domain, request.sender, since, now
-        ),
+        reports=told.reports,
+        whole_replicas=told.whole_replicas,
         documents_differ=digest != request.documents_digest,
         position=known.position,
         informed=known.informed,
--- a/packages/peers/wasabilanding/peers/observations.py
+++ b/packages/peers/wasabilanding/peers/observations.py
@@ -15,6 +15,7 @@
 """
 
 import collections.abc
+import dataclasses
 import math
 
 from wasabilanding import knowledge
@@ -27,7 +28,17 @@
 MS_PER_S = 1000
 CS_PER_S = 100
 
-Replicas = collections.abc.Iterator[tuple[str, model.ReplicaRecord]]
+
+@dataclasses.dataclass(frozen=True)
+class Told:
+    """What a peer is told of VMs.
+
+    :param reports: reports of single VMs.
+    :param whole_replicas: whole replicas.
+    """
+
+    reports: tuple[exchange_pb2.Report, ...]
+    whole_replicas: tuple[exchange_pb2.WholeReplica, ...]
 
 
 def age_ms(at: float, now: float) -> int:
@@ -45,7 +56,7 @@
     :param at: local monotonic time in seconds.
     :param now: the same, later.
     """
-    return max(0, math.ceil((now - at) * CS_PER_S))
+    return max(0, int((now - at) * CS_PER_S) + 1)
 
 
 def _is_young(report: model.VmReport, now: float) -> bool:
@@ -76,59 +87,110 @@
     )
 
 
-def _local_replicas(known: knowledge.Knowledge, domain: str) -> Replicas:
-    for replica in known.record(domain).replicas:
-        yield domain, replica
-
-
-def _needed_replicas(known: knowledge.Knowledge, domain: str) -> Replicas:
-    served = {
-        replica.service
-        for replica in known.record(domain).replicas
-        if knowledge.summarise(domain, replica, known.reports)
-    }
-    for other, record in sorted(known.records.items()):
-        for replica in record.replicas:
-            if other != domain and replica.service not in served:
-                yield other, replica
-
-
-def whole_replicas(
-    known: knowledge.Knowledge,
-    domain: str,
-    peer: exchange_pb2.NodeState,
-    since: int,
-    now: float,
-) -> collections.abc.Iterator[exchange_pb2.WholeReplica]:
-    """Yield what a peer is told of whole replicas.
+class _Teller:
+    """What one peer is told, from one summary of each replica.
 
     :param known: knowledge of this node.
     :param domain: failure domain of this node.
-    :param peer: the peer.
-    :param since: journal position up to which the peer has heard this node.
+    :param peer: name of the peer.
+    :param since: journal position up to which it has heard this node.
     :param now: local monotonic time in seconds.
     """
-    told = list(_local_replicas(known, domain))
-    if peer.failure_domain == domain:
-        told += _needed_replicas(known, domain)
-    for failure_domain, replica in told:
-        whole = knowledge.summarise(failure_domain, replica, known.reports)
-        if whole is None or now - whole.oldest > MAX_AGE_S:
-            continue
-        if any(
-            known.is_news_for(vm, peer.name, since) for vm in replica.members
-        ):
-            yield _whole(whole, now)
-
-
-def single_reports(
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        domain: str,
+        peer: str,
+        since: int,
+        now: float,
+    ) -> None:
+        self._known = known
+        self._domain = domain
+        self._peer = peer
+        self._since = since
+        self._now = now
+        self._whole = {
+            replica.replica_id: whole
+            for replica in known.record(domain).replicas
+            if (whole := self._summarise(domain, replica))
+        }
+
+    def _summarise(
+        self, domain: str, replica: model.ReplicaRecord
+    ) -> knowledge.WholeReplica | None:
+        # With one old report, the young ones are told one by one.
+        whole = knowledge.summarise(domain, replica, self._known.reports)
+        if whole is None or self._now - whole.oldest > MAX_AGE_S:
+            return None
+        return whole
+
+    def local(
+        self,
+    ) -> collections.abc.Iterator[exchange_pb2.WholeReplica]:
+        """Yield the whole replicas of this failure domain."""
+        for replica in self._known.record(self._domain).replicas:
+            whole = self._whole.get(replica.replica_id)
+            if whole and self._is_news(replica):
+                yield _whole(whole, self._now)
+
+    def needed(
+        self,
+    ) -> collections.abc.Iterator[exchange_pb2.WholeReplica]:
+        """Yield whole replicas elsewhere of services that have none here."""
+        known = self._known
+        served = {
+            replica.service
+            for replica in known.record(self._domain).replicas
+            if replica.replica_id in self._whole
+        }
+        for domain, record in sorted(known.records.items()):
+            for replica in record.replicas:
+                if domain == self._domain or replica.service in served:
+                    continue
+                whole = self._summarise(domain, replica)
+                if whole and self._is_news(replica):
+                    yield _whole(whole, self._now)
+
+    def _is_news(self, replica: model.ReplicaRecord) -> bool:
+        return any(
+            self._known.is_news_for(vm, self._peer, self._since)
+            for vm in replica.members
+        )
+
+    def single(self) -> collections.abc.Iterator[exchange_pb2.Report]:
+        """Yield the reports of VMs that are in no whole replica."""
+        known = self._known
+        for vm in self._single_vms():
+            report = known.reports.get(vm)
+            if report is None or not _is_young(report, self._now):
+                continue
+            if known.is_news_for(vm, self._peer, self._since):
+                yield _report(report, self._now)
+
+    def _single_vms(self) -> collections.abc.Iterable[str]:
+        record = self._known.record(self._domain)
+        vms = dict.fromkeys(
+            vm.vm for vm in self._known.listing(self._domain).vms
+        )
+        for replica in record.replicas:
+            if replica.replica_id not in self._whole:
+                vms.update(dict.fromkeys(replica.members))
+        for replica in record.replicas:
+            if replica.replica_id in self._whole:
+                for vm in replica.members:
+                    vms.pop(vm, None)
+        return vms
+
+
+def tell(
     known: knowledge.Knowledge,
     domain: str,
     peer: exchange_pb2.NodeState,
     since: int,
     now: float,
-) -> collections.abc.Iterator[exchange_pb2.Report]:
-    """Yield the reports that a peer is told of beside the whole replicas.
+) -> Told:
+    """Return what a peer is told of VMs.
 
     :param known: knowledge of this node.
     :param domain: failure domain of this node.
@@ -136,31 +198,11 @@
     :param since: journal position up to which the peer has heard this node.
     :param now: local monotonic time in seconds.
     """
+    teller = _Teller(known, domain, peer.name, since, now)
     if peer.failure_domain != domain:
-        return
-    for vm in _single_vms(known, domain):
-        report = known.reports.get(vm)
-        if report is None or not _is_young(report, now):
-            continue
-        if known.is_news_for(vm, peer.name, since):
-            yield _report(report, now)
-
-
-def _single_vms(
-    known: knowledge.Knowledge, domain: str
-) -> collections.abc.Iterator[str]:
-    record = known.record(domain)
-    whole = {
-        vm
-        for replica in record.replicas
-        if knowledge.summarise(domain, replica, known.reports)
-        for vm in replica.members
-    }
-    recorded = (vm for replica in record.replicas for vm in replica.members)
-    listed = (vm.vm for vm in known.listing(domain).vms)
-    for vm in dict.fromkeys((*listed, *recorded)):
-        if vm not in whole:
-            yield vm
+        return Told((), tuple(teller.local()))
+    whole_replicas = (*teller.local(), *teller.needed())
+    return Told(tuple(teller.single()), whole_replicas)
 
 
 def learn_reports(
@@ -181,21 +223,21 @@
         report = _decode_report(entry, sent_at)
         if report is None:
             unusable += 1
-        else:
-            _learn_report(known, report, source)
+        elif _is_younger(known, report.vm, report.observed_at):
+            known.learn_report(report, source)
     for entry in reply.whole_replicas:
         for report in _decode_whole(known, entry, sent_at):
-            _learn_report(known, report, source)
+            known.learn_report(report, source)
     return unusable
 
 
-def _learn_report(
-    known: knowledge.Knowledge, report: model.VmReport, source: str
-) -> None:
-    held = known.reports.get(report.vm)
-    gained_s = report.observed_at - held.observed_at if held else math.inf
-    if gained_s > SAME_OBSERVATION_S:
-        known.learn_report(report, source)
+def _is_younger(
+    known: knowledge.Knowledge, vm: str, observed_at: float
+) -> bool:
+    held = known.reports.get(vm)
+    if held is None:
+        return True
+    return observed_at - held.observed_at > SAME_OBSERVATION_S
 
 
 def _decode_report(
@@ -232,4 +274,9 @@
         running=entry.running,
         queued=entry.queued,
     )
-    yield from knowledge.reports_of(whole, replica)
+    younger = {
+        vm
+        for vm, at in zip(replica.members, whole.observed_at)
+        if _is_younger(known, vm, at)
+    }
+    yield from knowledge.reports_of(whole, replica, younger)
--- a/packages/peers/wasabilanding/peers/tests/exchange.feature
+++ b/packages/peers/wasabilanding/peers/tests/exchange.feature
@@ -65,6 +65,18 @@
       | nunoa  | one kind  | 0       | 1      |
       | nunoa  | two kinds | 0       | 1      |
 
+  Scenario Outline: A dead member does not hide the reports of the others
+    Given nodes "a" and "b" of one failure domain
+    And the records of "prov" and "maipu" each have a whole replica of one kind
+    And node "b" last heard of one member of "prov" <age> s before the others
+    When node "a" asks "b"
+    Then the last answer has <reports> reports and <wholes> whole replicas
+
+    Examples:
+      | age | reports | wholes |
+      | 1   | 0       | 1      |
+      | 4   | 1       | 1      |
+
   Scenario Outline: A whole replica stands for the reports of its members
     Given nodes "a" of "nunoa" and "b" of "prov"
     And the records of "prov" and "maipu" each have a whole replica of one kind
--- a/packages/peers/wasabilanding/peers/tests/steps/exchange_steps.py
+++ b/packages/peers/wasabilanding/peers/tests/steps/exchange_steps.py
@@ -208,7 +208,8 @@
 @behave.when('node "a" asks "b"')
 def ask(context):
     """Ask with the cursor of the last answer."""
-    context.reply = _ask(context.peers["a"], context.peers["b"])
+    now = getattr(context, "now", 0.0)
+    context.reply = _ask(context.peers["a"], context.peers["b"], now=now)
 
 
 @behave.then("the last answer has {count:d} documents")
@@ -294,6 +295,18 @@
                 )
 
 
+@behave.given(
+    'node "b" last heard of one member of "prov" {age:g} s before the others'
+)
+def given_dead_member(context, age):
+    """Let the other member's report be younger."""
+    known = context.peers["b"].known
+    context.now = age
+    for vm in ("prov-0", "maipu-0", "maipu-1"):
+        younger = dataclasses.replace(known.reports[vm], observed_at=age)
+        known.learn_report(younger)
+
+
 @behave.given('node "b" holds a report of a free VM of "prov"')
 def given_free(context):
     """Let it observe a listed VM that has no place."""
