--- a/packages/decisions/wasabilanding/model/replicas.py
+++ b/packages/decisions/wasabilanding/model/replicas.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 
 
 Place = tuple[str, int]
@@ -52,7 +53,17 @@
     spares: tuple[str, ...] = ()
     substitute_epoch: int = 0
 
-    @property
+    def has_other_form_at(self, place: Place) -> bool:
+        """Tell whether a place belongs to a form other than the first.
+
+        :param place: identity and epoch as a VM reports them.
+        """
+        replica_id, epoch = place
+        if replica_id != self.replica_id or not self.substitute_epoch:
+            return False
+        return 0 <= epoch - self.substitute_epoch < len(self.members)
+
+    @functools.cached_property
     def forms(self) -> tuple["ReplicaRecord", ...]:
         """The replica, then with its first spare in place of each member.
 
--- a/packages/decisions/wasabilanding/placement/substitution.py
+++ b/packages/decisions/wasabilanding/placement/substitution.py
@@ -17,6 +17,8 @@
 that a former holder that was cut off does not disturb a newer record.
 """
 
+import collections.abc
+
 from wasabilanding import model
 from wasabilanding.placement import draft as draft_module
 from wasabilanding.placement import orders
@@ -33,11 +35,23 @@
     :param draft: the record under construction.
     """
     for replica in list(draft.replicas):
+        if not any(map(_in_form_of(situation, replica), replica.spares)):
+            continue
         for form in replica.forms[1:]:
             if _is_taken(situation, form):
                 draft.adopt_form(replica, form)
 
 
+def _in_form_of(
+    situation: Situation, replica: model.ReplicaRecord
+) -> collections.abc.Callable[[str], bool]:
+    def is_in_form(vm: str) -> bool:
+        report = situation.reports.get(vm)
+        return bool(report) and replica.has_other_form_at(report.place)
+
+    return is_in_form
+
+
 def _is_taken(situation: Situation, form: model.ReplicaRecord) -> bool:
     return all(
         situation.is_alive(vm) and situation.is_at(vm, form)
