--- a/packages/experiments/wasabilanding/experiments/relay_processes.py
+++ b/packages/experiments/wasabilanding/experiments/relay_processes.py
@@ -205,13 +205,14 @@
 
 
 def _context(engine_url: str) -> context_module.Context:
-    listener = settings_module.Listener(1)
+    # The benchmark serves callers on a port of its own.
+    unused = [settings_module.Listener(port) for port in (1, 2, 3)]
     settings = settings_module.Settings(
         node="benchmark",
         failure_domain=FAILURE_DOMAIN,
-        callers=listener,
-        administration=listener,
-        peers=listener,
+        callers=unused[0],
+        administration=unused[1],
+        peers=unused[2],
         platform_url=engine_url,
     )
     member = membership.Node("benchmark", 1, FAILURE_DOMAIN, "")
