--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -60,20 +60,22 @@
 
     :param context: what the loops share.
     :param guard: confines requests to few replicas.
+    :param choose: policy by which replicas are chosen.
     """
 
     def __init__(
         self,
         context: context_module.Context,
         guard: poison_guard.PoisonGuard,
+        choose: routing.Policy = routing.choose_by_cost,
     ) -> None:
         self._context = context
         self._guard = guard
+        self._choose = choose
         self._index = routing.ReplicaIndex(context.failure_domain)
         self._loads = routing.LoadView()
         self._paces = routing.PaceView()
         self._prefixes = routing.PrefixView()
-        self._choose = routing.POLICIES["cost"]
 
     @property
     def prefixes(self) -> routing.PrefixView:
@@ -115,6 +117,7 @@
             self._paces,
             self._prefixes,
             context.now(),
+            len(context.members.live(context.now())),
         )
         blocks = routing.block_hashes(request.prompt)
         allowed = self._guard.confine(request, situation.index, tried)
--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -1,12 +1,17 @@
 """Client for reports and orders."""
 
+import contextlib
 import dataclasses
 import typing
 
 import httpx
+import trio
 
+from wasabilanding import delivery
+from wasabilanding.endpoints import streams
 from wasabilanding import model
 from wasabilanding import placement
+from wasabilanding import routing
 
 CALL_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 1000
@@ -42,19 +47,61 @@
         self._http = httpx.AsyncClient(
             timeout=CALL_TIMEOUT_S, limits=limits, transport=transport
         )
+        # Streams must not keep reports and orders waiting for a connection.
+        self._streams_http = httpx.AsyncClient(
+            timeout=CALL_TIMEOUT_S,
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=KEPT_CONNECTIONS,
+            ),
+            transport=transport,
+        )
+        self._stack = contextlib.AsyncExitStack()
+        self._nursery: trio.Nursery | None = None
+        self._open_attempts = 0
 
     async def __aenter__(self) -> "EndpointClient":
-        await self._http.__aenter__()
+        await self._stack.enter_async_context(self._http)
+        await self._stack.enter_async_context(self._streams_http)
+        self._nursery = await self._stack.enter_async_context(
+            trio.open_nursery()
+        )
         return self
 
     async def __aexit__(self, *error: typing.Any) -> None:
-        await self._http.__aexit__(*error)
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+        await self._stack.__aexit__(*error)
 
     @property
     def http(self) -> httpx.AsyncClient:
-        """The HTTP client that request streams use."""
+        """The HTTP client of plain calls."""
         return self._http
 
+    def start_attempt(
+        self, request: streams.AttemptRequest, deadline: float
+    ) -> streams.Attempt:
+        """Start an attempt; its caller closes it.
+
+        :param request: what is sent.
+        :param deadline: local monotonic time in seconds at which it ends.
+        """
+        attempt = streams.Attempt(
+            self._streams_http, request, deadline, self._pause_s
+        )
+        self._nursery.start_soon(self._run, attempt)
+        return attempt
+
+    async def _run(self, attempt: streams.Attempt) -> None:
+        self._open_attempts += 1
+        try:
+            await attempt.run()
+        finally:
+            self._open_attempts -= 1
+
+    def _pause_s(self, interval_s: float) -> float:
+        return delivery.pause_s(self._open_attempts, interval_s)
+
     async def report(self, vm: model.Vm, now: float) -> model.VmReport | None:
         """Ask a VM for its report.
 
@@ -74,6 +121,25 @@
             return None
         return dataclasses.replace(report, observed_at=now)
 
+    async def cache_events(
+        self, vm: model.Vm, after: int
+    ) -> routing.CacheEvents | None:
+        """Ask a VM for its published cache events.
+
+        :param vm: the VM.
+        :param after: sequence number that is already known.
+        :returns: the events, or None without a usable answer.
+        """
+        try:
+            response = await self._http.get(
+                f"{vm.address}/v1/cache-events", params={"after": after}
+            )
+            if response.is_error:
+                return None
+            return model.decode(routing.CacheEvents, response.content)
+        except (httpx.HTTPError, model.InvalidDocument):
+            return None
+
     async def order(self, vm: model.Vm, order: placement.Order) -> OrderResult:
         """Send an order to a VM.
 
--- a/packages/standins/wasabilanding/standins/memory_network.py
+++ b/packages/standins/wasabilanding/standins/memory_network.py
@@ -16,8 +16,12 @@
     open ones go silent.
 ``silence``
     open streams of an address go silent for good while new ones work.
+``break_off``
+    open streams of an address break while new ones work.
 ``lose_answers``
     the next answers of an address are lost after the call took effect.
+``break_sends``
+    the next connections to an address break in the middle of the send.
 
 See Also
 ========
@@ -90,6 +94,7 @@
         self._cuts: set[frozenset[str]] = set()
         self._open: set[_Exchange] = set()
         self._lost_answers: collections.Counter[str] = collections.Counter()
+        self._broken_sends: collections.Counter[str] = collections.Counter()
 
     def listen(self, address: str, app: AsgiApp, location: str) -> None:
         """Serve an application.
@@ -145,6 +150,14 @@
         for exchange in self._matching(address):
             exchange.silent = True
 
+    def break_off(self, address: str) -> None:
+        """Break the open streams of an address while new ones work.
+
+        :param address: host and port.
+        """
+        for exchange in self._matching(address):
+            exchange.break_off()
+
     def lose_answers(self, address: str, count: int = 1) -> None:
         """Lose the next answers of an address after they took effect.
 
@@ -153,6 +166,14 @@
         """
         self._lost_answers[address] += count
 
+    def break_sends(self, address: str, count: int = 1) -> None:
+        """Break the next connections to an address in the middle of the send.
+
+        :param address: host and port.
+        :param count: how many connections.
+        """
+        self._broken_sends[address] += count
+
     def is_cut(self, one: str, other: str) -> bool:
         """Tell whether two locations are cut off from each other.
 
@@ -190,12 +211,16 @@
         :param address: host and port.
         :returns: the exchange, or None when the address is out of reach.
         :raises httpx.ConnectError: when the address refuses.
+        :raises httpx.WriteError: when the send breaks off.
         """
         listener = self._listeners.get(address)
         if listener is None:
             raise httpx.ConnectError(f"{address} refuses connections")
         if self.is_cut(origin, listener.location):
             return None
+        if self._broken_sends[address] > 0:
+            self._broken_sends[address] -= 1
+            raise httpx.WriteError(f"{address} broke off during the send")
         exchange = _Exchange(origin, address, listener.location)
         if self._lost_answers[address] > 0:
             self._lost_answers[address] -= 1
