--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/proofs/sharing.py
@@ -0,0 +1,57 @@
+"""Proofs about the configuration in force, outages, cuts and leaving VMs."""
+
+from wasabilanding.experiments.proofs import proof
+
+Subject = proof.Subject
+
+HISTORIES = "packages/experiments/wasabilanding/experiments/histories/tests"
+DAEMON = "packages/daemon/wasabilanding/daemon/tests"
+PLATFORM = "packages/platform/wasabilanding/platform/tests"
+
+PROOFS = (
+    proof.Proof(
+        (Subject.IN_FORCE, Subject.OPERATORS_RACE, Subject.COMBINED),
+        f"{HISTORIES}/configuration.feature",
+        "Racing operators and faults break nothing",
+        "nodes replaced, outages, slow store and network, lost answers, cuts",
+        "without documents among peers all runs were late; with any "
+        "differing revision applied, the one with a slow network fell back",
+    ),
+    proof.Proof(
+        (Subject.STORE_DOWN,),
+        f"{DAEMON}/outages.feature",
+        "A node replaced during an outage takes what its peers hold",
+        "1 to 3 nodes of a failure domain are replaced while the store is "
+        "down",
+        "not shown: readiness asked only for a revision above 0 before",
+    ),
+    proof.Proof(
+        (Subject.STORE_DOWN, Subject.STORE_SLOW),
+        f"{DAEMON}/outages.feature",
+        "The return of the platform brings no burst",
+        "the store is down or slow for up to 30 s and returns, 9 and 90 nodes",
+        "without back-off 2 of 3 rows had more calls than allowed",
+    ),
+    proof.Proof(
+        (Subject.PEERS_CUT, Subject.STORE_CUT),
+        f"{DAEMON}/outages.feature",
+        "A failure domain that is cut off goes on serving",
+        "cut from the platform, from the other failure domains, from both",
+        "not shown on its own: see the history of the configuration",
+    ),
+    proof.Proof(
+        (Subject.LEAVING,),
+        f"{DAEMON}/outages.feature",
+        "A leaving VM gets no new work within 3 s of the first sign",
+        "the platform's list alone, with and without a store that takes "
+        "writes, or the VM's report alone",
+        "with the list alone and no writes, requests still started after 3 s",
+    ),
+    proof.Proof(
+        (Subject.ANSWER_LOST,),
+        f"{PLATFORM}/client.feature",
+        "A change is told as it went, also when answers are lost",
+        "an answer lost, a write that arrives late, an overload after it",
+        "a change that took effect later was told as not taken",
+    ),
+)
