--- a/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
+++ b/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
@@ -3,6 +3,7 @@
 from wasabilanding.experiments.proofs import claims
 from wasabilanding.experiments.proofs import control
 from wasabilanding.experiments.proofs import proof
+from wasabilanding.experiments.proofs import sharing
 
 Subject = proof.Subject
 
@@ -11,6 +12,7 @@
 PROOFS = (
     *claims.PROOFS,
     *control.PROOFS,
+    *sharing.PROOFS,
     proof.Proof(
         (Subject.OPERATORS_RACE, Subject.IN_FORCE),
         f"{OPERATORS}/changes.feature",
