--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -72,6 +72,7 @@
         self._loads = routing.LoadView()
         self._paces = routing.PaceView()
         self._prefixes = routing.PrefixView()
+        self._entry_vms = 1
 
     @property
     def prefixes(self) -> routing.PrefixView:
@@ -85,6 +86,7 @@
         if self._index.refresh(known.records, known.reports, now):
             self._loads.sweep(self._index.keys)
             self._paces.sweep(self._index.keys)
+            self._entry_vms = len(self._context.members.live(now))
         return self._index
 
     def slots(self, service: str) -> int:
@@ -112,7 +114,7 @@
             self._paces,
             self._prefixes,
             context.now(),
-            len(context.members.live(context.now())),
+            self._entry_vms,
         )
         blocks = routing.block_hashes(request.prompt)
         wish = routing.Wish(request.service, blocks, tried)
--- a/packages/decisions/wasabilanding/routing/index.py
+++ b/packages/decisions/wasabilanding/routing/index.py
@@ -19,6 +19,9 @@
 from wasabilanding.routing import located as located_module
 
 SWEEP_S = 0.25
+# Sweeps of many replicas are rarer, so that they take half a percent of a
+# core at most.
+SWEEP_PER_REPLICA_S = 0.0015
 
 Records = collections.abc.Mapping[str, model.DomainRecord]
 
@@ -77,7 +80,8 @@
                 for domain, record in records.items()
                 for replica in record.replicas
             }
-        if changed or now - self._swept_at >= SWEEP_S:
+        interval_s = max(SWEEP_S, SWEEP_PER_REPLICA_S * len(self._all))
+        if changed or now - self._swept_at >= interval_s:
             self._sweep(reports, now)
             return True
         return False
--- a/packages/experiments/wasabilanding/experiments/study/direct.py
+++ b/packages/experiments/wasabilanding/experiments/study/direct.py
@@ -279,8 +279,7 @@
         engine: standins.Engine,
     ) -> None:
         if engine.alive:
-            answer = engine.cache_events(cursor.after(key))
-            events = [routing.CacheEvent(**e) for e in answer["events"]]
+            events = engine.cache_events(cursor.after(key)).events
             cursor.note(key, events)
             entry_vm.router.prefixes.apply(key, events)
 
--- a/packages/experiments/wasabilanding/experiments/study/load.py
+++ b/packages/experiments/wasabilanding/experiments/study/load.py
@@ -9,7 +9,7 @@
 from wasabilanding.experiments.study import specification
 from wasabilanding.routing import prefix
 
-WORD_SPACE = 36**6
+BITS_PER_DIGIT = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,10 +38,7 @@
 
 def _text(rng: random.Random, tokens: int) -> str:
     size = tokens * prefix.CHARACTERS_PER_TOKEN
-    words = size // 8 + 1
-    return " ".join(f"{rng.randrange(WORD_SPACE):07d}" for _ in range(words))[
-        :size
-    ]
+    return f"{rng.getrandbits(BITS_PER_DIGIT * size):0{size}x}"
 
 
 def _beginnings(experiment: specification.Experiment) -> list[str]:
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/study/tests/steps/study_steps.py
@@ -0,0 +1,201 @@
+"""Steps for experiments."""
+
+import dataclasses
+import json
+import pathlib
+
+import behave
+import typer.testing
+
+from wasabilanding.command import main
+from wasabilanding.experiments import study
+from wasabilanding import model
+
+FOLDER = pathlib.Path("docs/experiments")
+WARMUP_S = 8.0
+
+
+def _read(name):
+    return study.load_experiment(FOLDER / f"{name}.json")
+
+
+def _shortened(name, seconds, **changes):
+    experiment = _read(name)
+    faults = tuple(f for f in experiment.faults if f.at_s <= seconds)
+    return dataclasses.replace(
+        experiment,
+        duration_s=float(seconds),
+        warmup_s=min(WARMUP_S, seconds / 2),
+        faults=faults,
+        **changes,
+    )
+
+
+def _one_domain(name, seconds, **changes):
+    """Return a third of an experiment: one domain of three, and its load."""
+    experiment = _shortened(name, seconds, **changes)
+    system = dataclasses.replace(
+        experiment.system,
+        failure_domains=experiment.system.failure_domains[:1],
+    )
+    customers = tuple(
+        dataclasses.replace(c, rate_per_s=c.rate_per_s / 3)
+        for c in experiment.load.customers
+    )
+    load = dataclasses.replace(experiment.load, customers=customers)
+    return dataclasses.replace(experiment, system=system, load=load)
+
+
+@behave.when(
+    "experiment {name} runs for {seconds:d} s twice and with another seed"
+)
+def run_thrice(context, name, seconds):
+    """Run an experiment three times."""
+    context.found = [
+        model.encode(study.run_experiment(_shortened(name, seconds, seed=s)))
+        for s in (5, 5, 6)
+    ]
+
+
+@behave.then("the first two results are equal and the third is not")
+def check_equal(context):
+    """Compare the results, but for the seed that they name."""
+    one, two, three = context.found
+    assert one == two
+    assert one.replace('"seed":5', "") != three.replace('"seed":6', "")
+
+
+@behave.when("experiment {name} is read with {path} as {value}")
+def read_changed(context, name, path, value):
+    """Read an experiment with one value changed."""
+    document = json.loads((FOLDER / f"{name}.json").read_text())
+    *parents, last = path.split(".")
+    place = document
+    for part in parents:
+        place = place[int(part) if part.isdecimal() else part]
+    place[last] = json.loads(value)
+    context.mistake = ""
+    try:
+        model.decode(study.Experiment, json.dumps(document))
+    except model.InvalidDocument as error:
+        context.mistake = str(error)
+
+
+@behave.then("the mistake names {text}")
+def check_mistake(context, text):
+    """Compare the mistake."""
+    assert text in context.mistake, context.mistake
+
+
+@behave.then("all files of docs/experiments are read without a mistake")
+def check_files(context):
+    """Read all files."""
+    paths = sorted(FOLDER.glob("*.json"))
+    assert len(paths) > 5
+    for path in paths:
+        assert study.load_experiment(path).name == path.stem
+
+
+@behave.when("experiments {one} and {other} run whole for {seconds:d} s")
+def run_two_whole(context, one, other, seconds):
+    """Run two experiments in all failure domains."""
+    context.one = study.run_experiment(_shortened(one, seconds))
+    context.other = study.run_experiment(_shortened(other, seconds))
+
+
+@behave.when("a third of experiments {one} and {other} runs for {seconds:d} s")
+def run_two(context, one, other, seconds):
+    """Run two experiments in one failure domain of three."""
+    context.one = study.run_experiment(_one_domain(one, seconds))
+    context.other = study.run_experiment(_one_domain(other, seconds))
+
+
+@behave.then(
+    "the median and the 95th percentile of each small customer's answers "
+    "grow by at most {factor:g}"
+)
+def check_latency(context, factor):
+    """Compare the latencies of the small customers."""
+    for name, alone in context.one.customers.items():
+        beside = context.other.customers[name]
+        for field in ("p50_s", "p95_s"):
+            before = getattr(alone.total, field)
+            after = getattr(beside.total, field)
+            assert after <= factor * before, (name, field, before, after)
+
+
+@behave.then("no request of a small customer is refused")
+def check_completed(context):
+    """Compare the counts."""
+    for name in context.one.customers:
+        found = context.other.customers[name]
+        assert found.completed == found.requests, (name, found.outcomes)
+
+
+@behave.then("goodput of the second is at least {share:g} of the first")
+def check_goodput(context, share):
+    """Compare the goodput."""
+    one = context.one.goodput_tokens_per_s
+    other = context.other.goodput_tokens_per_s
+    assert other >= share * one, (one, other)
+
+
+@behave.then(
+    "at most {share:g} of the second's requests are cut at their deadline"
+)
+def check_cut(context, share):
+    """Compare how many were cut."""
+    found = context.other.overall
+    cut = found.outcomes.get(model.Reason.DEADLINE.value, 0)
+    assert cut <= share * found.requests, found.outcomes
+
+
+@behave.then("half of the second's refusals come within {seconds:g} s")
+def check_refusals(context, seconds):
+    """Compare the median refusal."""
+    found = context.other.overall.refusal
+    assert found.count > 0
+    assert found.p50_s <= seconds, found.p50_s
+
+
+@behave.when("each policy runs a third of {name} for {seconds:d} s")
+def run_policies(context, name, seconds):
+    """Run an experiment under each routing policy."""
+    context.by_policy = {}
+    for routing in ("cost", "least_loaded", "random", "two_choices"):
+        experiment = _one_domain(name, seconds)
+        policies = dataclasses.replace(experiment.policies, routing=routing)
+        context.by_policy[routing] = study.run_experiment(
+            dataclasses.replace(experiment, policies=policies)
+        )
+
+
+@behave.then(
+    'policy "{policy}" has the least time to the first token and the most '
+    "cache hits"
+)
+def check_policies(context, policy):
+    """Compare the policies."""
+    best = context.by_policy.pop(policy)
+    for name, found in context.by_policy.items():
+        for field in ("p50_s", "p95_s", "p99_s"):
+            mine = getattr(best.overall.first_token, field)
+            other = getattr(found.overall.first_token, field)
+            assert mine < other, (name, field, mine, other)
+        assert best.cache_hit_share > found.cache_hit_share, name
+
+
+@behave.when("the experiment command runs: {command}")
+def run_command(context, command):
+    """Run the command in this process."""
+    parts = [part.format(**context.files) for part in command.split()]
+    runner = typer.testing.CliRunner()
+    context.result = runner.invoke(main.application, ["experiment", *parts])
+
+
+@behave.then("the command ends with {code:d} and shows {text}")
+def check_command(context, code, text):
+    """Compare exit code and output."""
+    shown = context.result.output + str(context.result.exception)
+    assert context.result.exit_code == code, shown
+    assert text in shown, shown
--- a/packages/standins/wasabilanding/standins/engine.py
+++ b/packages/standins/wasabilanding/standins/engine.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from wasabilanding import routing
 from wasabilanding.standins import batching
 
 EngineSettings = batching.EngineSettings
@@ -86,8 +87,8 @@
             "leaving": self.leaving,
         }
 
-    def cache_events(self, after: int) -> dict[str, object]:
-        """Return its published cache events as plain JSON.
+    def cache_events(self, after: int) -> routing.CacheEvents:
+        """Return its published cache events.
 
         :param after: sequence number that is already known.
         """
@@ -95,12 +96,7 @@
         events = self.batch.cache.published(
             after, until, self.settings.event_lost_every
         )
-        return {
-            "vm": self.vm,
-            "replica_id": self.replica_id,
-            "epoch": self.epoch,
-            "events": [dataclasses.asdict(event) for event in events],
-        }
+        return routing.CacheEvents(self.replica_id, self.epoch, events)
 
     def refuses(self, fence: int) -> bool:
         """Tell whether it refuses an order with this fencing number."""
--- a/packages/standins/wasabilanding/standins/engine_http.py
+++ b/packages/standins/wasabilanding/standins/engine_http.py
@@ -1,6 +1,7 @@
 """HTTP face of one stand-in engine."""
 
 import collections.abc
+import dataclasses
 import json
 
 import quart
@@ -103,7 +104,8 @@
 
     @app.get("/v1/cache-events")
     async def cache_events() -> quart.ResponseReturnValue:
-        return engine.cache_events(int(quart.request.args.get("after", 0)))
+        after = int(quart.request.args.get("after", 0))
+        return dataclasses.asdict(engine.cache_events(after))
 
     @app.post("/v1/orders/load")
     async def load() -> quart.ResponseReturnValue:
--- a/packages/standins/wasabilanding/standins/prefix_cache.py
+++ b/packages/standins/wasabilanding/standins/prefix_cache.py
@@ -80,10 +80,11 @@
         :param lost_every: every event whose number it divides is lost; 0
             for none.
         """
-        return tuple(
-            event
-            for event in self._events
-            if event.sequence > after
-            and event.at <= until
-            and not (lost_every and event.sequence % lost_every == 0)
-        )
+        found = []
+        for event in reversed(self._events):
+            if event.sequence <= after:
+                break
+            lost = lost_every and event.sequence % lost_every == 0
+            if event.at <= until and not lost:
+                found.append(event)
+        return tuple(reversed(found))
