--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/installed
 PROJECTS := $(wildcard packages/*/pyproject.toml)
 
-.PHONY: setup demo test lint format docs
+.PHONY: fuzz setup demo test lint format docs
 
 setup: $(STAMP)
 
@@ -33,3 +33,12 @@
 
 docs: setup
 	$(VENV)/bin/python bin/generate-docs
+
+FUZZ_EXAMPLES ?= 2000
+fuzz: setup
+	for suite in $$(grep -rl --include=*.feature @fuzz packages \
+			| xargs -n 1 dirname | sort -u); do \
+		WASABILANDING_FUZZ_EXAMPLES=$(FUZZ_EXAMPLES) \
+			$(VENV)/bin/python -m behave --no-color --tags=fuzz \
+			--format=plain --no-skipped $$suite || exit 1; \
+	done
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -123,6 +123,8 @@
         nursery.start_soon(observation.observe_endpoints, context)
         nursery.start_soon(self.controller.run)
         nursery.start_soon(self.status.measure)
+        nursery.start_soon(self.service.claims.run)
+        nursery.start_soon(self.service.guard.run)
         nursery.start_soon(self.service.gate.run)
         nursery.start_soon(
             cache_watch.follow_caches, context, self.service.router
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -11,6 +11,8 @@
 from wasabilanding.daemon import claims
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import plain
+from wasabilanding.daemon import plain_claims
+from wasabilanding.daemon import poison_guard
 from wasabilanding.daemon import selection
 from wasabilanding.daemon import telemetry
 from wasabilanding import model
@@ -33,9 +35,13 @@
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
-        self._router = selection.Router(context)
+        self.guard = poison_guard.PoisonGuard(context)
+        self._router = selection.Router(context, self.guard)
         self._gate = admission.AdmissionGate(context, self._router)
-        self._attempts = attempts.AttemptRunner(context, self._router)
+        self._attempts = attempts.AttemptRunner(
+            context, self._router, self.guard
+        )
+        self.claims = claims.ClaimKeeper(context)
         self._draining = False
 
     @property
@@ -68,6 +74,7 @@
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
         await self._gate.wait_idle()
+        await self.claims.wait_settled()
 
     async def run(self, request: callers.CallerRequest) -> attempts.Batches:
         """Run a request and yield payloads, a batch at a time.
@@ -91,18 +98,36 @@
             admitted = self._gate.admitted(request, progress.deadline)
             async with admitted as work:
                 # After the wait, so that nothing holds a claim in a queue.
-                await claims.claim(context, request, span)
                 sent = dataclasses.replace(
                     request, priority=work.engine_priority
                 )
-                batches = self._attempts.run(sent, span, progress)
+                batches = self._claimed(sent, span, progress)
                 async with contextlib.aclosing(batches):
                     async for batch in batches:
                         yield batch
                 work.generated = progress.delivered
-                work.completed = True
+                # A repeated answer says nothing about the speed of a slot.
+                work.completed = progress.attempts > 0
                 ending.outcome = model.completed()
 
+    async def _claimed(
+        self,
+        request: callers.CallerRequest,
+        span: telemetry.Span,
+        progress: attempts.Progress,
+    ) -> attempts.Batches:
+        subject = claims.subject_of(request)
+        deadline = progress.deadline
+        async with self.claims.claimed(subject, deadline, span) as work:
+            if work.replayed is not None:
+                yield work.replayed
+                return
+            batches = self._attempts.run(request, span, progress)
+            async with contextlib.aclosing(batches):
+                async for batch in batches:
+                    work.keep(batch)
+                    yield batch
+
     @contextlib.contextmanager
     def _recorded(
         self, request: callers.CallerRequest, progress: attempts.Progress
@@ -147,4 +172,11 @@
         :param call: the call.
         :raises wasabilanding.callers.RequestFailed: without an answer.
         """
-        return await plain.forward(self._context, service, path, call)
+        deadline = self._context.now() + plain.CALL_TIMEOUT_S
+        subject = plain_claims.subject_of(service, path, call)
+        async with self.claims.claimed(subject, deadline) as work:
+            if work.replayed is not None:
+                return plain_claims.decode_answer(work.replayed)
+            answer = await plain.forward(self._context, service, path, call)
+            work.keep(plain_claims.encode_answer(answer))
+            return answer
--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -6,6 +6,7 @@
 
 from wasabilanding import callers
 from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import poison_guard
 from wasabilanding import model
 from wasabilanding import routing
 
@@ -58,15 +59,18 @@
     """What this node knows about replicas, for routing.
 
     :param context: what the loops share.
+    :param guard: confines requests to few replicas.
     :param choose: policy by which replicas are chosen.
     """
 
     def __init__(
         self,
         context: context_module.Context,
+        guard: poison_guard.PoisonGuard,
         choose: routing.Policy = routing.choose_by_cost,
     ) -> None:
         self._context = context
+        self._guard = guard
         self._choose = choose
         self._index = routing.ReplicaIndex(context.failure_domain)
         self._loads = routing.LoadView()
@@ -87,6 +91,7 @@
             self._loads.sweep(self._index.keys)
             self._paces.sweep(self._index.keys)
             self._entry_vms = len(self._context.members.live(now))
+            self._guard.swept(self._index)
         return self._index
 
     def slots(self, service: str) -> int:
@@ -117,7 +122,8 @@
             self._entry_vms,
         )
         blocks = routing.block_hashes(request.prompt)
-        wish = routing.Wish(request.service, blocks, tried)
+        allowed = self._guard.confine(request, situation.index, tried)
+        wish = routing.Wish(request.service, blocks, tried, allowed)
         choice = self._choose(situation, wish, context.rng)
         if choice is None:
             raise callers.RequestFailed(
--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -94,9 +94,7 @@
         except (httpx.HTTPError, model.InvalidDocument):
             return None
 
-    async def order(
-        self, vm: model.Vm, order: placement.Load | placement.Release
-    ) -> OrderResult:
+    async def order(self, vm: model.Vm, order: placement.Order) -> OrderResult:
         """Send an order to a VM.
 
         :param vm: the VM.
--- a/packages/experiments/wasabilanding/experiments/study/direct.py
+++ b/packages/experiments/wasabilanding/experiments/study/direct.py
@@ -21,6 +21,7 @@
 from wasabilanding.daemon import admission
 from wasabilanding.daemon import cache_watch
 from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import poison_guard
 from wasabilanding.daemon import selection
 from wasabilanding.daemon import settings as settings_module
 from wasabilanding.experiments.study import load
@@ -129,7 +130,8 @@
         if policies.admission == "none":
             limit = _no_limit
         self.failure_domain = domain
-        self.router = selection.Router(context, choose)
+        guard = poison_guard.PoisonGuard(context)
+        self.router = selection.Router(context, guard, choose)
         self.gate = admission.AdmissionGate(context, self.router, limit)
 
 
--- a/packages/standins/wasabilanding/standins/batching.py
+++ b/packages/standins/wasabilanding/standins/batching.py
@@ -48,6 +48,7 @@
     :param event_lost_every: every cache event whose number it divides is
         lost; 0 for none.
     :param slow_factor: by which all steps take longer.
+    :param broken_weights: weights that it fails to load, as model/version.
     """
 
     __pydantic_config__ = codec.STRICT
@@ -63,6 +64,7 @@
     event_lag_s: float = 0.0
     event_lost_every: int = 0
     slow_factor: float = 1.0
+    broken_weights: tuple[str, ...] = ()
 
 
 def part_text(prompt: str, offset: int) -> str:
