Pause entry VMs around their claims, alone and under mixed faults

A node paused before its claim's write, or between its claim and its send, for 20 s, longer than its lease of control: one start, whoever comes meanwhile.

--- a/packages/experiments/wasabilanding/experiments/histories/mixed_faults.py
+++ b/packages/experiments/wasabilanding/experiments/histories/mixed_faults.py
@@ -58,6 +58,7 @@
             self._silence_answers,
             self._cut_domain,
             self._lose_vm,
+            self._pause_entry_vm,
         )
         while True:
             kind = self._rng.choice(kinds)
@@ -98,6 +99,12 @@
         await trio.sleep(self._rng.uniform(0.5, 3.0))
         self._system.network.heal(domain, other)
 
+    async def _pause_entry_vm(self) -> None:
+        name = self._rng.choice(sorted(self._system.nodes))
+        self._system.pause_node(name)
+        await trio.sleep(self._rng.uniform(0.5, 6.0))
+        self._system.resume_node(name)
+
     async def _lose_vm(self) -> None:
         vm = self._rng.choice(self._system.plan.vms).vm
         self._system.kill_vm(vm)
--- a/packages/experiments/wasabilanding/experiments/histories/tests/steps/claims_steps.py
+++ b/packages/experiments/wasabilanding/experiments/histories/tests/steps/claims_steps.py
@@ -25,6 +25,7 @@
 NODES = ("prov-node-0", "nunoa-node-0", "maipu-node-0")
 SETTLE_S = 3.0
 LONG = 400
+PAST_LEASES_S = 20.0
 MANY = 60
 # One of three nodes may take two seconds' worth of its share at once.
 BURST = 40
@@ -109,6 +110,23 @@
     return tries
 
 
+async def _paused(system: cluster.Cluster, path: str) -> Tries:
+    tries: Tries = []
+
+    async def one(node: str) -> None:
+        tries.append(await _try(system, node))
+
+    system.nodes[NODES[0]].gate.close_before(path)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(one, NODES[0])
+        await trio.sleep(PAST_LEASES_S)
+        assert system.is_paused(NODES[0]), path
+        await one(NODES[1])
+        system.resume_node(NODES[0])
+    await trio.sleep(SETTLE_S)
+    return [*tries, await _try(system, NODES[2])]
+
+
 async def _engine_dies(system: cluster.Cluster) -> Tries:
     tries: Tries = []
 
@@ -191,6 +209,8 @@
     "answers silent": _silent_answers,
     "domain cut off from platform": _cut_off,
     "entry VM replaced": _entry_vm_replaced,
+    "paused before its claim": lambda s: _paused(s, "/v1/kv/claims"),
+    "paused after its claim": lambda s: _paused(s, "/v1/chat"),
     "engine dies in the middle": _engine_dies,
     "no replica at first": _no_replica,
     "another body": _another_body,
