--- a/packages/daemon/wasabilanding/daemon/claims.py
+++ b/packages/daemon/wasabilanding/daemon/claims.py
@@ -189,7 +189,7 @@
             context.members.own.incarnation,
             subject.fingerprint,
         )
-        decision = await self._take_in_time(subject, wanted)
+        decision = await self._take_in_time(subject, wanted, deadline)
         if isinstance(decision, str):
             raise self._given_up(subject, wanted, decision)
         if isinstance(decision, claims.Refuse):
@@ -204,16 +204,18 @@
         return Work(wanted)
 
     async def _take_in_time(
-        self, subject: Subject, wanted: claims.Claim
+        self, subject: Subject, wanted: claims.Claim, deadline: float
     ) -> claims.Decision | str:
         decision: claims.Decision | str = "no answer in time"
+        give_up_at = self._context.now() + CLAIM_TIMEOUT_S
         try:
-            with trio.move_on_after(CLAIM_TIMEOUT_S) as scope:
+            with trio.move_on_at(min(give_up_at, deadline)) as scope:
                 decision = await self._take(subject.key, wanted)
         except trio.Cancelled:
             self._given_up(subject, wanted, "the caller went away")
             raise
-        if scope.cancelled_caught:
+        if scope.cancelled_caught and give_up_at <= deadline:
+            # A request with a short deadline says nothing of the store.
             self._refuse_until = self._context.now() + CLAIM_TIMEOUT_S
         return decision
 
--- a/packages/standins/wasabilanding/standins/batching.py
+++ b/packages/standins/wasabilanding/standins/batching.py
@@ -21,6 +21,7 @@
 
 import trio
 
+from wasabilanding.model import codec
 from wasabilanding import routing
 from wasabilanding.standins import prefix_cache
 
@@ -50,6 +51,8 @@
     :param broken_weights: weights that it fails to load, as model/version.
     """
 
+    __pydantic_config__ = codec.STRICT
+
     step_s: float = 0.008
     step_slope_s: float = 0.0
     prefill_token_s: float = 0.0
@@ -99,6 +102,7 @@
         self.cached_blocks = 0
         self.generated = 0
         self.first_at: float | None = None
+        self.replica = ""
         self.ended = trio.Event()
         # running (also while it waits), finished, cancelled or failed.
         self.state = "running"
--- a/packages/standins/wasabilanding/standins/engine.py
+++ b/packages/standins/wasabilanding/standins/engine.py
@@ -10,12 +10,14 @@
 of what it ran.
 """
 
+import collections
 import collections.abc
 import dataclasses
 
 import trio
 
 from wasabilanding.standins import batching
+from wasabilanding.standins import faults
 
 EngineSettings = batching.EngineSettings
 POISON = batching.POISON
@@ -63,6 +65,7 @@
         self.fetching = ""
         self.wanted = ""
         self.runs: dict[str, Run] = {}
+        self.faults: collections.deque[faults.Fault] = collections.deque()
         self.batch = batching.Batch(self.settings)
 
     @property
@@ -211,6 +214,7 @@
         if attempt_id in self.runs:
             return self.runs[attempt_id]
         run = Run(attempt_id, prompt, length, priority)
+        run.replica = f"{self.vm}@{self.epoch}"
         self.runs[attempt_id] = run
         self.fleet.log.append((attempt_id, prompt, self.vm))
         self.batch.add(run)
