--- a/packages/experiments/wasabilanding/experiments/histories/mixed_faults.py
+++ b/packages/experiments/wasabilanding/experiments/histories/mixed_faults.py
@@ -102,8 +102,11 @@
     async def _pause_entry_vm(self) -> None:
         name = self._rng.choice(sorted(self._system.nodes))
         self._system.pause_node(name)
-        await trio.sleep(self._rng.uniform(0.5, 6.0))
-        self._system.resume_node(name)
+        try:
+            await trio.sleep(self._rng.uniform(0.5, 6.0))
+        finally:
+            # A paused node would never end its shielded calls.
+            self._system.resume_node(name)
 
     async def _lose_vm(self) -> None:
         vm = self._rng.choice(self._system.plan.vms).vm
