Drop the unused note of refusals

Nothing called it: a full batch and a leaving VM refuse by the same status, so a refusal may not take a replica out of use. Its two rows go with it; they tested only that function. A refused request goes to another replica as before.

--- a/packages/decisions/wasabilanding/knowledge/book.py
+++ b/packages/decisions/wasabilanding/knowledge/book.py
@@ -188,19 +188,6 @@
         self._position += 1
         self._learned[report.vm] = _Learned(self._position, source)
 
-    def learn_refusal(self, vm: str) -> None:
-        """Note that a VM refused work that its latest report promised.
-
-        The report no longer counts as ready; a younger one replaces it.
-
-        :param vm: identity of the VM.
-        """
-        report = self._reports.get(vm)
-        if report and report.state is model.VmState.READY:
-            self._reports[vm] = dataclasses.replace(
-                report, state=model.VmState.LOADING
-            )
-
     def replica_by_key(self, key: int) -> model.ReplicaRecord | None:
         """Return the recorded replica that a key stands for.
 
--- a/packages/decisions/wasabilanding/knowledge/tests/knowledge.feature
+++ b/packages/decisions/wasabilanding/knowledge/tests/knowledge.feature
@@ -12,5 +12,3 @@
       | staying | the platform lists it as leaving          | leaving |
       | staying | it is listed as leaving and reports again | leaving |
       | staying | its leaving is listed and taken back      | staying |
-      | staying | it refuses work                           | refused |
-      | staying | it refuses work and reports again         | staying |
--- a/packages/decisions/wasabilanding/knowledge/tests/steps/knowledge_steps.py
+++ b/packages/decisions/wasabilanding/knowledge/tests/steps/knowledge_steps.py
@@ -30,11 +30,6 @@
     _learn_report(known, at=2.0)
 
 
-def _refuse_and_report(known):
-    known.learn_refusal("vm-1")
-    _learn_report(known, at=2.0)
-
-
 EVENTS = {
     "nothing happens": lambda known: None,
     "the platform lists it as leaving": lambda known: _learn_list(
@@ -42,8 +37,6 @@
     ),
     "it is listed as leaving and reports again": _list_and_report,
     "its leaving is listed and taken back": _list_and_take_back,
-    "it refuses work": lambda known: known.learn_refusal("vm-1"),
-    "it refuses work and reports again": _refuse_and_report,
 }
 
 
@@ -64,6 +57,5 @@
 def check_state(context, state):
     """Compare what is known."""
     report = context.known.reports["vm-1"]
-    refused = report.state is not model.VmState.READY
     found = "leaving" if report.leaving else "staying"
-    assert state == ("refused" if refused else found), report
+    assert state == found, report
