Forward plain calls as their callers are owed

Calls are counted and limited by customer, end at their deadline (it was ignored; 30 s were fixed), go on to the next address after a connection that was not had or, for an idempotent method, that broke, within the budget of retries. Headers of one hop stay there, repeated headers survive. A call that must not be repeated, and a non-idempotent request, take a connection of their own, because a kept one may be closed by the server just then.

Ruled out: the HTTP client kept the cookies that services set and sent them with the calls of other callers; it keeps none now.

--- a/packages/callers/wasabilanding/callers/app.py
+++ b/packages/callers/wasabilanding/callers/app.py
@@ -8,6 +8,7 @@
 
 import quart
 import quart_trio
+import werkzeug.datastructures
 import werkzeug.exceptions
 
 from wasabilanding.callers import answers
@@ -51,7 +52,7 @@
     """The answer of a plain service."""
 
     status: int
-    headers: dict[str, str]
+    headers: tuple[tuple[str, str], ...]
     body: bytes
 
 
@@ -118,9 +119,13 @@
 
 
 def _add_plain(app: quart.Quart, service: Service) -> None:
-    methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+    methods = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
 
-    @app.route("/services/<name>/<path:path>", methods=methods)
+    @app.route(
+        "/services/<name>/<path:path>",
+        methods=methods,
+        provide_automatic_options=False,
+    )
     async def forward(name: str, path: str) -> quart.Response:
         call = PlainCall(
             quart.request.method,
@@ -132,8 +137,10 @@
             answer = await service.forward(name, path, call)
         except requests.RequestFailed as error:
             return _error(error.outcome)
+        headers = werkzeug.datastructures.Headers(answer.headers)
+        headers["X-Outcome"] = model.Verdict.COMPLETED.value
         return quart.Response(
-            answer.body, status=answer.status, headers=answer.headers
+            answer.body, status=answer.status, headers=headers
         )
 
 
--- a/packages/daemon/wasabilanding/daemon/attempts.py
+++ b/packages/daemon/wasabilanding/daemon/attempts.py
@@ -202,6 +202,7 @@
                 **self._context.telemetry.headers(span),
                 "X-Priority": str(request.priority),
             },
+            idempotent=request.idempotent,
         )
 
     async def _attempt(
--- a/packages/daemon/wasabilanding/daemon/plain.py
+++ b/packages/daemon/wasabilanding/daemon/plain.py
@@ -1,30 +1,71 @@
-"""Forwards calls to plain services."""
+"""Forwards calls to plain services.
 
+Explanation
+===========
+
+A call goes to the addresses of its own failure domain first. It goes on to
+the next address when no connection was had, and, for an idempotent method,
+when the connection broke before the answer. A call that must not be repeated
+takes a connection of its own: on a kept one the service may close while the
+call is on its way, and then nobody can tell whether it ran.
+"""
+
+import collections
 import collections.abc
+import contextlib
 
 import httpx
+import trio
 
 from wasabilanding import callers
+from wasabilanding import configuration
 from wasabilanding.daemon import context as context_module
 from wasabilanding import model
+from wasabilanding import retries
 
-CALL_TIMEOUT_S = 30.0
+DEFAULT_DEADLINE_MS = 30_000
+MAX_DEADLINE_MS = 3_600_000
+MS_PER_S = 1000
+CONNECT_TIMEOUT_S = 1.0
 COMEBACK_S = 2.0
+TIMEOUT = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, pool=1.0)
+IDEMPOTENT_METHODS = frozenset(
+    ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE")
+)
+# RFC 9110, section 7.6.1, and what the HTTP libraries set themselves.
 HOP_HEADERS = frozenset(
     (
         "connection",
         "content-encoding",
         "content-length",
         "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "remote-addr",
+        "te",
+        "trailer",
         "transfer-encoding",
+        "upgrade",
     )
 )
 
+Header = tuple[str, str]
+
 
 def _end_to_end(
-    headers: collections.abc.Mapping[str, str],
-) -> dict[str, str]:
-    return {k: v for k, v in headers.items() if k.lower() not in HOP_HEADERS}
+    headers: collections.abc.Iterable[Header],
+) -> tuple[Header, ...]:
+    pairs = tuple(headers)
+    named = {
+        option.strip().lower()
+        for name, text in pairs
+        if name.lower() == "connection"
+        for option in text.split(",")
+    }
+    dropped = HOP_HEADERS | named
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
 
 
 def _addresses(profile: model.PlainProfile, failure_domain: str) -> list[str]:
@@ -38,66 +79,198 @@
     return [*own, *others]
 
 
-def _profile(
-    context: context_module.Context, service: str
-) -> model.PlainProfile:
-    entry = context.known.configuration.profile_of(service)
-    if entry is None or entry.profile.kind != "plain":
-        raise callers.RequestFailed(
-            model.not_run(
-                model.Reason.UNKNOWN_SERVICE,
-                f"plain service {service!r} does not exist",
-            )
+def _header(call: callers.PlainCall, wanted: str, default: str) -> str:
+    for name, text in call.headers.items():
+        if name.lower() == wanted:
+            return text
+    return default
+
+
+def deadline_s(call: callers.PlainCall) -> float:
+    """Return the seconds in which the answer to a call is wanted.
+
+    :param call: the call.
+    :raises wasabilanding.callers.InvalidRequest: when its header is wrong.
+    """
+    text = _header(call, "x-deadline-ms", str(DEFAULT_DEADLINE_MS))
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_DEADLINE_MS:
+        raise callers.InvalidRequest(
+            f"header X-Deadline-Ms: {text!r} is not an integer from 1 to "
+            f"{MAX_DEADLINE_MS}"
         )
-    return entry.profile
+    return int(text) / MS_PER_S
 
 
-async def forward(
-    context: context_module.Context,
-    service: str,
-    path: str,
-    call: callers.PlainCall,
-) -> callers.PlainAnswer:
-    """Forward a call to a plain service.
+def _failure(error: httpx.HTTPError) -> model.Outcome:
+    if isinstance(
+        error, (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+    ):
+        return model.not_run(model.Reason.CONNECT_FAILED, repr(error))
+    return model.may_have_run(model.Reason.CONNECTION_LOST, repr(error))
+
+
+class PlainForwarder:
+    """Forwards calls and counts them by customer.
 
     :param context: what the loops share.
-    :param service: name of the service.
-    :param path: path below its base URL.
-    :param call: the call.
-    :raises wasabilanding.callers.RequestFailed: without an answer.
     """
-    profile = _profile(context, service)
-    failure = model.not_run(
-        model.Reason.NO_REPLICA,
-        f"service {service} has no endpoint",
-        COMEBACK_S,
-    )
-    for address in _addresses(profile, context.failure_domain):
-        try:
-            return await _call(context, f"{address}/{path}", call)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            failure = model.not_run(model.Reason.CONNECT_FAILED, repr(error))
-        except httpx.HTTPError as error:
-            failure = model.may_have_run(
-                model.Reason.CONNECTION_LOST, repr(error)
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._budget = retries.RetryBudget()
+        self._idle = trio.Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Calls in flight."""
+        return self._in_flight.total()
+
+    async def wait_idle(self) -> None:
+        """Wait until no call is in flight."""
+        while self.in_flight:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    async def forward(
+        self, service: str, path: str, call: callers.PlainCall
+    ) -> callers.PlainAnswer:
+        """Forward a call to a plain service.
+
+        :param service: name of the service.
+        :param path: path below its base URL.
+        :param call: the call.
+        :raises wasabilanding.callers.RequestFailed: without an answer.
+        """
+        profile = self._profile(service)
+        if ".." in path.split("/"):
+            raise callers.InvalidRequest(f"path: {path!r} leaves the service")
+        deadline = self._context.now() + deadline_s(call)
+        customer = _header(call, "x-customer", "default")
+        with self._admitted(customer):
+            self._budget.deposit(service)
+            attempts = _Attempts(self._context, self._budget, service, call)
+            addresses = _addresses(profile, self._context.failure_domain)
+            return await attempts.run(addresses, path, deadline)
+
+    def _profile(self, service: str) -> model.PlainProfile:
+        entry = self._context.known.configuration.profile_of(service)
+        if entry is None or entry.profile.kind != "plain":
+            raise callers.RequestFailed(
+                model.not_run(
+                    model.Reason.UNKNOWN_SERVICE,
+                    f"plain service {service!r} does not exist",
+                )
             )
-            break
-    raise callers.RequestFailed(failure)
-
-
-async def _call(
-    context: context_module.Context, url: str, call: callers.PlainCall
-) -> callers.PlainAnswer:
-    response = await context.endpoints.http.request(
-        call.method,
-        url,
-        params=call.query,
-        headers=_end_to_end(call.headers),
-        content=call.body,
-        timeout=CALL_TIMEOUT_S,
-    )
-    return callers.PlainAnswer(
-        response.status_code,
-        _end_to_end(response.headers),
-        response.content,
-    )
+        return entry.profile
+
+    @contextlib.contextmanager
+    def _admitted(self, name: str) -> collections.abc.Iterator[None]:
+        customers = self._context.known.configuration.customers
+        limit = customers.get(name, configuration.Customer()).max_in_flight
+        own = self._in_flight[name]
+        if limit and own >= limit:
+            raise callers.RequestFailed(
+                model.not_run(
+                    model.Reason.CUSTOMER_LIMIT,
+                    f"customer {name} has {own} calls in flight",
+                    COMEBACK_S,
+                )
+            )
+        if self.in_flight >= self._context.settings.max_in_flight:
+            raise callers.RequestFailed(
+                model.not_run(
+                    model.Reason.OVERLOADED,
+                    f"{self.in_flight} calls are in flight",
+                    COMEBACK_S,
+                )
+            )
+        self._in_flight[name] += 1
+        try:
+            yield
+        finally:
+            self._in_flight[name] -= 1
+            if not self.in_flight:
+                self._idle.set()
+
+
+class _Attempts:
+    """The attempts of one call."""
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        budget: retries.RetryBudget,
+        service: str,
+        call: callers.PlainCall,
+    ) -> None:
+        self._context = context
+        self._budget = budget
+        self._service = service
+        self._call = call
+        self._may_have_run = False
+        mark = _header(call, "x-non-idempotent", "false").lower()
+        self._idempotent = call.method in IDEMPOTENT_METHODS and mark != "true"
+
+    async def run(
+        self, addresses: list[str], path: str, deadline: float
+    ) -> callers.PlainAnswer:
+        """Try one address after another."""
+        outcome = model.not_run(
+            model.Reason.NO_REPLICA,
+            f"service {self._service} has no endpoint",
+            COMEBACK_S,
+        )
+        for count, address in enumerate(addresses, start=1):
+            answer = await self._attempt(f"{address}/{path}", deadline)
+            if isinstance(answer, callers.PlainAnswer):
+                return answer
+            outcome = answer
+            if not self._goes_on(outcome, count, deadline):
+                break
+        raise callers.RequestFailed(
+            retries.final_outcome(outcome, self._may_have_run)
+        )
+
+    def _goes_on(
+        self, outcome: model.Outcome, count: int, deadline: float
+    ) -> bool:
+        made = retries.Attempts(
+            count, deadline, self._idempotent, may_have_run=self._may_have_run
+        )
+        if outcome.verdict is model.Verdict.MAY_HAVE_RUN:
+            self._may_have_run = True
+        step = retries.next_step(outcome, made, self._context.now())
+        if isinstance(step, retries.GiveUp):
+            return False
+        return self._budget.spend(self._service)
+
+    async def _attempt(
+        self, url: str, deadline: float
+    ) -> callers.PlainAnswer | model.Outcome:
+        with trio.move_on_at(deadline):
+            try:
+                return await self._call_once(url)
+            except httpx.HTTPError as error:
+                return _failure(error)
+        return model.may_have_run(
+            model.Reason.DEADLINE, "the deadline has passed"
+        )
+
+    async def _call_once(self, url: str) -> callers.PlainAnswer:
+        client = self._context.endpoints
+        http = client.http if self._idempotent else client.unshared_http
+        call = self._call
+        response = await http.request(
+            call.method,
+            url,
+            params=call.query,
+            headers=_end_to_end(call.headers.items()),
+            content=call.body,
+            timeout=TIMEOUT,
+        )
+        return callers.PlainAnswer(
+            response.status_code,
+            _end_to_end(response.headers.multi_items()),
+            response.content,
+        )
--- a/packages/daemon/wasabilanding/daemon/plain_claims.py
+++ b/packages/daemon/wasabilanding/daemon/plain_claims.py
@@ -62,11 +62,10 @@
 
     >>> from wasabilanding import callers
     >>> from wasabilanding.daemon import plain_claims
-    >>> answer = callers.PlainAnswer(200, {"A": "b"}, b"body")
+    >>> answer = callers.PlainAnswer(200, (("A", "b"),), b"body")
     >>> plain_claims.decode_answer(plain_claims.encode_answer(answer))
-    PlainAnswer(status=200, headers={'A': 'b'}, body=b'body')
+    PlainAnswer(status=200, headers=(('A', 'b'),), body=b'body')
     """
     status, headers, body = payloads
-    return callers.PlainAnswer(
-        int(status), json.loads(headers), base64.b64decode(body)
-    )
+    pairs = tuple((name, text) for name, text in json.loads(headers))
+    return callers.PlainAnswer(int(status), pairs, base64.b64decode(body))
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -39,6 +39,7 @@
         router = selection.Router(context, self.guard)
         self._gate = admission.AdmissionGate(context, router)
         self._attempts = attempts.AttemptRunner(context, router, self.guard)
+        self._plain = plain.PlainForwarder(context)
         self.claims = claims.ClaimKeeper(context)
         self._draining = False
 
@@ -49,8 +50,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests in flight, those that wait for a slot included."""
-        return self._gate.in_flight
+        """Requests and plain calls in flight, those that wait included."""
+        return self._gate.in_flight + self._plain.in_flight
 
     @property
     def ready(self) -> bool:
@@ -65,8 +66,10 @@
         self._draining = True
 
     async def wait_idle(self) -> None:
-        """Wait until no request is in flight."""
-        await self._gate.wait_idle()
+        """Wait until nothing is in flight."""
+        while self.in_flight:
+            await self._gate.wait_idle()
+            await self._plain.wait_idle()
         await self.claims.wait_settled()
 
     async def run(self, request: callers.CallerRequest) -> attempts.Batches:
@@ -162,11 +165,11 @@
         :param call: the call.
         :raises wasabilanding.callers.RequestFailed: without an answer.
         """
-        deadline = self._context.now() + plain.CALL_TIMEOUT_S
+        deadline = self._context.now() + plain.deadline_s(call)
         subject = plain_claims.subject_of(service, path, call)
         async with self.claims.claimed(subject, deadline) as work:
             if work.replayed is not None:
                 return plain_claims.decode_answer(work.replayed)
-            answer = await plain.forward(self._context, service, path, call)
+            answer = await self._plain.forward(service, path, call)
             work.keep(plain_claims.encode_answer(answer))
             return answer
--- /dev/null
+++ b/packages/daemon/wasabilanding/daemon/tests/steps/plain_steps.py
@@ -0,0 +1,174 @@
+"""Steps for calls to plain services."""
+
+import collections
+import math
+
+import behave
+import quart
+import quart_trio
+import trio
+
+from wasabilanding import configuration
+from wasabilanding.experiments import cluster
+from wasabilanding import model
+
+SERVICE = "listas"
+PLAN = cluster.Plan(failure_domains=("prov",))
+URL = f"http://prov-node-0:{cluster.CALLERS_PORT}/services/{SERVICE}/sheet"
+FIRST = "plain-0:80"
+SECOND = "plain-1:80"
+SLOW_S = 3.0
+TOLERANCE_S = 0.02
+PROFILE = model.PlainProfile(
+    "prices", "plain", {"prov": (f"http://{FIRST}", f"http://{SECOND}")}
+)
+
+
+class _PlainService:
+    """Counts its calls and can break or be slow."""
+
+    def __init__(self):
+        self.calls = []
+        self.broken = 0
+        self.slow_s = 0.0
+        self.app = quart_trio.QuartTrio("plain")
+        self.app.config["PROPAGATE_EXCEPTIONS"] = True
+        methods = ["GET", "POST", "PUT"]
+        self.app.route("/sheet", methods=methods)(self.answer)
+
+    async def answer(self):
+        self.calls.append(dict(quart.request.headers))
+        await trio.sleep(self.slow_s)
+        if len(self.calls) <= self.broken:
+            raise ConnectionAbortedError("after the run")
+        headers = [
+            ("Set-Cookie", "a=1"),
+            ("Set-Cookie", "b=2"),
+            ("Connection", "X-Hop"),
+            ("X-Hop", "1"),
+        ]
+        return quart.Response("prices", headers=headers)
+
+
+async def _run(act):
+    async with cluster.open_cluster(PLAN) as system:
+        service = _PlainService()
+        for address in (FIRST, SECOND):
+            system.network.listen(address, service.app, "prov")
+        await system.configure(SERVICE, PROFILE)
+        await trio.sleep(1.0)
+        async with system.client("prov") as http:
+            return await act(system, service, http)
+
+
+@behave.when('a {mark} {method} call meets "{fault}" at the first address')
+def call(context, mark, method, fault):
+    """Call once."""
+
+    async def act(system, service, http):
+        if fault == "refused connections":
+            system.network.refuse(FIRST)
+        elif fault == "break in the send":
+            system.network.break_sends(FIRST)
+        elif fault == "break after the run":
+            service.broken = 1
+        headers = {}
+        if mark == "non-idempotent":
+            headers["X-Non-Idempotent"] = "true"
+        answer = await http.request(method, URL, headers=headers)
+        return answer.headers["X-Outcome"], len(service.calls)
+
+    context.seen = cluster.run_seeded(_run, act)
+
+
+@behave.then('its outcome is "{outcome}" and the service saw {calls:d} calls')
+def check_outcome(context, outcome, calls):
+    """Compare the outcome with the service's own count."""
+    assert context.seen == (outcome, calls), context.seen
+
+
+@behave.when("a call with a deadline of {ms:d} ms meets a slow service")
+def call_slow(context, ms):
+    """Call a slow service."""
+
+    async def act(system, service, http):
+        service.slow_s = SLOW_S
+        begun = trio.current_time()
+        headers = {"X-Deadline-Ms": str(ms)}
+        answer = await http.post(URL, headers=headers, timeout=None)
+        return answer.headers["X-Outcome"], trio.current_time() - begun
+
+    context.seen = cluster.run_seeded(_run, act)
+
+
+@behave.then('its outcome is "{outcome}" after {ms:d} ms')
+def check_deadline(context, outcome, ms):
+    """Compare the outcome and its time."""
+    seen, elapsed_s = context.seen
+    assert seen == outcome, seen
+    assert math.isclose(elapsed_s, ms / 1000, abs_tol=TOLERANCE_S), elapsed_s
+
+
+@behave.when(
+    "a customer with a limit of {limit:d} sends {count:d} plain calls at once"
+)
+def call_many(context, limit, count):
+    """Send calls at once."""
+
+    async def act(system, service, http):
+        service.slow_s = SLOW_S
+        known = system.nodes["prov-node-0"].context.known
+        known.configuration.customers["salon"] = configuration.Customer(
+            max_in_flight=limit
+        )
+        reasons = []
+
+        async def one():
+            headers = {"X-Customer": "salon"}
+            answer = await http.get(URL, headers=headers, timeout=None)
+            reasons.append(answer.headers.get("X-Reason", "answered"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(one)
+        return collections.Counter(reasons)
+
+    context.seen = cluster.run_seeded(_run, act)
+
+
+@behave.then('{answered:d} are answered and {refused:d} is told "{reason}"')
+def check_limit(context, answered, refused, reason):
+    """Count the answers."""
+    due = {"answered": answered, reason: refused}
+    assert context.seen == due, context.seen
+
+
+@behave.when("a caller is given two cookies and another one calls after it")
+def call_with_cookies(context):
+    """Call twice, as two callers."""
+
+    async def act(system, service, http):
+        headers = {"Connection": "X-Mine", "X-Mine": "1"}
+        async with system.client("prov") as other:
+            first = await http.get(URL, headers=headers)
+            await other.get(URL, headers=headers)
+        return first.headers.multi_items(), service.calls
+
+    context.seen = cluster.run_seeded(_run, act)
+
+
+@behave.then("the first one has both cookies and the second one sent none")
+def check_cookies(context):
+    """Compare the cookies."""
+    answered, calls = context.seen
+    cookies = [text for name, text in answered if name == "set-cookie"]
+    assert cookies == ["a=1", "b=2"], answered
+    assert "Cookie" not in calls[1], calls[1]
+
+
+@behave.then("headers of one hop were not passed on")
+def check_headers(context):
+    """Compare the headers."""
+    answered, calls = context.seen
+    assert "x-hop" not in dict(answered), answered
+    assert "X-Mine" not in calls[0], calls[0]
--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import http.cookiejar
 import typing
 
 import httpx
@@ -18,6 +19,12 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
+def _no_cookies() -> http.cookiejar.CookieJar:
+    # A cookie that one caller was given must not go out with another's call.
+    policy = http.cookiejar.DefaultCookiePolicy(allowed_domains=[])
+    return http.cookiejar.CookieJar(policy)
+
+
 @dataclasses.dataclass(frozen=True)
 class OrderResult:
     """What came of an order.
@@ -44,7 +51,10 @@
             max_keepalive_connections=KEPT_CONNECTIONS,
         )
         self._http = httpx.AsyncClient(
-            timeout=CALL_TIMEOUT_S, limits=limits, transport=transport
+            timeout=CALL_TIMEOUT_S,
+            limits=limits,
+            transport=transport,
+            cookies=_no_cookies(),
         )
         # Streams must not keep reports and orders waiting for a connection.
         self._streams_http = httpx.AsyncClient(
@@ -54,6 +64,16 @@
                 max_keepalive_connections=KEPT_CONNECTIONS,
             ),
             transport=transport,
+            cookies=_no_cookies(),
+        )
+        # Each call has a connection of its own, which nobody closes before.
+        self._unshared_http = httpx.AsyncClient(
+            timeout=CALL_TIMEOUT_S,
+            limits=httpx.Limits(
+                max_connections=None, max_keepalive_connections=0
+            ),
+            transport=transport,
+            cookies=_no_cookies(),
         )
         self._stack = contextlib.AsyncExitStack()
         self._nursery: trio.Nursery | None = None
@@ -62,6 +82,7 @@
     async def __aenter__(self) -> "EndpointClient":
         await self._stack.enter_async_context(self._http)
         await self._stack.enter_async_context(self._streams_http)
+        await self._stack.enter_async_context(self._unshared_http)
         self._nursery = await self._stack.enter_async_context(
             trio.open_nursery()
         )
@@ -74,9 +95,14 @@
 
     @property
     def http(self) -> httpx.AsyncClient:
-        """The HTTP client of plain calls."""
+        """The HTTP client of plain calls that may be repeated."""
         return self._http
 
+    @property
+    def unshared_http(self) -> httpx.AsyncClient:
+        """The HTTP client of calls that must not be repeated."""
+        return self._unshared_http
+
     def start_attempt(
         self, request: streams.AttemptRequest, deadline: float
     ) -> streams.Attempt:
@@ -85,9 +111,9 @@
         :param request: what is sent.
         :param deadline: local monotonic time in seconds at which it ends.
         """
-        attempt = streams.Attempt(
-            self._streams_http, request, deadline, self._pause_s
-        )
+        shared = self._streams_http
+        client = shared if request.idempotent else self._unshared_http
+        attempt = streams.Attempt(client, request, deadline, self._pause_s)
         self._nursery.start_soon(self._run, attempt)
         return attempt
 
--- a/packages/endpoints/wasabilanding/endpoints/streams.py
+++ b/packages/endpoints/wasabilanding/endpoints/streams.py
@@ -61,6 +61,8 @@
     :param epoch: epoch that is meant.
     :param body: JSON body of the request.
     :param headers: further headers, such as the trace context.
+    :param idempotent: whether it may run more than once; if not, it is sent
+        on a connection of its own.
     """
 
     address: str
@@ -69,6 +71,7 @@
     epoch: int
     body: bytes
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    idempotent: bool = True
 
     @property
     def stream_url(self) -> str:
