--- a/packages/callers/wasabilanding/callers/answers.py
+++ b/packages/callers/wasabilanding/callers/answers.py
@@ -1,4 +1,4 @@
-"""Answers to callers: errors with their outcome, and whole completions."""
+"""Answers to callers that are not a success."""
 
 import json
 import math
@@ -63,28 +63,3 @@
     :param outcome: outcome of the request.
     """
     return b"data: " + json.dumps(error_body(outcome)).encode() + b"\n\n"
-
-
-def whole_completion(
-    request_id: str, service: str, chunks: list[bytes]
-) -> dict:
-    """Return one completion made of the chunks of a stream.
-
-    :param request_id: identity of the submission.
-    :param service: service that answered.
-    :param chunks: payloads of the stream's events, in order.
-    """
-    text = "".join(_content(chunk) for chunk in chunks)
-    message = {"role": "assistant", "content": text}
-    return {
-        "id": f"chatcmpl-{request_id}",
-        "object": "chat.completion",
-        "model": service,
-        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
-        "usage": {"completion_tokens": len(chunks)},
-    }
-
-
-def _content(chunk: bytes) -> str:
-    choices = json.loads(chunk).get("choices") or [{}]
-    return choices[0].get("delta", {}).get("content") or ""
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -15,6 +15,7 @@
 import trio_asyncio
 
 from wasabilanding import callers
+from wasabilanding.daemon import cache_watch
 from wasabilanding.daemon import configuration_watch
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import control
@@ -126,6 +127,9 @@
         nursery.start_soon(self.service.claims.run)
         nursery.start_soon(self.service.guard.run)
         nursery.start_soon(self.service.gate.run)
+        nursery.start_soon(
+            cache_watch.follow_caches, context, self.service.router
+        )
 
     async def give_notice(self) -> None:
         """Tell balancer, callers and peers, and wait until they know."""
--- a/packages/daemon/wasabilanding/daemon/requests.py
+++ b/packages/daemon/wasabilanding/daemon/requests.py
@@ -36,9 +36,11 @@
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
         self.guard = poison_guard.PoisonGuard(context)
-        router = selection.Router(context, self.guard)
-        self._gate = admission.AdmissionGate(context, router)
-        self._attempts = attempts.AttemptRunner(context, router, self.guard)
+        self._router = selection.Router(context, self.guard)
+        self._gate = admission.AdmissionGate(context, self._router)
+        self._attempts = attempts.AttemptRunner(
+            context, self._router, self.guard
+        )
         self._plain = plain.PlainForwarder(context)
         self.claims = claims.ClaimKeeper(context)
         self._draining = False
@@ -48,6 +50,11 @@
         """Where requests wait for a slot."""
         return self._gate
 
+    @property
+    def router(self) -> selection.Router:
+        """What is known for routing."""
+        return self._router
+
     @property
     def in_flight(self) -> int:
         """Requests and plain calls in flight, those that wait included."""
@@ -61,6 +68,16 @@
             return False
         return not self._draining
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of the services that models answer."""
+        known = self._context.known.configuration
+        return tuple(
+            name
+            for name in known.services
+            if known.profile_of(name).profile.kind == "replica"
+        )
+
     def begin_drain(self) -> None:
         """Tell the balancer to send no further requests."""
         self._draining = True
@@ -94,7 +111,10 @@
             admitted = self._gate.admitted(request, progress.deadline)
             async with admitted as work:
                 # After the wait, so that nothing holds a claim in a queue.
-                batches = self._claimed(request, span, progress)
+                sent = dataclasses.replace(
+                    request, priority=work.engine_priority
+                )
+                batches = self._claimed(sent, span, progress)
                 async with contextlib.aclosing(batches):
                     async for batch in batches:
                         yield batch
