--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -76,6 +76,7 @@
         self._loads = routing.LoadView()
         self._paces = routing.PaceView()
         self._prefixes = routing.PrefixView()
+        self._entry_vms = 1
 
     @property
     def prefixes(self) -> routing.PrefixView:
@@ -89,6 +90,7 @@
         if self._index.refresh(known.records, known.reports, now):
             self._loads.sweep(self._index.keys)
             self._paces.sweep(self._index.keys)
+            self._entry_vms = len(self._context.members.live(now))
             self._guard.swept(self._index)
         return self._index
 
@@ -117,7 +119,7 @@
             self._paces,
             self._prefixes,
             context.now(),
-            len(context.members.live(context.now())),
+            self._entry_vms,
         )
         blocks = routing.block_hashes(request.prompt)
         allowed = self._guard.confine(request, situation.index, tried)
--- a/packages/decisions/wasabilanding/placement/situation.py
+++ b/packages/decisions/wasabilanding/placement/situation.py
@@ -81,6 +81,9 @@
         :param vm: identity of the VM.
         :param replica: the replica as recorded.
         """
+        report = self.reports.get(vm)
+        if report and replica.has_other_form_at(report.place):
+            return True
         track = self.history.vms.get(vm)
         if track is None or not self.is_alive(vm):
             return False
--- a/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
+++ b/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
@@ -1,7 +1,9 @@
 """All proofs, and what is not proved yet."""
 
 from wasabilanding.experiments.proofs import claims
+from wasabilanding.experiments.proofs import control
 from wasabilanding.experiments.proofs import proof
+from wasabilanding.experiments.proofs import sharing
 from wasabilanding.experiments.proofs import streams
 
 Subject = proof.Subject
@@ -11,6 +13,8 @@
 PROOFS = (
     *claims.PROOFS,
     *streams.PROOFS,
+    *control.PROOFS,
+    *sharing.PROOFS,
     proof.Proof(
         (Subject.OPERATORS_RACE, Subject.IN_FORCE),
         f"{OPERATORS}/changes.feature",
