--- a/packages/callers/wasabilanding/callers/app.py
+++ b/packages/callers/wasabilanding/callers/app.py
@@ -4,18 +4,26 @@
 import contextlib
 import dataclasses
 import json
+import logging
 import typing
 
 import quart
 import quart_trio
+import werkzeug.datastructures
 import werkzeug.exceptions
 
 from wasabilanding.callers import answers
+from wasabilanding.callers import completions
 from wasabilanding.callers import requests
 from wasabilanding import model
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 END_OF_STREAM = b"data: [DONE]\n\n"
+BAD_REQUEST = 400
+TOO_LARGE = 413
+INTERNAL_ERROR = 500
+
+_LOG = logging.getLogger(__name__)
 
 Batches = collections.abc.AsyncIterator[list[bytes]]
 
@@ -31,6 +39,10 @@
     ) -> "PlainAnswer":
         """Forward a call to a plain service."""
 
+    @property
+    def services(self) -> collections.abc.Iterable[str]:
+        """Names of the services that models answer."""
+
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests."""
@@ -51,7 +63,7 @@
     """The answer of a plain service."""
 
     status: int
-    headers: dict[str, str]
+    headers: tuple[tuple[str, str], ...]
     body: bytes
 
 
@@ -88,10 +100,14 @@
     async with contextlib.aclosing(batches):
         async for batch in batches:
             chunks.extend(batch)
-    body = answers.whole_completion(
+    body = completions.whole_completion(
         request.request_id, request.service, chunks
     )
-    return quart.Response(json.dumps(body), content_type="application/json")
+    return quart.Response(
+        json.dumps(body),
+        content_type="application/json",
+        headers={"X-Outcome": model.Verdict.COMPLETED.value},
+    )
 
 
 async def _streamed(batches: Batches) -> quart.Response:
@@ -107,6 +123,8 @@
     @app.post("/v1/chat/completions")
     async def complete() -> quart.Response:
         try:
+            if not quart.request.is_json:
+                raise werkzeug.exceptions.UnsupportedMediaType()
             body = await quart.request.get_data()
             request = requests.parse_request(quart.request.headers, body)
             batches = service.run(request)
@@ -118,9 +136,13 @@
 
 
 def _add_plain(app: quart.Quart, service: Service) -> None:
-    methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+    methods = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
 
-    @app.route("/services/<name>/<path:path>", methods=methods)
+    @app.route(
+        "/services/<name>/<path:path>",
+        methods=methods,
+        provide_automatic_options=False,
+    )
     async def forward(name: str, path: str) -> quart.Response:
         call = PlainCall(
             quart.request.method,
@@ -132,8 +154,10 @@
             answer = await service.forward(name, path, call)
         except requests.RequestFailed as error:
             return _error(error.outcome)
+        headers = werkzeug.datastructures.Headers(answer.headers)
+        headers["X-Outcome"] = model.Verdict.COMPLETED.value
         return quart.Response(
-            answer.body, status=answer.status, headers=answer.headers
+            answer.body, status=answer.status, headers=headers
         )
 
 
@@ -147,6 +171,52 @@
         return {"ready": service.ready}, 200 if service.ready else 503
 
 
+def _http_error(error: werkzeug.exceptions.HTTPException) -> quart.Response:
+    detail = f"{quart.request.method} {quart.request.path}: {error.name}"
+    if error.code == TOO_LARGE:
+        detail = f"body is larger than {MAX_BODY_BYTES} bytes"
+    outcome = model.not_run(model.Reason.INVALID_REQUEST, detail)
+    response = _error(outcome)
+    response.status_code = error.code or BAD_REQUEST
+    for name, text in error.get_headers():
+        if name == "Allow":
+            response.headers[name] = text
+    return response
+
+
+def _add_error_handlers(app: quart.Quart) -> None:
+    @app.errorhandler(werkzeug.exceptions.HTTPException)
+    async def refuse(
+        error: werkzeug.exceptions.HTTPException,
+    ) -> quart.Response:
+        return _http_error(error)
+
+    @app.errorhandler(Exception)
+    async def fail(error: Exception) -> quart.Response:
+        _LOG.exception("%s failed", quart.request.path, exc_info=error)
+        outcome = model.may_have_run(
+            model.Reason.ENDPOINT_ERROR, "the entry VM failed"
+        )
+        response = _error(outcome)
+        response.status_code = INTERNAL_ERROR
+        return response
+
+
+def _add_models(app: quart.Quart, service: Service) -> None:
+    @app.get("/v1/models")
+    async def models() -> quart.ResponseReturnValue:
+        data = [
+            {
+                "id": name,
+                "object": "model",
+                "created": 0,
+                "owned_by": "wasabilanding",
+            }
+            for name in sorted(service.services)
+        ]
+        return {"object": "list", "data": data}
+
+
 def callers_app(service: Service) -> quart_trio.QuartTrio:
     """Return the HTTP application for callers.
 
@@ -157,6 +227,7 @@
     app.config["BODY_TIMEOUT"] = None
     app.config["RESPONSE_TIMEOUT"] = None
     _add_completions(app, service)
+    _add_models(app, service)
     _add_plain(app, service)
     _add_health(app, service)
 
@@ -167,14 +238,5 @@
             response.headers["Connection"] = "close"
         return response
 
-    @app.errorhandler(werkzeug.exceptions.RequestEntityTooLarge)
-    async def too_large(error: Exception) -> quart.ResponseReturnValue:
-        outcome = model.not_run(
-            model.Reason.INVALID_REQUEST,
-            f"body is larger than {MAX_BODY_BYTES} bytes",
-        )
-        response = _error(outcome)
-        response.status_code = 413
-        return response
-
+    _add_error_handlers(app)
     return app
--- a/packages/callers/wasabilanding/callers/requests.py
+++ b/packages/callers/wasabilanding/callers/requests.py
@@ -6,6 +6,7 @@
 import math
 import uuid
 
+from wasabilanding.callers import completions
 from wasabilanding import model
 
 DEFAULT_DEADLINE_MS = 120_000
@@ -49,7 +50,7 @@
     :param idempotent: whether it may run more than once.
     :param idempotency_key: key that is the same on every try, or empty.
     :param stream: whether the caller wants server-sent events.
-    :param body: JSON body, passed on as it came.
+    :param body: JSON body for the engine; it asks for a stream.
     :param prompt: text that decides which prefix caches help.
     :param trace: headers of the W3C trace context.
     :param max_tokens: bound on the answer's length; 0 when unknown.
@@ -109,18 +110,22 @@
     if not isinstance(messages, list) or not messages:
         raise InvalidRequest(f"messages: {messages!r} is not a non-empty list")
     for index, message in enumerate(messages):
-        if not isinstance(message, dict) or "content" not in message:
+        if not isinstance(message, dict) or not (
+            "content" in message or "tool_calls" in message
+        ):
             raise InvalidRequest(f"messages.{index}: has no content")
-    return "\n".join(str(message["content"]) for message in messages)
+    return "\n".join(str(message.get("content")) for message in messages)
 
 
 def _check_numbers(document: dict) -> None:
-    length = document.get("max_tokens", 1)
-    if not isinstance(length, int) or length < 1:
+    length = document.get("max_tokens")
+    if length is not None and (type(length) is not int or length < 1):
         raise InvalidRequest(
             f"max_tokens: {length!r} is not a positive integer"
         )
-    temperature = document.get("temperature", 0.0)
+    temperature = document.get("temperature")
+    if temperature is None:
+        return
     if not isinstance(temperature, (int, float)) or not math.isfinite(
         temperature
     ):
@@ -162,6 +167,7 @@
         for name in ("traceparent", "tracestate")
         if name in headers
     }
+    stream = document.get("stream") is True
     return CallerRequest(
         request_id=uuid.uuid4().hex,
         service=service,
@@ -172,9 +178,9 @@
         ),
         idempotent=not _flag(headers, "X-Non-Idempotent"),
         idempotency_key=_key(headers),
-        stream=document.get("stream") is True,
-        body=body,
+        stream=stream,
+        body=body if stream else completions.streaming_body(body),
         prompt=prompt,
         trace=trace,
-        max_tokens=document.get("max_tokens", 0),
+        max_tokens=document.get("max_tokens") or 0,
     )
--- a/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
+++ b/packages/experiments/wasabilanding/experiments/proofs/catalogue.py
@@ -4,6 +4,7 @@
 from wasabilanding.experiments.proofs import control
 from wasabilanding.experiments.proofs import proof
 from wasabilanding.experiments.proofs import sharing
+from wasabilanding.experiments.proofs import streams
 
 Subject = proof.Subject
 
@@ -11,6 +12,7 @@
 
 PROOFS = (
     *claims.PROOFS,
+    *streams.PROOFS,
     *control.PROOFS,
     *sharing.PROOFS,
     proof.Proof(
