Keep a node serving when its control fails

Cause: an error in the planner ended the control loop and with it the whole process and all its streams.

--- a/packages/daemon/wasabilanding/daemon/control.py
+++ b/packages/daemon/wasabilanding/daemon/control.py
@@ -46,9 +46,18 @@
         async with self._keeper, trio.open_nursery() as nursery:
             nursery.start_soon(self._keeper.run)
             while True:
-                await self._tick()
+                await self._tick_safely()
                 await trio.sleep(interval_s)
 
+    async def _tick_safely(self) -> None:
+        try:
+            await self._tick()
+        except Exception:
+            # An error here must not end the requests that this node runs.
+            _LOG.exception(
+                "control of %s failed", self._context.failure_domain
+            )
+
     async def _tick(self) -> None:
         if self._keeper.has_lapsed:
             await self._substitute()
