--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROJECTS := $(wildcard packages/*/pyproject.toml)
 FUZZ_EXAMPLES ?= 2000
 
-.PHONY: setup demo test fuzz lint format docs relay-benchmark
+.PHONY: setup demo test fuzz lint format docs relay-benchmark capacity
 
 setup: $(STAMP)
 
@@ -45,3 +45,6 @@
 			$(VENV)/bin/python -m behave --no-color --tags=fuzz \
 			--format=plain --no-skipped $$suite || exit 1; \
 	done
+
+capacity: setup
+	$(VENV)/bin/python -m wasabilanding.experiments.capacity.measure
--- a/packages/daemon/wasabilanding/daemon/tests/steps/outages_steps.py
+++ b/packages/daemon/wasabilanding/daemon/tests/steps/outages_steps.py
@@ -9,6 +9,7 @@
 
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import exchange
+from wasabilanding.daemon import settings as settings_module
 from wasabilanding.experiments import cluster
 from wasabilanding.experiments.histories import submissions
 from wasabilanding import knowledge
@@ -436,12 +437,12 @@
 
 
 def _exchange_context(state):
-    settings = cluster.settings_module.Settings(
+    settings = settings_module.Settings(
         node="own",
         failure_domain="prov",
-        callers=cluster.settings_module.Listener(1, "own"),
-        administration=cluster.settings_module.Listener(2, "own"),
-        peers=cluster.settings_module.Listener(3, "own"),
+        callers=settings_module.Listener(1, "own"),
+        administration=settings_module.Listener(2, "own"),
+        peers=settings_module.Listener(3, "own"),
         platform_url="http://platform",
     )
     table = membership.MemberTable(membership.Node("own", 1, "prov", "own:3"))
--- a/packages/decisions/wasabilanding/placement/explanation.py
+++ b/packages/decisions/wasabilanding/placement/explanation.py
@@ -85,6 +85,32 @@
     return counts
 
 
+def _fabrics(
+    vms: collections.abc.Iterable[model.Vm],
+    placed: frozenset[str],
+    reports: collections.abc.Mapping[str, model.VmReport],
+    now: float,
+    needed: int,
+) -> tuple[FabricExplanation, ...]:
+    by_fabric: dict[str, list[model.Vm]] = collections.defaultdict(list)
+    for vm in vms:
+        by_fabric[vm.fabric_domain].append(vm)
+    fabrics = []
+    for name, members in sorted(by_fabric.items()):
+        counts = _count(members, placed, reports, now)
+        fabrics.append(
+            FabricExplanation(
+                fabric_domain=name,
+                free=counts["free"],
+                placed=counts["placed"],
+                silent=counts["silent"],
+                leaving=counts["leaving"],
+                fits=counts["free"] >= needed,
+            )
+        )
+    return tuple(fabrics)
+
+
 def _reason(
     wanted: int, recorded: int, serving: int, fits: bool, needed: int
 ) -> str:
@@ -119,22 +145,7 @@
     """
     needed = entry.profile.vms_per_replica
     placed = frozenset(vm for r in record.replicas for vm in r.members)
-    by_fabric: dict[str, list[model.Vm]] = collections.defaultdict(list)
-    for vm in vms:
-        by_fabric[vm.fabric_domain].append(vm)
-    fabrics = []
-    for name, members in sorted(by_fabric.items()):
-        counts = _count(members, placed, reports, now)
-        fabrics.append(
-            FabricExplanation(
-                fabric_domain=name,
-                free=counts["free"],
-                placed=counts["placed"],
-                silent=counts["silent"],
-                leaving=counts["leaving"],
-                fits=counts["free"] >= needed,
-            )
-        )
+    fabrics = _fabrics(vms, placed, reports, now, needed)
     own = [r for r in record.replicas if r.service == service]
     serving = sum(routing.is_usable(r, reports, now) for r in own)
     wanted = entry.profile.replicas_per_domain
@@ -148,5 +159,5 @@
         recorded=len(own),
         serving=serving,
         reason=_reason(wanted, len(own), serving, fits, needed),
-        fabrics=tuple(fabrics),
+        fabrics=fabrics,
     )
--- a/packages/experiments/wasabilanding/experiments/cluster.py
+++ b/packages/experiments/wasabilanding/experiments/cluster/system.py
@@ -1,140 +1,33 @@
-"""A whole system inside one process, driven by trio's mock clock.
-
-Explanation
-===========
-
-The same nodes as in the daemon run against the same stand-ins, over
-:class:`wasabilanding.standins.MemoryNetwork` in place of sockets. Run with
-:func:`run_seeded`, a scenario takes its random choices from one seed and its
-time from the mock clock, so it gives the same result every time.
-"""
+"""The cluster: stand-ins, nodes, and the faults that are ordered."""
 
 import collections.abc
 import contextlib
 import dataclasses
 import functools
 import random
-import typing
 
 import httpx
 import trio
-import trio.testing
 
 from wasabilanding.daemon import context as context_module
 from wasabilanding.daemon import node as node_module
 from wasabilanding.daemon import settings as settings_module
 from wasabilanding.daemon import telemetry
 from wasabilanding import endpoints
+from wasabilanding.experiments.cluster import channel
+from wasabilanding.experiments.cluster import plan as plan_module
 from wasabilanding.experiments import pausing
 from wasabilanding import knowledge
 from wasabilanding import membership
 from wasabilanding import model
-from wasabilanding import peers
-from wasabilanding.peers import exchange_pb2
 from wasabilanding import platform
 from wasabilanding import standins
 
 PLATFORM_ADDRESS = "platform:80"
 PLATFORM_LOCATION = "platform"
-PEER_TIMEOUT_S = 1.0
 CALLERS_PORT = 7001
 ADMINISTRATION_PORT = 7002
 PEERS_PORT = 7003
-ENGINE_PORT = 8000
-
-T = typing.TypeVar("T")
-
-
-@dataclasses.dataclass(frozen=True)
-class Plan:
-    """What a cluster is made of.
-
-    :param failure_domains: names of the failure domains.
-    :param nodes_per_domain: entry VMs in each.
-    :param fabrics_per_domain: fabric domains in each.
-    :param vms_per_fabric: VMs in each fabric domain.
-    :param engine: how the engines behave.
-    :param seed: seed of all random choices.
-    """
-
-    failure_domains: tuple[str, ...] = ("prov", "nunoa", "maipu")
-    nodes_per_domain: int = 1
-    fabrics_per_domain: int = 2
-    vms_per_fabric: int = 3
-    engine: standins.EngineSettings = standins.EngineSettings()
-    seed: int = 1
-
-    @property
-    def vms(self) -> tuple[model.Vm, ...]:
-        """All VMs of the endpoints."""
-        return tuple(
-            model.Vm(
-                vm=f"{domain}-{fabric}-{index}",
-                address=f"http://{domain}-{fabric}-{index}:{ENGINE_PORT}",
-                failure_domain=domain,
-                fabric_domain=f"{domain}-{fabric}",
-            )
-            for domain in self.failure_domains
-            for fabric in range(self.fabrics_per_domain)
-            for index in range(self.vms_per_fabric)
-        )
-
-
-class _MemoryChannel:
-    """Connection to a peer in the same process, by serialised messages."""
-
-    def __init__(
-        self,
-        cluster: "Cluster",
-        origin: str,
-        gate: pausing.Gate,
-        address: str,
-    ) -> None:
-        self._cluster = cluster
-        self._origin = origin
-        self._gate = gate
-        self._address = address
-
-    async def exchange(
-        self, request: exchange_pb2.ExchangeRequest
-    ) -> exchange_pb2.ExchangeReply:
-        """Exchange knowledge with the peer."""
-        await self._gate.passed()
-        reply = await self._call(request)
-        await self._gate.passed()
-        return reply
-
-    async def _call(
-        self, request: exchange_pb2.ExchangeRequest
-    ) -> exchange_pb2.ExchangeReply:
-        target = self._cluster.node_at(self._address)
-        network = self._cluster.network
-        if target is None:
-            raise self._unreachable("refused")
-        location = target.context.failure_domain
-        paused = self._cluster.is_paused(target.context.settings.node)
-        if paused or network.is_cut(self._origin, location):
-            await trio.sleep(PEER_TIMEOUT_S)
-            raise self._unreachable("timed out")
-        await network.travel(self._origin, location)
-        text = request.SerializeToString()
-        reply = peers.answer_request(
-            target.context.members,
-            target.context.known,
-            exchange_pb2.ExchangeRequest.FromString(text),
-            trio.current_time(),
-        )
-        answer = reply.SerializeToString()
-        self._cluster.peer_bytes += len(text) + len(answer)
-        self._cluster.peer_calls += 1
-        await network.travel(location, self._origin)
-        return exchange_pb2.ExchangeReply.FromString(answer)
-
-    def _unreachable(self, detail: str) -> peers.PeerUnreachable:
-        return peers.PeerUnreachable(self._address, OSError(detail))
-
-    def close(self) -> None:
-        """Close the connection."""
 
 
 class RunningNode:
@@ -168,7 +61,7 @@
     :param nursery: runs it.
     """
 
-    def __init__(self, plan: Plan, nursery: trio.Nursery) -> None:
+    def __init__(self, plan: plan_module.Plan, nursery: trio.Nursery) -> None:
         self._plan = plan
         self._nursery = nursery
         self._rng = random.Random(plan.seed)
@@ -181,7 +74,7 @@
         self.peer_calls = 0
 
     @property
-    def plan(self) -> Plan:
+    def plan(self) -> plan_module.Plan:
         """What the cluster is made of."""
         return self._plan
 
@@ -216,7 +109,7 @@
 
     def _listen_engine(self, domain: str, vm: str) -> None:
         app = standins.engine_app(self.fleets[domain].engines[vm])
-        self.network.listen(f"{vm}:{ENGINE_PORT}", app, domain)
+        self.network.listen(f"{vm}:{plan_module.ENGINE_PORT}", app, domain)
 
     async def _fetch_weights(self, domain: str, wanted: str) -> None:
         async with self.client(domain) as http:
@@ -231,7 +124,7 @@
         return httpx.AsyncClient(transport=self.network.transport(origin))
 
     def _on_kill(self, vm: str) -> None:
-        self.network.refuse(f"{vm}:{ENGINE_PORT}")
+        self.network.refuse(f"{vm}:{plan_module.ENGINE_PORT}")
 
     def _fleet_of(self, vm: str) -> standins.Fleet:
         found = {v.vm: v.failure_domain for v in self._plan.vms}
@@ -318,7 +211,7 @@
                 endpoints=engines,
                 telemetry=telemetry.Telemetry(name),
                 connect_peer=functools.partial(
-                    _MemoryChannel, self, domain, gate
+                    channel.MemoryChannel, self, domain, gate
                 ),
                 rng=rng,
             )
@@ -444,7 +337,7 @@
 
 @contextlib.asynccontextmanager
 async def open_cluster(
-    plan: Plan,
+    plan: plan_module.Plan,
 ) -> collections.abc.AsyncIterator[Cluster]:
     """Run a cluster while the block runs.
 
@@ -455,22 +348,3 @@
         await cluster.start()
         yield cluster
         nursery.cancel_scope.cancel()
-
-
-def run_seeded(
-    scenario: collections.abc.Callable[..., collections.abc.Awaitable[T]],
-    *arguments: object,
-    seed: int = 1,
-) -> T:
-    """Run a scenario on the mock clock with a deterministic schedule.
-
-    :param scenario: asynchronous function.
-    :param arguments: its arguments.
-    :param seed: seed of trio's scheduler.
-    :returns: what the scenario returns.
-    """
-    # The same switch that hypothesis-trio uses; trio has no public one.
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio._core._run._r.seed(seed)
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(scenario, *arguments, clock=clock)
--- a/packages/experiments/wasabilanding/experiments/exchange_scale.py
+++ b/packages/experiments/wasabilanding/experiments/exchange_scale.py
@@ -34,7 +34,8 @@
 )
 
 
-async def _transport_ms() -> float:
+async def transport_ms() -> float:
+    """Return the processor time of a gRPC call, both ends, in ms."""
     with contextlib.closing(socket.socket()) as probe:
         probe.bind(("127.0.0.1", 0))
         port = probe.getsockname()[1]
@@ -87,7 +88,7 @@
     :param failure_domains: failure domains in all.
     :param measured_s: measured time in seconds.
     """
-    cost_ms = trio.run(_transport_ms)
+    cost_ms = trio.run(transport_ms)
     print(f"a call over gRPC, both ends: {cost_ms:.2f} ms")
     print(HEAD)
     rows: dict[int, list[exchange_harness.Load]] = {}
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/proofs/load.py
@@ -0,0 +1,24 @@
+"""Proofs about routing."""
+
+from wasabilanding.experiments.proofs import proof
+
+Subject = proof.Subject
+
+ROUTING = "packages/decisions/wasabilanding/routing/tests/routing.feature"
+
+PROOFS = (
+    proof.Proof(
+        (Subject.WHOLE,),
+        ROUTING,
+        "Only a replica whose every VM confirms it is returned",
+        "a member is missing, silent, foreign, or of another epoch",
+        "rows fail when any part of the evidence is left out",
+    ),
+    proof.Proof(
+        (Subject.STRAGGLER,),
+        ROUTING,
+        "A straggler is avoided, and tried again later",
+        "one replica makes steps several times as long as the others",
+        "the slow replica kept its share of requests",
+    ),
+)
