--- a/packages/decisions/wasabilanding/claims/tests/claim_rules.feature
+++ b/packages/decisions/wasabilanding/claims/tests/claim_rules.feature
@@ -28,6 +28,7 @@
       | {"a":1}                 | {"a":2}                   | different |
       | not json                | not  json                 | different |
 
+  @fuzz
   Scenario Outline: Any order of writes, losses, pauses and deaths
     Given claims whose rules are <rules>
     When tries, late writes and losses come in any order
--- a/packages/decisions/wasabilanding/placement/tests/machine.py
+++ b/packages/decisions/wasabilanding/placement/tests/machine.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from wasabilanding.experiments import fuzz
 from wasabilanding import model
 from wasabilanding import placement
 from wasabilanding.placement.tests import fleet as fleet_module
@@ -254,13 +255,15 @@
     :param examples: how many sequences of events.
     :param steps: events in each.
     """
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=examples,
-        stateful_step_count=steps,
-        phases=[hypothesis.Phase.generate],
-        database=None,
-        deadline=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
+    settings = fuzz.widened(
+        hypothesis.settings(
+            derandomize=True,
+            max_examples=examples,
+            stateful_step_count=steps,
+            phases=[hypothesis.Phase.generate],
+            database=None,
+            deadline=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )
     )
     stateful.run_state_machine_as_test(Planner, settings=settings)
--- a/packages/decisions/wasabilanding/poison/tests/poison_rules.feature
+++ b/packages/decisions/wasabilanding/poison/tests/poison_rules.feature
@@ -41,6 +41,7 @@
     Then two replicas are a home of all texts
     And each other replica is a home of 15 to 70 texts
 
+  @fuzz
   Scenario Outline: Any order of copies, deaths, notices and rebuilds
     Given a poison guard with <rules>
     When copies come through all nodes in any order
--- a/packages/decisions/wasabilanding/poison/tests/steps/poison_machine.py
+++ b/packages/decisions/wasabilanding/poison/tests/steps/poison_machine.py
@@ -10,6 +10,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from wasabilanding.experiments import fuzz
 from wasabilanding import poison
 
 NODES = 4
@@ -149,14 +150,16 @@
 
     :param rules: the rules.
     """
-    settings = hypothesis.settings(
-        max_examples=EXAMPLES,
-        stateful_step_count=STEPS,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        print_blob=False,
-        report_multiple_bugs=False,
+    settings = fuzz.widened(
+        hypothesis.settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            print_blob=False,
+            report_multiple_bugs=False,
+        )
     )
     try:
         stateful.run_state_machine_as_test(machine(rules), settings=settings)
--- a/packages/experiments/wasabilanding/experiments/fuzz.py
+++ b/packages/experiments/wasabilanding/experiments/fuzz.py
@@ -13,19 +13,37 @@
 STEPS_PER_EXAMPLE = 40
 
 
+def widened(settings: hypothesis.settings) -> hypothesis.settings:
+    """Return settings for the longer run when one is asked for.
+
+    :param settings: settings of the run in CI; returned as they are there.
+    :raises ValueError: when the variable is not a number.
+    """
+    wanted = os.environ.get(VARIABLE, "")
+    if not wanted:
+        return settings
+    return hypothesis.settings(
+        settings,
+        max_examples=int(wanted),
+        derandomize=False,
+        print_blob=True,
+    )
+
+
 def settings(examples: int) -> hypothesis.settings:
     """Return the settings of a property test.
 
     :param examples: examples in CI.
     :raises ValueError: when the variable is not a number.
     """
-    wanted = os.environ.get(VARIABLE, "")
-    return hypothesis.settings(
-        max_examples=int(wanted) if wanted else examples,
-        stateful_step_count=STEPS_PER_EXAMPLE,
-        derandomize=not wanted,
-        print_blob=bool(wanted),
-        database=None,
-        deadline=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
+    return widened(
+        hypothesis.settings(
+            max_examples=examples,
+            stateful_step_count=STEPS_PER_EXAMPLE,
+            derandomize=True,
+            print_blob=False,
+            database=None,
+            deadline=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )
     )
--- a/packages/peers/wasabilanding/peers/tests/merging.feature
+++ b/packages/peers/wasabilanding/peers/tests/merging.feature
@@ -1,5 +1,6 @@
 Feature: Merging of what nodes know
 
+  @fuzz
   Scenario Outline: Any order, duplicates, delays, losses and clock jumps
     When <examples> runs of <steps> steps are drawn for <nodes> nodes
     Then no run breaks an invariant
--- a/packages/peers/wasabilanding/peers/tests/steps/merging_machine.py
+++ b/packages/peers/wasabilanding/peers/tests/steps/merging_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from wasabilanding import configuration
+from wasabilanding.experiments import fuzz
 from wasabilanding import knowledge
 from wasabilanding import membership
 from wasabilanding import model
@@ -304,11 +305,13 @@
 
 def settings(examples, steps):
     """Return settings that draw the same runs each time."""
-    return hypothesis.settings(
-        max_examples=examples,
-        stateful_step_count=steps,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
+    return fuzz.widened(
+        hypothesis.settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )
     )
