--- a/packages/decisions/wasabilanding/claims/tests/steps/claim_machine.py
+++ b/packages/decisions/wasabilanding/claims/tests/steps/claim_machine.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -19,7 +18,6 @@
 BODY = claims.fingerprint(b"{}")
 EXAMPLES = 200
 STEPS = 25
-NOTHING = "nothing"
 
 
 class BrokenPromise(AssertionError):
@@ -224,19 +222,4 @@
 
     :param rules: the rules.
     """
-    settings = fuzz.widened(
-        hypothesis.settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            print_blob=False,
-            report_multiple_bugs=False,
-        )
-    )
-    try:
-        stateful.run_state_machine_as_test(machine(rules), settings=settings)
-    except BrokenPromise as broken:
-        return str(broken)
-    return NOTHING
+    return fuzz.search(machine(rules), BrokenPromise, EXAMPLES, STEPS)
--- a/packages/decisions/wasabilanding/poison/tests/steps/poison_machine.py
+++ b/packages/decisions/wasabilanding/poison/tests/steps/poison_machine.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -20,7 +19,6 @@
 PILL = "pill"
 EXAMPLES = 150
 STEPS = 40
-NOTHING = "nothing"
 
 
 class BrokenBound(AssertionError):
@@ -150,19 +148,4 @@
 
     :param rules: the rules.
     """
-    settings = fuzz.widened(
-        hypothesis.settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            print_blob=False,
-            report_multiple_bugs=False,
-        )
-    )
-    try:
-        stateful.run_state_machine_as_test(machine(rules), settings=settings)
-    except BrokenBound as broken:
-        return str(broken)
-    return NOTHING
+    return fuzz.search(machine(rules), BrokenBound, EXAMPLES, STEPS)
--- a/packages/experiments/wasabilanding/experiments/fuzz.py
+++ b/packages/experiments/wasabilanding/experiments/fuzz.py
@@ -8,9 +8,11 @@
 import os
 
 import hypothesis
+from hypothesis import stateful
 
 VARIABLE = "WASABILANDING_FUZZ_EXAMPLES"
 STEPS_PER_EXAMPLE = 40
+NOTHING = "nothing"
 
 
 def widened(settings: hypothesis.settings) -> hypothesis.settings:
@@ -47,3 +49,33 @@
             suppress_health_check=list(hypothesis.HealthCheck),
         )
     )
+
+
+def search(
+    machine: type[stateful.RuleBasedStateMachine],
+    broken: type[Exception],
+    examples: int,
+    steps: int,
+) -> str:
+    """Return what some order of events breaks in a state machine.
+
+    :param machine: the state machine.
+    :param broken: error by which it tells what was broken.
+    :param examples: sequences of events in CI.
+    :param steps: events in each.
+    :returns: text of the error, or :data:`NOTHING`.
+    """
+    bounded = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        print_blob=False,
+        report_multiple_bugs=False,
+    )
+    try:
+        stateful.run_state_machine_as_test(machine, settings=widened(bounded))
+    except broken as error:
+        return str(error)
+    return NOTHING
