Count the run of an attempt once, so that a broken stream goes on elsewhere

Cause: an attempt whose stream broke after its head was counted as two runs, which used up a route's two attempts, and the stream ended broken.

--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -410,6 +410,7 @@
         self._endpoint = candidate.endpoint
         self._delivery = delivery
         self._heard_at = 0.0
+        self._is_counted = False
 
     async def run(self) -> model.Outcome:
         """Send the request and relay the reply."""
@@ -451,9 +452,15 @@
         ):
             # The endpoint works: it may have run the request, and its answer
             # was lost.
-            self._work.runs += 1
+            self._count_run()
         return outcome
 
+    def _count_run(self) -> None:
+        """Count that this attempt's endpoint has run the request, once."""
+        if not self._is_counted:
+            self._is_counted = True
+            self._work.runs += 1
+
     def _is_all_silent(self) -> bool:
         record = self._board.record(self._endpoint.endpoint_id)
         return record.progress_at <= self._heard_at
@@ -465,7 +472,7 @@
             return await self._relay(headers)
         except upstream_module.AttemptFailed as error:
             if error.outcome.verdict is not model.Verdict.NOT_RUN:
-                self._work.runs += 1
+                self._count_run()
             return error.outcome
 
     async def _watch_silence(self, scope: trio.CancelScope) -> None:
@@ -500,12 +507,12 @@
             if head.kind is messages.ReplyKind.NOT_RUN:
                 return self._refused(head)
             if head.kind is messages.ReplyKind.FOREIGN:
-                work.runs += 1
+                self._count_run()
                 return model.may_have_run(
                     model.Reason.CONNECTION_LOST,
                     f"status {head.status} belongs to another request",
                 )
-            work.runs += 1
+            self._count_run()
             if head.kind is messages.ReplyKind.FAILURE:
                 return await self._failed(head, reply)
             if head.is_events:
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -0,0 +1,265 @@
+"""Endpoints, a wire form and a caller for tests, all in memory."""
+
+import collections
+import random
+
+import httpx
+import trio
+
+from wasabilanding import fleet
+from wasabilanding.gateway import belief as belief_module
+from wasabilanding.gateway import forwarding
+from wasabilanding.gateway import inbound
+from wasabilanding.gateway import messages
+from wasabilanding.gateway import settings as settings_module
+from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import routes
+
+HOST = "h.example"
+TOKEN_S = 0.05
+SETTINGS = settings_module.Settings(
+    node="n1",
+    failure_domain="z1",
+    callers_address="127.0.0.1:1",
+    ready_address="127.0.0.1:2",
+    store_address="127.0.0.1:3",
+    retry_slack=120,
+)
+
+
+class PlainWire:
+    """A wire form with headers of its own."""
+
+    configuration_key = "configuration"
+    registrations_prefix = "endpoints/"
+    own_prefix = "own/"
+
+    @staticmethod
+    def read_request(head):
+        """Decode the head of a caller's request."""
+        fields = {name: value.decode() for name, value in head.headers}
+        resumes = fields.get(b"x-resumes-after")
+        return messages.CallerRequest(
+            request_id=fields.get(b"x-request", ""),
+            host=HOST,
+            deadline_s=float(fields.get(b"x-deadline-s", "10")),
+            key=fields.get(b"x-key"),
+            resumes_after=int(resumes) if resumes else None,
+            model="large",
+            prompt_tokens=0,
+            max_output_tokens=0,
+            expected_output_tokens=0,
+            headers=head.headers,
+        )
+
+    @staticmethod
+    def answer_headers(request):
+        """Return the headers of the node's own answers."""
+        return [(b"x-request", request.request_id.encode())]
+
+    @staticmethod
+    def request_headers(request, errand):
+        """Return the headers of a request to an endpoint."""
+        headers = [(b"x-request", request.request_id.encode())]
+        headers.append((b"x-left-s", f"{errand.left_s:.3f}".encode()))
+        if errand.resumes_after is not None:
+            after = str(errand.resumes_after).encode()
+            headers.append((b"x-resumes-after", after))
+        return headers
+
+    @staticmethod
+    def read_reply(request, status, headers):
+        """Decode the head of a reply."""
+        fields = dict(headers)
+        kind = messages.ReplyKind.ANSWER
+        if fields.get(b"x-request") != request.request_id.encode():
+            kind = messages.ReplyKind.FOREIGN
+        elif b"x-not-run" in fields:
+            kind = messages.ReplyKind.NOT_RUN
+        elif status >= 400:
+            kind = messages.ReplyKind.FAILURE
+        return messages.ReplyHead(
+            kind=kind,
+            status=status,
+            headers=tuple(headers),
+            is_events=b"x-events" in fields,
+        )
+
+
+class _Body(httpx.AsyncByteStream):
+    """A body that is sent at a pace, and may break or go silent."""
+
+    def __init__(self, parts, end):
+        self._parts = parts
+        self._end = end
+
+    async def __aiter__(self):
+        for part in self._parts:
+            await trio.sleep(TOKEN_S)
+            yield part
+        if self._end == "silent":
+            await trio.sleep_forever()
+        if self._end == "reset":
+            raise httpx.ReadError("reset")
+
+
+class FakeEndpoints:
+    """Endpoints that behave as their scripts say, and count what they run.
+
+    :param scripts: behaviour of each endpoint, by identity: "answer",
+        "events N" (N events), "reset N" or "silent N" (after N events),
+        "refuse", "fail", "foreign", "unreachable", "mute".
+    """
+
+    def __init__(self, scripts):
+        self.scripts = scripts
+        self.runs = collections.Counter()
+        self.arrivals = []
+
+    def endpoint(self, name):
+        """Return an endpoint's registration.
+
+        :param name: its identity.
+        """
+        number = list(self.scripts).index(name) + 1
+        return fleet.Endpoint(
+            name, "service", f"10.0.0.{number}", 80, "z1", slots=9
+        )
+
+    async def handle(self, request):
+        """Reply to a request.
+
+        :param request: the request.
+        """
+        number = int(request.url.host.rpartition(".")[2]) - 1
+        name = list(self.scripts)[number]
+        script, _, count = self.scripts[name].partition(" ")
+        self.arrivals.append((name, dict(request.headers)))
+        if script == "unreachable":
+            raise httpx.ConnectError("refused")
+        if script == "mute":
+            await trio.sleep_forever()
+        if script not in ("refuse", "foreign"):
+            self.runs[name] += 1
+        return self._response(script, int(count or 0), request)
+
+    def _response(self, script, count, request):
+        sent = request.headers["x-request"]
+        headers = {"x-request": sent, "x-endpoint": "yes"}
+        if script == "answer":
+            return httpx.Response(
+                200, headers=headers, stream=_Body([b"ok"], "")
+            )
+        if script == "refuse":
+            headers["x-not-run"] = "1"
+            return httpx.Response(503, headers=headers, stream=_Body([], ""))
+        if script == "fail":
+            return httpx.Response(500, headers=headers, stream=_Body([], ""))
+        if script == "foreign":
+            headers["x-request"] = "another"
+            return httpx.Response(200, headers=headers, stream=_Body([], ""))
+        headers["x-events"] = "1"
+        first = int(request.headers.get("x-resumes-after", "-1")) + 1
+        parts = [
+            f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, count)
+        ]
+        if script != "events":
+            parts.append(b"id: 99\ndata: cut")
+        return httpx.Response(
+            200, headers=headers, stream=_Body(parts, script)
+        )
+
+
+class Caller:
+    """Records the answer to one request."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.is_whole = False
+        self.took_s = 0.0
+
+    async def send(self, message):
+        """Take a part of the answer.
+
+        :param message: ASGI message.
+        """
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = dict(message["headers"])
+            return
+        self.body += message["body"]
+        self.is_whole = not message["more_body"]
+
+
+def table(kind, resumable, attempts, timeout_s=8.0, holders=None):
+    """Return a routing table of one route.
+
+    :param kind: kind of its requests.
+    :param resumable: whether its streams may go on elsewhere.
+    :param attempts: endpoints that may run one request.
+    :param timeout_s: longest time in seconds until an answer is due.
+    :param holders: customers with their keys.
+    """
+    route = routes.Route(
+        name="r",
+        host=HOST,
+        prefix="/",
+        kind=routes.RequestKind(kind),
+        resumable=resumable,
+        timeout_s=timeout_s,
+        latency_goal_s=0.3,
+        event_gap_s=0.2,
+        priority=1,
+        max_attempts=attempts,
+        public=holders is None,
+        targets=(routes.Target("service"),),
+    )
+    service = routes.RoutedService("service", 100, None)
+    limits = routes.CallerLimits()
+    return routes.RoutingTable(1, (route,), (service,), limits, holders)
+
+
+class System:
+    """A forwarder before fake endpoints.
+
+    :param scripts: behaviour of each endpoint.
+    :param found: routing table; None for none.
+    """
+
+    def __init__(self, scripts, found):
+        self.endpoints = FakeEndpoints(scripts)
+        self.belief = belief_module.Belief(PlainWire)
+        self.belief.table = found
+        self.belief.revision = 1
+        for name in scripts:
+            self.belief.registry.put(self.endpoints.endpoint(name))
+
+    async def ask(self, headers=()):
+        """Send a request and return the caller with its answer.
+
+        :param headers: headers besides the request's identity.
+        """
+        caller = Caller()
+        head = messages.Head(
+            "POST", b"/a", "/a", ((b"x-request", b"r1"), *headers)
+        )
+        delivery = inbound.Delivery(caller.send, lambda: False)
+        begun_at = trio.current_time()
+        if self.belief.proven_at < 0:
+            self.belief.proven_at = begun_at
+        async with upstream_module.Upstream(
+            lambda idle_s: httpx.MockTransport(self.endpoints.handle)
+        ) as upstream:
+            forwarder = forwarding.Forwarder(
+                SETTINGS, self.belief, upstream, PlainWire, random.Random(1)
+            )
+            # The scripts' order decides where the first attempt goes.
+            for delay, name in enumerate(self.endpoints.scripts):
+                record = forwarder.board.record(name)
+                record.in_flight = delay
+                record.waiting_since = begun_at
+            await forwarder.handle(head, b"body", delivery)
+        caller.took_s = trio.current_time() - begun_at
+        return caller
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -0,0 +1,89 @@
+Feature: The way of one request
+
+  Scenario Outline: A request that failed goes elsewhere only where it cannot run twice
+    Given <kind> requests of up to <attempts> attempts
+    And endpoints that "<scripts>"
+    When a request is sent
+    Then it gets <status> and <runs> endpoints have run it
+
+    Examples: Plain services
+      | kind   | attempts | scripts              | status | runs |
+      | safe   | 2        | answer               | 200    | 1    |
+      | safe   | 2        | refuse, answer       | 200    | 1    |
+      | safe   | 2        | unreachable, answer  | 200    | 1    |
+      | safe   | 2        | fail, answer         | 200    | 2    |
+      | safe   | 1        | fail, answer         | 500    | 1    |
+      | safe   | 2        | fail, fail, answer   | 500    | 2    |
+      | safe   | 2        | foreign, answer      | 200    | 1    |
+      | unsafe | 1        | answer               | 200    | 1    |
+      | unsafe | 2        | refuse, answer       | 200    | 1    |
+      | unsafe | 2        | unreachable, answer  | 200    | 1    |
+      | unsafe | 2        | fail, answer         | 500    | 1    |
+      | unsafe | 2        | foreign, answer      | 502    | 0    |
+      | unsafe | 2        | refuse               | 503    | 0    |
+      | unsafe | 2        | unreachable          | 503    | 0    |
+      | unsafe | 2        | refuse, foreign      | 502    | 0    |
+      | safe   | 2        | refuse, refuse, refuse, refuse, answer | 503 | 0 |
+
+  Scenario Outline: A stream goes on where it broke, with no event lost or doubled
+    Given <kind> requests of up to <attempts> attempts
+    And endpoints that "<scripts>"
+    When a request is sent
+    Then its answer is <whole> with events <events>
+    And it takes at most <bound> s
+
+    Examples:
+      | kind                | attempts | scripts                  | whole  | events | bound |
+      | resumable streaming | 2        | events 5                 | whole  | 0-4    | 0.3   |
+      | resumable streaming | 2        | reset 2, events 5        | whole  | 0-4    | 0.5   |
+      | resumable streaming | 2        | silent 2, events 5       | whole  | 0-4    | 1.2   |
+      | resumable streaming | 2        | mute, events 5           | whole  | 0-4    | 1.2   |
+      | resumable streaming | 2        | fail, events 5           | whole  | 0-4    | 0.5   |
+      | resumable streaming | 3        | reset 2, reset 3, events 5 | whole | 0-4   | 0.8   |
+      | resumable streaming | 2        | reset 2, reset 3, events 5 | broken | 0-2  | 0.8   |
+      | streaming           | 2        | events 5                 | whole  | 0-4    | 0.3   |
+      | streaming           | 2        | refuse, events 5         | whole  | 0-4    | 0.3   |
+      | streaming           | 2        | reset 2, events 5        | broken | 0-1    | 0.5   |
+
+  Scenario Outline: A request that cannot be served is answered at once
+    Given <kind> requests of up to 2 attempts
+    And endpoints that "<scripts>"
+    When a request is sent
+    Then it gets <status> and 0 endpoints have run it
+    And it takes at most <bound> s
+    And it is told when to come back <comeback>
+
+    Examples:
+      | kind                | scripts                | status | bound | comeback |
+      | safe                | refuse, refuse         | 503    | 0.1   | yes      |
+      | unsafe              | refuse, refuse         | 503    | 0.1   | yes      |
+      | resumable streaming | refuse, refuse         | 503    | 0.1   | yes      |
+      | resumable streaming | unreachable            | 503    | 0.1   | yes      |
+      | unsafe              | foreign                | 502    | 0.1   | no       |
+
+  Scenario: An answer is due when the route's time is over
+    Given unsafe requests of up to 1 attempts
+    And endpoints that "mute"
+    And a route timeout of 0.8 s
+    When a request is sent
+    Then it gets 504 and 0 endpoints have run it
+    And it takes at most 0.85 s
+
+  Scenario Outline: A request needs a key that a customer holds, proven not long ago
+    Given requests that need the key "k1"
+    When a request with key <key> comes <age> s after the last proof
+    Then it gets <status> and <runs> endpoints have run it
+
+    Examples:
+      | key  | age | status | runs |
+      | k1   | 0   | 200    | 1    |
+      | k1   | 4.5 | 200    | 1    |
+      | k1   | 4.7 | 503    | 0    |
+      | k2   | 0   | 401    | 0    |
+      | none | 0   | 401    | 0    |
+
+  Scenario: A node that knows no configuration yet refuses
+    Given a node without a configuration
+    When a request is sent
+    Then it gets 503 and 0 endpoints have run it
+    And it is told when to come back yes
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -0,0 +1,110 @@
+"""Steps for the way of one request."""
+
+import dataclasses
+
+import behave
+import trio
+import trio.testing
+
+from wasabilanding.gateway.tests import fakes
+from wasabilanding import routes
+
+ANSWERING = "answer"
+
+
+def _scripts(text):
+    parts = [part.strip() for part in text.split(",")]
+    return {f"e{i}": part for i, part in enumerate(parts)}
+
+
+@behave.given("{kind} requests of up to {attempts:d} attempts")
+def given_requests(context, kind, attempts):
+    """Make a table of one route."""
+    resumable = kind.startswith("resumable ")
+    name = kind.removeprefix("resumable ")
+    context.routing = fakes.table(name, resumable, attempts)
+
+
+@behave.given('endpoints that "{scripts}"')
+def given_endpoints(context, scripts):
+    """Make endpoints; the first attempt goes to the first one."""
+    context.system = fakes.System(_scripts(scripts), context.routing)
+
+
+@behave.given("a route timeout of {seconds:g} s")
+def given_timeout(context, seconds):
+    """Change the route's timeout."""
+    found = context.system.belief.table
+    route = dataclasses.replace(found.routes[0], timeout_s=seconds)
+    changed = dataclasses.replace(found, routes=(route,))
+    context.system.belief.table = changed
+
+
+@behave.given('requests that need the key "{key}"')
+def given_key(context, key):
+    """Make a table whose route needs a key."""
+    holders = (routes.KeyHolder("c", frozenset((key,))),)
+    found = fakes.table("unsafe", False, 1, holders=holders)
+    context.system = fakes.System(_scripts(ANSWERING), found)
+
+
+@behave.given("a node without a configuration")
+def given_nothing(context):
+    """Make a node that knows nothing yet."""
+    context.system = fakes.System(_scripts(ANSWERING), None)
+
+
+def _ask(context, headers=(), wait_s=0.0):
+    async def run():
+        context.system.belief.proven_at = trio.current_time()
+        await trio.sleep(wait_s)
+        return await context.system.ask(headers)
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    context.caller = trio.run(run, clock=clock)
+
+
+@behave.when("a request is sent")
+def send(context):
+    """Send a request and wait for its answer."""
+    _ask(context)
+
+
+@behave.when("a request with key {key} comes {age:g} s after the last proof")
+def send_with_key(context, key, age):
+    """Send a request with a key."""
+    headers = () if key == "none" else ((b"x-key", key.encode()),)
+    _ask(context, headers, age)
+
+
+@behave.then("it gets {status:d} and {runs:d} endpoints have run it")
+def check_status(context, status, runs):
+    """Compare the status and the runs."""
+    caller = context.caller
+    assert caller.status == status, (caller.status, caller.body)
+    assert caller.is_whole, caller.body
+    assert context.system.endpoints.runs.total() == runs
+
+
+@behave.then("its answer is {whole} with events {first:d}-{last:d}")
+def check_events(context, whole, first, last):
+    """Compare the events byte for byte."""
+    expected = b"".join(
+        f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, last + 1)
+    )
+    caller = context.caller
+    assert caller.body == expected, caller.body
+    assert caller.is_whole is (whole == "whole")
+
+
+@behave.then("it takes at most {bound:g} s")
+def check_time(context, bound):
+    """Compare the time to the answer's end."""
+    assert context.caller.took_s <= bound, context.caller.took_s
+
+
+@behave.then("it is told when to come back {comeback}")
+def check_comeback(context, comeback):
+    """Look for the time to come back."""
+    told = b"retry-after" in context.caller.headers
+    assert told is (comeback == "yes"), context.caller.headers
