Take members of a silent head away at once; log how many endpoints serve

Ruled out: waiting for the head to break, because a head behind a partition breaks only when a member is missing. A member that leaves takes nothing from a running request that could still finish.

--- a/packages/decisions/wasabilanding/assembly/choice.py
+++ b/packages/decisions/wasabilanding/assembly/choice.py
@@ -130,6 +130,10 @@
     return (spec.share or 0.01) / max(vms, 0.5)
 
 
+def _staged(replica: fleet.Replica, spec: routes.ModelSpec) -> int:
+    return sum(spec.name in member.staged for member in replica.members)
+
+
 def _exchange_in(
     free: collections.abc.Sequence[fleet.Endpoint],
     replicas: collections.abc.Sequence[fleet.Replica],
@@ -145,11 +149,8 @@
     if _need(wanted, held[wanted.name]) < EXCHANGE_RATIO * _need(given, left):
         return None
 
-    def staged(replica: fleet.Replica) -> int:
-        return sum(wanted.name in one.staged for one in replica.members)
-
     victims = tuple(
-        sorted(replicas, key=lambda r: (-staged(r), r.place))[:count]
+        sorted(replicas, key=lambda r: (-_staged(r, wanted), r.place))[:count]
     )
     pool = [*free, *(one for v in victims for one in v.members)]
     return Exchange(wanted, _pick(pool, wanted), victims)
@@ -200,7 +201,7 @@
 def spares_to_stage(
     replicas: collections.abc.Iterable[fleet.Replica],
     spec: routes.EngineSpec,
-) -> list[tuple[fleet.Endpoint, str]]:
+) -> list[tuple[fleet.Endpoint, routes.ModelSpec]]:
     """Return hosts that should hold the weights of another model as well.
 
     In each fabric domain the members of one replica of the smallest model
@@ -222,9 +223,9 @@
     for standing in domains.values():
         own = [r for r in standing if r.model == small.name]
         if len(own) > 1:
-            chosen = max(own, key=lambda r: r.place)
+            chosen = max(own, key=lambda r: (_staged(r, large), r.place))
             wanted += [
-                (member, large.name)
+                (member, large)
                 for member in chosen.members
                 if large.name not in member.staged
             ]
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -18,8 +18,6 @@
 # A replica of another planner that is neither whole nor open is taken apart
 # after standing still for so long.
 ORPHAN_S = 2.5
-# A head whose member lapsed reports itself broken by then if it has work.
-BROKEN_WAIT_S = 2.5
 ANSWER_FRESH_S = 4.0
 # Endpoints that come one after the other are planned together.
 SETTLE_S = 0.5
@@ -125,13 +123,8 @@
         serving = [r for r in replicas.values() if self._serves(r, situation)]
         wanted += self._exchanges(settled, serving, held, situation, now)
         wanted += self._formations(settled, held, situation, now)
-        if situation.loads_are_free and not self._forming:
-            wanted += [
-                orders.Stage(endpoint, model)
-                for endpoint, model in choice.spares_to_stage(
-                    serving, situation.spec
-                )
-            ]
+        if not self._forming and self._exchange is None:
+            wanted += self._spares(serving, situation, now)
         return [order for order in wanted if self._is_due(order, now)]
 
     def _forget_gone(
@@ -217,7 +210,7 @@
         if state is MemberState.BROKEN:
             return True, []
         if state in TAKING:
-            return False, self._close_lost(replica, situation, still_s, now)
+            return False, self._close_lost(replica, situation, now)
         if still_s < ORPHAN_S and replica.place not in self._closed:
             return False, []
         return False, [self._leave(replica)]
@@ -231,7 +224,6 @@
         self,
         replica: fleet.Replica,
         situation: orders.Situation,
-        still_s: float,
         now: float,
     ) -> list[orders.Order]:
         """Orders for a head that takes requests while a member is missing."""
@@ -249,7 +241,7 @@
             for one, answer in zip(lost, asked, strict=True)
             if answer is None
         ]
-        if still_s < BROKEN_WAIT_S or asks:
+        if asks:
             return asks
         if lost and all(answer.lives for answer in asked):
             # Only the registration lapsed: the replica goes on.
@@ -268,7 +260,12 @@
         situation: orders.Situation,
         now: float,
     ) -> tuple[bool, list[orders.Order]]:
-        """Free the members once their lost head cannot be serving."""
+        """Free the members of a head that is no longer registered.
+
+        One that answers is closed first. From one that does not, they are
+        taken away: if it should live behind a partition, it cannot run
+        anything without them.
+        """
         if replica.place in self._left:
             return True, []
         head = self._lost_head(replica, situation)
@@ -279,12 +276,9 @@
         answer = self._fresh_answer(head.endpoint.endpoint_id, now)
         if answer is None:
             return False, [orders.Ask(head.endpoint)]
-        if not answer.lives:
-            return True, []
         if answer.is_open:
-            order = orders.Close(head.endpoint, at_once=True)
-            return now - head.at > self._stall_s + ORPHAN_S, [order]
-        return True, []
+            return False, [orders.Close(head.endpoint, at_once=True)]
+        return False, [orders.Leave(member) for member in replica.members]
 
     @staticmethod
     def _lost_head(
@@ -411,6 +405,19 @@
         self._closed.update(victim.place for victim in victims)
         return []
 
+    def _spares(
+        self,
+        serving: collections.abc.Sequence[fleet.Replica],
+        situation: orders.Situation,
+        now: float,
+    ) -> list[orders.Order]:
+        wanted = choice.spares_to_stage(serving, situation.spec)
+        return [
+            orders.Stage(endpoint, spec.name)
+            for endpoint, spec in wanted
+            if self._may_stage(endpoint, spec, situation, now)
+        ]
+
     def _may_stage(
         self,
         endpoint: fleet.Endpoint,
@@ -421,6 +428,8 @@
         key = _order_key(orders.Stage(endpoint, spec.name))
         if now - self._sent.get(key, float("-inf")) < STAGE_RETRY_S:
             return False
+        if situation.loads_are_free:
+            return True
         per_s = situation.spec.load_starts_per_s
         return self._ceiling.take(1, per_s, now)
 
@@ -509,7 +518,8 @@
         case orders.Close():
             return "close", order.head.membership.place, order.at_once
         case orders.Leave():
-            return "leave", order.endpoint.membership.place
+            member = order.endpoint
+            return "leave", member.endpoint_id, member.membership.place
         case orders.Ask():
             return "ask", order.endpoint.endpoint_id
         case orders.Stage():
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -4,6 +4,7 @@
 of that failure domain asks for it at once, another one after a while.
 """
 
+import collections
 import collections.abc
 import logging
 import random
@@ -24,6 +25,7 @@
 LEASE_S = 3.0
 RENEW_S = 0.9
 TICK_S = 0.25
+SUMMARY_S = 2.0
 DEBOUNCE_S = 0.03
 OWN_JITTER_S = 0.2
 FOREIGN_WAIT_S = 4.0
@@ -31,6 +33,7 @@
 FREE_LOADS_S = 10.0
 CALL_RETRY_S = 0.3
 OK_STATUSES = (200, 202)
+TAKING = (fleet.MemberState.OPEN, fleet.MemberState.CLOSING)
 
 _LOG = logging.getLogger(__name__)
 
@@ -165,8 +168,12 @@
         scope.cancel()
 
     async def _plan_on(self, nursery: trio.Nursery) -> None:
+        told_at = float("-inf")
         while True:
             self._plan(nursery)
+            if trio.current_time() - told_at > SUMMARY_S:
+                told_at = trio.current_time()
+                self._log_summary()
             with trio.move_on_after(TICK_S):
                 await self._belief.wait_changed()
             await trio.sleep(DEBOUNCE_S)
@@ -200,6 +207,24 @@
                 if join.replica in noted:
                     nursery.start_soon(self._carry_out, planner, join)
 
+    def _log_summary(self) -> None:
+        """Log how many endpoints serve, by model, and how many do not."""
+        own = [
+            one
+            for one in self._belief.registry.endpoints
+            if one.failure_domain == self._domain and one.fabric_domain
+        ]
+        serving: collections.Counter[str] = collections.Counter()
+        for replica in fleet.replicas_of(own).values():
+            if replica.is_open:
+                serving[replica.model] += len(replica.members)
+        _LOG.info(
+            "%d of %d endpoints serve",
+            serving.total(),
+            len(own),
+            extra={"domain": self._domain, "serving": dict(serving)},
+        )
+
     def _planner(self, service: str) -> assembly.Planner:
         planner = self._planners.get(service)
         if planner is None:
@@ -275,24 +300,19 @@
     async def _ask(
         self, planner: assembly.Planner, endpoint: fleet.Endpoint
     ) -> None:
-        lives = True
-        is_open = True
+        lives = False
+        is_open = False
         detail = ""
         try:
-            status, body = await self._upstream.call(
+            _, body = await self._upstream.call(
                 endpoint, "GET", self._wire.report_path(), b""
             )
             member = self._wire.read_report(body)
             same = member is not None and endpoint.membership is not None
-            same = same and member.place == endpoint.membership.place
-            lives = status == 200 and same
-            is_open = same and member.state.value in ("open", "closing")
+            lives = same and member.place == endpoint.membership.place
+            is_open = lives and member.state in TAKING
         except upstream_module.AttemptFailed as error:
             detail = error.outcome.detail
-            # A refused connection proves that the process is gone; silence
-            # proves nothing.
-            lives = "refused" not in detail.lower()
-            is_open = lives
         except ValueError as error:
             detail = str(error)
         planner.note_answer(
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -21,7 +21,7 @@
 
 CONNECT_TIMEOUT_S = 0.4
 WRITE_TIMEOUT_S = 2.0
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 0.6
 # Endpoints that do not say how long they keep an idle connection.
 DEFAULT_IDLE_S = 5.0
 # Part of the announced time after which a connection is not used again.
