Let every host hold two models, and load nothing while a warm replica fits

Cause: endpoints that lost their replica were joined to models that they did not hold. A member holds its replica's model in memory, so its host is free for the other model; the time before the first request, when loads are ten times shorter, suffices to stage it on all. Idle endpoints load what brings most VMs into service for each load, and join when they hold it.

--- a/packages/decisions/wasabilanding/assembly/__init__.py
+++ b/packages/decisions/wasabilanding/assembly/__init__.py
@@ -21,7 +21,7 @@
 from wasabilanding.assembly.choice import choose_formations
 from wasabilanding.assembly.choice import Exchange
 from wasabilanding.assembly.choice import Formation
-from wasabilanding.assembly.choice import spares_to_stage
+from wasabilanding.assembly.choice import weights_to_stage
 from wasabilanding.assembly.orders import Ask
 from wasabilanding.assembly.orders import Close
 from wasabilanding.assembly.orders import Join
@@ -47,5 +47,5 @@
     "Stage",
     "choose_exchange",
     "choose_formations",
-    "spares_to_stage",
+    "weights_to_stage",
 ]
--- a/packages/decisions/wasabilanding/assembly/choice.py
+++ b/packages/decisions/wasabilanding/assembly/choice.py
@@ -10,9 +10,9 @@
 # A model whose weights lie on the hosts is up ten times sooner; another one
 # is taken all the same when it has far fewer VMs for its share.
 STAGED_PREFERENCE = 1.5
-# Replicas of one model give way to another that has so many times fewer VMs
-# for its share.
-EXCHANGE_RATIO = 2.2
+# Replicas of one model give way to another when the worst supplied model is
+# so many times better off after it.
+EXCHANGE_GAIN = 1.5
 MAX_EXCHANGED = 2
 
 
@@ -35,8 +35,8 @@
 
     def order(endpoint: fleet.Endpoint) -> tuple:
         return (
-            endpoint.model != spec.name,
-            spec.name not in endpoint.staged,
+            not endpoint.holds(spec.name),
+            endpoint.resident != spec.name,
             bool(endpoint.staged),
             endpoint.endpoint_id,
         )
@@ -44,10 +44,15 @@
     return tuple(sorted(free, key=order)[: spec.size])
 
 
-def _cold_members(
-    members: tuple[fleet.Endpoint, ...], spec: routes.ModelSpec
+def cold_members(
+    members: collections.abc.Iterable[fleet.Endpoint], spec: routes.ModelSpec
 ) -> int:
-    return sum(spec.name not in member.staged for member in members)
+    """Return how many endpoints have to load a model to serve it.
+
+    :param members: the endpoints.
+    :param spec: the model.
+    """
+    return sum(not member.holds(spec.name) for member in members)
 
 
 def _score(
@@ -57,7 +62,7 @@
 ) -> tuple[float, int]:
     """Rank a model by the VMs it lacks; at equal need the small one wins."""
     need = (spec.share or 0.01) / (assigned[spec.name] + 1)
-    if not _cold_members(_pick(free, spec), spec):
+    if not cold_members(_pick(free, spec), spec):
         need *= STAGED_PREFERENCE
     return need, -spec.size
 
@@ -80,6 +85,7 @@
     assigned: collections.abc.Mapping[str, int],
     spec: routes.EngineSpec,
     promised: collections.abc.Mapping[str, str],
+    warm_only: bool = False,
 ) -> list[Formation]:
     """Return the replicas to form of free endpoints.
 
@@ -91,6 +97,7 @@
     :param spec: the models.
     :param promised: model that goes first in a fabric domain; until it fits,
         nothing else is formed there.
+    :param warm_only: whether only endpoints that need no load take part.
     """
     held = collections.Counter(assigned)
     domains = by_domain(free)
@@ -102,6 +109,10 @@
             if first:
                 fitting = [m for m in fitting if m.name == first]
                 first = ""
+            if warm_only:
+                fitting = [
+                    m for m in fitting if not cold_members(_pick(left, m), m)
+                ]
             if not fitting:
                 break
             best = max(fitting, key=lambda m: _score(left, m, held))
@@ -130,10 +141,6 @@
     return (spec.share or 0.01) / max(vms, 0.5)
 
 
-def _staged(replica: fleet.Replica, spec: routes.ModelSpec) -> int:
-    return sum(spec.name in member.staged for member in replica.members)
-
-
 def _exchange_in(
     free: collections.abc.Sequence[fleet.Endpoint],
     replicas: collections.abc.Sequence[fleet.Replica],
@@ -145,12 +152,17 @@
     count = -(-lacking // given.size)
     if not 1 <= count <= MAX_EXCHANGED or count > len(replicas):
         return None
-    left = held[given.name] - count * given.size
-    if _need(wanted, held[wanted.name]) < EXCHANGE_RATIO * _need(given, left):
+    after = max(
+        _need(wanted, held[wanted.name] + wanted.size),
+        _need(given, held[given.name] - count * given.size),
+    )
+    if _need(wanted, held[wanted.name]) < EXCHANGE_GAIN * after:
         return None
 
     victims = tuple(
-        sorted(replicas, key=lambda r: (-_staged(r, wanted), r.place))[:count]
+        sorted(
+            replicas, key=lambda r: (cold_members(r.members, wanted), r.place)
+        )[:count]
     )
     pool = [*free, *(one for v in victims for one in v.members)]
     return Exchange(wanted, _pick(pool, wanted), victims)
@@ -161,6 +173,7 @@
     replicas: collections.abc.Iterable[fleet.Replica],
     assigned: collections.abc.Mapping[str, int],
     spec: routes.EngineSpec,
+    skipped: collections.abc.Container[str] = (),
 ) -> Exchange | None:
     """Return an exchange that gives VMs to the model that lacks them most.
 
@@ -172,6 +185,7 @@
     :param replicas: whole replicas that take requests.
     :param assigned: VMs that replicas of each model hold.
     :param spec: the models.
+    :param skipped: fabric domains that are left as they are.
     """
     held = collections.Counter(assigned)
     wanted = max(spec.models, key=lambda m: _need(m, held[m.name]))
@@ -181,7 +195,7 @@
         serving[replica.head.fabric_domain].append(replica)
     found = []
     for name, standing in serving.items():
-        if len(domains[name]) >= wanted.size:
+        if name in skipped or len(domains[name]) >= wanted.size:
             continue
         for given in spec.models:
             own = [r for r in standing if r.model == given.name]
@@ -194,39 +208,78 @@
 
 
 def _exchange_cost(exchange: Exchange) -> tuple[int, int]:
-    cold = _cold_members(exchange.members, exchange.model)
+    cold = cold_members(exchange.members, exchange.model)
     return len(exchange.victims), cold
 
 
-def spares_to_stage(
+def weights_to_form(
+    free: collections.abc.Iterable[fleet.Endpoint],
+    assigned: collections.abc.Mapping[str, int],
+    spec: routes.EngineSpec,
+) -> list[tuple[fleet.Endpoint, routes.ModelSpec]]:
+    """Return what free endpoints should load to form replicas.
+
+    In each fabric domain the model is chosen that brings most VMs into
+    service for each load; at equal gain the one that lacks VMs most. An
+    endpoint that holds nothing and has too few others beside it prepares
+    for the smallest model.
+
+    :param free: endpoints that belong to no replica.
+    :param assigned: VMs that replicas of each model hold.
+    :param spec: the models.
+    :returns: endpoints, each with the model to load.
+    """
+    smallest = min(spec.models, key=lambda m: (m.size, m.name))
+    chosen = []
+    for left in by_domain(free).values():
+        fitting = [m for m in spec.models if m.size <= len(left)]
+        if fitting:
+            best = max(fitting, key=lambda m: _gain(left, m, assigned))
+            members = _pick(left, best)
+            chosen += [(m, best) for m in members if not m.holds(best.name)]
+        else:
+            chosen += [
+                (one, smallest)
+                for one in left
+                if not one.resident and not one.staged
+            ]
+    return chosen
+
+
+def _gain(
+    free: collections.abc.Sequence[fleet.Endpoint],
+    spec: routes.ModelSpec,
+    assigned: collections.abc.Mapping[str, int],
+) -> tuple[float, float]:
+    loads = cold_members(_pick(free, spec), spec)
+    return spec.size / max(loads, 1), _need(spec, assigned.get(spec.name, 0))
+
+
+def weights_to_stage(
     replicas: collections.abc.Iterable[fleet.Replica],
+    assigned: collections.abc.Mapping[str, int],
     spec: routes.EngineSpec,
 ) -> list[tuple[fleet.Endpoint, routes.ModelSpec]]:
-    """Return hosts that should hold the weights of another model as well.
+    """Return hosts that should hold the weights of a second model.
 
-    In each fabric domain the members of one replica of the smallest model
-    hold the weights of the largest one, so that they can replace its members
-    without a load.
+    A member keeps the model of its replica in memory, so its host is free
+    to hold another one: then it can take part in replicas of either without
+    a load.
 
     :param replicas: whole replicas that take requests.
+    :param assigned: VMs that replicas of each model hold.
     :param spec: the models.
-    :returns: endpoints, each with the model to load.
+    :returns: endpoints, each with the model to load; the one that lacks VMs
+        most comes first.
     """
-    sizes = sorted(spec.models, key=lambda m: (m.size, m.name))
-    small, large = sizes[0], sizes[-1]
-    if small.size == large.size:
-        return []
-    domains = collections.defaultdict(list)
-    for replica in replicas:
-        domains[replica.head.fabric_domain].append(replica)
+    ranked = sorted(
+        spec.models, key=lambda m: (-_need(m, assigned.get(m.name, 0)), m.name)
+    )
     wanted = []
-    for standing in domains.values():
-        own = [r for r in standing if r.model == small.name]
-        if len(own) > 1:
-            chosen = max(own, key=lambda r: (_staged(r, large), r.place))
-            wanted += [
-                (member, large)
-                for member in chosen.members
-                if large.name not in member.staged
-            ]
-    return wanted
+    for replica in sorted(replicas, key=lambda r: r.place):
+        others = [m for m in ranked if m.name != replica.model]
+        for member in replica.members:
+            held = any(member.holds(m.name) for m in others)
+            if others and not held:
+                wanted.append((member, others[0]))
+    return sorted(wanted, key=lambda pair: ranked.index(pair[1]))
--- a/packages/decisions/wasabilanding/assembly/orders.py
+++ b/packages/decisions/wasabilanding/assembly/orders.py
@@ -92,6 +92,8 @@
     :param departed: endpoints that have lapsed, by identity.
     :param revision: newest revision of the store that is known.
     :param loads_are_free: whether loads start without a bound now.
+    :param loading: loads from the weight store under way, as far as is
+        known, over all endpoints.
     :param pending: highest epoch of the joins that any planner has ordered
         not long ago, by endpoint; such an order may still be carried out.
     """
@@ -102,10 +104,20 @@
     departed: dict[str, fleet.Departure]
     revision: int
     loads_are_free: bool
+    loading: int = 0
     pending: collections.abc.Mapping[str, int] = dataclasses.field(
         default_factory=dict
     )
 
+    def may_load(self, loads: int) -> bool:
+        """Tell whether loads would run at full speed.
+
+        :param loads: loads that would start.
+        """
+        if self.loads_are_free or not loads or not self.spec.loads_at_once:
+            return True
+        return self.loading + loads <= self.spec.loads_at_once
+
     def is_claimed_beyond(self, replica: fleet.Replica) -> bool:
         """Tell whether a member was told to join a later replica.
 
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -48,7 +48,6 @@
 
 @dataclasses.dataclass
 class _Exchanging:
-    domain: str
     model: routes.ModelSpec
     members: tuple[str, ...]
     victims: tuple[fleet.Place, ...]
@@ -78,7 +77,9 @@
         self._sent: dict[tuple, float] = {}
         self._answers: dict[str, _Answer] = {}
         self._free: dict[str, tuple[frozenset[str], float]] = {}
-        self._exchange: _Exchanging | None = None
+        self._exchanges: dict[str, _Exchanging] = {}
+        self._next_spare_at = float("-inf")
+        self._stage_ends: list[float] = []
 
     def note_answer(
         self, endpoint_id: str, lives: bool, is_open: bool, now: float
@@ -121,10 +122,15 @@
         wanted += self._rejoins(replicas)
         settled = self._settled(usable, now)
         serving = [r for r in replicas.values() if self._serves(r, situation)]
-        wanted += self._exchanges(settled, serving, held, situation, now)
+        if not situation.loads_are_free:
+            moving = self._moving(replicas, usable, settled, situation)
+            self._begin_exchanges(
+                settled, serving, held, situation, moving, now
+            )
+            wanted += self._go_on_exchanges(serving, situation, now)
         wanted += self._formations(settled, held, situation, now)
-        if not self._forming and self._exchange is None:
-            wanted += self._spares(serving, situation, now)
+        if not self._forming and not self._exchanges:
+            wanted += self._second_weights(serving, held, situation, now)
         return [order for order in wanted if self._is_due(order, now)]
 
     def _forget_gone(
@@ -246,6 +252,7 @@
         if lost and all(answer.lives for answer in asked):
             # Only the registration lapsed: the replica goes on.
             return []
+        self._closed.add(replica.place)
         return [orders.Close(replica.head, at_once=True)]
 
     def _fresh_answer(self, endpoint_id: str, now: float) -> _Answer | None:
@@ -270,15 +277,19 @@
             return True, []
         head = self._lost_head(replica, situation)
         if head is None:
-            return self._still_for(replica.place, replica, now) >= (
-                self._stall_s + ORPHAN_S
-            ), []
+            # It has left, or lapsed long ago.
+            still_s = self._still_for(replica.place, replica, now)
+            return False, self._leave_all(replica) if still_s else []
         answer = self._fresh_answer(head.endpoint.endpoint_id, now)
         if answer is None:
             return False, [orders.Ask(head.endpoint)]
         if answer.is_open:
             return False, [orders.Close(head.endpoint, at_once=True)]
-        return False, [orders.Leave(member) for member in replica.members]
+        return False, self._leave_all(replica)
+
+    @staticmethod
+    def _leave_all(replica: fleet.Replica) -> list[orders.Order]:
+        return [orders.Leave(member) for member in replica.members]
 
     @staticmethod
     def _lost_head(
@@ -338,85 +349,116 @@
         leaving = replica.is_leaving or replica.place in self._closed
         return replica.is_open and not leaving
 
-    def _exchanges(
+    def _moving(
+        self,
+        replicas: collections.abc.Mapping[fleet.Place, fleet.Replica],
+        free: collections.abc.Sequence[fleet.Endpoint],
+        settled: collections.abc.Sequence[fleet.Endpoint],
+        situation: orders.Situation,
+    ) -> set[str]:
+        """Fabric domains whose endpoints are on the way somewhere."""
+        moving = {one.fabric_domain for one in free if one not in settled}
+        for replica in replicas.values():
+            if not self._serves(replica, situation):
+                moving.add(replica.members[0].fabric_domain)
+        for forming in self._forming.values():
+            moving.add(forming.members[0].fabric_domain)
+        return moving
+
+    def _begin_exchanges(
         self,
         free: collections.abc.Sequence[fleet.Endpoint],
         serving: collections.abc.Sequence[fleet.Replica],
         held: collections.Counter[str],
         situation: orders.Situation,
+        moving: set[str],
         now: float,
-    ) -> list[orders.Order]:
-        """Orders that turn VMs of one model over to another."""
-        if situation.loads_are_free:
-            return []
-        if self._exchange is not None and now > self._exchange.gives_up_at:
-            self._exchange = None
-        if self._exchange is None:
-            self._begin_exchange(free, serving, held, situation, now)
-        if self._exchange is None:
-            return []
-        return self._go_on_exchange(serving, situation, now)
+    ) -> None:
+        """Choose replicas that give way to a model that lacks VMs."""
+        for domain, exchange in list(self._exchanges.items()):
+            if now > exchange.gives_up_at:
+                del self._exchanges[domain]
+            else:
+                held[exchange.model.name] += exchange.model.size
+        while True:
+            skipped = moving | set(self._exchanges)
+            found = choice.choose_exchange(
+                free, serving, held, situation.spec, skipped
+            )
+            if found is None:
+                return
+            domain = found.victims[0].head.fabric_domain
+            held[found.model.name] += found.model.size
+            self._exchanges[domain] = _Exchanging(
+                model=found.model,
+                members=tuple(one.endpoint_id for one in found.members),
+                victims=tuple(victim.place for victim in found.victims),
+                gives_up_at=now + found.model.load_s + EXCHANGE_SLACK_S,
+            )
 
-    def _begin_exchange(
+    def _go_on_exchanges(
         self,
-        free: collections.abc.Sequence[fleet.Endpoint],
         serving: collections.abc.Sequence[fleet.Replica],
-        held: collections.Counter[str],
         situation: orders.Situation,
         now: float,
-    ) -> None:
-        found = choice.choose_exchange(free, serving, held, situation.spec)
-        if found is None:
-            return
-        self._exchange = _Exchanging(
-            domain=found.victims[0].head.fabric_domain,
-            model=found.model,
-            members=tuple(one.endpoint_id for one in found.members),
-            victims=tuple(victim.place for victim in found.victims),
-            gives_up_at=now + found.model.load_s + EXCHANGE_SLACK_S,
-        )
+    ) -> list[orders.Order]:
+        wanted: list[orders.Order] = []
+        for domain, exchange in list(self._exchanges.items()):
+            present = [
+                one
+                for one in situation.endpoints
+                if one.endpoint_id in exchange.members and not one.draining
+            ]
+            if len(present) < len(exchange.members):
+                del self._exchanges[domain]
+                continue
+            wanted += self._go_on(exchange, present, serving, situation, now)
+        return wanted
 
-    def _go_on_exchange(
+    def _go_on(
         self,
+        exchange: _Exchanging,
+        members: collections.abc.Sequence[fleet.Endpoint],
         serving: collections.abc.Sequence[fleet.Replica],
         situation: orders.Situation,
         now: float,
     ) -> list[orders.Order]:
         """Stage the weights first; close the victims when all hold them."""
-        exchange = self._exchange
-        present = [
-            one
-            for one in situation.endpoints
-            if one.endpoint_id in exchange.members and not one.draining
-        ]
-        if len(present) < len(exchange.members):
-            self._exchange = None
-            return []
-        cold = [
-            one for one in present if exchange.model.name not in one.staged
+        name = exchange.model.name
+        cold = [one for one in members if not one.holds(name)]
+        if not cold:
+            self._closed.update(
+                replica.place
+                for replica in serving
+                if replica.place in exchange.victims
+            )
+        return [
+            orders.Stage(one, name)
+            for one in cold
+            if self._may_stage(one, exchange.model, situation, now)
         ]
-        if cold:
-            return [
-                orders.Stage(one, exchange.model.name)
-                for one in cold
-                if self._may_stage(one, exchange.model, situation, now)
-            ]
-        victims = [r for r in serving if r.place in exchange.victims]
-        self._closed.update(victim.place for victim in victims)
-        return []
 
-    def _spares(
+    def _second_weights(
         self,
         serving: collections.abc.Sequence[fleet.Replica],
+        held: collections.abc.Mapping[str, int],
         situation: orders.Situation,
         now: float,
     ) -> list[orders.Order]:
-        wanted = choice.spares_to_stage(serving, situation.spec)
-        return [
+        """Load second models; one at a time once callers are served."""
+        wanted = choice.weights_to_stage(serving, held, situation.spec)
+        if not situation.loads_are_free:
+            if now < self._next_spare_at or situation.loading:
+                return []
+            wanted = wanted[:1]
+        staged = [
             orders.Stage(endpoint, spec.name)
             for endpoint, spec in wanted
             if self._may_stage(endpoint, spec, situation, now)
         ]
+        if staged:
+            self._next_spare_at = now + wanted[0][1].load_s
+        return staged
 
     def _may_stage(
         self,
@@ -430,13 +472,26 @@
             return False
         if situation.loads_are_free:
             return True
+        if not self._may_start(1, situation, now):
+            return False
+        self._stage_ends.append(now + spec.load_s)
+        return True
+
+    def _may_start(
+        self, loads: int, situation: orders.Situation, now: float
+    ) -> bool:
+        """Tell whether loads may start, and count them if so."""
+        self._stage_ends = [end for end in self._stage_ends if end > now]
+        if not situation.may_load(loads + len(self._stage_ends)):
+            return False
         per_s = situation.spec.load_starts_per_s
-        return self._ceiling.take(1, per_s, now)
+        return self._ceiling.take(loads, per_s, now)
 
     def _promised(self) -> dict[str, str]:
-        if self._exchange is None:
-            return {}
-        return {self._exchange.domain: self._exchange.model.name}
+        return {
+            domain: exchange.model.name
+            for domain, exchange in self._exchanges.items()
+        }
 
     def _formations(
         self,
@@ -447,25 +502,40 @@
     ) -> list[orders.Order]:
         wanted: list[orders.Order] = []
         formations = choice.choose_formations(
-            free, held, situation.spec, self._promised()
+            free,
+            held,
+            situation.spec,
+            self._promised(),
+            warm_only=not situation.loads_are_free,
         )
+        used = set()
         for formation in formations:
-            if self._may_load(formation, situation, now):
-                wanted.append(self._join(formation, situation, now))
+            wanted.append(self._join(formation, situation, now))
+            used.update(one.endpoint_id for one in formation.members)
+        if not situation.loads_are_free:
+            idle = [one for one in free if one.endpoint_id not in used]
+            wanted += self._missing_weights(idle, held, situation, now)
         return wanted
 
-    def _may_load(
+    def _missing_weights(
         self,
-        formation: choice.Formation,
+        idle: collections.abc.Sequence[fleet.Endpoint],
+        held: collections.Counter[str],
         situation: orders.Situation,
         now: float,
-    ) -> bool:
-        if situation.loads_are_free:
-            return True
-        name = formation.model.name
-        cold = sum(name not in member.staged for member in formation.members)
-        per_s = situation.spec.load_starts_per_s
-        return self._ceiling.take(cold, per_s, now)
+    ) -> list[orders.Order]:
+        """Load what idle endpoints lack to form a replica."""
+        promised = self._promised()
+        chosen = choice.weights_to_form(
+            [one for one in idle if one.fabric_domain not in promised],
+            held,
+            situation.spec,
+        )
+        return [
+            orders.Stage(endpoint, spec.name)
+            for endpoint, spec in chosen
+            if self._may_stage(endpoint, spec, situation, now)
+        ]
 
     def _join(
         self,
@@ -481,8 +551,10 @@
         epochs += situation.pending.values()
         epoch = max(self._last_epoch, situation.revision, *epochs, 0) + 1
         self._last_epoch = epoch
-        if formation.model.name in self._promised().values():
-            self._exchange = None
+        domain = formation.members[0].fabric_domain
+        exchange = self._exchanges.get(domain)
+        if exchange is not None and exchange.model == formation.model:
+            del self._exchanges[domain]
         place = (f"{self._prefix}-{epoch}", epoch)
         model: routes.ModelSpec = formation.model
         self._forming[place] = _Forming(
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -44,6 +44,7 @@
     membership: fleet.Membership | None = None
     members: tuple[str, ...] = ()
     model: str = ""
+    resident: str = ""
     staged: str = ""
     highest_epoch: int = 0
     changes_at: float = 0.0
@@ -142,6 +143,7 @@
 
     def _restart(self, engine: Engine) -> None:
         engine.alive = True
+        engine.resident = ""
         engine.silent_since = None
         engine.draining = False
         engine.born += 1
@@ -172,7 +174,8 @@
     def _enter(self, engine: Engine, state: fleet.MemberState) -> None:
         place = engine.membership.place
         if state is STATES.READY:
-            engine.staged = engine.model
+            if not engine.staged:
+                engine.staged = engine.model
             self.been_ready.setdefault(place, set()).add(engine.name)
         if state is STATES.OPEN:
             missing = set(engine.members) - self.been_ready.get(place, set())
@@ -276,8 +279,9 @@
         engine.membership = fleet.Membership(
             *place, names.index(engine.name), STATES.JOINING
         )
-        warm = engine.staged == order.model
+        warm = order.model in (engine.staged, engine.resident)
         engine.model = order.model
+        engine.resident = order.model
         engine.changes_to = "ready"
         engine.changes_at = self.now + (JOIN_WARM_S if warm else JOIN_COLD_S)
 
--- a/packages/decisions/wasabilanding/fleet/endpoint.py
+++ b/packages/decisions/wasabilanding/fleet/endpoint.py
@@ -53,6 +53,8 @@
         starts under one identity apart.
     :param fabric_domain: fabric domain; empty for a plain service.
     :param model: model that it serves; empty for none.
+    :param resident: model of its last replica, which it still holds in
+        memory; empty where that is not known.
     :param staged: models whose weights lie on its host.
     :param membership: its replica; None for none.
     """
@@ -67,9 +69,17 @@
     started_at_ms: int = 0
     fabric_domain: str = ""
     model: str = ""
+    resident: str = ""
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
 
+    def holds(self, model: str) -> bool:
+        """Tell whether it can join a replica of a model without a load.
+
+        :param model: name of the model.
+        """
+        return model == self.resident or model in self.staged
+
     @property
     def origin(self) -> str:
         """Base URL."""
--- a/packages/decisions/wasabilanding/fleet/registry.py
+++ b/packages/decisions/wasabilanding/fleet/registry.py
@@ -70,10 +70,20 @@
         """
         self._doubtful.pop(endpoint.endpoint_id, None)
         self._departed.pop(endpoint.endpoint_id, None)
+        endpoint = self._with_resident(endpoint)
         if self._endpoints.get(endpoint.endpoint_id) != endpoint:
             self._endpoints[endpoint.endpoint_id] = endpoint
             self.version += 1
 
+    def _with_resident(self, endpoint: Endpoint) -> Endpoint:
+        """Add what the endpoint held before it left its replica."""
+        resident = endpoint.model
+        before = self._endpoints.get(endpoint.endpoint_id)
+        if before is not None and not resident:
+            if before.started_at_ms == endpoint.started_at_ms:
+                resident = before.resident
+        return dataclasses.replace(endpoint, resident=resident)
+
     def remove(self, endpoint_id: str, now: float) -> None:
         """Learn that a registration is gone.
 
--- a/packages/decisions/wasabilanding/routes/table.py
+++ b/packages/decisions/wasabilanding/routes/table.py
@@ -98,11 +98,14 @@
     :param models: its models.
     :param load_starts_per_s: loads from the weight store that may start in
         a second, over all engines; 0 where no bound is stated.
+    :param loads_at_once: loads that run at full speed together, over all
+        engines; 0 where no bound is stated.
     """
 
     slots: int
     models: tuple[ModelSpec, ...]
     load_starts_per_s: float
+    loads_at_once: int = 0
 
     def model(self, name: str) -> ModelSpec | None:
         """Return a model, or None for one that is not stated.
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -38,6 +38,14 @@
 _LOG = logging.getLogger(__name__)
 
 
+def _is_loading(endpoint: fleet.Endpoint) -> bool:
+    """Tell whether an endpoint joins a replica whose model it must load."""
+    member = endpoint.membership
+    if member is None or member.state is not fleet.MemberState.JOINING:
+        return False
+    return not endpoint.model
+
+
 class DomainLease:
     """The lease on the planning of one failure domain.
 
@@ -255,6 +263,7 @@
             loads_are_free=(
                 self._settings.first_start and since_start_s < FREE_LOADS_S
             ),
+            loading=sum(map(_is_loading, registry.endpoints)),
             pending=intents.pending_epochs(
                 self._belief.own, self._notes_prefix
             ),
