Explain a request from logs; date proofs by a clock that counts suspensions

Cause: the monotonic clock stands still while a VM is suspended, so a node could have taken a revoked key for proven after it. What a node's belief is too old to know is refused with 503 and a time to come back, not with 401 or 404. Each request ends in one log line with what decided it, counters and latency histograms are served as text, and 'wasabilanding explain' reads the logs of several nodes. Ruled out: a fresh read of the store for each unknown key, which would be a call for each stray request.

--- a/packages/command/wasabilanding/command/main.py
+++ b/packages/command/wasabilanding/command/main.py
@@ -6,6 +6,7 @@
 
 from wasabilanding.command import customer
 from wasabilanding.command import experiment
+from wasabilanding.command import explain
 from wasabilanding.command import profile
 from wasabilanding.command import service
 from wasabilanding.command import settings
@@ -25,6 +26,7 @@
 application.add_typer(settings.app, name="settings")
 application.add_typer(experiment.app, name="experiment")
 application.command("status")(status.status)
+application.command("explain")(explain.explain)
 
 
 @application.callback()
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -274,7 +274,7 @@
         anything without them.
         """
         if replica.place in self._left:
-            return True, []
+            return True, self._leave_all(replica)
         head = self._lost_head(replica, situation)
         if head is None:
             # It has left, or lapsed long ago.
@@ -359,7 +359,8 @@
         """Fabric domains whose endpoints are on the way somewhere."""
         moving = {one.fabric_domain for one in free if one not in settled}
         for replica in replicas.values():
-            if not self._serves(replica, situation):
+            left = replica.head is None and replica.place in self._left
+            if not left and not self._serves(replica, situation):
                 moving.add(replica.members[0].fabric_domain)
         for forming in self._forming.values():
             moving.add(forming.members[0].fabric_domain)
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -187,9 +187,9 @@
         for engine in self.engines.values():
             known = self.registry.get(engine.name)
             if engine.alive:
-                if known != engine.entry():
-                    self.registry.put(engine.entry())
-                    self.revision += 1
+                before = self.registry.version
+                self.registry.put(engine.entry())
+                self.revision += self.registry.version - before
             elif known and self.now - engine.silent_since > LAPSE_S:
                 self.registry.remove(engine.name, self.now)
         self.registry.expire(self.now)
--- a/packages/gateway/wasabilanding/gateway/__init__.py
+++ b/packages/gateway/wasabilanding/gateway/__init__.py
@@ -15,6 +15,7 @@
 """
 
 from wasabilanding.gateway.logs import configure_logging
+from wasabilanding.gateway.measures import Measures
 from wasabilanding.gateway.messages import CallerRequest
 from wasabilanding.gateway.messages import Errand
 from wasabilanding.gateway.messages import Head
@@ -36,6 +37,7 @@
     "Head",
     "Header",
     "InvalidHead",
+    "Measures",
     "ReplyHead",
     "ReplyKind",
     "Settings",
--- a/packages/gateway/wasabilanding/gateway/belief.py
+++ b/packages/gateway/wasabilanding/gateway/belief.py
@@ -16,6 +16,7 @@
 import trio
 
 from wasabilanding import fleet
+from wasabilanding.gateway import clocks
 from wasabilanding.gateway import messages
 from wasabilanding import metadata
 from wasabilanding import routes
@@ -36,17 +37,23 @@
     """State of one node; loops change it and requests read it.
 
     :param wire: decodes what lies in the store.
+    :param clock: seconds, counted also while the VM is suspended.
     """
 
-    def __init__(self, wire: messages.Wire) -> None:
+    def __init__(
+        self,
+        wire: messages.Wire,
+        clock: collections.abc.Callable[[], float] = clocks.suspend_time,
+    ) -> None:
         self._wire = wire
+        self._clock = clock
         self._changed = trio.Event()
         self._table_revision = 0
         self.table: routes.RoutingTable | None = None
         self.registry = fleet.Registry()
         self.own: dict[str, metadata.Item] = {}
         self.revision = 0
-        self.proven_at = float("-inf")
+        self._proven_at = float("-inf")
         self.planners = 0
         self._rejected: dict[str, int] = {}
 
@@ -55,6 +62,22 @@
         """Whether a configuration and the registrations are known."""
         return self.table is not None and self.revision > 0
 
+    @property
+    def proof_age_s(self) -> float:
+        """Seconds since the last proof that nothing was missed."""
+        return self._clock() - self._proven_at
+
+    def clock_time(self) -> float:
+        """Return the time of the clock that proofs are dated by."""
+        return self._clock()
+
+    def note_proof(self, age_s: float) -> None:
+        """Note that nothing was missed up to some time ago.
+
+        :param age_s: seconds ago.
+        """
+        self._proven_at = max(self._proven_at, self._clock() - age_s)
+
     @property
     def is_planning(self) -> bool:
         """Whether this node plans replicas and so needs changes early."""
@@ -72,7 +95,7 @@
         """Learn everything that lies in the store.
 
         :param listing: all items.
-        :param now: local monotonic time in seconds at which it was asked.
+        :param now: local monotonic time in seconds.
         """
         endpoints = []
         own = {}
@@ -88,21 +111,17 @@
         self.registry.replace(endpoints, now)
         self.own = own
         self.revision = max(self.revision, listing.revision)
-        self.proven_at = now
         self._notify()
 
-    def learn(self, changes: metadata.Changes, proven_at: float) -> None:
+    def learn(self, changes: metadata.Changes, now: float) -> None:
         """Learn changes.
 
         :param changes: what happened, in order.
-        :param proven_at: local monotonic time in seconds up to which nothing
-            else has happened.
+        :param now: local monotonic time in seconds.
         """
-        now = trio.current_time()
         for event in changes.events:
             self._learn_event(event, now)
         self.revision = max(self.revision, changes.revision)
-        self.proven_at = max(self.proven_at, proven_at)
         self.registry.expire(now)
         if changes.events:
             self._notify()
@@ -171,18 +190,21 @@
 
 
 async def _read_everything(belief: Belief, store: messages.Store) -> bool:
-    asked_at = trio.current_time()
+    asked_at = belief.clock_time()
     listing = await store.read_all(EVERYTHING)
     if isinstance(listing, metadata.Unavailable):
         _LOG.debug("the store was not read: %s", listing.detail)
         return False
-    belief.learn_all(listing, asked_at)
+    belief.learn_all(listing, trio.current_time())
+    belief.note_proof(belief.clock_time() - asked_at)
     return True
 
 
 async def _follow(belief: Belief, store: messages.Store) -> bool:
     """Ask once for changes; tell whether a full read is needed."""
     asked_at = trio.current_time()
+    age_before_s = belief.proof_age_s
+    proof_asked_at = belief.clock_time()
     changes = await store.watch(EVERYTHING, belief.revision, WAIT_S)
     now = trio.current_time()
     if isinstance(changes, metadata.HistoryLost):
@@ -191,11 +213,12 @@
     if isinstance(changes, metadata.Unavailable):
         await trio.sleep(RETRY_S)
         return False
-    if asked_at - belief.proven_at > AWAY_S:
+    if age_before_s > AWAY_S:
         belief.registry.note_store_back(now)
     # Without events the store has waited to the end of the time asked for.
     waited_s = 0.0 if changes.events else min(WAIT_S, now - asked_at)
-    belief.learn(changes, asked_at + waited_s)
+    belief.learn(changes, now)
+    belief.note_proof(belief.clock_time() - proof_asked_at - waited_s)
     interval_s = PLANNING_INTERVAL_S if belief.is_planning else INTERVAL_S
     await trio.sleep_until(asked_at + interval_s)
     return False
@@ -220,4 +243,4 @@
                 await trio.sleep(RETRY_S)
         else:
             needs_all = await _follow(belief, store)
-        note_store(trio.current_time() - belief.proven_at < AWAY_S)
+        note_store(belief.proof_age_s < AWAY_S)
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -15,7 +15,9 @@
 from wasabilanding import assembly
 from wasabilanding import fleet
 from wasabilanding.gateway import belief as belief_module
+from wasabilanding.gateway import clocks
 from wasabilanding.gateway import intents
+from wasabilanding.gateway import measures as measures_module
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
@@ -61,16 +63,14 @@
         self._lease: metadata.Lease | None = None
         self._held_until = float("-inf")
 
-    def is_held(self, now: float) -> bool:
-        """Tell whether this node holds the lease for certain.
-
-        :param now: local monotonic time in seconds.
-        """
-        return now < self._held_until
+    @property
+    def is_held(self) -> bool:
+        """Whether this node holds the lease for certain."""
+        return clocks.suspend_time() < self._held_until
 
     async def acquire(self) -> bool:
         """Try to take the lease."""
-        asked_at = trio.current_time()
+        asked_at = clocks.suspend_time()
         granted = await self._store.grant_lease(LEASE_S)
         if isinstance(granted, metadata.Unavailable):
             return False
@@ -87,7 +87,7 @@
 
     async def renew(self) -> None:
         """Renew the lease; it is lost where the store says so."""
-        asked_at = trio.current_time()
+        asked_at = clocks.suspend_time()
         renewed = await self._store.renew_lease(self._lease)
         if isinstance(renewed, metadata.Missing):
             self._held_until = float("-inf")
@@ -97,7 +97,7 @@
 
     async def release(self) -> None:
         """Give the lease back."""
-        if self._lease is not None and self.is_held(trio.current_time()):
+        if self._lease is not None and self.is_held:
             self._held_until = float("-inf")
             await self._store.end_lease(self._lease)
 
@@ -110,6 +110,7 @@
     :param store: the platform's store.
     :param upstream: connections to endpoints.
     :param wire: encodes orders.
+    :param measures: counts orders and endpoints that do not serve.
     :param failure_domain: the failure domain.
     :param rng: source of randomness.
     """
@@ -121,10 +122,12 @@
         store: messages.Store,
         upstream: upstream_module.Upstream,
         wire: messages.Wire,
+        measures: measures_module.Measures,
         failure_domain: str,
         rng: random.Random,
     ) -> None:
         self._settings = settings
+        self._measures = measures
         self._belief = belief
         self._upstream = upstream
         self._wire = wire
@@ -170,7 +173,7 @@
         return self._key in self._belief.own
 
     async def _keep(self, scope: trio.CancelScope) -> None:
-        while self._lease.is_held(trio.current_time()):
+        while self._lease.is_held:
             await trio.sleep(RENEW_S)
             await self._lease.renew()
         scope.cancel()
@@ -189,7 +192,7 @@
     def _plan(self, nursery: trio.Nursery) -> None:
         table = self._belief.table
         now = trio.current_time()
-        if table is None or not self._lease.is_held(now):
+        if table is None or not self._lease.is_held:
             return
         for service in table.services:
             if service.engine is None:
@@ -208,7 +211,7 @@
         self, planner: assembly.Planner, joins: list[assembly.Join]
     ) -> None:
         noted = await self._intents.note(joins)
-        if not self._lease.is_held(trio.current_time()):
+        if not self._lease.is_held:
             return
         async with trio.open_nursery() as nursery:
             for join in joins:
@@ -226,6 +229,7 @@
         for replica in fleet.replicas_of(own).values():
             if replica.is_open:
                 serving[replica.model] += len(replica.members)
+        self._measures.set_stranded(self._domain, len(own) - serving.total())
         _LOG.info(
             "%d of %d endpoints serve",
             serving.total(),
@@ -298,9 +302,11 @@
                 result += " " + text[:200].decode(errors="replace")
         except upstream_module.AttemptFailed as error:
             result = error.outcome.detail
+        kind = type(order).__name__.lower()
+        self._measures.count_order(kind, result[:3])
         _LOG.info(
             "order %s to %s: %s",
-            type(order).__name__.lower(),
+            kind,
             endpoint.endpoint_id,
             result,
             extra={"order": body.decode()},
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import belief as belief_module
 from wasabilanding.gateway import inbound
+from wasabilanding.gateway import measures as measures_module
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import sse
@@ -50,6 +51,8 @@
 MAX_URGENCY = 9
 # Margin before the revocation bound at which keyed requests are refused.
 REVOCATION_MARGIN_S = 0.4
+# A configuration that was proven in force so long ago may lack what is new.
+RECENT_S = 3.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -82,6 +85,7 @@
     may_have_run: bool = False
     last_event: int | None = None
     excluded: set[str] = dataclasses.field(default_factory=set)
+    tried: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def resumes_after(self) -> int | None:
@@ -109,6 +113,7 @@
     :param belief: what the node believes.
     :param upstream: connections to endpoints.
     :param wire: how callers and endpoints speak.
+    :param measures: counts requests and attempts.
     :param rng: source of randomness.
     """
 
@@ -118,9 +123,11 @@
         belief: belief_module.Belief,
         upstream: upstream_module.Upstream,
         wire: messages.Wire,
+        measures: measures_module.Measures,
         rng: random.Random,
     ) -> None:
         self._settings = settings
+        self._measures = measures
         self._belief = belief
         self._upstream = upstream
         self._wire = wire
@@ -174,16 +181,59 @@
             await delivery.answer(answer, [])
             return
         echoed = self._wire.answer_headers(request)
+        work = None
+        reason = ""
         try:
             work = self._admit(head, body, request, arrived_at)
             with trio.move_on_at(work.due_at) as scope:
                 await self._attempts(work, delivery)
             if scope.cancelled_caught:
                 raise _Refused(answers.timed_out("the time is over"))
+            reason = "answered"
         except _Refused as refused:
-            _log_refusal(request, refused.answer, delivery)
+            reason = f"{refused.answer.reason}: {refused.answer.detail}"
             if not delivery.has_begun:
                 await delivery.answer(refused.answer, echoed)
+        finally:
+            self._record(request, work, delivery, arrived_at, reason)
+
+    def _record(
+        self,
+        request: messages.CallerRequest,
+        work: Work | None,
+        delivery: inbound.Delivery,
+        arrived_at: float,
+        reason: str,
+    ) -> None:
+        """Count and log the end of a request, with what decided it."""
+        now = trio.current_time()
+        first_s = None
+        if delivery.begun_at is not None:
+            first_s = round(delivery.begun_at - arrived_at, 4)
+        service = work.service.name if work else ""
+        whole_s = round(now - arrived_at, 4)
+        self._measures.count_request(
+            service, delivery.status, first_s, whole_s
+        )
+        table = self._belief.table
+        _LOG.info(
+            "request ends with %d",
+            delivery.status,
+            extra={
+                "request": request.request_id,
+                "reason": reason or "the caller left",
+                "whole": delivery.is_complete,
+                "route": work.route.name if work else "",
+                "customer": work.customer if work else "",
+                "model": request.model,
+                "endpoints": work.tried if work else [],
+                "runs": work.runs if work else 0,
+                "first_s": first_s,
+                "whole_s": whole_s,
+                "version": table.version if table else 0,
+                "belief_age_s": round(self._belief.proof_age_s, 2),
+            },
+        )
 
     def _admit(
         self,
@@ -204,8 +254,8 @@
         route = table.find(request.host, head.path)
         if route is None:
             detail = f"no route for {request.host}{head.path}"
-            raise _Refused(answers.Answer(404, "unknown_route", detail))
-        holder = self._holder(table, route, request, arrived_at)
+            raise self._unknown(404, "unknown_route", detail)
+        holder = self._holder(table, route, request)
         service = table.service(
             routes.choose_target(route, self._rng.random())
         )
@@ -238,12 +288,11 @@
         table: routes.RoutingTable,
         route: routes.Route,
         request: messages.CallerRequest,
-        now: float,
     ) -> routes.KeyHolder | None:
         if table.key_holders is None or route.public:
             return None
         bound_s = self._settings.key_revocation_ms / MS_PER_S
-        age_s = now - self._belief.proven_at
+        age_s = self._belief.proof_age_s
         if bound_s and age_s > bound_s - REVOCATION_MARGIN_S:
             raise _Refused(
                 answers.not_run(
@@ -254,11 +303,19 @@
             )
         holder = table.holder(request.key) if request.key else None
         if holder is None:
-            raise _Refused(
-                answers.Answer(401, "unknown_key", "the key is not known")
-            )
+            raise self._unknown(401, "unknown_key", "the key is not known")
         return holder
 
+    def _unknown(self, status: int, reason: str, detail: str) -> _Refused:
+        """Refuse what the configuration does not know, if it is recent."""
+        age_s = self._belief.proof_age_s
+        if age_s <= RECENT_S:
+            return _Refused(answers.Answer(status, reason, detail))
+        detail = f"{detail}; the configuration is {age_s:.1f} s old"
+        return _Refused(
+            answers.not_run("not_proven", detail, UNINFORMED_COMEBACK_S)
+        )
+
     def _candidates_for(self, work: Work) -> list[dispatch.Candidate]:
         table = self._belief.table
         version = (table, self._belief.registry.version)
@@ -298,7 +355,9 @@
             if work.sends and not self._may_send_again(work, outcome):
                 raise _Refused(_final(work, outcome))
             attempt = _Attempt(self, work, candidate, delivery)
+            work.tried.append(candidate.endpoint.endpoint_id)
             outcome = await attempt.run()
+            self._measures.count_attempt(work.service.name, outcome)
             if outcome.verdict is model.Verdict.COMPLETED:
                 return
             self._note_failure(work, candidate, outcome)
@@ -370,23 +429,6 @@
         return self._upstream
 
 
-def _log_refusal(
-    request: messages.CallerRequest,
-    answer: answers.Answer,
-    delivery: inbound.Delivery,
-) -> None:
-    _LOG.info(
-        "request ends with %d %s",
-        answer.status,
-        answer.reason,
-        extra={
-            "request": request.request_id,
-            "detail": answer.detail,
-            "begun": delivery.has_begun,
-        },
-    )
-
-
 def _final(work: Work, outcome: model.Outcome) -> answers.Answer:
     """Return the answer that covers all attempts of a request."""
     if work.may_have_run:
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -43,6 +43,7 @@
         self._send = send
         self._closes = closes
         self.status = 0
+        self.begun_at: float | None = None
         self.is_complete = False
 
     @property
@@ -66,6 +67,7 @@
         if self._closes():
             headers = [*headers, (b"connection", b"close")]
         self.status = status
+        self.begun_at = trio.current_time()
         await self._send_whole(
             {
                 "type": "http.response.start",
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/measures.py
@@ -0,0 +1,145 @@
+"""Counters and latency histograms, read over HTTP as text.
+
+A pull reader serves them, so nothing is sent and no thread is started.
+"""
+
+import opentelemetry.exporter.prometheus
+import opentelemetry.sdk.metrics
+import opentelemetry.sdk.metrics.view
+import opentelemetry.sdk.resources
+import prometheus_client
+
+from wasabilanding import model
+
+# Seconds; the latency aims of requests lie between 0.2 and 0.5.
+LATENCY_BUCKETS_S = (
+    0.05,
+    0.1,
+    0.15,
+    0.2,
+    0.3,
+    0.4,
+    0.5,
+    0.75,
+    1.0,
+    2.0,
+    4.0,
+    8.0,
+)
+FIRST = "wasabilanding_first_event_seconds"
+WHOLE = "wasabilanding_answer_seconds"
+
+
+class Measures:
+    """Metrics of one gateway.
+
+    :param node: name of the node.
+    """
+
+    def __init__(self, node: str) -> None:
+        resource = opentelemetry.sdk.resources.Resource(
+            {"service.name": "wasabilanding", "service.instance.id": node}
+        )
+        buckets = (
+            opentelemetry.sdk.metrics.view.ExplicitBucketHistogramAggregation
+        )(LATENCY_BUCKETS_S)
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
+            registry=self._registry
+        )
+        provider = opentelemetry.sdk.metrics.MeterProvider(
+            resource=resource,
+            metric_readers=[reader],
+            views=[
+                opentelemetry.sdk.metrics.view.View(
+                    instrument_name=name, aggregation=buckets
+                )
+                for name in (FIRST, WHOLE)
+            ],
+            shutdown_on_exit=False,
+        )
+        meter = provider.get_meter("wasabilanding")
+        self._requests = meter.create_counter(
+            "wasabilanding_requests",
+            description="Requests by service and status",
+        )
+        self._attempts = meter.create_counter(
+            "wasabilanding_attempts",
+            description="Attempts by service, verdict and reason",
+        )
+        self._store_calls = meter.create_counter(
+            "wasabilanding_store_calls",
+            description="Calls to the platform's store by result",
+        )
+        self._orders = meter.create_counter(
+            "wasabilanding_orders", description="Orders to endpoints by kind"
+        )
+        self._first = meter.create_histogram(FIRST, unit="s")
+        self._whole = meter.create_histogram(WHOLE, unit="s")
+        self._stranded = meter.create_gauge(
+            "wasabilanding_stranded_endpoints",
+            description="Endpoints of a failure domain that do not serve",
+        )
+
+    def count_request(
+        self,
+        service: str,
+        status: int,
+        first_s: float | None,
+        whole_s: float,
+    ) -> None:
+        """Count a request that has ended.
+
+        :param service: its service; empty where none was found.
+        :param status: status that its caller got; 0 for none.
+        :param first_s: seconds to the begin of its answer; None for none.
+        :param whole_s: seconds to its end.
+        """
+        labels = {"service": service}
+        self._requests.add(1, {**labels, "status": str(status)})
+        if first_s is not None:
+            self._first.record(first_s, labels)
+        self._whole.record(whole_s, labels)
+
+    def count_attempt(self, service: str, outcome: model.Outcome) -> None:
+        """Count an attempt that has ended.
+
+        :param service: its service.
+        :param outcome: its outcome.
+        """
+        self._attempts.add(
+            1,
+            {
+                "service": service,
+                "verdict": outcome.verdict.value,
+                "reason": outcome.reason.value,
+            },
+        )
+
+    def count_store_call(self, operation: str, result: str) -> None:
+        """Count a call to the platform's store.
+
+        :param operation: name of the call.
+        :param result: what came of it.
+        """
+        self._store_calls.add(1, {"operation": operation, "result": result})
+
+    def count_order(self, kind: str, result: str) -> None:
+        """Count an order to an endpoint.
+
+        :param kind: kind of the order.
+        :param result: status, or why there is none.
+        """
+        self._orders.add(1, {"kind": kind, "result": result})
+
+    def set_stranded(self, failure_domain: str, count: int) -> None:
+        """Tell how many endpoints of model services do not serve.
+
+        :param failure_domain: failure domain that this node plans.
+        :param count: how many.
+        """
+        self._stranded.set(count, {"failure_domain": failure_domain})
+
+    def text(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -1,5 +1,6 @@
 """One gateway: its listeners, its loops and its graceful shutdown."""
 
+import collections.abc
 import contextlib
 import gc
 import logging
@@ -17,6 +18,7 @@
 from wasabilanding.gateway import control
 from wasabilanding.gateway import forwarding
 from wasabilanding.gateway import inbound
+from wasabilanding.gateway import measures as measures_module
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
@@ -40,6 +42,7 @@
     :param store: the platform's store.
     :param upstream: connections to endpoints.
     :param wire: how callers and endpoints speak.
+    :param measures: metrics of the node.
     :param rng: source of randomness.
     """
 
@@ -49,6 +52,7 @@
         store: messages.Store,
         upstream: upstream_module.Upstream,
         wire: messages.Wire,
+        measures: measures_module.Measures,
         rng: random.Random,
     ) -> None:
         self._settings = settings
@@ -56,14 +60,22 @@
         self._upstream = upstream
         self._draining = False
         self._store_in_reach: bool | None = None
+        self.measures = measures
         self.belief = belief_module.Belief(wire)
         self.forwarder = forwarding.Forwarder(
-            settings, self.belief, upstream, wire, rng
+            settings, self.belief, upstream, wire, measures, rng
         )
         self.controllers = control.ControllerSet(
             self.belief,
             lambda domain: control.Controller(
-                settings, self.belief, store, upstream, wire, domain, rng
+                settings,
+                self.belief,
+                store,
+                upstream,
+                wire,
+                measures,
+                domain,
+                rng,
             ),
         )
 
@@ -142,6 +154,20 @@
     return app
 
 
+def metrics_app(node: Node) -> quart_trio.QuartTrio:
+    """Return the application that serves the node's metrics.
+
+    :param node: the node.
+    """
+    app = quart_trio.QuartTrio("metrics")
+
+    @app.get("/metrics")
+    async def metrics() -> quart.ResponseReturnValue:
+        return node.measures.text(), 200, {"Content-Type": "text/plain"}
+
+    return app
+
+
 def _http_config(
     address: str, limits: routes.CallerLimits
 ) -> hypercorn.config.Config:
@@ -183,10 +209,14 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_drain_on_signal, node, stopping)
         node.start_loops(nursery)
-        for app, address in (
+        served = [
             (ready_app(node), settings.ready_address),
             (node.callers_app(), settings.callers_address),
-        ):
+        ]
+        if settings.metrics_port:
+            address = f"{settings.address}:{settings.metrics_port}"
+            served.append((metrics_app(node), address))
+        for app, address in served:
             config = _http_config(address, limits)
             nursery.start_soon(_serve_app, app, config, stopping)
         await stopping.wait()
@@ -207,13 +237,16 @@
     settings: settings_module.Settings,
     store: messages.Store,
     wire: messages.Wire,
-):
+    measures: measures_module.Measures,
+) -> collections.abc.AsyncIterator[Node]:
     """Yield a node with its connections, which close after it.
 
     :param settings: settings of the node.
     :param store: the platform's store.
     :param wire: how callers and endpoints speak.
+    :param measures: metrics of the node.
     """
+    rng = random.Random()
     async with upstream_module.Upstream() as upstream:
         _LOG.info("starts", extra={"settings": str(settings)})
-        yield Node(settings, store, upstream, wire, random.Random())
+        yield Node(settings, store, upstream, wire, measures, rng)
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -10,6 +10,7 @@
 from wasabilanding.gateway import belief as belief_module
 from wasabilanding.gateway import forwarding
 from wasabilanding.gateway import inbound
+from wasabilanding.gateway import measures
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
@@ -230,7 +231,7 @@
 
     def __init__(self, scripts, found):
         self.endpoints = FakeEndpoints(scripts)
-        self.belief = belief_module.Belief(PlainWire)
+        self.belief = belief_module.Belief(PlainWire, trio.current_time)
         self.belief.table = found
         self.belief.revision = 1
         for name in scripts:
@@ -247,13 +248,16 @@
         )
         delivery = inbound.Delivery(caller.send, lambda: False)
         begun_at = trio.current_time()
-        if self.belief.proven_at < 0:
-            self.belief.proven_at = begun_at
         async with upstream_module.Upstream(
             lambda idle_s: httpx.MockTransport(self.endpoints.handle)
         ) as upstream:
             forwarder = forwarding.Forwarder(
-                SETTINGS, self.belief, upstream, PlainWire, random.Random(1)
+                SETTINGS,
+                self.belief,
+                upstream,
+                PlainWire,
+                measures.Measures("n1"),
+                random.Random(1),
             )
             # The scripts' order decides where the first attempt goes.
             for delay, name in enumerate(self.endpoints.scripts):
--- a/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -87,3 +87,16 @@
     When a request is sent
     Then it gets 503 and 0 endpoints have run it
     And it is told when to come back yes
+
+  Scenario Outline: What the configuration does not know is refused for good only while it is recent
+    Given requests that need the key "k1"
+    When a request for an unknown <what> comes <age> s after the last proof
+    Then it gets <status> and 0 endpoints have run it
+
+    Examples:
+      | what  | age | status |
+      | key   | 0   | 401    |
+      | key   | 3.5 | 503    |
+      | route | 2.9 | 404    |
+      | route | 3.5 | 503    |
+      | route | 60  | 503    |
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -56,7 +56,7 @@
 
 def _ask(context, headers=(), wait_s=0.0):
     async def run():
-        context.system.belief.proven_at = trio.current_time()
+        context.system.belief.note_proof(0.0)
         await trio.sleep(wait_s)
         return await context.system.ask(headers)
 
@@ -77,6 +77,17 @@
     _ask(context, headers, age)
 
 
+@behave.when(
+    "a request for an unknown {what} comes {age:g} s after the last proof"
+)
+def send_unknown(context, what, age):
+    """Send a request that the configuration does not know."""
+    if what == "route":
+        found = context.system.belief.table
+        context.system.belief.table = dataclasses.replace(found, routes=())
+    _ask(context, ((b"x-key", b"k9"),), age)
+
+
 @behave.then("it gets {status:d} and {runs:d} endpoints have run it")
 def check_status(context, status, runs):
     """Compare the status and the runs."""
