--- a/packages/decisions/wasabilanding/assembly/orders.py
+++ b/packages/decisions/wasabilanding/assembly/orders.py
@@ -94,6 +94,7 @@
     :param loads_are_free: whether loads start without a bound now.
     :param loading: loads from the weight store under way, as far as is
         known, over all endpoints.
+    :param silent: heads from which this node's requests get no sign of work.
     :param pending: highest epoch of the joins that any planner has ordered
         not long ago, by endpoint; such an order may still be carried out.
     """
@@ -105,6 +106,7 @@
     revision: int
     loads_are_free: bool
     loading: int = 0
+    silent: frozenset[str] = frozenset()
     pending: collections.abc.Mapping[str, int] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -117,7 +117,9 @@
         usable = [
             one
             for one in free
-            if not one.draining and one.endpoint_id not in busy
+            if not one.draining
+            and one.endpoint_id not in busy
+            and not self._is_dead(one, now)
         ]
         wanted += self._rejoins(replicas)
         settled = self._settled(usable, now)
@@ -180,13 +182,13 @@
         spec = situation.spec.model(replica.model)
         whole = spec is not None and replica.is_whole(spec.size)
         if whole:
-            return self._step_whole(replica, situation)
+            return self._step_whole(replica, situation, now)
         if replica.place in self._forming:
             return False, []
         return self._step_partial(replica, situation, still_s, now)
 
     def _step_whole(
-        self, replica: fleet.Replica, situation: orders.Situation
+        self, replica: fleet.Replica, situation: orders.Situation, now: float
     ) -> tuple[bool, list[orders.Order]]:
         self._forming.pop(replica.place, None)
         if replica.is_leaving or replica.place in self._closed:
@@ -195,13 +197,54 @@
                 return False, [self._leave(replica)]
             return False, [orders.Close(replica.head, at_once=False)]
         if replica.is_open:
-            return False, []
+            return False, self._check_silent(replica, situation, now)
         if situation.is_claimed_beyond(replica):
             # A member would join the other replica while this one serves.
             self._closed.add(replica.place)
             return False, [self._leave(replica)]
         return False, [orders.Open(replica.head)]
 
+    def _check_silent(
+        self,
+        replica: fleet.Replica,
+        situation: orders.Situation,
+        now: float,
+    ) -> list[orders.Order]:
+        """Orders for a replica whose requests get no sign of work.
+
+        The load pattern it answers: members die one after the other. Their
+        registrations lapse seconds later; a replica that is silent and has a
+        member that does not answer is taken apart at once.
+        """
+        if replica.head.endpoint_id not in situation.silent:
+            return []
+        answers = {
+            one.endpoint_id: self._fresh_answer(one.endpoint_id, now)
+            for one in replica.members
+        }
+        if None in answers.values():
+            return [
+                orders.Ask(one)
+                for one in replica.members
+                if answers[one.endpoint_id] is None
+            ]
+        dead = [name for name, answer in answers.items() if not answer.lives]
+        if not dead:
+            return []
+        if replica.head.endpoint_id in dead:
+            return [
+                orders.Leave(one)
+                for one in replica.members
+                if one.endpoint_id not in dead
+            ]
+        self._closed.add(replica.place)
+        return [orders.Close(replica.head, at_once=True)]
+
+    def _is_dead(self, endpoint: fleet.Endpoint, now: float) -> bool:
+        """Tell whether an endpoint has not answered a short time ago."""
+        answer = self._fresh_answer(endpoint.endpoint_id, now)
+        return answer is not None and not answer.lives
+
     def _step_partial(
         self,
         replica: fleet.Replica,
@@ -235,6 +278,8 @@
         """Orders for a head that takes requests while a member is missing."""
         if replica.is_leaving:
             return [orders.Close(replica.head, at_once=False)]
+        if self._is_dead(replica.head, now):
+            return []
         lost = [
             departure.endpoint
             for departure in situation.departed.values()
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -219,11 +219,22 @@
             departed=dict(self.registry.departed),
             revision=self.revision,
             loads_are_free=self.now < 4.0,
+            silent=self._silent(),
             pending=self._pending(),
         )
         for order in self.planner.plan(situation, self.now):
             self._send(order)
 
+    def _silent(self) -> frozenset[str]:
+        """Heads that cannot work, because a member is gone."""
+        silent = set()
+        for endpoint in self.registry.endpoints:
+            engine = self.engines[endpoint.endpoint_id]
+            members = map(self.engines.get, engine.members)
+            if not engine.alive or not all(one.alive for one in members):
+                silent.add(endpoint.endpoint_id)
+        return frozenset(silent)
+
     def _pending(self) -> dict[str, int]:
         pending: dict[str, int] = {}
         for until, name, epoch in self.intents:
--- a/packages/gateway/wasabilanding/gateway/belief.py
+++ b/packages/gateway/wasabilanding/gateway/belief.py
@@ -21,7 +21,9 @@
 from wasabilanding import metadata
 from wasabilanding import routes
 
-WAIT_S = 2.0
+WAIT_S = 1.6
+# While the store fails, short waits tell early that it is back.
+PROBE_WAIT_S = 0.3
 # Changes that come close together are told by one call.
 INTERVAL_S = 0.8
 PLANNING_INTERVAL_S = 0.25
@@ -55,6 +57,7 @@
         self.revision = 0
         self._proven_at = float("-inf")
         self.planners = 0
+        self.store_answers = True
         self._rejected: dict[str, int] = {}
 
     @property
@@ -205,7 +208,9 @@
     asked_at = trio.current_time()
     age_before_s = belief.proof_age_s
     proof_asked_at = belief.clock_time()
-    changes = await store.watch(EVERYTHING, belief.revision, WAIT_S)
+    wait_s = WAIT_S if belief.store_answers else PROBE_WAIT_S
+    changes = await store.watch(EVERYTHING, belief.revision, wait_s)
+    belief.store_answers = not isinstance(changes, metadata.Unavailable)
     now = trio.current_time()
     if isinstance(changes, metadata.HistoryLost):
         _LOG.info("the store dropped its history: read anew")
@@ -216,7 +221,7 @@
     if age_before_s > AWAY_S:
         belief.registry.note_store_back(now)
     # Without events the store has waited to the end of the time asked for.
-    waited_s = 0.0 if changes.events else min(WAIT_S, now - asked_at)
+    waited_s = 0.0 if changes.events else min(wait_s, now - asked_at)
     belief.learn(changes, now)
     belief.note_proof(belief.clock_time() - proof_asked_at - waited_s)
     interval_s = PLANNING_INTERVAL_S if belief.is_planning else INTERVAL_S
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -13,6 +13,7 @@
 import trio
 
 from wasabilanding import assembly
+from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import belief as belief_module
 from wasabilanding.gateway import clocks
@@ -33,7 +34,8 @@
 FOREIGN_WAIT_S = 4.0
 # Weights load without a bound before the first request comes.
 FREE_LOADS_S = 10.0
-CALL_RETRY_S = 0.3
+# Requests on a sound endpoint bring a sign of work well within this.
+SILENT_S = 0.5
 OK_STATUSES = (200, 202)
 TAKING = (fleet.MemberState.OPEN, fleet.MemberState.CLOSING)
 
@@ -111,6 +113,7 @@
     :param upstream: connections to endpoints.
     :param wire: encodes orders.
     :param measures: counts orders and endpoints that do not serve.
+    :param board: what this node has seen of the endpoints.
     :param failure_domain: the failure domain.
     :param rng: source of randomness.
     """
@@ -123,10 +126,12 @@
         upstream: upstream_module.Upstream,
         wire: messages.Wire,
         measures: measures_module.Measures,
+        board: dispatch.Board,
         failure_domain: str,
         rng: random.Random,
     ) -> None:
         self._settings = settings
+        self._board = board
         self._measures = measures
         self._belief = belief
         self._upstream = upstream
@@ -267,6 +272,11 @@
             loads_are_free=(
                 self._settings.first_start and since_start_s < FREE_LOADS_S
             ),
+            silent=frozenset(
+                one.endpoint_id
+                for one in registry.endpoints
+                if self._board.record(one.endpoint_id).is_silent(now, SILENT_S)
+            ),
             loading=sum(map(_is_loading, registry.endpoints)),
             pending=intents.pending_epochs(
                 self._belief.own, self._notes_prefix
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -74,6 +74,7 @@
                 upstream,
                 wire,
                 measures,
+                self.forwarder.board,
                 domain,
                 rng,
             ),
--- a/packages/metadata/wasabilanding/metadata/backoff.py
+++ b/packages/metadata/wasabilanding/metadata/backoff.py
@@ -34,10 +34,12 @@
     """Failures in a row and the time of the next call.
 
     :param rng: source of randomness.
+    :param max_s: bound on the time to the next call in seconds.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, max_s: float = MAX_S) -> None:
         self._rng = rng
+        self._max_s = max_s
         self._failures = 0
         self._not_before = float("-inf")
         self._is_probing = False
@@ -91,7 +93,7 @@
         if self._failures == 1:
             return 0.0
         doublings = min(self._failures - 2, MAX_DOUBLINGS)
-        bound_s = min(MAX_S, FIRST_S * 2**doublings)
+        bound_s = min(self._max_s, FIRST_S * 2**doublings)
         return self._rng.uniform(bound_s / 2, bound_s)
 
     def succeed(self) -> None:
--- a/packages/metadata/wasabilanding/metadata/calls.py
+++ b/packages/metadata/wasabilanding/metadata/calls.py
@@ -41,6 +41,8 @@
     :param transport: replaces the network in tests.
     :param rng: source of randomness of the back-off.
     :param count: counts each call by operation and result.
+    :param max_backoff_s: longest time in seconds without a call while the
+        service fails.
     """
 
     def __init__(
@@ -49,11 +51,12 @@
         transport: httpx.AsyncBaseTransport | None = None,
         rng: random.Random | None = None,
         count: Count = count_nothing,
+        max_backoff_s: float = backoff.MAX_S,
     ) -> None:
         self._http = httpx.AsyncClient(
             base_url=url, timeout=CALL_TIMEOUT_S, transport=transport
         )
-        self._backoff = backoff.Backoff(rng or random.Random())
+        self._backoff = backoff.Backoff(rng or random.Random(), max_backoff_s)
         self._count = count
 
     async def __aenter__(self) -> "Calls":
