--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -4,8 +4,9 @@
 import collections.abc
 import dataclasses
 
-from wasabilanding.assembly import ceiling
 from wasabilanding.assembly import choice
+from wasabilanding.assembly import exchanges
+from wasabilanding.assembly import loads
 from wasabilanding.assembly import orders
 from wasabilanding import fleet
 from wasabilanding import routes
@@ -22,9 +23,6 @@
 # Endpoints that come one after the other are planned together.
 SETTLE_S = 0.5
 
-# A load under way is not ordered again.
-STAGE_RETRY_S = 20.0
-EXCHANGE_SLACK_S = 14.0
 MAX_REMEMBERED = 2000
 FORGET_S = 60.0
 
@@ -46,14 +44,6 @@
     is_open: bool
 
 
-@dataclasses.dataclass
-class _Exchanging:
-    model: routes.ModelSpec
-    members: tuple[str, ...]
-    victims: tuple[fleet.Place, ...]
-    gives_up_at: float
-
-
 class Planner:
     """Plans the replicas of one service in one failure domain.
 
@@ -68,7 +58,6 @@
     def __init__(self, prefix: str, stall_s: float) -> None:
         self._prefix = prefix
         self._stall_s = stall_s
-        self._ceiling = ceiling.LoadCeiling()
         self._last_epoch = 0
         self._forming: dict[fleet.Place, _Forming] = {}
         self._seen: dict[fleet.Place, tuple[object, float]] = {}
@@ -77,9 +66,8 @@
         self._sent: dict[tuple, float] = {}
         self._answers: dict[str, _Answer] = {}
         self._free: dict[str, tuple[frozenset[str], float]] = {}
-        self._exchanges: dict[str, _Exchanging] = {}
-        self._next_spare_at = float("-inf")
-        self._stage_ends: list[float] = []
+        self._exchanges = exchanges.Exchanges()
+        self._loads = loads.Loads()
 
     def note_answer(
         self, endpoint_id: str, lives: bool, is_open: bool, now: float
@@ -102,7 +90,7 @@
         :param now: local monotonic time in seconds.
         """
         replicas = fleet.replicas_of(situation.endpoints)
-        self._forget_gone(replicas, now)
+        self._forget_gone(replicas, situation, now)
         wanted: list[orders.Order] = []
         free = [e for e in situation.endpoints if e.membership is None]
         held: collections.Counter[str] = collections.Counter()
@@ -126,22 +114,32 @@
         serving = [r for r in replicas.values() if self._serves(r, situation)]
         if not situation.loads_are_free:
             moving = self._moving(replicas, usable, settled, situation)
-            self._begin_exchanges(
-                settled, serving, held, situation, moving, now
+            self._exchanges.begin(
+                settled, serving, held, situation.spec, moving, now
             )
-            wanted += self._go_on_exchanges(serving, situation, now)
+            staged, closing = self._exchanges.go_on(
+                self._loads, situation, now
+            )
+            wanted += staged
+            self._closed |= closing & set(replicas)
         wanted += self._formations(settled, held, situation, now)
         if not self._forming and not self._exchanges:
-            wanted += self._second_weights(serving, held, situation, now)
+            seconds = choice.weights_to_stage(serving, held, situation.spec)
+            wanted += self._loads.stage_second(seconds, situation, now)
         return [order for order in wanted if self._is_due(order, now)]
 
     def _forget_gone(
         self,
         replicas: collections.abc.Mapping[fleet.Place, fleet.Replica],
+        situation: orders.Situation,
         now: float,
     ) -> None:
+        there = {
+            one.endpoint_id for one in situation.endpoints if not one.draining
+        }
         for place, forming in list(self._forming.items()):
-            if now >= forming.gives_up_at:
+            names = {one.endpoint_id for one in forming.members}
+            if now >= forming.gives_up_at or not names <= there:
                 del self._forming[place]
         self._seen = {p: s for p, s in self._seen.items() if p in replicas}
         self._closed &= set(replicas)
@@ -411,134 +409,6 @@
             moving.add(forming.members[0].fabric_domain)
         return moving
 
-    def _begin_exchanges(
-        self,
-        free: collections.abc.Sequence[fleet.Endpoint],
-        serving: collections.abc.Sequence[fleet.Replica],
-        held: collections.Counter[str],
-        situation: orders.Situation,
-        moving: set[str],
-        now: float,
-    ) -> None:
-        """Choose replicas that give way to a model that lacks VMs."""
-        for domain, exchange in list(self._exchanges.items()):
-            if now > exchange.gives_up_at:
-                del self._exchanges[domain]
-            else:
-                held[exchange.model.name] += exchange.model.size
-        while True:
-            skipped = moving | set(self._exchanges)
-            found = choice.choose_exchange(
-                free, serving, held, situation.spec, skipped
-            )
-            if found is None:
-                return
-            domain = found.victims[0].head.fabric_domain
-            held[found.model.name] += found.model.size
-            self._exchanges[domain] = _Exchanging(
-                model=found.model,
-                members=tuple(one.endpoint_id for one in found.members),
-                victims=tuple(victim.place for victim in found.victims),
-                gives_up_at=now + found.model.load_s + EXCHANGE_SLACK_S,
-            )
-
-    def _go_on_exchanges(
-        self,
-        serving: collections.abc.Sequence[fleet.Replica],
-        situation: orders.Situation,
-        now: float,
-    ) -> list[orders.Order]:
-        wanted: list[orders.Order] = []
-        for domain, exchange in list(self._exchanges.items()):
-            present = [
-                one
-                for one in situation.endpoints
-                if one.endpoint_id in exchange.members and not one.draining
-            ]
-            if len(present) < len(exchange.members):
-                del self._exchanges[domain]
-                continue
-            wanted += self._go_on(exchange, present, serving, situation, now)
-        return wanted
-
-    def _go_on(
-        self,
-        exchange: _Exchanging,
-        members: collections.abc.Sequence[fleet.Endpoint],
-        serving: collections.abc.Sequence[fleet.Replica],
-        situation: orders.Situation,
-        now: float,
-    ) -> list[orders.Order]:
-        """Stage the weights first; close the victims when all hold them."""
-        name = exchange.model.name
-        cold = [one for one in members if not one.holds(name)]
-        if not cold:
-            self._closed.update(
-                replica.place
-                for replica in serving
-                if replica.place in exchange.victims
-            )
-        return [
-            orders.Stage(one, name)
-            for one in cold
-            if self._may_stage(one, exchange.model, situation, now)
-        ]
-
-    def _second_weights(
-        self,
-        serving: collections.abc.Sequence[fleet.Replica],
-        held: collections.abc.Mapping[str, int],
-        situation: orders.Situation,
-        now: float,
-    ) -> list[orders.Order]:
-        """Load second models; one at a time once callers are served."""
-        wanted = choice.weights_to_stage(serving, held, situation.spec)
-        if not situation.loads_are_free:
-            if now < self._next_spare_at or situation.loading:
-                return []
-            wanted = wanted[:1]
-        staged = [
-            orders.Stage(endpoint, spec.name)
-            for endpoint, spec in wanted
-            if self._may_stage(endpoint, spec, situation, now)
-        ]
-        if staged:
-            self._next_spare_at = now + wanted[0][1].load_s
-        return staged
-
-    def _may_stage(
-        self,
-        endpoint: fleet.Endpoint,
-        spec: routes.ModelSpec,
-        situation: orders.Situation,
-        now: float,
-    ) -> bool:
-        key = _order_key(orders.Stage(endpoint, spec.name))
-        if now - self._sent.get(key, float("-inf")) < STAGE_RETRY_S:
-            return False
-        if situation.loads_are_free:
-            return True
-        if not self._may_start(1, situation, now):
-            return False
-        self._stage_ends.append(now + spec.load_s)
-        return True
-
-    def _may_start(
-        self, loads: int, situation: orders.Situation, now: float
-    ) -> bool:
-        """Tell whether loads may start, and count them if so."""
-        self._stage_ends = [end for end in self._stage_ends if end > now]
-        if not situation.may_load(loads + len(self._stage_ends)):
-            return False
-        per_s = situation.spec.load_starts_per_s
-        return self._ceiling.take(loads, per_s, now)
-
-    def _promised(self) -> dict[str, str]:
-        return {
-            domain: exchange.model.name
-            for domain, exchange in self._exchanges.items()
-        }
-
     def _formations(
         self,
         free: collections.abc.Sequence[fleet.Endpoint],
@@ -551,7 +421,7 @@
             free,
             held,
             situation.spec,
-            self._promised(),
+            self._exchanges.promised,
             warm_only=not situation.loads_are_free,
         )
         used = set()
@@ -571,16 +441,16 @@
         now: float,
     ) -> list[orders.Order]:
         """Load what idle endpoints lack to form a replica."""
-        promised = self._promised()
+        promised = self._exchanges.promised
         chosen = choice.weights_to_form(
             [one for one in idle if one.fabric_domain not in promised],
             held,
             situation.spec,
         )
         return [
-            orders.Stage(endpoint, spec.name)
+            order
             for endpoint, spec in chosen
-            if self._may_stage(endpoint, spec, situation, now)
+            for order in self._loads.stage(endpoint, spec, situation, now)
         ]
 
     def _join(
@@ -597,16 +467,14 @@
         epochs += situation.pending.values()
         epoch = max(self._last_epoch, situation.revision, *epochs, 0) + 1
         self._last_epoch = epoch
-        domain = formation.members[0].fabric_domain
-        exchange = self._exchanges.get(domain)
-        if exchange is not None and exchange.model == formation.model:
-            del self._exchanges[domain]
+        self._exchanges.fulfil(formation)
         place = (f"{self._prefix}-{epoch}", epoch)
         model: routes.ModelSpec = formation.model
+        cold = choice.cold_members(formation.members, model)
         self._forming[place] = _Forming(
             formation.members,
             model.name,
-            now + model.load_s + FORM_SLACK_S,
+            now + (model.load_s if cold else model.warm_s) + FORM_SLACK_S,
         )
         return orders.Join(
             *place, model.name, formation.members, formation.members
@@ -614,10 +482,7 @@
 
     def _is_due(self, order: orders.Order, now: float) -> bool:
         key = _order_key(order)
-        retry_s = ORDER_RETRY_S
-        if isinstance(order, orders.Stage):
-            retry_s = STAGE_RETRY_S
-        if now - self._sent.get(key, float("-inf")) < retry_s:
+        if now - self._sent.get(key, float("-inf")) < ORDER_RETRY_S:
             return False
         self._sent[key] = now
         if len(self._sent) > MAX_REMEMBERED:
