--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -130,7 +130,6 @@
                 raise work_module.Refused(
                     answers.timed_out("the time is over")
                 )
-            reason = "answered"
         except work_module.Refused as refused:
             reason = f"{refused.answer.reason}: {refused.answer.detail}"
             if not delivery.has_begun:
@@ -148,6 +147,8 @@
     ) -> None:
         """Count and log the end of a request, with what decided it."""
         now = trio.current_time()
+        if delivery.is_complete and not reason:
+            reason = "answered"
         first_s = None
         if delivery.begun_at is not None:
             first_s = round(delivery.begun_at - arrived_at, 4)
