--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import gc
 import logging
 import math
@@ -22,6 +23,7 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import model
 from wasabilanding import routes
 
 # The balancer asks once a second and drops a node after two misses.
@@ -186,29 +188,64 @@
     return config
 
 
-async def _drain_on_signal(node: Node, stopping: trio.Event) -> None:
+def _reload(
+    settings: settings_module.Settings,
+    load: collections.abc.Callable[[], settings_module.Settings],
+) -> None:
+    """Read the settings file again and say what has changed.
+
+    Addresses and names hold for the life of a process; of the rest the level
+    of the log takes effect.
+    """
+    try:
+        changed = load()
+    except (OSError, model.InvalidDocument) as error:
+        _LOG.error("the settings file is not used: %s", error)
+        return
+    names = [
+        field.name
+        for field in dataclasses.fields(settings)
+        if getattr(changed, field.name) != getattr(settings, field.name)
+    ]
+    logging.getLogger().setLevel(changed.log_level)
+    _LOG.info("reloads", extra={"changed": names})
+
+
+async def _heed_signals(
+    node: Node,
+    settings: settings_module.Settings,
+    load: collections.abc.Callable[[], settings_module.Settings],
+    stopping: trio.Event,
+) -> None:
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as received:
         async for number in received:
             _LOG.info("signal %d", number)
-            if number != signal.SIGHUP and not stopping.is_set():
+            if number == signal.SIGHUP:
+                _reload(settings, load)
+            elif not stopping.is_set():
                 await node.drain()
                 stopping.set()
 
 
-async def serve(node: Node, settings: settings_module.Settings) -> None:
+async def serve(
+    node: Node,
+    settings: settings_module.Settings,
+    load: collections.abc.Callable[[], settings_module.Settings],
+) -> None:
     """Run a node until it has shut down.
 
     :param node: the node.
     :param settings: its settings.
+    :param load: reads the settings file again.
     """
     stopping = trio.Event()
     limits = routes.CallerLimits()
     gc.set_threshold(GC_THRESHOLD)
     gc.freeze()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_drain_on_signal, node, stopping)
+        nursery.start_soon(_heed_signals, node, settings, load, stopping)
         node.start_loops(nursery)
         served = [
             (ready_app(node), settings.ready_address),
