Neither lose nor double an event that comes as its stream is given up

Cause: the silence of a stream was given up at the moment at which its first event arrived. The event counted as delivered before it was written, the cancellation came between, and the stream went on elsewhere one event later. Now a message to the caller cannot be cut, and an event counts as delivered after it was written.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -244,12 +244,13 @@
         cutter = sse.EventCutter()
         async for chunk in reply.chunks():
             self._note_heard()
-            data = self._fresh(cutter.feed(chunk))
-            if not data:
+            fresh = self._fresh(cutter.feed(chunk))
+            if not fresh:
                 continue
             if not self._delivery.has_begun:
                 await self._delivery.begin(head.status, list(head.headers))
-            await self._delivery.write(data)
+            await self._delivery.write(b"".join(e.data for e in fresh))
+            self._note_delivered(fresh)
         if cutter.rest:
             raise upstream_module.AttemptFailed(
                 model.may_have_run(
@@ -262,15 +263,19 @@
         await self._delivery.end()
         return model.completed()
 
-    def _fresh(self, events: list[sse.Event]) -> bytes:
-        """Return the bytes of events that the caller does not have yet."""
-        work = self._work
-        fresh = []
+    def _fresh(self, events: list[sse.Event]) -> list[sse.Event]:
+        """Return the events that the caller does not have yet."""
+        last = self._work.resumes_after
+        if last is None:
+            return events
+        return [
+            event
+            for event in events
+            if event.event_id is None or event.event_id > last
+        ]
+
+    def _note_delivered(self, events: list[sse.Event]) -> None:
+        """Note what the caller has; nothing may be cancelled before this."""
         for event in events:
             if event.event_id is not None:
-                last = work.resumes_after
-                if last is not None and event.event_id <= last:
-                    continue
-                work.last_event = event.event_id
-            fresh.append(event.data)
-        return b"".join(fresh)
+                self._work.last_event = event.event_id
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -53,10 +53,10 @@
 
     async def _send_whole(self, message: dict[str, typing.Any]) -> None:
         # A message that is cut in the middle leaves the server's protocol
-        # state ahead of what has been written.
+        # state ahead of what has been written. A cancellation is noticed
+        # later, when it is known what the caller has.
         with trio.CancelScope(shield=True):
             await self._send(message)
-        await trio.lowlevel.checkpoint_if_cancelled()
 
     async def begin(self, status: int, headers: list[messages.Header]) -> None:
         """Send the head.
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -7,6 +7,7 @@
 import trio
 
 from wasabilanding import fleet
+from wasabilanding.gateway import attempt
 from wasabilanding.gateway import belief as belief_module
 from wasabilanding.gateway import forwarding
 from wasabilanding.gateway import inbound
@@ -95,21 +96,36 @@
         self._end = end
 
     async def __aiter__(self):
+        if self._end == "late":
+            await self._arrive_late()
         for part in self._parts:
-            await trio.sleep(TOKEN_S)
+            if self._end != "late":
+                await trio.sleep(TOKEN_S)
             yield part
         if self._end == "silent":
             await trio.sleep_forever()
         if self._end == "reset":
             raise httpx.ReadError("reset")
 
+    async def _arrive_late(self):
+        """Wait as for bytes that arrive when silence is given up."""
+        arrived = trio.Event()
+
+        async def arrive():
+            await trio.sleep(attempt.SILENCE_S)
+            arrived.set()
+
+        trio.lowlevel.spawn_system_task(arrive)
+        await arrived.wait()
+
 
 class FakeEndpoints:
     """Endpoints that behave as their scripts say, and count what they run.
 
     :param scripts: behaviour of each endpoint, by identity: "answer",
         "events N" (N events), "reset N" or "silent N" (after N events),
-        "refuse", "fail", "foreign", "unreachable", "mute".
+        "late N" (N events, the first at the moment at which silence is
+        given up), "refuse", "fail", "foreign", "unreachable", "mute".
     """
 
     def __init__(self, scripts):
@@ -164,7 +180,7 @@
         parts = [
             f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, count)
         ]
-        if script != "events":
+        if script not in ("events", "late"):
             parts.append(b"id: 99\ndata: cut")
         return httpx.Response(
             200, headers=headers, stream=_Body(parts, script)
--- a/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -45,6 +45,12 @@
       | streaming           | 2        | refuse, events 5         | whole  | 0-4    | 0.3   |
       | streaming           | 2        | reset 2, events 5        | broken | 0-1    | 0.5   |
 
+  Scenario: An event that comes as its silence is given up is neither lost nor doubled
+    Given resumable streaming requests of up to 2 attempts
+    And endpoints that "late 5, events 5"
+    When a request is sent 60 times
+    Then all answers are whole with events 0-4
+
   Scenario Outline: A request that cannot be served is answered at once
     Given <kind> requests of up to 2 attempts
     And endpoints that "<scripts>"
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -97,14 +97,35 @@
     assert context.system.endpoints.runs.total() == runs
 
 
+@behave.when("a request is sent {count:d} times")
+def send_often(context, count):
+    """Send a request often, and keep the answers that differ."""
+    context.answers = set()
+    for _ in range(count):
+        context.system = fakes.System(
+            context.system.endpoints.scripts, context.routing
+        )
+        _ask(context)
+        context.answers.add((context.caller.is_whole, context.caller.body))
+
+
+@behave.then("all answers are whole with events {first:d}-{last:d}")
+def check_all_events(context, first, last):
+    """Compare all answers byte for byte."""
+    assert context.answers == {(True, _events(first, last))}, context.answers
+
+
+def _events(first, last):
+    return b"".join(
+        f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, last + 1)
+    )
+
+
 @behave.then("its answer is {whole} with events {first:d}-{last:d}")
 def check_events(context, whole, first, last):
     """Compare the events byte for byte."""
-    expected = b"".join(
-        f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, last + 1)
-    )
     caller = context.caller
-    assert caller.body == expected, caller.body
+    assert caller.body == _events(first, last), caller.body
     assert caller.is_whole is (whole == "whole")
 
 
