--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -132,14 +132,18 @@
                 if known is None and not gone:
                     await self._upstream.forget(endpoint_id)
 
-    async def drain(self) -> None:
-        """Stop taking callers and wait until nothing runs."""
+    async def give_notice(self) -> None:
+        """Tell the balancer and callers, and wait until they know."""
         _LOG.info("drains", extra={"in_flight": self.forwarder.in_flight})
         self._draining = True
-        left_s = self._settings.shutdown_grace_s - EXIT_MARGIN_S
-        with trio.move_on_after(left_s):
+        with trio.move_on_after(NOTICE_S):
             await self.controllers.release()
             await trio.sleep(NOTICE_S)
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs, while the time for shutdown lasts."""
+        left_s = self._settings.shutdown_grace_s - NOTICE_S - EXIT_MARGIN_S
+        with trio.move_on_after(left_s):
             await self.forwarder.wait_idle()
 
 
@@ -225,7 +229,7 @@
             if number == signal.SIGHUP:
                 _reload(settings, load)
             elif not stopping.is_set():
-                await node.drain()
+                await node.give_notice()
                 stopping.set()
 
 
@@ -258,7 +262,9 @@
             config = _http_config(address, limits)
             nursery.start_soon(_serve_app, app, config, stopping)
         await stopping.wait()
-        # Connections that close now are idle: all answers are complete.
+        # The servers close idle connections now, so that no caller sends a
+        # request on one that this node has no time to answer.
+        await node.wait_idle()
         await trio.sleep(EXIT_MARGIN_S / 4)
         nursery.cancel_scope.cancel()
     _LOG.info("stopped")
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -19,6 +19,8 @@
 
 HOST = "h.example"
 TOKEN_S = 0.05
+# Requests for this path are never answered.
+SLOW = b"/slow"
 SETTINGS = settings_module.Settings(
     node="n1",
     failure_domain="z1",
@@ -154,7 +156,7 @@
         self.arrivals.append((name, dict(request.headers)))
         if script == "unreachable":
             raise httpx.ConnectError("refused")
-        if script == "mute":
+        if script == "mute" or request.extensions["target"] == SLOW:
             await trio.sleep_forever()
         if script not in ("refuse", "foreign"):
             self.runs[name] += 1
--- a/packages/gateway/wasabilanding/gateway/tests/process.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/process.feature
@@ -11,4 +11,5 @@
     When the process is told to stop
     Then the readiness question gets 503
     And the next answer on the kept connection closes it
+    And an idle connection is closed within 3 s
     And the process ends within 8 s
--- a/packages/gateway/wasabilanding/gateway/tests/steps/process_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/process_steps.py
@@ -121,11 +121,19 @@
             "/metrics"
         )
         headers = {"x-request": "r1"}
-        async with httpx.AsyncClient() as kept, httpx.AsyncClient() as other:
+        async with (
+            httpx.AsyncClient() as kept,
+            httpx.AsyncClient() as other,
+            trio.open_nursery() as nursery,
+        ):
             answer = await kept.post(callers, headers=headers, content=b"b")
             self.seen["answer"] = answer
             self.seen["ready"] = (await other.get(ready)).status_code
             self.seen["metrics"] = (await other.get(metrics)).text
+            idle = await self._idle_connection()
+            # A request that runs on must not keep the connection open.
+            nursery.start_soon(self._ask_slowly)
+            await trio.sleep(0.1)
             os.kill(os.getpid(), signal.SIGHUP)
             await trio.sleep(0.2)
             stopped_at = trio.current_time()
@@ -136,6 +144,33 @@
                 callers, headers=headers, content=b"b"
             )
             self.stopped_at = stopped_at
+            self.seen["idle"] = None
+            with trio.move_on_after(STOP_S):
+                assert await idle.receive_some() == b""
+                self.seen["idle"] = trio.current_time() - stopped_at
+            await idle.aclose()
+
+    async def _ask_slowly(self):
+        """Ask for what is never answered."""
+        url = self._url(self.settings.callers_address) + "/slow"
+        async with httpx.AsyncClient(timeout=START_S + STOP_S) as client:
+            try:
+                await client.post(url, headers={"x-request": "r3"})
+            except httpx.HTTPError:
+                return
+
+    async def _idle_connection(self):
+        """Open a connection and use it once."""
+        host, _, port = self.settings.callers_address.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request: r2\r\n"
+            b"Content-Length: 1\r\n\r\nb"
+        )
+        received = b""
+        while not received.endswith(b"ok"):
+            received += await stream.receive_some()
+        return stream
 
 
 @behave.given("a gateway that knows a configuration and one endpoint")
@@ -212,6 +247,13 @@
     assert last.headers["connection"] == "close", last.headers
 
 
+@behave.then("an idle connection is closed within {bound:g} s")
+def check_idle(context, bound):
+    """Compare the time from the signal."""
+    closed_s = context.process.seen["idle"]
+    assert closed_s is not None and closed_s <= bound, closed_s
+
+
 @behave.then("the process ends within {bound:g} s")
 def check_end(context, bound):
     """Compare the time from the signal."""
