--- a/packages/gateway/wasabilanding/gateway/messages.py
+++ b/packages/gateway/wasabilanding/gateway/messages.py
@@ -182,22 +182,12 @@
 
     async def create(
         self, key: str, value: bytes, lease: metadata.Lease
-    ) -> (
-        metadata.Written
-        | metadata.Conflict
-        | metadata.Unavailable
-        | metadata.Unknown
-    ):
+    ) -> metadata.WriteResult:
         """Write a key that does not exist."""
 
     async def put_all(
         self, items: dict[str, bytes], lease: metadata.Lease
-    ) -> (
-        metadata.Written
-        | metadata.Conflict
-        | metadata.Unavailable
-        | metadata.Unknown
-    ):
+    ) -> metadata.WriteResult:
         """Write keys, whatever they hold."""
 
     async def grant_lease(
--- a/packages/metadata/wasabilanding/metadata/__init__.py
+++ b/packages/metadata/wasabilanding/metadata/__init__.py
@@ -33,6 +33,7 @@
 from wasabilanding.metadata.results import Removal
 from wasabilanding.metadata.results import Unavailable
 from wasabilanding.metadata.results import Unknown
+from wasabilanding.metadata.results import WriteResult
 from wasabilanding.metadata.results import Written
 
 __all__ = [
@@ -54,6 +55,7 @@
     "Unavailable",
     "Unknown",
     "VmList",
+    "WriteResult",
     "Written",
     "accept_change",
     "control_key",
--- a/packages/metadata/wasabilanding/metadata/client.py
+++ b/packages/metadata/wasabilanding/metadata/client.py
@@ -14,9 +14,6 @@
 HTTP_CONFLICT = 409
 HTTP_NOT_FOUND = 404
 
-WriteResult = (
-    results.Written | results.Conflict | results.Unavailable | results.Unknown
-)
 ReadResult = results.Entry | results.Missing | results.Unavailable
 
 
@@ -100,7 +97,7 @@
         value: str,
         expected_revision: int,
         lease_id: str = "",
-    ) -> WriteResult:
+    ) -> results.WriteResult:
         """Write one key by compare-and-swap.
 
         :param key: the key.
@@ -234,7 +231,7 @@
 
 def _write_result(
     response: httpx.Response | results.Unavailable | results.Unknown,
-) -> WriteResult:
+) -> results.WriteResult:
     if not isinstance(response, httpx.Response):
         return response
     if response.status_code in calls.NOT_TAKEN:
--- a/packages/metadata/wasabilanding/metadata/results.py
+++ b/packages/metadata/wasabilanding/metadata/results.py
@@ -134,3 +134,6 @@
 
     lease_id: int
     ttl_s: float
+
+
+WriteResult = Written | Conflict | Unavailable | Unknown
