--- a/packages/metadata/wasabilanding/metadata/documents.py
+++ b/packages/metadata/wasabilanding/metadata/documents.py
@@ -188,7 +188,7 @@
     current: configuration.Configuration,
     change: Change,
     writer: str,
-) -> configuration.Configuration | client.WriteResult:
+) -> configuration.Configuration | results.WriteResult:
     changed = change(current)
     writers = (*current.writers, writer)[-configuration.KEPT_WRITERS :]
     draft = dataclasses.replace(changed, writers=writers, revision=0)
