--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -52,12 +52,10 @@
 
     :param prefix: begin of the identities of replicas; no other planner, now
         or later, may use the same.
-    :param stall_s: seconds after which a head that lost a member is broken.
     """
 
-    def __init__(self, prefix: str, stall_s: float) -> None:
+    def __init__(self, prefix: str) -> None:
         self._prefix = prefix
-        self._stall_s = stall_s
         self._last_epoch = 0
         self._forming: dict[fleet.Place, _Forming] = {}
         self._seen: dict[fleet.Place, tuple[object, float]] = {}
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -92,7 +92,7 @@
     def new_planner(self) -> None:
         """Let another planner take over."""
         prefix = f"p{self.rng.randrange(10**6)}"
-        self.planner = assembly.Planner(prefix, STALL_S)
+        self.planner = assembly.Planner(prefix)
 
     def run(self, seconds: float, trouble: float | None = None) -> None:
         """Let time pass.
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -246,10 +246,7 @@
         planner = self._planners.get(service)
         if planner is None:
             prefix = f"{self._domain}-{secrets.token_hex(3)}"
-            stall_s = (
-                self._settings.replica_stall_ms / settings_module.MS_PER_S
-            )
-            planner = assembly.Planner(prefix, stall_s)
+            planner = assembly.Planner(prefix)
             self._planners[service] = planner
         return planner
 
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -30,11 +30,6 @@
         refused even out of touch with the store; 0 for no bound.
     :param retry_ratio: retries to a service for each of its requests.
     :param retry_slack: retries on top, over all nodes.
-    :param replica_stall_ms: milliseconds after which a head that lost a
-        member is broken.
-    :param registration_interval_ms: milliseconds between an endpoint's
-        writes of its registration.
-    :param lease_ttl_min_ms: shortest time to live of a lease.
     :param metrics_port: port that serves metrics; 0 for none.
     :param log_level: lowest level that is logged.
     """
@@ -49,9 +44,6 @@
     key_revocation_ms: Millis = 5000.0
     retry_ratio: Fraction = 0.2
     retry_slack: Count = 100
-    replica_stall_ms: Millis = 6000.0
-    registration_interval_ms: Millis = 1200.0
-    lease_ttl_min_ms: Millis = 1000.0
     metrics_port: typing.Annotated[int, pydantic.Field(ge=0, le=65535)] = 0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
