Derive what a request has tried; ask the board for silent endpoints

A request kept its sends and excluded endpoints beside the list of those it has tried, which says both; the planner made a record for every endpoint each tick only to ask whether it is silent; a reply was read whole in two places.

--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -22,7 +22,6 @@
 WORK_END_S = 1.5
 DRAIN_S = 4.0
 INTENT_S = 20.0
-SEEN_LAG_S = 0.1
 
 LARGE = routes.ModelSpec("large", 4, 0.5, 1.0, 3.0, 0.4)
 SMALL = routes.ModelSpec("small", 2, 0.5, 0.6, 3.0, 0.4)
--- a/packages/decisions/wasabilanding/dispatch/board.py
+++ b/packages/decisions/wasabilanding/dispatch/board.py
@@ -88,6 +88,18 @@
         record.avoid_until = max(record.avoid_until, now + for_s)
         record.touched_at = now
 
+    def silent(self, now: float, bound_s: float) -> frozenset[str]:
+        """Return the endpoints whose requests wait for a sign of work.
+
+        :param now: local monotonic time in seconds.
+        :param bound_s: longest usual wait in seconds.
+        """
+        return frozenset(
+            name
+            for name, record in self._records.items()
+            if record.is_silent(now, bound_s)
+        )
+
     def forget_old(self, now: float) -> None:
         """Drop endpoints that have not been used for long.
 
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -47,9 +47,7 @@
     wire: messages.Wire
     upstream: upstream_module.Upstream
     board: dispatch.Board
-    may_repeat: collections.abc.Callable[
-        [work_module.Work, fleet.Endpoint], bool
-    ]
+    may_repeat: collections.abc.Callable[[work_module.Work], bool]
 
 
 class Attempt:
@@ -88,7 +86,6 @@
             urgency=min(work.urgency, MAX_URGENCY),
         )
         headers = self._tools.wire.request_headers(work.request, errand)
-        work.sends += 1
         self._heard_at = now
         self._board.begin(self._endpoint.endpoint_id, now)
         try:
@@ -170,13 +167,12 @@
             )
             if head.kind is messages.ReplyKind.NOT_RUN:
                 return self._refused(head)
+            self._count_run()
             if head.kind is messages.ReplyKind.FOREIGN:
-                self._count_run()
                 return model.may_have_run(
                     model.Reason.CONNECTION_LOST,
                     f"status {head.status} belongs to another request",
                 )
-            self._count_run()
             if head.kind is messages.ReplyKind.FAILURE:
                 return await self._failed(head, reply)
             if head.is_events:
@@ -199,10 +195,9 @@
         self, head: messages.ReplyHead, reply: upstream_module.Reply
     ) -> model.Outcome:
         """Pass an endpoint's failure on, or try elsewhere."""
-        work = self._work
-        body = await self._read_body(reply)
+        body = await reply.read()
         begun = self._delivery.has_begun
-        if begun or self._tools.may_repeat(work, self._endpoint):
+        if begun or self._tools.may_repeat(self._work):
             return model.may_have_run(
                 model.Reason.ENDPOINT_ERROR,
                 f"{self._endpoint.endpoint_id} failed with {head.status}",
@@ -210,9 +205,6 @@
         await self._deliver(head, body)
         return model.completed()
 
-    async def _read_body(self, reply: upstream_module.Reply) -> bytes:
-        return b"".join([chunk async for chunk in reply.chunks()])
-
     async def _deliver(self, head: messages.ReplyHead, body: bytes) -> None:
         length = (b"content-length", str(len(body)).encode())
         await self._delivery.begin(head.status, [*head.headers, length])
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -269,11 +269,7 @@
             loads_are_free=(
                 self._settings.first_start and since_start_s < FREE_LOADS_S
             ),
-            silent=frozenset(
-                one.endpoint_id
-                for one in registry.endpoints
-                if self._board.record(one.endpoint_id).is_silent(now, SILENT_S)
-            ),
+            silent=self._board.silent(now, SILENT_S),
             loading=sum(map(_is_loading, registry.endpoints)),
             pending=intents.pending_epochs(
                 self._belief.own, self._notes_prefix
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -19,7 +19,6 @@
 import trio
 
 from wasabilanding import dispatch
-from wasabilanding import fleet
 from wasabilanding.gateway import admission
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import attempt as attempt_module
@@ -197,7 +196,7 @@
         found = [
             candidate
             for candidate in self._candidates_for(work)
-            if candidate.endpoint.endpoint_id not in work.excluded
+            if candidate.endpoint.endpoint_id not in work.tried
         ]
         return dispatch.choose(
             found,
@@ -219,7 +218,7 @@
                 raise work_module.Refused(
                     work_module.final_answer(work, outcome)
                 )
-            if work.sends and not self._may_send_again(work, outcome):
+            if work.tried and not self._may_send_again(work, outcome):
                 raise work_module.Refused(
                     work_module.final_answer(work, outcome)
                 )
@@ -239,24 +238,27 @@
                         work_module.final_answer(work, outcome)
                     )
 
-    def _may_repeat(
-        self, work: work_module.Work, failed: fleet.Endpoint
-    ) -> bool:
+    def _may_repeat(self, work: work_module.Work) -> bool:
         """Tell whether a request may run again at another endpoint."""
         if not work.route.is_idempotent:
             return False
-        if work.runs >= work.route.max_attempts or work.sends >= MAX_SENDS:
+        if (
+            work.runs >= work.route.max_attempts
+            or len(work.tried) >= MAX_SENDS
+        ):
             return False
-        tried = {*work.excluded, failed.endpoint_id}
         return any(
-            candidate.endpoint.endpoint_id not in tried
+            candidate.endpoint.endpoint_id not in work.tried
             for candidate in self._candidates_for(work)
         )
 
     def _may_send_again(
         self, work: work_module.Work, outcome: model.Outcome
     ) -> bool:
-        if work.sends >= MAX_SENDS or work.runs >= work.route.max_attempts:
+        if (
+            len(work.tried) >= MAX_SENDS
+            or work.runs >= work.route.max_attempts
+        ):
             return False
         if outcome.reason is model.Reason.CONNECT_FAILED:
             # Nothing arrived at the endpoint.
@@ -270,7 +272,6 @@
         outcome: model.Outcome,
     ) -> None:
         name = candidate.endpoint.endpoint_id
-        work.excluded.add(name)
         avoid_s = FAILED_AVOID_S
         if outcome.reason is model.Reason.REFUSED:
             avoid_s = REFUSED_AVOID_S
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -89,6 +89,13 @@
         except httpx.HTTPError as error:
             raise _failure(error) from None
 
+    async def read(self) -> bytes:
+        """Return the whole body.
+
+        :raises AttemptFailed: when it does not end as its framing says.
+        """
+        return b"".join([chunk async for chunk in self.chunks()])
+
 
 class Upstream:
     """Pools of connections to endpoints; a context manager.
@@ -217,8 +224,7 @@
                 CALL_TIMEOUT,
             )
             async with sent as reply:
-                parts = [chunk async for chunk in reply.chunks()]
-                return reply.status, b"".join(parts)
+                return reply.status, await reply.read()
         raise AttemptFailed(
             model.may_have_run(
                 model.Reason.STALLED,
--- a/packages/gateway/wasabilanding/gateway/work.py
+++ b/packages/gateway/wasabilanding/gateway/work.py
@@ -34,10 +34,8 @@
     urgency: int
     due_at: float
     runs: int = 0
-    sends: int = 0
     may_have_run: bool = False
     last_event: int | None = None
-    excluded: set[str] = dataclasses.field(default_factory=set)
     tried: list[str] = dataclasses.field(default_factory=list)
 
     @property
