Let nodes know of each other: shared retry budget, hints of silence

Cause: on the grown sites (83 to 86 nodes) each node took a twelfth of the retry allowance, 1,950 retries together where 272 and a fifth of the requests are allowed; and each node learnt of a dead replica by a request of its own that waited 0.6 s. Each node also asked the store every 0.8 s.

Change: nodes keep their address in the store (lease of 90 s, renewed every 30 s). The budget is divided by the nodes that are known. The first node that gives a silent endpoint up tells the other nodes of its failure domain by a datagram, if another endpoint works (so that its own network is not at fault); they prefer other endpoints for 3 s, and the planner asks the replica's members.

Ruled out: the store for hints.

--- a/packages/decisions/wasabilanding/dispatch/board.py
+++ b/packages/decisions/wasabilanding/dispatch/board.py
@@ -5,6 +5,12 @@
 
 NEVER = float("-inf")
 FORGET_S = 30.0
+# A sound endpoint with requests gives a sign of work within this.
+SIGN_S = 0.35
+# What another node tells of an endpoint counts for so long.
+TOLD_AVOID_S = 3.0
+# Time in which a planner asks an endpoint that it was told of.
+TOLD_SILENT_S = 1.0
 
 
 @dataclasses.dataclass
@@ -18,6 +24,9 @@
         requests have waited for a sign of work.
     :param avoid_until: local monotonic time in seconds until which it is
         taken only where there is no other.
+    :param touched_at: local monotonic time in seconds of the last change.
+    :param told_silent_at: local monotonic time in seconds at which another
+        node told that it is silent.
     """
 
     in_flight: int = 0
@@ -25,6 +34,7 @@
     waiting_since: float = NEVER
     avoid_until: float = NEVER
     touched_at: float = NEVER
+    told_silent_at: float = NEVER
 
     def is_silent(self, now: float, bound_s: float) -> bool:
         """Tell whether requests have waited too long for a sign of work.
@@ -98,8 +108,41 @@
             name
             for name, record in self._records.items()
             if record.is_silent(now, bound_s)
+            or now - record.told_silent_at < TOLD_SILENT_S
         )
 
+    def is_alone_silent(self, endpoint_id: str, now: float) -> bool:
+        """Tell whether an endpoint is silent while another one works.
+
+        If none works, this node's own network may be at fault.
+
+        :param endpoint_id: its identity.
+        :param now: local monotonic time in seconds.
+        """
+        working = {
+            name
+            for name, record in self._records.items()
+            if now - record.progress_at < SIGN_S
+        }
+        return bool(working) and endpoint_id not in working
+
+    def note_told_silent(self, endpoint_id: str, now: float) -> bool:
+        """Learn from another node that an endpoint is silent.
+
+        The load pattern it answers: many nodes with few requests each. Every
+        one of them would send a request to a dead endpoint to learn of it.
+
+        :param endpoint_id: its identity.
+        :param now: local monotonic time in seconds.
+        :returns: whether it is believed; not if it has just worked here.
+        """
+        record = self._records[endpoint_id]
+        if now - record.progress_at < SIGN_S:
+            return False
+        record.told_silent_at = now
+        self.avoid(endpoint_id, now, TOLD_AVOID_S)
+        return True
+
     def forget_old(self, now: float) -> None:
         """Drop endpoints that have not been used for long.
 
--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -13,8 +13,6 @@
 REMOTE_COST = 0.35
 # A replica with a lapsed member serves if its head has worked since so long.
 PROOF_S = 1.0
-# Requests in flight on a sound endpoint bring a sign of work within this.
-SILENT_S = 0.35
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,7 +90,7 @@
         avoided = (
             unproven
             or now < record.avoid_until
-            or record.is_silent(now, SILENT_S)
+            or record.is_silent(now, board_module.SIGN_S)
         )
         return avoided, load, rng.random()
 
--- a/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
+++ b/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
@@ -27,3 +27,30 @@
       | has been silent since 99.9 s               | near   |
       | lost a member and worked last at 98 s      | far    |
       | lost a member and worked last at 99.9 s    | near   |
+
+  Scenario Outline: What another node tells of an endpoint counts for a time
+    Given endpoints near with 0 and far with 1 requests in flight
+    And near worked last at <worked> s
+    When another node tells at <told> s that near is silent
+    And a request is sent at 100 s
+    Then it goes to <chosen>
+    And near counts as silent: <silent>
+
+    Examples:
+      | worked | told  | chosen | silent |
+      | 90     | 99.8  | far    | yes    |
+      | 90     | 98.5  | far    | no     |
+      | 90     | 96.5  | near   | no     |
+      | 99.5   | 99.6  | near   | no     |
+
+  Scenario Outline: A node tells others only of silence that is not its own
+    Given endpoints near with 1 and far with 1 requests in flight
+    And near worked last at <near> s
+    And far worked last at <far> s
+    Then at 100 s others are told that near is silent: <told>
+
+    Examples:
+      | near | far   | told |
+      | 99.3 | 99.9  | yes  |
+      | 99.3 | 99.3  | no   |
+      | 99.9 | 99.9  | no   |
--- a/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
+++ b/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
@@ -50,6 +50,18 @@
     context.board.note_progress("near", at)
 
 
+@behave.given("{name} worked last at {at:g} s")
+def given_worked(context, name, at):
+    """Note the last sign of work."""
+    context.board.record(name).progress_at = at
+
+
+@behave.when("another node tells at {at:g} s that near is silent")
+def tell_silent(context, at):
+    """Learn what another node has found."""
+    context.board.note_told_silent("near", at)
+
+
 @behave.when("a request is sent at {now:g} s")
 def send(context, now):
     """Choose an endpoint."""
@@ -66,3 +78,17 @@
 def check_chosen(context, name):
     """Compare the endpoint."""
     assert context.chosen.endpoint.endpoint_id == name, context.chosen
+
+
+@behave.then("near counts as silent: {expected}")
+def check_silent(context, expected):
+    """Look at the endpoints that a planner asks."""
+    silent = "near" in context.board.silent(100.0, 0.5)
+    assert silent is (expected == "yes")
+
+
+@behave.then("at {now:g} s others are told that near is silent: {expected}")
+def check_told(context, now, expected):
+    """Decide whether the silence is the endpoint's own."""
+    told = context.board.is_alone_silent("near", now)
+    assert told is (expected == "yes")
--- a/packages/decisions/wasabilanding/retries/budget.py
+++ b/packages/decisions/wasabilanding/retries/budget.py
@@ -3,8 +3,10 @@
 import collections
 import dataclasses
 
-# Nodes that share the allowance of all; entry VMs that come later fit in.
+# Nodes that share the allowance of all while their number is not known.
 NODES = 12
+# For nodes that come before the others know of them.
+SPARE_PART = 1.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,7 +23,7 @@
     most: float = 50.0
 
 
-def budget_of_node(ratio: float, slack: float, nodes: int = NODES) -> Rates:
+def budget_of_node(ratio: float, slack: float, nodes: int = 0) -> Rates:
     """Return one node's part of an allowance that all nodes share.
 
     A node's tokens come from its own requests, and what it holds at most is
@@ -30,7 +32,7 @@
 
     :param ratio: retries allowed for each request.
     :param slack: retries allowed on top, over all nodes.
-    :param nodes: nodes that share it.
+    :param nodes: nodes that are known to share it; 0 for unknown.
 
     Examples
     ========
@@ -38,8 +40,10 @@
     >>> from wasabilanding import retries
     >>> retries.budget_of_node(0.2, 120)
     Rates(deposit=0.18, initial=10.0, most=10.0)
+    >>> retries.budget_of_node(0.2, 120, nodes=100)
+    Rates(deposit=0.18, initial=1.0, most=1.0)
     """
-    part = slack / nodes
+    part = slack / max(NODES, nodes * SPARE_PART)
     return Rates(round(ratio * 0.9, 6), part, part)
 
 
@@ -65,9 +69,20 @@
     def __init__(self, rates: Rates = Rates()) -> None:
         self._rates = rates
         self._tokens: dict[str, float] = collections.defaultdict(
-            lambda: rates.initial
+            lambda: self._rates.initial
         )
 
+    @property
+    def rates(self) -> Rates:
+        """How it fills."""
+        return self._rates
+
+    @rates.setter
+    def rates(self, rates: Rates) -> None:
+        self._rates = rates
+        for service, tokens in self._tokens.items():
+            self._tokens[service] = min(tokens, rates.most)
+
     def deposit(self, service: str) -> None:
         """Note a request.
 
--- a/packages/gateway/wasabilanding/gateway/belief.py
+++ b/packages/gateway/wasabilanding/gateway/belief.py
@@ -24,9 +24,10 @@
 WAIT_S = 1.6
 # While the store fails, short waits tell early that it is back.
 PROBE_WAIT_S = 0.3
-# Changes that come close together are told by one call.
-INTERVAL_S = 0.8
 PLANNING_INTERVAL_S = 0.25
+# Part of the bound on a change that passes until the next call; the rest is
+# for slow and lost calls.
+INTERVAL_PART = 0.4
 RETRY_S = 0.25
 # Without an answer for so long the store counts as away.
 AWAY_S = 3.5
@@ -203,7 +204,26 @@
     return True
 
 
-async def _follow(belief: Belief, store: messages.Store) -> bool:
+def interval_s(bounds_s: collections.abc.Iterable[float]) -> float:
+    """Return how long changes may gather until one call tells them all.
+
+    The load pattern it answers: each endpoint writes its heartbeat, so that
+    there always is a change, and each node watches all of them.
+
+    :param bounds_s: seconds within which changes must be in force.
+
+    Examples
+    ========
+
+    >>> interval_s([3.0, 2.0])
+    0.8
+    """
+    return INTERVAL_PART * min(bounds_s)
+
+
+async def _follow(
+    belief: Belief, store: messages.Store, gather_s: float
+) -> bool:
     """Ask once for changes; tell whether a full read is needed."""
     asked_at = trio.current_time()
     age_before_s = belief.proof_age_s
@@ -224,8 +244,8 @@
     waited_s = 0.0 if changes.events else min(wait_s, now - asked_at)
     belief.learn(changes, now)
     belief.note_proof(belief.clock_time() - proof_asked_at - waited_s)
-    interval_s = PLANNING_INTERVAL_S if belief.is_planning else INTERVAL_S
-    await trio.sleep_until(asked_at + interval_s)
+    pause_s = PLANNING_INTERVAL_S if belief.is_planning else gather_s
+    await trio.sleep_until(asked_at + pause_s)
     return False
 
 
@@ -233,12 +253,15 @@
     belief: Belief,
     store: messages.Store,
     note_store: collections.abc.Callable[[bool], None],
+    gather_s: float,
 ) -> None:
     """Keep a node's belief up to date; never returns.
 
     :param belief: what the node believes.
     :param store: the platform's store.
     :param note_store: told whether the store is in reach.
+    :param gather_s: seconds in which changes gather, while nothing is
+        planned here.
     """
     needs_all = True
     while True:
@@ -247,5 +270,5 @@
             if needs_all:
                 await trio.sleep(RETRY_S)
         else:
-            needs_all = await _follow(belief, store)
+            needs_all = await _follow(belief, store, gather_s)
         note_store(belief.proof_age_s < AWAY_S)
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/directory.py
@@ -0,0 +1,113 @@
+"""Addresses of the nodes, kept in the store under leases.
+
+A node writes its own address when it starts and renews its lease. The
+addresses serve messages that may be lost, so an old one does no harm.
+"""
+
+import collections.abc
+import dataclasses
+import logging
+
+import trio
+
+from wasabilanding.gateway import messages
+from wasabilanding import metadata
+from wasabilanding import model
+
+# Long, so that renewals cost the store little.
+LEASE_S = 90.0
+RENEW_S = 30.0
+RETRY_S = 5.0
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeAddress:
+    """Where a node takes messages from other nodes.
+
+    :param node: name of the node.
+    :param failure_domain: its failure domain.
+    :param host: IP address.
+    :param port: UDP port.
+    """
+
+    node: str
+    failure_domain: str
+    host: str
+    port: int
+
+
+def prefix_of(wire: messages.Wire) -> str:
+    """Return the begin of the keys that hold addresses.
+
+    :param wire: names what lies in the store.
+    """
+    return f"{wire.own_prefix}nodes/"
+
+
+def count_of(
+    items: collections.abc.Mapping[str, metadata.Item], prefix: str
+) -> int:
+    """Return the number of nodes, this one included.
+
+    :param items: the nodes' own keys.
+    :param prefix: begin of the keys that hold addresses.
+    """
+    return sum(key.startswith(prefix) for key in items)
+
+
+def nodes_in(
+    items: collections.abc.Mapping[str, metadata.Item], prefix: str
+) -> list[NodeAddress]:
+    """Return the addresses that can be read.
+
+    :param items: the nodes' own keys.
+    :param prefix: begin of the keys that hold addresses.
+    """
+    found = []
+    for key, item in items.items():
+        if not key.startswith(prefix):
+            continue
+        try:
+            found.append(model.decode(NodeAddress, item.value))
+        except model.InvalidDocument as error:
+            _LOG.warning("address %s is not used: %s", key, error)
+    return found
+
+
+async def _register(
+    store: messages.Store, key: str, address: NodeAddress
+) -> metadata.Lease | None:
+    lease = await store.grant_lease(LEASE_S)
+    if not isinstance(lease, metadata.Lease):
+        _LOG.info("the address is not registered: %s", lease.detail)
+        return None
+    value = model.encode(address).encode()
+    written = await store.put_all({key: value}, lease)
+    if not isinstance(written, metadata.Written):
+        _LOG.info("the address is not registered: %s", written)
+        return None
+    _LOG.info("registered its address", extra={"address": str(address)})
+    return lease
+
+
+async def keep_registered(
+    store: messages.Store, prefix: str, address: NodeAddress
+) -> None:
+    """Keep an address in the store; never returns.
+
+    :param store: the platform's store.
+    :param prefix: begin of the keys that hold addresses.
+    :param address: address of this node.
+    """
+    lease = None
+    while True:
+        if lease is None:
+            lease = await _register(store, f"{prefix}{address.node}", address)
+        else:
+            renewed = await store.renew_lease(lease)
+            if isinstance(renewed, metadata.Missing):
+                lease = None
+                continue
+        await trio.sleep(RENEW_S if lease else RETRY_S)
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -13,6 +13,7 @@
 one attempt is :mod:`wasabilanding.gateway.attempt`.
 """
 
+import collections.abc
 import logging
 import random
 
@@ -48,6 +49,8 @@
     :param upstream: connections to endpoints.
     :param wire: how callers and endpoints speak.
     :param measures: counts requests and attempts.
+    :param board: what this node has seen of the endpoints.
+    :param tell_silent: tells other nodes of an endpoint that went silent.
     :param rng: source of randomness.
     """
 
@@ -58,26 +61,37 @@
         upstream: upstream_module.Upstream,
         wire: messages.Wire,
         measures: measures_module.Measures,
+        board: dispatch.Board,
+        tell_silent: collections.abc.Callable[[str], None],
         rng: random.Random,
     ) -> None:
         self._settings = settings
+        self._tell_silent = tell_silent
         self._measures = measures
         self._belief = belief
         self._wire = wire
         self._rng = rng
-        self._budget = retries.RetryBudget(
-            retries.budget_of_node(settings.retry_ratio, settings.retry_slack)
-        )
+        self._budget = retries.RetryBudget()
+        self.share_budget(0)
         self._candidates: dict[str, dict[str, list[dispatch.Candidate]]] = {}
         self._candidates_of: tuple[object, int] = (None, -1)
         self._admission = admission.Admission(settings, belief, rng)
-        self.board = dispatch.Board()
+        self._board = board
         self._tools = attempt_module.Tools(
-            wire, upstream, self.board, self._may_repeat
+            wire, upstream, self._board, self._may_repeat
         )
         self.in_flight = 0
         self._idle = trio.Event()
 
+    def share_budget(self, nodes: int) -> None:
+        """Take this node's part of the retries that all nodes may make.
+
+        :param nodes: nodes that are known; 0 for unknown.
+        """
+        self._budget.rates = retries.budget_of_node(
+            self._settings.retry_ratio, self._settings.retry_slack, nodes
+        )
+
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
         while self.in_flight:
@@ -200,7 +214,7 @@
         ]
         return dispatch.choose(
             found,
-            self.board,
+            self._board,
             self._settings.failure_domain,
             trio.current_time(),
             self._rng,
@@ -279,7 +293,9 @@
             avoid_s = attempt_module.BROKEN_AVOID_S
         elif outcome.reason is model.Reason.ENDPOINT_ERROR:
             avoid_s = 0.0
-        self.board.avoid(name, trio.current_time(), avoid_s)
+        self._board.avoid(name, trio.current_time(), avoid_s)
+        if outcome.reason is model.Reason.STALLED:
+            self._tell_silent(name)
         _LOG.info(
             "attempt failed: %s",
             outcome.detail,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -15,9 +15,12 @@
 import quart_trio
 import trio
 
+from wasabilanding import dispatch
 from wasabilanding.gateway import belief as belief_module
 from wasabilanding.gateway import control
+from wasabilanding.gateway import directory
 from wasabilanding.gateway import forwarding
+from wasabilanding.gateway import hints
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import measures as measures_module
 from wasabilanding.gateway import messages
@@ -64,8 +67,24 @@
         self._store_in_reach: bool | None = None
         self.measures = measures
         self.belief = belief_module.Belief(wire)
+        self._board = dispatch.Board()
+        self._nodes_prefix = directory.prefix_of(wire)
+        self._hints = hints.Hints(
+            settings.node,
+            settings.failure_domain,
+            self.belief,
+            self._board,
+            self._nodes_prefix,
+        )
         self.forwarder = forwarding.Forwarder(
-            settings, self.belief, upstream, wire, measures, rng
+            settings,
+            self.belief,
+            upstream,
+            wire,
+            measures,
+            self._board,
+            self._hints.tell_silent,
+            rng,
         )
         self.controllers = control.ControllerSet(
             self.belief,
@@ -76,7 +95,7 @@
                 upstream,
                 wire,
                 measures,
-                self.forwarder.board,
+                self._board,
                 domain,
                 rng,
             ),
@@ -112,9 +131,30 @@
             self.belief,
             self._store,
             self._note_store,
+            belief_module.interval_s(self._settings.change_bounds_s),
         )
         nursery.start_soon(self.controllers.run)
         nursery.start_soon(self._sweep)
+        if self._settings.peer_port:
+            nursery.start_soon(self._speak_with_nodes)
+
+    async def _speak_with_nodes(self) -> None:
+        """Be known to the other nodes, and take and send hints."""
+        own = directory.NodeAddress(
+            self._settings.node,
+            self._settings.failure_domain,
+            self._settings.address,
+            self._settings.peer_port,
+        )
+        with await hints.bound_socket((own.host, own.port)) as datagrams:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    directory.keep_registered,
+                    self._store,
+                    self._nodes_prefix,
+                    own,
+                )
+                nursery.start_soon(self._hints.run, datagrams)
 
     def _note_store(self, in_reach: bool) -> None:
         if in_reach != self._store_in_reach:
@@ -122,10 +162,12 @@
         self._store_in_reach = in_reach
 
     async def _sweep(self) -> None:
-        """Forget endpoints that are gone."""
+        """Forget endpoints that are gone; follow the number of nodes."""
         while True:
             await trio.sleep(SWEEP_S)
-            self.forwarder.board.forget_old(trio.current_time())
+            nodes = directory.count_of(self.belief.own, self._nodes_prefix)
+            self.forwarder.share_budget(nodes)
+            self._board.forget_old(trio.current_time())
             for endpoint_id in self._upstream.known:
                 known = self.belief.registry.get(endpoint_id)
                 gone = endpoint_id in self.belief.registry.departed
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -12,6 +12,7 @@
 Seconds = typing.Annotated[float, pydantic.Field(ge=0.0, le=3600.0)]
 Millis = typing.Annotated[float, pydantic.Field(ge=0.0, le=3_600_000.0)]
 Count = typing.Annotated[int, pydantic.Field(ge=0)]
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
 MS_PER_S = 1000
 
 
@@ -30,6 +31,9 @@
         refused even out of touch with the store; 0 for no bound.
     :param retry_ratio: retries to a service for each of its requests.
     :param retry_slack: retries on top, over all nodes.
+    :param change_bounds_ms: milliseconds within which a change of the
+        configuration, and the leaving of an endpoint, must be in force.
+    :param peer_port: UDP port for messages of other nodes; 0 for none.
     :param metrics_port: port that serves metrics; 0 for none.
     :param log_level: lowest level that is logged.
     """
@@ -44,9 +48,16 @@
     key_revocation_ms: Millis = 5000.0
     retry_ratio: Fraction = 0.2
     retry_slack: Count = 100
-    metrics_port: typing.Annotated[int, pydantic.Field(ge=0, le=65535)] = 0
+    change_bounds_ms: tuple[Millis, ...] = (2000.0,)
+    peer_port: Port = 0
+    metrics_port: Port = 0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
+    @property
+    def change_bounds_s(self) -> tuple[float, ...]:
+        """Seconds within which changes must be in force."""
+        return tuple(bound / MS_PER_S for bound in self.change_bounds_ms)
+
     @property
     def address(self) -> str:
         """IP address of the node."""
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -6,6 +6,7 @@
 import httpx
 import trio
 
+from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import attempt
 from wasabilanding.gateway import belief as belief_module
@@ -252,6 +253,8 @@
         self.belief = belief_module.Belief(PlainWire, trio.current_time)
         self.belief.table = found
         self.belief.revision = 1
+        self.board = dispatch.Board()
+        self.told = []
         for name in scripts:
             self.belief.registry.put(self.endpoints.endpoint(name))
 
@@ -275,11 +278,13 @@
                 upstream,
                 PlainWire,
                 measures.Measures("n1"),
+                self.board,
+                self.told.append,
                 random.Random(1),
             )
             # The scripts' order decides where the first attempt goes.
             for delay, name in enumerate(self.endpoints.scripts):
-                record = forwarder.board.record(name)
+                record = self.board.record(name)
                 record.in_flight = delay
                 record.waiting_since = begun_at
             await forwarder.handle(head, b"body", delivery)
--- a/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -106,3 +106,16 @@
       | route | 2.9 | 404    |
       | route | 3.5 | 503    |
       | route | 60  | 503    |
+
+  Scenario Outline: Other nodes are told of an endpoint that went silent, of no other
+    Given resumable streaming requests of up to 2 attempts
+    And endpoints that "<scripts>"
+    When a request is sent
+    Then other nodes are told of "<told>"
+
+    Examples:
+      | scripts            | told |
+      | mute, events 5     | e0   |
+      | silent 2, events 5 | e0   |
+      | reset 2, events 5  |      |
+      | refuse, events 5   |      |
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -140,3 +140,15 @@
     """Look for the time to come back."""
     told = b"retry-after" in context.caller.headers
     assert told is (comeback == "yes"), context.caller.headers
+
+
+@behave.then('other nodes are told of "{names}"')
+def check_told(context, names):
+    """Compare the endpoints that are told of as silent."""
+    assert context.system.told == names.split(), context.system.told
+
+
+@behave.then('other nodes are told of ""')
+def check_nothing_told(context):
+    """Check that no endpoint is told of."""
+    check_told(context, "")
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -0,0 +1,229 @@
+"""Steps for what nodes tell each other."""
+
+import codecs
+
+import behave
+import trio
+import trio.testing
+
+from wasabilanding import dispatch
+from wasabilanding.gateway import belief as belief_module
+from wasabilanding.gateway import directory
+from wasabilanding.gateway import hints
+from wasabilanding.gateway.tests import fakes
+from wasabilanding import metadata
+from wasabilanding import model
+
+PREFIX = directory.prefix_of(fakes.PlainWire)
+SENDER = ("10.0.0.99", 1)
+OWN = directory.NodeAddress("n1", "z1", "10.0.0.1", 1)
+
+
+class _Network:
+    """Datagrams in memory."""
+
+    def __init__(self):
+        self._boxes = {}
+
+    def socket(self, address):
+        """Return the socket of an address."""
+        self._boxes[address] = trio.open_memory_channel(100)
+        return _Socket(self, address)
+
+    def send(self, data, sender, address):
+        """Deliver a datagram."""
+        self._boxes[address][0].send_nowait((data, sender))
+
+    async def receive(self, address):
+        """Wait for a datagram."""
+        return await self._boxes[address][1].receive()
+
+
+class _Socket:
+    """One socket of the network."""
+
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+
+    async def sendto(self, data, address):
+        """Send a datagram."""
+        self._network.send(data, self._address, address)
+        return len(data)
+
+    async def recvfrom(self, most):
+        """Wait for a datagram."""
+        return await self._network.receive(self._address)
+
+
+class _Nodes:
+    """Nodes that know of each other and of two endpoints."""
+
+    def __init__(self, domains):
+        endpoints = fakes.FakeEndpoints({"e1": "", "e2": ""})
+        self.addresses = [
+            directory.NodeAddress(name, domain, f"10.0.0.{i}", 1)
+            for i, (name, domain) in enumerate(domains.items())
+        ]
+        self.own = {
+            f"{PREFIX}{one.node}": metadata.Item(
+                f"{PREFIX}{one.node}", model.encode(one).encode(), 1
+            )
+            for one in self.addresses
+        }
+        self.boards = {name: dispatch.Board() for name in domains}
+        self.hints = {}
+        for one in self.addresses:
+            belief = belief_module.Belief(fakes.PlainWire, trio.current_time)
+            belief.own = self.own
+            for name in ("e1", "e2"):
+                belief.registry.put(endpoints.endpoint(name))
+            self.hints[one.node] = hints.Hints(
+                one.node,
+                one.failure_domain,
+                belief,
+                self.boards[one.node],
+                PREFIX,
+            )
+
+    def address(self, node):
+        """Return where a node takes datagrams."""
+        found = next(one for one in self.addresses if one.node == node)
+        return found.host, found.port
+
+    async def play(self, steps):
+        """Run all nodes and the steps, in order."""
+        network = _Network()
+        async with trio.open_nursery() as nursery:
+            for name, one in self.hints.items():
+                socket = network.socket(self.address(name))
+                nursery.start_soon(one.run, socket)
+            for step in steps:
+                step(network)
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        return [
+            name
+            for name, board in self.boards.items()
+            if "e1" in board.silent(trio.current_time(), 9.0)
+        ]
+
+
+@behave.given("nodes {first} and {second} in failure domain z1 and n3 in z2")
+def given_nodes(context, first, second):
+    """Make three nodes."""
+    context.nodes = _Nodes({first: "z1", second: "z1", "n3": "z2"})
+    context.plan = []
+
+
+@behave.step("endpoint {endpoint} worked on node {node} {ago:g} s ago")
+def given_worked(context, endpoint, node, ago):
+    """Note a sign of work."""
+
+    def work(network):
+        now = trio.current_time()
+        context.nodes.boards[node].note_progress(endpoint, now - ago)
+
+    context.plan.append(work)
+
+
+@behave.given("the address of a node reads {value}")
+def given_address(context, value):
+    """Write an address that another writer has broken."""
+    key = f"{PREFIX}broken"
+    data = codecs.escape_decode(value.encode())[0]
+    context.nodes.own[key] = metadata.Item(key, data, 1)
+
+
+@behave.when("node {node} gets the datagram {data}")
+def receive(context, node, data):
+    """Send a datagram."""
+    text = "" if data == "nothing" else data
+    raw = codecs.escape_decode(text.encode())[0]
+    context.plan.append(
+        lambda network: network.send(raw, SENDER, context.nodes.address(node))
+    )
+
+
+@behave.when("node {node} gives up a silent request to {endpoint}")
+def give_up(context, node, endpoint):
+    """Let a node find an endpoint silent."""
+    context.plan.append(
+        lambda network: context.nodes.hints[node].tell_silent(endpoint)
+    )
+
+
+@behave.then('the nodes that count e1 as silent are "{nodes}"')
+def check_silent(context, nodes):
+    """Run the nodes and compare what they believe."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    found = trio.run(context.nodes.play, context.plan, clock=clock)
+    assert found == nodes.split(), found
+
+
+@behave.then('the nodes that count e1 as silent are ""')
+def check_none_silent(context):
+    """Run the nodes and compare what they believe."""
+    check_silent(context, "")
+
+
+class _LeaseStore:
+    """The store's leases and writes, with trouble."""
+
+    def __init__(self, trouble):
+        self.trouble = trouble
+        self.calls = 0
+        self.items = {}
+
+    async def grant_lease(self, ttl_s):
+        """Grant a lease, or fail."""
+        self.calls += 1
+        if self.trouble == "grants no lease at first" and self.calls == 1:
+            return metadata.Unavailable("down")
+        return metadata.Lease(self.calls, ttl_s)
+
+    async def put_all(self, items, lease):
+        """Write keys."""
+        self.calls += 1
+        self.items.update(items)
+        return metadata.Written(1)
+
+    async def renew_lease(self, lease):
+        """Renew a lease, or know nothing of it, once."""
+        self.calls += 1
+        if self.trouble == "forgets the lease":
+            self.trouble = ""
+            self.items.clear()
+            return metadata.Missing("1")
+        return lease
+
+
+@behave.given("the store {trouble}")
+def given_store(context, trouble):
+    """Make a store."""
+    context.store = _LeaseStore(trouble)
+
+
+@behave.when("a node keeps its address there for {seconds:g} s")
+def keep(context, seconds):
+    """Register the node."""
+
+    async def run():
+        with trio.move_on_after(seconds):
+            await directory.keep_registered(context.store, PREFIX, OWN)
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(run, clock=clock)
+
+
+@behave.then("the store has it at the end")
+def check_kept(context):
+    """Compare the address."""
+    value = context.store.items[f"{PREFIX}n1"]
+    assert model.decode(directory.NodeAddress, value) == OWN
+
+
+@behave.then("it took at most {calls:d} calls")
+def check_calls(context, calls):
+    """Compare the calls."""
+    assert context.store.calls <= calls, context.store.calls
