Tell the load of each node to its failure domain

Cause: with 86 nodes and 3 requests a second each, own requests in flight say nothing of an endpoint's load. 25 of the 33 late first events from 10 to 24 s came from the first endpoint asked, while others of the model were idle, and nothing ever went to another failure domain (that needed 0.35 own requests a slot more, of which a node never has as many).

Change: each node tells its requests in flight by endpoint to the nodes of its failure domain, whole each time, 50 ms after a change (later where more than 200 datagrams a second would be sent), and each 0.5 s. An endpoint's load is the sum. Going to another failure domain costs one batch (1.0 for 0.35: three nodes a failure domain saw a third each, so the point is where it was).

Ruled out: the load in registrations (there is none) and reports (each is priced as a probe).

--- a/packages/decisions/wasabilanding/dispatch/board.py
+++ b/packages/decisions/wasabilanding/dispatch/board.py
@@ -1,6 +1,7 @@
 """What one node has seen of the endpoints that it sends requests to."""
 
 import collections
+import collections.abc
 import dataclasses
 
 NEVER = float("-inf")
@@ -9,6 +10,8 @@
 SIGN_S = 0.35
 # What another node tells of an endpoint counts for so long.
 TOLD_AVOID_S = 3.0
+# Load that another node has told counts for so long.
+TOLD_LOAD_S = 1.5
 # Time in which a planner asks an endpoint that it was told of.
 TOLD_SILENT_S = 1.0
 
@@ -45,11 +48,68 @@
         return self.in_flight > 0 and now - self.waiting_since > bound_s
 
 
+@dataclasses.dataclass(frozen=True)
+class ToldLoad:
+    """What another node has told.
+
+    :param in_flight: its requests in flight, by endpoint.
+    :param at: local monotonic time in seconds at which it was told.
+    """
+
+    in_flight: dict[str, int]
+    at: float
+
+
 class Board:
     """Observations of all endpoints, by their identity."""
 
     def __init__(self) -> None:
         self._records: dict[str, Record] = collections.defaultdict(Record)
+        self._told: dict[str, ToldLoad] = {}
+        # Requests of all other nodes, by endpoint.
+        self._others: collections.Counter[str] = collections.Counter()
+
+    @property
+    def own_load(self) -> dict[str, int]:
+        """Own requests in flight, by endpoint, without zeros."""
+        return {
+            name: record.in_flight
+            for name, record in self._records.items()
+            if record.in_flight
+        }
+
+    def load(self, endpoint_id: str) -> int:
+        """Return the requests in flight at an endpoint, as far as known.
+
+        :param endpoint_id: its identity.
+        """
+        own = self._records[endpoint_id].in_flight
+        return own + self._others[endpoint_id]
+
+    def learn_load(
+        self, node: str, load: collections.abc.Mapping[str, int], now: float
+    ) -> None:
+        """Learn what another node has in flight.
+
+        The load pattern it answers: many nodes with few requests each, which
+        without each other's counts would choose as if by chance.
+
+        :param node: name of the node.
+        :param load: all its requests in flight, by endpoint.
+        :param now: local monotonic time in seconds.
+        """
+        self._forget_load(node)
+        self._told[node] = ToldLoad(dict(load), now)
+        self._others.update(load)
+
+    def _forget_load(self, node: str) -> None:
+        told = self._told.pop(node, None)
+        if told is None:
+            return
+        self._others.subtract(told.in_flight)
+        for name in told.in_flight:
+            if not self._others[name]:
+                del self._others[name]
 
     def record(self, endpoint_id: str) -> Record:
         """Return what is known of an endpoint.
@@ -144,10 +204,17 @@
         return True
 
     def forget_old(self, now: float) -> None:
-        """Drop endpoints that have not been used for long.
+        """Drop endpoints not used for long, and load told long ago.
 
         :param now: local monotonic time in seconds.
         """
+        late = [
+            node
+            for node, told in self._told.items()
+            if now - told.at > TOLD_LOAD_S
+        ]
+        for node in late:
+            self._forget_load(node)
         old = [
             name
             for name, record in self._records.items()
--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -10,7 +10,7 @@
 
 # In requests per slot: work goes to another failure domain when its own one
 # is busier than that by so much.
-REMOTE_COST = 0.35
+REMOTE_COST = 1.0
 # A replica with a lapsed member serves if its head has worked since so long.
 PROOF_S = 1.0
 
@@ -67,12 +67,12 @@
     now: float,
     rng: random.Random,
 ) -> Candidate | None:
-    """Return the candidate with the least work of this node.
+    """Return the candidate with the least work in flight.
 
     The load pattern it answers: many short streams that arrive at all nodes
-    alike. Nodes of one failure domain see similar load, so the least of the
-    own requests in flight follows the endpoint's whole load, and remote
-    endpoints take what is too much for the own failure domain.
+    alike. The nodes of a failure domain tell each other what they have in
+    flight; remote endpoints take what is too much for the own failure
+    domain.
 
     :param candidates: endpoints that may take the request.
     :param board: what this node has seen of them.
@@ -83,7 +83,7 @@
 
     def cost(candidate: Candidate) -> tuple[bool, float, float]:
         record = board.record(candidate.endpoint.endpoint_id)
-        load = record.in_flight / candidate.slots
+        load = board.load(candidate.endpoint.endpoint_id) / candidate.slots
         if candidate.endpoint.failure_domain != failure_domain:
             load += REMOTE_COST
         unproven = candidate.is_doubtful and now - record.progress_at > PROOF_S
--- a/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
+++ b/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
@@ -29,6 +29,14 @@
         context.board.note_progress(name, RECENT_S)
 
 
+@behave.given(
+    "another node told at {at:g} s that it has {count:d} in flight at near"
+)
+def given_told_load(context, at, count):
+    """Learn what another node has in flight."""
+    context.board.learn_load("other", {"near": count} if count else {}, at)
+
+
 @behave.given("near is avoided until {until:g} s")
 def given_avoided(context, until):
     """Note a failure."""
@@ -65,6 +73,7 @@
 @behave.when("a request is sent at {now:g} s")
 def send(context, now):
     """Choose an endpoint."""
+    context.board.forget_old(now)
     context.chosen = dispatch.choose(
         context.candidates.values(),
         context.board,
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -1,14 +1,18 @@
-"""Nodes of a failure domain tell each other of silent endpoints.
+"""Nodes of a failure domain tell each other what they see of the endpoints.
 
 Explanation
 ===========
 
-A replica whose VM died without a reset lets the first requests wait until
-their node gives the silence up. The more nodes there are, the more requests
-meet it; so the first node tells the others of its failure domain, which see
-the endpoint over the same links. A hint is one datagram that may be lost; it
-moves requests elsewhere and lets the planner ask the replica's members, and
-nothing is done on its word alone.
+Silence. A replica whose VM died without a reset lets the first requests wait
+until their node gives the silence up. The more nodes there are, the more
+requests meet it; so the first node tells the others of its failure domain,
+which see the endpoint over the same links.
+
+Load. Each node tells its requests in flight by endpoint, whole each time, so
+that a lost datagram is made good by the next.
+
+A hint is one datagram that may be lost. It moves requests elsewhere and lets
+the planner ask the replica's members; nothing is done on its word alone.
 """
 
 import collections.abc
@@ -16,6 +20,7 @@
 import logging
 import typing
 
+import pydantic
 import trio
 
 from wasabilanding import dispatch
@@ -23,10 +28,17 @@
 from wasabilanding.gateway import directory
 from wasabilanding import model
 
-MAX_DATAGRAM_BYTES = 1024
+MAX_DATAGRAM_BYTES = 65_535
+# Changes of the load are told after this, later where there are many nodes.
+LOAD_PERIOD_S = 0.05
+MAX_DATAGRAMS_PER_S = 200.0
+# Load that has not changed is told again after this.
+LOAD_REFRESH_S = 0.5
 # Hints that wait to be sent; more are dropped.
 QUEUE = 64
 
+Count = typing.Annotated[int, pydantic.Field(ge=0)]
+
 _LOG = logging.getLogger(__name__)
 Address = tuple[str, int]
 
@@ -35,12 +47,16 @@
 class Hint:
     """What one node tells others.
 
-    :param node: name of the node that found it.
-    :param silent: identity of the endpoint that gives no sign of work.
+    :param node: name of the node that tells it.
+    :param silent: identity of an endpoint that gives no sign of work; empty
+        for none.
+    :param in_flight: all its requests in flight, by endpoint; None when not
+        told.
     """
 
     node: str
-    silent: str
+    silent: str = ""
+    in_flight: dict[str, Count] | None = None
 
 
 class Datagrams(typing.Protocol):
@@ -96,26 +112,57 @@
         :param datagrams: the socket.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send, datagrams)
+            nursery.start_soon(self._send_silent, datagrams)
+            nursery.start_soon(self._send_load, datagrams)
             nursery.start_soon(self._receive, datagrams)
 
-    def _others(self) -> collections.abc.Iterable[Address]:
-        for one in directory.nodes_in(self._belief.own, self._prefix):
-            if one.node != self._node and one.failure_domain == self._domain:
-                yield one.host, one.port
+    def _others(self) -> list[Address]:
+        nodes = directory.nodes_in(self._belief.own, self._prefix)
+        return [
+            (one.host, one.port)
+            for one in nodes
+            if one.node != self._node and one.failure_domain == self._domain
+        ]
 
-    async def _send(self, datagrams: Datagrams) -> None:
+    async def _send_silent(self, datagrams: Datagrams) -> None:
         async for endpoint_id in self._get:
-            data = model.encode(Hint(self._node, endpoint_id)).encode()
-            others = list(self._others())
+            others = self._others()
             _LOG.info(
                 "tells %d nodes that %s is silent", len(others), endpoint_id
             )
-            for address in others:
-                try:
-                    await datagrams.sendto(data, address)
-                except OSError as error:
-                    _LOG.info("no hint to %s:%d: %s", *address, error)
+            await self._send(datagrams, Hint(self._node, endpoint_id), others)
+
+    async def _send_load(self, datagrams: Datagrams) -> None:
+        told: dict[str, int] = {}
+        told_at = looked_at = float("-inf")
+        others: list[Address] = []
+        while True:
+            period_s = max(LOAD_PERIOD_S, len(others) / MAX_DATAGRAMS_PER_S)
+            await trio.sleep(period_s)
+            now = trio.current_time()
+            load = self._board.own_load
+            if now - looked_at > LOAD_REFRESH_S:
+                others = self._others()
+                looked_at = now
+            if load == told and (not load or now - told_at < LOAD_REFRESH_S):
+                continue
+            hint = Hint(self._node, in_flight=load)
+            await self._send(datagrams, hint, others)
+            told = load
+            told_at = now
+
+    async def _send(
+        self,
+        datagrams: Datagrams,
+        hint: Hint,
+        others: collections.abc.Iterable[Address],
+    ) -> None:
+        data = model.encode(hint).encode()
+        for address in others:
+            try:
+                await datagrams.sendto(data, address)
+            except OSError as error:
+                _LOG.debug("no hint to %s:%d: %s", *address, error)
 
     async def _receive(self, datagrams: Datagrams) -> None:
         while True:
@@ -133,9 +180,13 @@
         except model.InvalidDocument as error:
             _LOG.info("datagram of %s:%d is not used: %s", *sender, error)
             return
-        if self._belief.registry.get(hint.silent) is None:
-            return
         now = trio.current_time()
+        if hint.in_flight is not None:
+            self._board.learn_load(hint.node, hint.in_flight, now)
+        if self._belief.registry.get(hint.silent) is not None:
+            self._learn_silent(hint, now)
+
+    def _learn_silent(self, hint: Hint, now: float) -> None:
         believed = self._board.note_told_silent(hint.silent, now)
         _LOG.info(
             "%s tells that %s is silent",
