Wait for the store's word after a lost race for the lease on planning

Cause: when many nodes start at once, all ask for the lease on planning their failure domain; the losers asked again, three calls each time, until their watch told them who has it (1.2 s on the grown sites).

Change: a node whose write met a conflict waits for the watch, 2.5 s at most. The lease is a module of its own (it was in control.py). The stand-in of the store learns prefixes, a history and watches over both, so that nodes can be played on it.

--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -16,8 +16,8 @@
 from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import belief as belief_module
-from wasabilanding.gateway import clocks
 from wasabilanding.gateway import intents
+from wasabilanding.gateway import lease
 from wasabilanding.gateway import measures as measures_module
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import settings as settings_module
@@ -25,13 +25,14 @@
 from wasabilanding import metadata
 from wasabilanding import routes
 
-LEASE_S = 3.0
 RENEW_S = 0.9
 TICK_S = 0.25
 SUMMARY_S = 2.0
 DEBOUNCE_S = 0.03
 OWN_JITTER_S = 0.2
 FOREIGN_WAIT_S = 4.0
+# A watch tells of the node that was first within this.
+LOST_RACE_S = 2.5
 # Weights load without a bound before the first request comes.
 FREE_LOADS_S = 10.0
 # Requests on a sound endpoint bring a sign of work well within this.
@@ -50,60 +51,6 @@
     return not endpoint.model
 
 
-class DomainLease:
-    """The lease on the planning of one failure domain.
-
-    :param key: key in the store.
-    :param node: name of this node.
-    :param store: the platform's store.
-    """
-
-    def __init__(self, key: str, node: str, store: messages.Store) -> None:
-        self._key = key
-        self._node = node
-        self._store = store
-        self._lease: metadata.Lease | None = None
-        self._held_until = float("-inf")
-
-    @property
-    def is_held(self) -> bool:
-        """Whether this node holds the lease for certain."""
-        return clocks.suspend_time() < self._held_until
-
-    async def acquire(self) -> bool:
-        """Try to take the lease."""
-        asked_at = clocks.suspend_time()
-        granted = await self._store.grant_lease(LEASE_S)
-        if isinstance(granted, metadata.Unavailable):
-            return False
-        written = await self._store.create(
-            self._key, self._node.encode(), granted
-        )
-        if not isinstance(written, metadata.Written):
-            await self._store.end_lease(granted)
-            return False
-        self._lease = granted
-        self._held_until = asked_at + granted.ttl_s
-        _LOG.info("takes over planning", extra={"lease": self._key})
-        return True
-
-    async def renew(self) -> None:
-        """Renew the lease; it is lost where the store says so."""
-        asked_at = clocks.suspend_time()
-        renewed = await self._store.renew_lease(self._lease)
-        if isinstance(renewed, metadata.Missing):
-            self._held_until = float("-inf")
-            _LOG.info("lost planning", extra={"lease": self._key})
-        elif isinstance(renewed, metadata.Lease):
-            self._held_until = asked_at + renewed.ttl_s
-
-    async def release(self) -> None:
-        """Give the lease back."""
-        if self._lease is not None and self.is_held:
-            self._held_until = float("-inf")
-            await self._store.end_lease(self._lease)
-
-
 class Controller:
     """Plans the replicas of one failure domain while it holds the lease.
 
@@ -141,7 +88,7 @@
         self._key = f"{wire.own_prefix}control/{failure_domain}"
         self._notes_prefix = f"{wire.own_prefix}joins/"
         self._intents = intents.IntentWriter(store, self._notes_prefix)
-        self._lease = DomainLease(self._key, settings.node, store)
+        self._lease = lease.DomainLease(self._key, settings.node, store)
         self._planners: dict[str, assembly.Planner] = {}
         self._started_at = trio.current_time()
 
@@ -149,13 +96,16 @@
         """Hold the lease when it is free, and plan; never returns."""
         while True:
             await self._wait_free()
-            if await self._lease.acquire():
+            taken = await self._lease.acquire()
+            if isinstance(taken, metadata.Written):
                 self._planners.clear()
                 self._belief.planners += 1
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._keep, nursery.cancel_scope)
                     nursery.start_soon(self._plan_on, nursery)
                 self._belief.planners -= 1
+            elif isinstance(taken, metadata.Conflict):
+                await self._wait_told()
             else:
                 await trio.sleep(self._rng.uniform(0.3, 0.8))
 
@@ -174,6 +124,12 @@
             if not self._is_taken():
                 return
 
+    async def _wait_told(self) -> None:
+        """Another node was first; wait until the watch tells of it."""
+        with trio.move_on_after(LOST_RACE_S):
+            while not self._is_taken():
+                await self._belief.wait_changed()
+
     def _is_taken(self) -> bool:
         return self._key in self._belief.own
 
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/lease.py
@@ -0,0 +1,65 @@
+"""The lease on the planning of one failure domain."""
+
+import logging
+
+from wasabilanding.gateway import clocks
+from wasabilanding.gateway import messages
+from wasabilanding import metadata
+
+LEASE_S = 3.0
+
+_LOG = logging.getLogger(__name__)
+
+
+class DomainLease:
+    """The lease on the planning of one failure domain.
+
+    :param key: key in the store.
+    :param node: name of this node.
+    :param store: the platform's store.
+    """
+
+    def __init__(self, key: str, node: str, store: messages.Store) -> None:
+        self._key = key
+        self._node = node
+        self._store = store
+        self._lease: metadata.Lease | None = None
+        self._held_until = float("-inf")
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this node holds the lease for certain."""
+        return clocks.suspend_time() < self._held_until
+
+    async def acquire(self) -> metadata.WriteResult:
+        """Try to take the lease; it is held where the key was written."""
+        asked_at = clocks.suspend_time()
+        granted = await self._store.grant_lease(LEASE_S)
+        if isinstance(granted, metadata.Unavailable):
+            return granted
+        written = await self._store.create(
+            self._key, self._node.encode(), granted
+        )
+        if not isinstance(written, metadata.Written):
+            await self._store.end_lease(granted)
+            return written
+        self._lease = granted
+        self._held_until = asked_at + granted.ttl_s
+        _LOG.info("takes over planning", extra={"lease": self._key})
+        return written
+
+    async def renew(self) -> None:
+        """Renew the lease; it is lost where the store says so."""
+        asked_at = clocks.suspend_time()
+        renewed = await self._store.renew_lease(self._lease)
+        if isinstance(renewed, metadata.Missing):
+            self._held_until = float("-inf")
+            _LOG.info("lost planning", extra={"lease": self._key})
+        elif isinstance(renewed, metadata.Lease):
+            self._held_until = asked_at + renewed.ttl_s
+
+    async def release(self) -> None:
+        """Give the lease back."""
+        if self._lease is not None and self.is_held:
+            self._held_until = float("-inf")
+            await self._store.end_lease(self._lease)
--- a/packages/standins/wasabilanding/standins/store.py
+++ b/packages/standins/wasabilanding/standins/store.py
@@ -1,4 +1,4 @@
-"""Key-value store with compare-and-swap, leases and watches."""
+"""Key-value store with compare-and-swap, leases, watches and a history."""
 
 import collections
 import collections.abc
@@ -7,6 +7,8 @@
 import trio
 
 MAX_VALUE_BYTES = 1_000_000
+# Changes that a watch can still be told of.
+HISTORY_CHANGES = 10_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,6 +25,20 @@
     lease_id: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A change of the store.
+
+    :param key: the key.
+    :param revision: revision that it made.
+    :param stored: what was written; None when the key was removed.
+    """
+
+    key: str
+    revision: int
+    stored: Stored | None
+
+
 @dataclasses.dataclass
 class _Lease:
     ttl_s: float
@@ -44,6 +60,9 @@
         self._leases: dict[str, _Lease] = {}
         self._lease_count = 0
         self._changed = trio.Event()
+        self._history: collections.deque[Change] = collections.deque(
+            maxlen=HISTORY_CHANGES
+        )
         self.revision = 0
         self.calls: collections.Counter[str] = collections.Counter()
 
@@ -73,9 +92,70 @@
         if lease_id and lease_id not in self._leases:
             return None
         self.revision += 1
-        self._values[key] = Stored(value, self.revision, lease_id)
+        stored = Stored(value, self.revision, lease_id)
+        self._values[key] = stored
+        self._history.append(Change(key, self.revision, stored))
         self._notify()
-        return self._values[key]
+        return stored
+
+    def remove(self, key: str) -> None:
+        """Remove a key.
+
+        :param key: the key.
+        """
+        if self._values.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._history.append(Change(key, self.revision, None))
+        self._notify()
+
+    def items(self, prefix: str) -> dict[str, Stored]:
+        """Return the values under a prefix, by key.
+
+        :param prefix: the prefix.
+        """
+        self._expire()
+        return {
+            key: stored
+            for key, stored in self._values.items()
+            if key.startswith(prefix)
+        }
+
+    def changes(self, prefix: str, after: int) -> list[Change] | None:
+        """Return the changes under a prefix since a revision.
+
+        :param prefix: the prefix.
+        :param after: revision that is already known.
+        :returns: None when the history does not reach so far back.
+        """
+        self._expire()
+        oldest = self._history[0].revision if self._history else 0
+        if after + 1 < oldest:
+            return None
+        return [
+            change
+            for change in self._history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+
+    async def wait_changes(
+        self, prefix: str, after: int, timeout_s: float
+    ) -> list[Change] | None:
+        """Wait for changes under a prefix.
+
+        :param prefix: the prefix.
+        :param after: revision that is already known.
+        :param timeout_s: longest wait in seconds.
+        :returns: none when the time is over; None when the history does not
+            reach so far back.
+        """
+        with trio.move_on_after(timeout_s):
+            while True:
+                found = self.changes(prefix, after)
+                if found is None or found:
+                    return found
+                await self._changed.wait()
+        return []
 
     async def wait_above(
         self, key: str, after: int, timeout_s: float
@@ -126,9 +206,7 @@
         self._leases.pop(lease_id, None)
         for key in list(self._values):
             if self._values[key].lease_id == lease_id:
-                del self._values[key]
-                self.revision += 1
-        self._notify()
+                self.remove(key)
 
     def _expire(self) -> None:
         now = self._clock()
