Tell and log a silence once, not by each node that meets it

Change: a node that was told of an endpoint within the last second tells and logs nothing more. The finder itself counts the endpoint as silent too, so that a planner which finds it asks its members.

--- a/packages/decisions/wasabilanding/dispatch/board.py
+++ b/packages/decisions/wasabilanding/dispatch/board.py
@@ -12,8 +12,9 @@
 TOLD_AVOID_S = 3.0
 # Load that another node has told counts for so long.
 TOLD_LOAD_S = 1.5
-# Time in which a planner asks an endpoint that it was told of.
-TOLD_SILENT_S = 1.0
+# Time in which a planner asks an endpoint that was found silent, and in
+# which nobody is told of it again.
+FOUND_SILENT_S = 1.0
 
 
 @dataclasses.dataclass
@@ -28,8 +29,8 @@
     :param avoid_until: local monotonic time in seconds until which it is
         taken only where there is no other.
     :param touched_at: local monotonic time in seconds of the last change.
-    :param told_silent_at: local monotonic time in seconds at which another
-        node told that it is silent.
+    :param found_silent_at: local monotonic time in seconds at which a node
+        last found it silent.
     """
 
     in_flight: int = 0
@@ -37,7 +38,7 @@
     waiting_since: float = NEVER
     avoid_until: float = NEVER
     touched_at: float = NEVER
-    told_silent_at: float = NEVER
+    found_silent_at: float = NEVER
 
     def is_silent(self, now: float, bound_s: float) -> bool:
         """Tell whether requests have waited too long for a sign of work.
@@ -168,7 +169,7 @@
             name
             for name, record in self._records.items()
             if record.is_silent(now, bound_s)
-            or now - record.told_silent_at < TOLD_SILENT_S
+            or now - record.found_silent_at < FOUND_SILENT_S
         )
 
     def is_alone_silent(self, endpoint_id: str, now: float) -> bool:
@@ -186,22 +187,24 @@
         }
         return bool(working) and endpoint_id not in working
 
-    def note_told_silent(self, endpoint_id: str, now: float) -> bool:
-        """Learn from another node that an endpoint is silent.
+    def note_silent(self, endpoint_id: str, now: float) -> bool:
+        """Note that this node or another one finds an endpoint silent.
 
         The load pattern it answers: many nodes with few requests each. Every
         one of them would send a request to a dead endpoint to learn of it.
 
         :param endpoint_id: its identity.
         :param now: local monotonic time in seconds.
-        :returns: whether it is believed; not if it has just worked here.
+        :returns: whether it is news; not if the endpoint has just worked
+            here, or was found silent a short time ago.
         """
         record = self._records[endpoint_id]
         if now - record.progress_at < SIGN_S:
             return False
-        record.told_silent_at = now
+        is_news = now - record.found_silent_at >= FOUND_SILENT_S
+        record.found_silent_at = now
         self.avoid(endpoint_id, now, TOLD_AVOID_S)
-        return True
+        return is_news
 
     def forget_old(self, now: float) -> None:
         """Drop endpoints not used for long, and load told long ago.
--- a/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
+++ b/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
@@ -69,3 +69,16 @@
       | 99.3 | 99.9  | yes  |
       | 99.3 | 99.3  | no   |
       | 99.9 | 99.9  | no   |
+
+  Scenario Outline: What was told a short time ago is no news
+    Given endpoints near with 0 and far with 0 requests in flight
+    And near worked last at <worked> s
+    When another node tells at 99 s that near is silent
+    And another node tells at <again> s that near is silent
+    Then it is news: <news>
+
+    Examples:
+      | worked | again | news |
+      | 90     | 99.5  | no   |
+      | 90     | 100.2 | yes  |
+      | 100.1  | 100.2 | no   |
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -99,7 +99,10 @@
 
         :param endpoint_id: identity of the endpoint.
         """
-        if not self._board.is_alone_silent(endpoint_id, trio.current_time()):
+        now = trio.current_time()
+        if not self._board.is_alone_silent(endpoint_id, now):
+            return
+        if not self._board.note_silent(endpoint_id, now):
             return
         try:
             self._put.send_nowait(endpoint_id)
@@ -187,13 +190,13 @@
             self._learn_silent(hint, now)
 
     def _learn_silent(self, hint: Hint, now: float) -> None:
-        believed = self._board.note_told_silent(hint.silent, now)
-        _LOG.info(
-            "%s tells that %s is silent",
-            hint.node,
-            hint.silent,
-            extra={"endpoint": hint.silent, "believed": believed},
-        )
+        if self._board.note_silent(hint.silent, now):
+            _LOG.info(
+                "%s tells that %s is silent",
+                hint.node,
+                hint.silent,
+                extra={"endpoint": hint.silent},
+            )
 
 
 async def bound_socket(address: Address) -> trio.socket.SocketType:
