--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -14,11 +14,18 @@
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import measures
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import routes
 
 HOST = "h.example"
+HEADERS = (
+    (b"host", HOST.encode()),
+    (b"x-request", b"r1"),
+    (b"x-deadline-s", b"10"),
+    (b"x-model", b"large"),
+)
 TOKEN_S = 0.05
 # Requests for this path are never answered.
 SLOW = b"/slow"
@@ -32,65 +39,6 @@
 )
 
 
-class PlainWire:
-    """A wire form with headers of its own."""
-
-    configuration_key = "configuration"
-    registrations_prefix = "endpoints/"
-    own_prefix = "own/"
-
-    @staticmethod
-    def read_request(head):
-        """Decode the head of a caller's request."""
-        fields = {name: value.decode() for name, value in head.headers}
-        resumes = fields.get(b"x-resumes-after")
-        return messages.CallerRequest(
-            request_id=fields.get(b"x-request", ""),
-            host=HOST,
-            deadline_s=float(fields.get(b"x-deadline-s", "10")),
-            key=fields.get(b"x-key"),
-            resumes_after=int(resumes) if resumes else None,
-            model="large",
-            prompt_tokens=0,
-            max_output_tokens=0,
-            expected_output_tokens=0,
-            headers=head.headers,
-        )
-
-    @staticmethod
-    def answer_headers(request):
-        """Return the headers of the node's own answers."""
-        return [(b"x-request", request.request_id.encode())]
-
-    @staticmethod
-    def request_headers(request, errand):
-        """Return the headers of a request to an endpoint."""
-        headers = [(b"x-request", request.request_id.encode())]
-        headers.append((b"x-left-s", f"{errand.left_s:.3f}".encode()))
-        if errand.resumes_after is not None:
-            after = str(errand.resumes_after).encode()
-            headers.append((b"x-resumes-after", after))
-        return headers
-
-    @staticmethod
-    def read_reply(request, status, headers):
-        """Decode the head of a reply."""
-        fields = dict(headers)
-        kind = messages.ReplyKind.ANSWER
-        if fields.get(b"x-request") != request.request_id.encode():
-            kind = messages.ReplyKind.FOREIGN
-        elif b"x-not-run" in fields:
-            kind = messages.ReplyKind.NOT_RUN
-        elif status >= 400:
-            kind = messages.ReplyKind.FAILURE
-        return messages.ReplyHead(
-            kind=kind,
-            status=status,
-            headers=tuple(headers),
-            is_events=b"x-events" in fields,
-        )
-
-
 class _Body(httpx.AsyncByteStream):
     """A body that is sent at a pace, and may break or go silent."""
 
@@ -250,7 +198,7 @@
 
     def __init__(self, scripts, found):
         self.endpoints = FakeEndpoints(scripts)
-        self.belief = belief_module.Belief(PlainWire, trio.current_time)
+        self.belief = belief_module.Belief(plain_wire, trio.current_time)
         self.belief.table = found
         self.belief.revision = 1
         self.board = dispatch.Board()
@@ -264,9 +212,7 @@
         :param headers: headers besides the request's identity.
         """
         caller = Caller()
-        head = messages.Head(
-            "POST", b"/a", "/a", ((b"x-request", b"r1"), *headers)
-        )
+        head = messages.Head("POST", b"/a", "/a", (*HEADERS, *headers))
         delivery = inbound.Delivery(caller.send, lambda: False)
         begun_at = trio.current_time()
         async with upstream_module.Upstream(
@@ -276,7 +222,7 @@
                 SETTINGS,
                 self.belief,
                 upstream,
-                PlainWire,
+                plain_wire,
                 measures.Measures("n1"),
                 self.board,
                 self.told.append,
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -10,11 +10,12 @@
 from wasabilanding.gateway import belief as belief_module
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import hints
+from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway.tests import fakes
 from wasabilanding import metadata
 from wasabilanding import model
 
-PREFIX = directory.prefix_of(fakes.PlainWire)
+PREFIX = directory.prefix_of(plain_wire)
 SENDER = ("10.0.0.99", 1)
 OWN = directory.NodeAddress("n1", "z1", "10.0.0.1", 1)
 
@@ -74,7 +75,7 @@
         self.boards = {name: dispatch.Board() for name in domains}
         self.hints = {}
         for one in self.addresses:
-            belief = belief_module.Belief(fakes.PlainWire, trio.current_time)
+            belief = belief_module.Belief(plain_wire, trio.current_time)
             belief.own = self.own
             for name in ("e1", "e2"):
                 belief.registry.put(endpoints.endpoint(name))
--- a/packages/gateway/wasabilanding/gateway/tests/steps/planning_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/planning_steps.py
@@ -11,6 +11,7 @@
 from wasabilanding.gateway import control
 from wasabilanding.gateway import lease
 from wasabilanding.gateway import measures
+from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests import memory_store
 from wasabilanding import standins
@@ -25,7 +26,7 @@
 
     def __init__(self, store, rng):
         self.store = memory_store.MemoryStore(store)
-        self.belief = belief_module.Belief(fakes.PlainWire, trio.current_time)
+        self.belief = belief_module.Belief(plain_wire, trio.current_time)
         self.belief.table = fakes.table("safe", False, 1)
         self.scope = trio.CancelScope()
         self.controller = control.Controller(
@@ -33,7 +34,7 @@
             self.belief,
             self.store,
             None,
-            fakes.PlainWire,
+            plain_wire,
             measures.Measures("n"),
             dispatch.Board(),
             fakes.SETTINGS.failure_domain,
--- a/packages/gateway/wasabilanding/gateway/tests/steps/process_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/process_steps.py
@@ -13,6 +13,7 @@
 
 from wasabilanding.gateway import measures
 from wasabilanding.gateway import node as node_module
+from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import metadata
@@ -86,7 +87,7 @@
                 self.settings,
                 _QuietStore(),
                 upstream,
-                fakes.PlainWire,
+                plain_wire,
                 measures.Measures("n1"),
                 random.Random(1),
             )
@@ -120,7 +121,7 @@
             f"http://{self.settings.address}:{self.settings.metrics_port}"
             "/metrics"
         )
-        headers = {"x-request": "r1"}
+        headers = {"x-request": "r1", "host": fakes.HOST}
         async with (
             httpx.AsyncClient() as kept,
             httpx.AsyncClient() as other,
@@ -155,7 +156,9 @@
         url = self._url(self.settings.callers_address) + "/slow"
         async with httpx.AsyncClient(timeout=START_S + STOP_S) as client:
             try:
-                await client.post(url, headers={"x-request": "r3"})
+                await client.post(
+                    url, headers={"x-request": "r3", "host": fakes.HOST}
+                )
             except httpx.HTTPError:
                 return
 
@@ -164,7 +167,7 @@
         host, _, port = self.settings.callers_address.rpartition(":")
         stream = await trio.open_tcp_stream(host, int(port))
         await stream.send_all(
-            b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request: r2\r\n"
+            b"POST /a HTTP/1.1\r\nHost: h.example\r\nX-Request: r2\r\n"
             b"Content-Length: 1\r\n\r\nb"
         )
         received = b""
--- a/packages/metadata/wasabilanding/metadata/__init__.py
+++ b/packages/metadata/wasabilanding/metadata/__init__.py
@@ -22,6 +22,10 @@
 from wasabilanding.metadata.documents import read_configuration
 from wasabilanding.metadata.documents import read_record
 from wasabilanding.metadata.documents import write_record
+from wasabilanding.metadata.items import ItemBody
+from wasabilanding.metadata.items import ItemsBody
+from wasabilanding.metadata.items import ItemStore
+from wasabilanding.metadata.items import WritesBody
 from wasabilanding.metadata.results import Changes
 from wasabilanding.metadata.results import Conflict
 from wasabilanding.metadata.results import Entry
@@ -43,6 +47,10 @@
     "Listing",
     "Lease",
     "Item",
+    "ItemBody",
+    "ItemStore",
+    "ItemsBody",
+    "WritesBody",
     "HistoryLost",
     "Changes",
     "CONFIGURATION_KEY",
--- /dev/null
+++ b/packages/metadata/wasabilanding/metadata/items.py
@@ -0,0 +1,243 @@
+"""HTTP client of the platform's items: prefixes, watches, batches of writes.
+
+It speaks the project's own form. Values are texts; each call shares the
+back-off of :mod:`wasabilanding.metadata.calls`.
+"""
+
+import dataclasses
+import random
+import typing
+
+import httpx
+
+from wasabilanding.metadata import calls
+from wasabilanding.metadata import results
+from wasabilanding import model
+
+WATCH_MARGIN_S = 1.0
+MAX_BACKOFF_S = 0.8
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_GONE = 410
+
+
+@dataclasses.dataclass(frozen=True)
+class ItemBody:
+    """An item or its removal.
+
+    :param key: the key.
+    :param revision: revision that the change made.
+    :param value: the text; None when the key was removed.
+    """
+
+    key: str
+    revision: int
+    value: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class ItemsBody:
+    """Items, or changes in order.
+
+    :param items: the items.
+    :param revision: revision of the store that they reflect.
+    """
+
+    items: tuple[ItemBody, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class WritesBody:
+    """Writes that take effect together or not at all.
+
+    :param values: texts by key.
+    :param lease_id: lease whose end removes the keys; empty for none.
+    :param absent: keys that must not exist.
+    """
+
+    values: dict[str, str]
+    lease_id: str = ""
+    absent: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class _LeaseBody:
+    lease_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class _RevisionBody:
+    revision: int
+
+
+Answer = httpx.Response | results.Unavailable | results.Unknown
+
+
+def _decoded(
+    kind: typing.Any, answer: Answer
+) -> typing.Any | results.Unavailable:
+    if not isinstance(answer, httpx.Response):
+        return results.Unavailable(answer.detail)
+    if answer.is_error:
+        return results.Unavailable(f"{answer.status_code} {answer.text}")
+    try:
+        return model.decode(kind, answer.content)
+    except model.InvalidDocument as error:
+        return results.Unavailable(f"the answer is malformed: {error}")
+
+
+def _has_status(answer: Answer, status: int) -> bool:
+    return isinstance(answer, httpx.Response) and answer.status_code == status
+
+
+def _event(body: ItemBody) -> results.Item | results.Removal:
+    if body.value is None:
+        return results.Removal(body.key, body.revision)
+    return results.Item(body.key, body.value.encode(), body.revision)
+
+
+class ItemStore:
+    """Client of the platform's items; a context manager.
+
+    :param url: base URL of the service.
+    :param transport: replaces the network in tests.
+    :param rng: source of randomness of the back-off.
+    :param count: counts each call by operation and result.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+        rng: random.Random | None = None,
+        count: calls.Count = calls.count_nothing,
+    ) -> None:
+        self._calls = calls.Calls(url, transport, rng, count, MAX_BACKOFF_S)
+
+    async def __aenter__(self) -> "ItemStore":
+        await self._calls.__aenter__()
+        return self
+
+    async def __aexit__(self, *error: typing.Any) -> None:
+        await self._calls.__aexit__(*error)
+
+    async def read_all(
+        self, prefix: str
+    ) -> results.Listing | results.Unavailable:
+        """Read all items under a prefix.
+
+        :param prefix: the prefix.
+        """
+        answer = await self._calls.send(
+            "items", "GET", "/v1/items", params={"prefix": prefix}
+        )
+        body = _decoded(ItemsBody, answer)
+        if isinstance(body, results.Unavailable):
+            return body
+        return results.Listing(tuple(map(_event, body.items)), body.revision)
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> results.Changes | results.HistoryLost | results.Unavailable:
+        """Wait for changes under a prefix.
+
+        :param prefix: the prefix.
+        :param after: revision that is already known.
+        :param wait_s: longest wait in seconds.
+        """
+        answer = await self._calls.send(
+            "changes",
+            "GET",
+            "/v1/changes",
+            params={"prefix": prefix, "after": after, "timeout": wait_s},
+            timeout=wait_s + WATCH_MARGIN_S,
+        )
+        if _has_status(answer, HTTP_GONE):
+            return results.HistoryLost()
+        body = _decoded(ItemsBody, answer)
+        if isinstance(body, results.Unavailable):
+            return body
+        return results.Changes(tuple(map(_event, body.items)), body.revision)
+
+    async def create(
+        self, key: str, value: bytes, lease: results.Lease
+    ) -> results.WriteResult:
+        """Write a key that does not exist.
+
+        :param key: the key.
+        :param value: its value.
+        :param lease: lease whose end removes it.
+        """
+        return await self._write({key: value}, lease, (key,))
+
+    async def put_all(
+        self, items: dict[str, bytes], lease: results.Lease
+    ) -> results.WriteResult:
+        """Write keys, whatever they hold.
+
+        :param items: values by key.
+        :param lease: lease whose end removes them.
+        """
+        return await self._write(items, lease, ())
+
+    async def _write(
+        self,
+        items: dict[str, bytes],
+        lease: results.Lease,
+        absent: tuple[str, ...],
+    ) -> results.WriteResult:
+        values = {key: value.decode() for key, value in items.items()}
+        body = WritesBody(values, str(lease.lease_id), absent)
+        answer = await self._calls.send(
+            "writes", "POST", "/v1/writes", content=model.encode(body)
+        )
+        if isinstance(answer, results.Unknown):
+            return answer
+        if _has_status(answer, HTTP_CONFLICT):
+            return results.Conflict(0)
+        written = _decoded(_RevisionBody, answer)
+        if isinstance(written, results.Unavailable):
+            return written
+        return results.Written(written.revision)
+
+    async def grant_lease(
+        self, ttl_s: float
+    ) -> results.Lease | results.Unavailable:
+        """Ask for a lease.
+
+        :param ttl_s: time to live in seconds.
+        """
+        answer = await self._calls.send(
+            "grant_lease", "POST", "/v1/leases", json={"ttl_s": ttl_s}
+        )
+        body = _decoded(_LeaseBody, answer)
+        if isinstance(body, results.Unavailable):
+            return body
+        return results.Lease(body.lease_id, ttl_s)
+
+    async def renew_lease(
+        self, lease: results.Lease
+    ) -> results.Lease | results.Missing | results.Unavailable:
+        """Renew a lease.
+
+        :param lease: the lease.
+        """
+        answer = await self._calls.send(
+            "renew_lease", "POST", f"/v1/leases/{lease.lease_id}/renew"
+        )
+        if _has_status(answer, HTTP_NOT_FOUND):
+            return results.Missing(str(lease.lease_id))
+        body = _decoded(dict[str, float], answer)
+        if isinstance(body, results.Unavailable):
+            return body
+        return lease
+
+    async def end_lease(self, lease: results.Lease) -> None:
+        """Give a lease back; without an answer it lapses by itself.
+
+        :param lease: the lease.
+        """
+        await self._calls.send(
+            "end_lease", "DELETE", f"/v1/leases/{lease.lease_id}"
+        )
--- a/packages/metadata/wasabilanding/metadata/results.py
+++ b/packages/metadata/wasabilanding/metadata/results.py
@@ -128,11 +128,11 @@
 class Lease:
     """A lease that the service granted.
 
-    :param lease_id: identity of the lease.
+    :param lease_id: identity of the lease, as the service gave it.
     :param ttl_s: time to live in seconds.
     """
 
-    lease_id: int
+    lease_id: int | str
     ttl_s: float
 
 
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/items_http.py
@@ -0,0 +1,60 @@
+"""HTTP face of the platform's items: prefixes, watches, batches of writes."""
+
+import quart
+
+from wasabilanding import metadata
+from wasabilanding import model
+from wasabilanding.standins import store as store_module
+
+HTTP_CONFLICT = 409
+HTTP_GONE = 410
+JSON_TYPE = {"Content-Type": "application/json"}
+
+
+def _answer(
+    items: list[metadata.ItemBody], revision: int
+) -> quart.ResponseReturnValue:
+    body = metadata.ItemsBody(tuple(items), revision)
+    return model.encode(body), 200, JSON_TYPE
+
+
+def _body_of(change: store_module.Change) -> metadata.ItemBody:
+    value = change.stored.value if change.stored else None
+    return metadata.ItemBody(change.key, change.revision, value)
+
+
+def add_items(app: quart.Quart, store: store_module.Store) -> None:
+    """Let an app serve the items of a store.
+
+    :param app: the app.
+    :param store: the store.
+    """
+
+    @app.get("/v1/items")
+    async def items() -> quart.ResponseReturnValue:
+        prefix = quart.request.args.get("prefix", "")
+        found = [
+            metadata.ItemBody(key, stored.revision, stored.value)
+            for key, stored in store.items(prefix).items()
+        ]
+        return _answer(found, store.revision)
+
+    @app.get("/v1/changes")
+    async def changes() -> quart.ResponseReturnValue:
+        arguments = quart.request.args
+        found = await store.wait_changes(
+            arguments.get("prefix", ""),
+            int(arguments["after"]),
+            float(arguments["timeout"]),
+        )
+        if found is None:
+            return {"error": "the history does not reach so far"}, HTTP_GONE
+        return _answer([_body_of(one) for one in found], store.revision)
+
+    @app.post("/v1/writes")
+    async def writes() -> quart.ResponseReturnValue:
+        text = await quart.request.get_data()
+        body = model.decode(metadata.WritesBody, text)
+        if not store.write_all(body.values, body.lease_id, body.absent):
+            return {"error": "a key exists or the lease ended"}, HTTP_CONFLICT
+        return {"revision": store.revision}
--- a/packages/standins/wasabilanding/standins/platform_http.py
+++ b/packages/standins/wasabilanding/standins/platform_http.py
@@ -6,6 +6,7 @@
 import quart_trio
 import trio
 
+from wasabilanding.standins import items_http
 from wasabilanding.standins import rate_limit
 from wasabilanding.standins import store as store_module
 
@@ -182,6 +183,7 @@
     """
     app = quart_trio.QuartTrio("platform")
     _add_keys(app, state)
+    items_http.add_items(app, state.store)
     _add_leases(app, state)
     _add_machines(app, state)
     _add_controls(app, state)
--- a/packages/standins/wasabilanding/standins/store.py
+++ b/packages/standins/wasabilanding/standins/store.py
@@ -98,6 +98,30 @@
         self._notify()
         return stored
 
+    def write_all(
+        self,
+        values: collections.abc.Mapping[str, str],
+        lease_id: str = "",
+        absent: collections.abc.Iterable[str] = (),
+    ) -> bool:
+        """Write keys together, whatever they hold.
+
+        :param values: texts by key.
+        :param lease_id: lease to tie the keys to.
+        :param absent: keys that must not exist.
+        :returns: whether they were written.
+        """
+        self._expire()
+        if lease_id and lease_id not in self._leases:
+            return False
+        if any(key in self._values for key in absent):
+            return False
+        for key, value in values.items():
+            standing = self._values.get(key)
+            expected = standing.revision if standing else 0
+            self.put(key, value, expected, lease_id)
+        return True
+
     def remove(self, key: str) -> None:
         """Remove a key.
 
