--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -0,0 +1,357 @@
+"""Starts an installation on loopback, and what changes it."""
+
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import types
+
+import httpx
+
+from wasabilanding.experiments import launcher
+from wasabilanding.gateway import plain_wire
+from wasabilanding import model
+from wasabilanding import routes
+
+HOST = launcher.HOST
+STANDINS = "wasabilanding.standins.main"
+WRITER = "writer"
+PAGES = "pages"
+SITE = "salon.example"
+LARGE = routes.ModelSpec("large", 3, 0.5, 1.0, 1.0, 0.3)
+SMALL = routes.ModelSpec("small", 2, 0.5, 1.0, 1.0, 0.3)
+PORTS_OF_NODE = 3
+SHUTDOWN_GRACE_S = 8.0
+START_TIMEOUT_S = 20.0
+POLL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What is started.
+
+    :param failure_domains: names of the failure domains.
+    :param nodes_per_domain: gateways in each.
+    :param fabrics_per_domain: fabric domains in each.
+    :param vms_per_fabric: engines in each fabric domain.
+    :param pages_per_domain: plain endpoints in each failure domain.
+    """
+
+    failure_domains: tuple[str, ...] = ("prov", "maipu")
+    nodes_per_domain: int = 2
+    fabrics_per_domain: int = 2
+    vms_per_fabric: int = 5
+    pages_per_domain: int = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Vm:
+    """An engine or plain endpoint.
+
+    :param endpoint_id: its identity.
+    :param failure_domain: its failure domain.
+    :param service: its service.
+    :param fabric_domain: fabric domain; empty for a plain endpoint.
+    :param port: port of its listener.
+    """
+
+    endpoint_id: str
+    failure_domain: str
+    service: str
+    fabric_domain: str
+    port: int
+
+
+@dataclasses.dataclass
+class Gateway:
+    """A gateway that was started.
+
+    :param name: its name.
+    :param callers_url: where callers connect.
+    :param ready_url: where the balancer asks.
+    :param settings: its settings file.
+    :param process: its process, the latest one.
+    """
+
+    name: str
+    callers_url: str
+    ready_url: str
+    settings: pathlib.Path
+    process: subprocess.Popen[bytes]
+
+
+def _route(name: str, prefix: str, kind: str, service: str) -> routes.Route:
+    return routes.Route(
+        name=name,
+        host=SITE,
+        prefix=prefix,
+        kind=routes.RequestKind(kind),
+        resumable=kind == routes.RequestKind.STREAMING.value,
+        timeout_s=6.0,
+        latency_goal_s=0.5,
+        event_gap_s=0.3,
+        priority=1,
+        max_attempts=1 if kind == routes.RequestKind.UNSAFE.value else 3,
+        public=False,
+        targets=(routes.Target(service),),
+    )
+
+
+def table(
+    version: int, keys: tuple[str, ...], timeout_s: float = 6.0
+) -> routes.RoutingTable:
+    """Return the operators' configuration.
+
+    :param version: its version.
+    :param keys: keys that the customer "salon" holds.
+    :param timeout_s: longest time until an answer is due.
+    """
+    found = (
+        _route("drafts", "/drafts/", "streaming", WRITER),
+        _route("pages", "/pages/", "safe", PAGES),
+        _route("sheets", "/sheets/", "unsafe", PAGES),
+    )
+    engine = routes.EngineSpec(4, (LARGE, SMALL), 20.0, 4)
+    return routes.RoutingTable(
+        version,
+        tuple(dataclasses.replace(r, timeout_s=timeout_s) for r in found),
+        (
+            routes.RoutedService(WRITER, 100, engine),
+            routes.RoutedService(PAGES, 100, None),
+        ),
+        routes.CallerLimits(),
+        (routes.KeyHolder("salon", frozenset(keys)),),
+    )
+
+
+class Installation:
+    """A running installation; a context manager.
+
+    :param plan: what is started.
+    :param folder: takes settings and logs.
+    :param forward: returns the port at which something stands before a
+        port, for faults on the way; the port itself where nothing does.
+    """
+
+    def __init__(
+        self,
+        plan: Plan,
+        folder: pathlib.Path,
+        forward: collections.abc.Callable[[str, int], int] | None = None,
+    ) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._forward = forward or (lambda name, port: port)
+        self._processes = launcher.Processes(folder)
+        self._ports = iter(launcher.free_ports(self._port_count()))
+        self.vms: list[Vm] = []
+        self.gateways: list[Gateway] = []
+        self.control_urls: dict[str, str] = {}
+        self.platform_url = ""
+        self._platform_port = 0
+
+    def _port_count(self) -> int:
+        plan = self._plan
+        vms = plan.fabrics_per_domain * plan.vms_per_fabric
+        vms += plan.pages_per_domain
+        nodes = PORTS_OF_NODE * plan.nodes_per_domain
+        return 1 + len(plan.failure_domains) * (1 + vms + nodes)
+
+    def __enter__(self) -> "Installation":
+        try:
+            self._start_platform()
+            self.configure(table(1, ("key-1", "key-2")))
+            for domain in self._plan.failure_domains:
+                self._start_fabric(domain)
+            self._start_gateways()
+        except BaseException:
+            self._processes.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for gateway in self.gateways:
+            if gateway.process.poll() is None:
+                gateway.process.send_signal(signal.SIGCONT)
+        self._processes.stop()
+
+    def _start_platform(self) -> None:
+        self._platform_port = next(self._ports)
+        self.platform_url = f"http://{HOST}:{self._platform_port}"
+        module = (sys.executable, "-m", STANDINS)
+        self._processes.spawn(
+            "platform", *module, "platform", str(self._platform_port)
+        )
+        launcher.wait_for_http(f"{self.platform_url}/standin/calls")
+
+    def configure(self, wanted: routes.RoutingTable) -> None:
+        """Write the operators' configuration.
+
+        :param wanted: the next version.
+        """
+        url = f"{self.platform_url}/v1/writes"
+        body = {plain_wire.configuration_key: model.encode(wanted)}
+        httpx.post(url, json={"values": body}).raise_for_status()
+
+    def _vms_of(self, domain: str) -> list[Vm]:
+        plan = self._plan
+        engines = [
+            (f"{domain}-{fabric}-{i}", WRITER, f"{domain}-{fabric}")
+            for fabric in range(plan.fabrics_per_domain)
+            for i in range(plan.vms_per_fabric)
+        ]
+        pages = [
+            (f"{domain}-page-{i}", PAGES, "")
+            for i in range(plan.pages_per_domain)
+        ]
+        return [
+            Vm(name, domain, service, fabric, next(self._ports))
+            for name, service, fabric in engines + pages
+        ]
+
+    def _start_fabric(self, domain: str) -> None:
+        control_port = next(self._ports)
+        vms = self._vms_of(domain)
+        settings = {
+            "platform_url": self.platform_url,
+            "failure_domain": domain,
+            "control_port": control_port,
+            "vms": [
+                {
+                    "endpoint_id": vm.endpoint_id,
+                    "service": vm.service,
+                    "port": vm.port,
+                    "registered_port": self._forward(vm.endpoint_id, vm.port),
+                    "fabric_domain": vm.fabric_domain,
+                }
+                for vm in vms
+            ],
+        }
+        path = self._folder / f"fabric-{domain}.json"
+        path.write_text(json.dumps(settings))
+        module = (sys.executable, "-m", STANDINS)
+        self._processes.spawn(f"fabric-{domain}", *module, "fabric", str(path))
+        self.vms.extend(vms)
+        self.control_urls[domain] = f"http://{HOST}:{control_port}"
+        launcher.wait_for_http(f"http://{HOST}:{control_port}/standin/runs")
+
+    def _start_gateways(self) -> None:
+        for domain in self._plan.failure_domains:
+            for index in range(self._plan.nodes_per_domain):
+                self._start_gateway(domain, f"{domain}-gateway-{index}")
+        for gateway in self.gateways:
+            launcher.wait_for_http(gateway.ready_url, START_TIMEOUT_S)
+
+    def _start_gateway(self, domain: str, name: str) -> None:
+        callers, ready, peers = (next(self._ports) for _ in range(3))
+        store_port = self._forward(f"{name}-store", self._platform_port)
+        settings = {
+            "node": name,
+            "failure_domain": domain,
+            "callers_address": f"{HOST}:{callers}",
+            "ready_address": f"{HOST}:{ready}",
+            "store_address": f"{HOST}:{store_port}",
+            "first_start": True,
+            "shutdown_grace_s": SHUTDOWN_GRACE_S,
+            "peer_port": peers,
+        }
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.gateways.append(
+            Gateway(
+                name,
+                f"http://{HOST}:{callers}",
+                f"http://{HOST}:{ready}/ready",
+                path,
+                self._spawn_gateway(name, path),
+            )
+        )
+
+    def _spawn_gateway(
+        self, name: str, path: pathlib.Path
+    ) -> subprocess.Popen[bytes]:
+        return self._processes.spawn(
+            name,
+            str(launcher.BIN / "wasabilanding-gateway"),
+            "--settings",
+            str(path),
+        )
+
+    def restart(self, gateway: Gateway) -> None:
+        """Start a gateway again whose process has ended.
+
+        :param gateway: the gateway.
+        """
+        settings = json.loads(gateway.settings.read_text())
+        gateway.settings.write_text(
+            json.dumps({**settings, "first_start": False})
+        )
+        gateway.process = self._spawn_gateway(gateway.name, gateway.settings)
+
+    def tell_vm(self, vm: Vm, what: str) -> None:
+        """Let something happen to an engine.
+
+        :param vm: the engine.
+        :param what: "kill", "restart", "leave", "pause" or "resume".
+        """
+        url = self.control_urls[vm.failure_domain]
+        httpx.post(f"{url}/standin/{vm.endpoint_id}/{what}").raise_for_status()
+
+    def runs(self) -> list[dict]:
+        """Return what the engines have run, in no order."""
+        return [
+            run
+            for url in self.control_urls.values()
+            for run in httpx.get(f"{url}/standin/runs").json()
+        ]
+
+    def broken_by_engines(self) -> list[str]:
+        """Return what the engines saw that must not happen."""
+        return [
+            text
+            for url in self.control_urls.values()
+            for text in httpx.get(f"{url}/standin/violations").json()
+        ]
+
+    def wait_until_serving(self, timeout_s: float = START_TIMEOUT_S) -> float:
+        """Wait until each gateway has a replica of each model to ask.
+
+        :param timeout_s: longest wait in seconds.
+        :returns: the wait in seconds.
+        :raises TimeoutError: when it takes longer.
+        """
+        begun = time.monotonic()
+        wanted = [
+            (gateway.callers_url, name)
+            for gateway in self.gateways
+            for name in (LARGE.name, SMALL.name)
+        ]
+        while wanted:
+            if time.monotonic() - begun > timeout_s:
+                raise TimeoutError(f"not served after {timeout_s} s: {wanted}")
+            wanted = [one for one in wanted if not self._is_served(*one)]
+            time.sleep(POLL_S)
+        return time.monotonic() - begun
+
+    def _is_served(self, url: str, name: str) -> bool:
+        headers = {
+            "host": SITE,
+            "x-key": "key-1",
+            "x-model": name,
+            "x-request": f"probe-{time.monotonic_ns()}",
+            "x-events-wanted": "1",
+        }
+        try:
+            answer = httpx.post(f"{url}/drafts/probe", headers=headers)
+        except httpx.HTTPError:
+            return False
+        return answer.is_success
--- a/packages/experiments/wasabilanding/experiments/launcher.py
+++ b/packages/experiments/wasabilanding/experiments/launcher.py
@@ -106,6 +106,41 @@
     return f"http://{HOST}:{port}"
 
 
+class Processes:
+    """Processes that were started, each with a log file.
+
+    :param folder: takes the logs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._started: list[subprocess.Popen[bytes]] = []
+
+    def spawn(self, name: str, *command: str) -> subprocess.Popen[bytes]:
+        """Start a process.
+
+        :param name: name of its log file; a log that exists goes on.
+        :param command: the command.
+        """
+        with (self._folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(command, stdout=log, stderr=log)
+        self._started.append(process)
+        return process
+
+    def stop(self) -> None:
+        """End all processes, by their ids."""
+        for process in self._started:
+            if process.poll() is None:
+                process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for process in self._started:
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
 class System:
     """A running system; a context manager.
 
@@ -116,7 +151,7 @@
     def __init__(self, plan: Plan, folder: pathlib.Path) -> None:
         self._plan = plan
         self._folder = folder
-        self._processes: list[subprocess.Popen[bytes]] = []
+        self._processes = Processes(folder)
         self._vms: list[dict] = []
         self._ports = iter(free_ports(plan.ports))
         self._fleet_urls: dict[str, str] = {}
@@ -136,7 +171,7 @@
             httpx.put(f"{self.platform_url}/standin/vms", json=self._vms)
             self._start_nodes()
         except BaseException:
-            self._stop()
+            self._processes.stop()
             raise
         return self
 
@@ -146,19 +181,12 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        self._stop()
-
-    def _spawn(self, name: str, *command: str) -> subprocess.Popen[bytes]:
-        log = (self._folder / f"{name}.log").open("wb")
-        with log:
-            process = subprocess.Popen(command, stdout=log, stderr=log)
-        self._processes.append(process)
-        return process
+        self._processes.stop()
 
     def _start_platform(self) -> None:
         port = next(self._ports)
         self.platform_url = _url(port)
-        self._spawn(
+        self._processes.spawn(
             "platform",
             sys.executable,
             "-m",
@@ -197,7 +225,7 @@
         }
         path = self._folder / f"fleet-{domain}.json"
         path.write_text(json.dumps(settings))
-        self._spawn(
+        self._processes.spawn(
             f"fleet-{domain}",
             sys.executable,
             "-m",
@@ -239,7 +267,7 @@
         }
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        process = self._spawn(
+        process = self._processes.spawn(
             name, str(BIN / "wasabilandingd"), "--settings", str(path)
         )
         handle = NodeHandle(
@@ -247,18 +275,6 @@
         )
         self.nodes.append(handle)
 
-    def _stop(self) -> None:
-        for process in self._processes:
-            if process.poll() is None:
-                process.terminate()
-        deadline = time.monotonic() + STOP_TIMEOUT_S
-        for process in self._processes:
-            try:
-                process.wait(max(0.1, deadline - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
-
 
 def wait_for_http(url: str, timeout_s: float = START_TIMEOUT_S) -> None:
     """Wait until a URL answers with success.
--- a/packages/gateway/wasabilanding/gateway/__init__.py
+++ b/packages/gateway/wasabilanding/gateway/__init__.py
@@ -25,8 +25,7 @@
 from wasabilanding.gateway.messages import ReplyKind
 from wasabilanding.gateway.messages import Store
 from wasabilanding.gateway.messages import Wire
-from wasabilanding.gateway.node import opened
-from wasabilanding.gateway.node import serve
+from wasabilanding.gateway.process import run_process
 from wasabilanding.gateway.settings import load_settings
 from wasabilanding.gateway.settings import Settings
 from wasabilanding.gateway.upstream import TCP_KEEPALIVE
@@ -46,6 +45,5 @@
     "Wire",
     "configure_logging",
     "load_settings",
-    "opened",
-    "serve",
+    "run_process",
 ]
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/main.py
@@ -0,0 +1,30 @@
+"""``wasabilanding-gateway``: a gateway that speaks the project's own form."""
+
+import pathlib
+import typing
+
+import typer
+
+from wasabilanding.gateway import plain_wire
+from wasabilanding.gateway import process
+from wasabilanding import metadata
+
+app = typer.Typer(add_completion=False)
+
+
+def _open_store(address: str, count: metadata.Count) -> metadata.ItemStore:
+    return metadata.ItemStore(f"http://{address}", count=count)
+
+
+@app.command()
+def run(
+    settings: typing.Annotated[
+        pathlib.Path, typer.Option(help="JSON file with the settings.")
+    ],
+) -> None:
+    """Serve callers until SIGTERM."""
+    raise typer.Exit(process.run_process(settings, _open_store, plain_wire))
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/process.py
@@ -0,0 +1,63 @@
+"""The process around a gateway, whatever callers and the store speak."""
+
+import collections.abc
+import contextlib
+import pathlib
+import sys
+
+import trio
+
+from wasabilanding.gateway import logs
+from wasabilanding.gateway import measures as measures_module
+from wasabilanding.gateway import messages
+from wasabilanding.gateway import node as node_module
+from wasabilanding.gateway import settings as settings_module
+from wasabilanding import metadata
+from wasabilanding import model
+
+EXIT_BAD_SETTINGS = 2
+
+# Opens the store at an address; calls are counted.
+OpenStore = collections.abc.Callable[
+    [str, metadata.Count],
+    contextlib.AbstractAsyncContextManager[messages.Store],
+]
+
+
+async def _run(
+    settings: settings_module.Settings,
+    path: pathlib.Path,
+    open_store: OpenStore,
+    wire: messages.Wire,
+) -> None:
+    measures = measures_module.Measures(settings.node)
+    address = settings.store_address
+    async with (
+        open_store(address, measures.count_store_call) as store,
+        node_module.opened(settings, store, wire, measures) as node,
+    ):
+        await node_module.serve(
+            node, settings, lambda: settings_module.load_settings(path)
+        )
+
+
+def run_process(
+    path: pathlib.Path, open_store: OpenStore, wire: messages.Wire
+) -> int:
+    """Run a gateway until it has shut down.
+
+    :param path: its settings file.
+    :param open_store: opens the store.
+    :param wire: how callers and endpoints speak.
+    :returns: exit status.
+    """
+    try:
+        settings = settings_module.load_settings(path)
+    except (OSError, model.InvalidDocument) as error:
+        print(f"settings {path}: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    logs.configure_logging(
+        settings.node, settings.failure_domain, settings.log_level
+    )
+    trio.run(_run, settings, path, open_store, wire)
+    return 0
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/registered.py
@@ -0,0 +1,421 @@
+"""Engines that register themselves, join replicas by order and serve streams.
+
+Explanation
+===========
+
+One :class:`Fabric` holds the engines of a failure domain. A replica works
+while each of its members lives and still belongs to it; when one is gone the
+head goes on taking requests, nothing moves, and after a while it is broken.
+Loads share the weight store. Time is trio's clock.
+"""
+
+import collections.abc
+import dataclasses
+
+import trio
+
+from wasabilanding import fleet
+
+STATES = fleet.MemberState
+HTTP_OK = 200
+HTTP_ACCEPTED = 202
+HTTP_BAD_REQUEST = 400
+HTTP_CONFLICT = 409
+HTTP_LOW_EPOCH = 412
+CHECK_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class RegisteredSettings:
+    """How the engines of a fabric behave.
+
+    :param slots: requests that a replica or plain endpoint runs at a time.
+    :param event_s: seconds from one event of a stream to the next.
+    :param work_s: seconds that a plain request takes.
+    :param rejoin_s: seconds of a join whose model is still in memory.
+    :param warm_s: seconds of a join whose model is staged on the host.
+    :param load_s: seconds of a load from the weight store.
+    :param loads_at_once: loads that the weight store carries.
+    :param form_s: seconds from an order to open until a head serves.
+    :param stall_s: seconds after which a replica without a member is broken.
+    :param drain_s: seconds that an engine serves after it has announced
+        that it leaves.
+    """
+
+    slots: int = 4
+    event_s: float = 0.02
+    work_s: float = 0.05
+    rejoin_s: float = 0.1
+    warm_s: float = 0.3
+    load_s: float = 1.0
+    loads_at_once: int = 4
+    form_s: float = 0.1
+    stall_s: float = 4.0
+    drain_s: float = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RunEntry:
+    """A request that an engine began to run.
+
+    :param request_id: identity that the caller gave it.
+    :param endpoint: identity of the engine.
+    :param life: number of the engine's start.
+    :param path: path and query.
+    :param customer: customer that the entry VM named.
+    :param body: the body.
+    :param whole: whether the replica had all members, each ready under its
+        identity and epoch.
+    """
+
+    request_id: str
+    endpoint: str
+    life: int
+    path: str
+    customer: str
+    body: str
+    whole: bool
+
+
+class Engine:
+    """One engine of a fabric.
+
+    :param endpoint_id: its identity.
+    :param service: service that it belongs to.
+    :param fabric_domain: fabric domain; empty for a plain endpoint.
+    :param fabric: the engines that it may join.
+    """
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        service: str,
+        fabric_domain: str,
+        fabric: "Fabric",
+    ) -> None:
+        self._fabric = fabric
+        self.endpoint_id = endpoint_id
+        self.service = service
+        self.fabric_domain = fabric_domain
+        self.life = 1
+        self.alive = True
+        self.paused = False
+        self.draining = False
+        self.in_flight = 0
+        self.changed = trio.Event()
+        self.staged = ""
+        self._forget()
+
+    def _forget(self) -> None:
+        self.membership: fleet.Membership | None = None
+        self.members: tuple[str, ...] = ()
+        self.model = ""
+        self.resident = ""
+        self._highest_epoch = 0
+
+    def notify(self) -> None:
+        """Wake up whoever waits for a change of this engine."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def kill(self) -> None:
+        """End this start of the engine."""
+        self.alive = False
+        self._forget()
+        self.notify()
+
+    def restart(self) -> None:
+        """Start again under the same identity; the host keeps its weights."""
+        self.life += 1
+        self.alive = True
+        self.paused = False
+        self.draining = False
+        self.in_flight = 0
+        self._forget()
+        self.notify()
+
+    def entry(self, host: str, port: int) -> fleet.Endpoint:
+        """Return its registration.
+
+        :param host: address of its listener.
+        :param port: port of its listener.
+        """
+        return fleet.Endpoint(
+            endpoint_id=self.endpoint_id,
+            service=self.service,
+            host=host,
+            port=port,
+            failure_domain=self._fabric.failure_domain,
+            draining=self.draining,
+            slots=self._fabric.settings.slots,
+            started_at_ms=self.life,
+            fabric_domain=self.fabric_domain,
+            model=self.model,
+            staged=(self.staged,) if self.staged else (),
+            membership=self.membership,
+        )
+
+    @property
+    def place(self) -> fleet.Place | None:
+        """Replica and epoch that it belongs to; None for none."""
+        return self.membership.place if self.membership else None
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether it is a plain endpoint or the head of an open replica."""
+        if not self.fabric_domain:
+            return True
+        return (
+            self.membership is not None
+            and self.membership.rank == 0
+            and self.membership.state is STATES.OPEN
+        )
+
+    @property
+    def works(self) -> bool:
+        """Whether it moves: alive, not paused, with all its members."""
+        if not self.alive or self.paused:
+            return False
+        return not self.fabric_domain or self._fabric.is_whole(self)
+
+    def join(
+        self, replica: str, epoch: int, model: str, members: tuple[str, ...]
+    ) -> int:
+        """Take an order to join a replica.
+
+        :param replica: identity of the replica.
+        :param epoch: its epoch.
+        :param model: its model.
+        :param members: identities of its members, the head first.
+        :returns: HTTP status.
+        """
+        if self.endpoint_id not in members:
+            return HTTP_BAD_REQUEST
+        place = replica, epoch
+        if place == self.place:
+            same = members == self.members
+            return HTTP_OK if same else HTTP_LOW_EPOCH
+        if epoch < self._highest_epoch:
+            return HTTP_LOW_EPOCH
+        self._fabric.note_join(self)
+        before = self.model or self.resident
+        self._highest_epoch = epoch
+        self.members = members
+        self.model = ""
+        rank = members.index(self.endpoint_id)
+        self.membership = fleet.Membership(
+            replica, epoch, rank, STATES.JOINING
+        )
+        self.notify()
+        self._fabric.start(self._get_ready, place, model, before)
+        return HTTP_ACCEPTED
+
+    async def _get_ready(
+        self, place: fleet.Place, model: str, before: str
+    ) -> None:
+        settings = self._fabric.settings
+        if model == before:
+            await trio.sleep(settings.rejoin_s)
+        elif model == self.staged:
+            await trio.sleep(settings.warm_s)
+        else:
+            await self._fabric.load()
+            self.staged = model
+        if self.place == place and self.alive:
+            self.model = model
+            self.resident = model
+            self._enter(STATES.READY)
+            self._fabric.note_ready(self)
+
+    def _enter(self, state: fleet.MemberState) -> None:
+        self.membership = dataclasses.replace(self.membership, state=state)
+        self.notify()
+
+    def open(self, replica: str, epoch: int) -> int:
+        """Take an order to serve.
+
+        :param replica: identity of the replica.
+        :param epoch: its epoch.
+        :returns: HTTP status.
+        """
+        if self.place != (replica, epoch) or self.membership.rank:
+            return HTTP_CONFLICT
+        if self.membership.state is STATES.OPEN:
+            return HTTP_OK
+        if self.membership.state is not STATES.READY:
+            return HTTP_CONFLICT
+        self._fabric.start(self._open_later, self.place)
+        return HTTP_ACCEPTED
+
+    async def _open_later(self, place: fleet.Place) -> None:
+        await trio.sleep(self._fabric.settings.form_s)
+        if self.place == place and self.membership.state is STATES.READY:
+            self._enter(STATES.OPEN)
+            self._fabric.start(self._break_when_stalled, place)
+
+    async def _break_when_stalled(self, place: fleet.Place) -> None:
+        """Be broken when a member has been gone for long."""
+        worked_at = trio.current_time()
+        serving = (STATES.OPEN, STATES.CLOSING)
+        while self.place == place and self.membership.state in serving:
+            await trio.sleep(CHECK_S)
+            now = trio.current_time()
+            if self._fabric.is_whole(self):
+                worked_at = now
+            elif now - worked_at > self._fabric.settings.stall_s:
+                if self.place == place:
+                    self._enter(STATES.BROKEN)
+                return
+
+    def close(self, replica: str, epoch: int, at_once: bool) -> int:
+        """Take an order to serve no more.
+
+        :param replica: identity of the replica.
+        :param epoch: its epoch.
+        :param at_once: whether to break off what runs.
+        :returns: HTTP status.
+        """
+        if self.place != (replica, epoch):
+            return HTTP_CONFLICT
+        if self.membership.state is not STATES.OPEN:
+            return HTTP_OK
+        self._enter(STATES.READY if at_once else STATES.CLOSING)
+        if not at_once:
+            self._fabric.start(self._close_later, self.place)
+        return HTTP_ACCEPTED
+
+    async def _close_later(self, place: fleet.Place) -> None:
+        while self.in_flight and self.place == place:
+            await trio.sleep(CHECK_S)
+        if self.place == place and self.membership.state is STATES.CLOSING:
+            self._enter(STATES.READY)
+
+    def leave(self, replica: str, epoch: int) -> int:
+        """Take an order to leave a replica.
+
+        :param replica: identity of the replica.
+        :param epoch: its epoch.
+        :returns: HTTP status.
+        """
+        if self.place != (replica, epoch):
+            return HTTP_CONFLICT
+        self.resident = self.model
+        self.model = ""
+        self.membership = None
+        self.members = ()
+        self.notify()
+        return HTTP_OK
+
+    def stage(self, model: str) -> int:
+        """Take an order to load weights onto the host.
+
+        :param model: the model.
+        :returns: HTTP status.
+        """
+        if model == self.staged:
+            return HTTP_OK
+        self._fabric.start(self._stage_later, model)
+        return HTTP_ACCEPTED
+
+    async def _stage_later(self, model: str) -> None:
+        await self._fabric.load()
+        self.staged = model
+        self.notify()
+
+
+class Fabric:
+    """The engines of one failure domain.
+
+    :param failure_domain: the failure domain.
+    :param settings: how they behave.
+    :param nursery: runs what they do.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        settings: RegisteredSettings,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._nursery = nursery
+        self._loads = trio.CapacityLimiter(settings.loads_at_once)
+        self._been_ready: dict[fleet.Place, set[tuple[str, int]]] = {}
+        self.failure_domain = failure_domain
+        self.settings = settings
+        self.engines: dict[str, Engine] = {}
+        self.runs: list[RunEntry] = []
+        self.violations: list[str] = []
+
+    def add(self, endpoint_id: str, service: str, domain: str) -> Engine:
+        """Add an engine.
+
+        :param endpoint_id: its identity.
+        :param service: service that it belongs to.
+        :param domain: fabric domain; empty for a plain endpoint.
+        """
+        engine = Engine(endpoint_id, service, domain, self)
+        self.engines[endpoint_id] = engine
+        return engine
+
+    def start(
+        self,
+        action: collections.abc.Callable[..., collections.abc.Awaitable[None]],
+        *arguments: object,
+    ) -> None:
+        """Let something happen in time.
+
+        :param action: what happens.
+        :param arguments: its arguments.
+        """
+        self._nursery.start_soon(action, *arguments)
+
+    async def load(self) -> None:
+        """Load weights; more loads than the store carries wait."""
+        async with self._loads:
+            await trio.sleep(self.settings.load_s)
+
+    def _members(self, engine: Engine) -> list[Engine]:
+        return [self.engines[name] for name in engine.members]
+
+    def is_whole(self, engine: Engine) -> bool:
+        """Tell whether all members of a replica live and belong to it.
+
+        :param engine: its head.
+        """
+        return all(
+            one.alive and not one.paused and one.place == engine.place
+            for one in self._members(engine)
+        )
+
+    def note_ready(self, engine: Engine) -> None:
+        """Note that a member is ready.
+
+        :param engine: the member.
+        """
+        ready = self._been_ready.setdefault(engine.place, set())
+        ready.add((engine.endpoint_id, engine.life))
+
+    def has_been_whole(self, head: Engine) -> bool:
+        """Tell whether each member was ready under the head's replica.
+
+        :param head: the head.
+        """
+        ready = self._been_ready.get(head.place, set())
+        return {name for name, _ in ready} >= set(head.members)
+
+    def note_join(self, engine: Engine) -> None:
+        """Check that an engine that joins another replica is free.
+
+        :param engine: the engine, before it joins.
+        """
+        if engine.place is None or not engine.members:
+            return
+        head = self.engines[engine.members[0]]
+        serving = (STATES.OPEN, STATES.CLOSING)
+        if not head.alive or head.place != engine.place:
+            return
+        if head.membership.state in serving:
+            self.violations.append(
+                f"{engine.endpoint_id} leaves {engine.place} for another "
+                f"replica while {head.endpoint_id} serves it"
+            )
--- /dev/null
+++ b/packages/standins/wasabilanding/standins/registered_http.py
@@ -0,0 +1,228 @@
+"""HTTP face of an engine that registers itself, and its registration."""
+
+import collections.abc
+import json
+
+import quart
+import quart_trio
+import trio
+
+from wasabilanding.gateway import plain_wire
+from wasabilanding import metadata
+from wasabilanding import model
+from wasabilanding.standins import registered
+
+LEASE_S = 1.5
+RENEW_S = 0.4
+RETRY_S = 0.2
+POLL_S = 0.005
+DEFAULT_EVENTS = 8
+HTTP_MISDIRECTED = 421
+HTTP_FULL = 503
+EVENTS_TYPE = "text/event-stream"
+Headers = collections.abc.Mapping[str, str]
+
+
+class ConnectionDropped(ConnectionAbortedError):
+    """The engine is gone in the middle of an answer."""
+
+
+async def _work(engine: registered.Engine, life: int, seconds: float) -> None:
+    """Wait until an engine has worked for some time.
+
+    :raises ConnectionDropped: when it is gone.
+    """
+    left_s = seconds
+    while left_s > 0 or not engine.works:
+        if engine.life != life or not engine.alive:
+            raise ConnectionDropped(f"{engine.endpoint_id} is gone")
+        if not engine.takes_requests and not engine.in_flight:
+            raise ConnectionDropped(f"{engine.endpoint_id} left")
+        pause_s = min(max(left_s, POLL_S), POLL_S * 4)
+        await trio.sleep(pause_s)
+        if engine.works:
+            left_s -= pause_s
+
+
+async def _events(
+    engine: registered.Engine,
+    life: int,
+    numbers: range,
+    event_s: float,
+) -> collections.abc.AsyncIterator[bytes]:
+    engine.in_flight += 1
+    place = engine.place
+    try:
+        for number in numbers:
+            await _work(engine, life, event_s)
+            if engine.place != place:
+                raise ConnectionDropped(f"{engine.endpoint_id} moved on")
+            text = json.dumps({"piece": number})
+            yield f"id: {number}\ndata: {text}\n\n".encode()
+    finally:
+        if engine.life == life:
+            engine.in_flight -= 1
+
+
+def _refusal(
+    engine: registered.Engine, headers: Headers, settings_slots: int
+) -> int | None:
+    if headers.get("x-endpoint") != engine.endpoint_id:
+        return HTTP_MISDIRECTED
+    if not engine.takes_requests:
+        return HTTP_MISDIRECTED
+    if engine.in_flight >= settings_slots:
+        return HTTP_FULL
+    return None
+
+
+def _take_order(engine: registered.Engine, order: plain_wire.OrderBody) -> int:
+    place = order.replica, order.epoch
+    match order.kind:
+        case "join":
+            return engine.join(*place, order.model, order.members)
+        case "open":
+            return engine.open(*place)
+        case "close":
+            return engine.close(*place, order.at_once)
+        case "leave":
+            return engine.leave(*place)
+        case "stage":
+            return engine.stage(order.model)
+    return registered.HTTP_BAD_REQUEST
+
+
+def registered_app(
+    engine: registered.Engine, fabric: registered.Fabric
+) -> quart_trio.QuartTrio:
+    """Return the HTTP app of one engine.
+
+    :param engine: the engine.
+    :param fabric: the engines of its failure domain.
+    """
+    app = quart_trio.QuartTrio("registered")
+
+    @app.post("/v1/orders")
+    async def orders() -> quart.ResponseReturnValue:
+        text = await quart.request.get_data()
+        status = _take_order(engine, model.decode(plain_wire.OrderBody, text))
+        return {"life": engine.life}, status
+
+    @app.get("/v1/report")
+    async def report() -> quart.ResponseReturnValue:
+        found = plain_wire.Report(engine.membership)
+        return model.encode(found), 200, {"Content-Type": "application/json"}
+
+    @app.route("/<path:path>", methods=["GET", "POST"])
+    async def serve(path: str) -> quart.ResponseReturnValue:
+        request = quart.request
+        body = (await request.get_data()).decode(errors="replace")
+        own = {"x-request": request.headers.get("x-request", "")}
+        refused = _refusal(engine, request.headers, fabric.settings.slots)
+        if refused is not None:
+            return {"error": "not run"}, refused, {**own, "x-not-run": "1"}
+        fabric.runs.append(_entry(engine, fabric, body))
+        if not engine.fabric_domain:
+            return await _answer_plain(engine, fabric, body, own)
+        return _stream(engine, fabric, own)
+
+    return app
+
+
+def _entry(
+    engine: registered.Engine, fabric: registered.Fabric, body: str
+) -> registered.RunEntry:
+    headers = quart.request.headers
+    plain = not engine.fabric_domain
+    return registered.RunEntry(
+        request_id=headers.get("x-request", ""),
+        endpoint=engine.endpoint_id,
+        life=engine.life,
+        path=quart.request.full_path.rstrip("?"),
+        customer=headers.get("x-customer", ""),
+        body=body,
+        whole=plain or fabric.has_been_whole(engine),
+    )
+
+
+async def _answer_plain(
+    engine: registered.Engine,
+    fabric: registered.Fabric,
+    body: str,
+    own: dict[str, str],
+) -> quart.ResponseReturnValue:
+    life = engine.life
+    engine.in_flight += 1
+    try:
+        await _work(engine, life, fabric.settings.work_s)
+    finally:
+        if engine.life == life:
+            engine.in_flight -= 1
+    return {"endpoint": engine.endpoint_id, "body": body}, 200, own
+
+
+def _stream(
+    engine: registered.Engine,
+    fabric: registered.Fabric,
+    own: dict[str, str],
+) -> quart.Response:
+    headers = quart.request.headers
+    count = int(headers.get("x-events-wanted", DEFAULT_EVENTS))
+    first = int(headers.get("x-resumes-after", -1)) + 1
+    events = _events(
+        engine, engine.life, range(first, count), fabric.settings.event_s
+    )
+    response = quart.Response(
+        events, content_type=EVENTS_TYPE, headers={**own, "x-events": "1"}
+    )
+    response.timeout = None
+    return response
+
+
+async def keep_registered(
+    engine: registered.Engine,
+    store: metadata.ItemStore,
+    host: str,
+    port: int,
+) -> None:
+    """Keep an engine's registration in the store; never returns.
+
+    :param engine: the engine.
+    :param store: the platform's items.
+    :param host: address of its listener.
+    :param port: port of its listener.
+    """
+    lease = None
+    written = None
+    while True:
+        changed = engine.changed
+        if not engine.alive or engine.paused:
+            lease = written = None
+            await changed.wait()
+            continue
+        entry = engine.entry(host, port)
+        if lease is None:
+            granted = await store.grant_lease(LEASE_S)
+            lease = granted if isinstance(granted, metadata.Lease) else None
+            written = None
+        elif entry == written:
+            renewed = await store.renew_lease(lease)
+            if isinstance(renewed, metadata.Missing):
+                lease = None
+                continue
+        if lease is not None and entry != written:
+            written = await _write(engine, store, entry, lease)
+        with trio.move_on_after(RENEW_S if written else RETRY_S):
+            await changed.wait()
+
+
+async def _write(
+    engine: registered.Engine,
+    store: metadata.ItemStore,
+    entry: object,
+    lease: metadata.Lease,
+) -> object | None:
+    """Write a registration and return it, or None when it is not written."""
+    key = f"{plain_wire.registrations_prefix}{engine.endpoint_id}"
+    result = await store.put_all({key: model.encode(entry).encode()}, lease)
+    return entry if isinstance(result, metadata.Written) else None
