Soak the gateways with random faults and planned changes

Callers use kept connections until the process is gone. Checked from outside: streams piece by piece, at most once, refusals that say "not run", nothing unasked, whole replicas, revoked keys, nothing cut by planned changes alone, service again at the end.

--- a/packages/experiments/wasabilanding/experiments/installation/checks.py
+++ b/packages/experiments/wasabilanding/experiments/installation/checks.py
@@ -86,8 +86,12 @@
 ) -> collections.abc.Iterator[str]:
     if not seen.planned_only:
         return
+    ran = {run["request_id"] for run in seen.runs}
     for answer in seen.answers:
-        if answer.sent and not answer.whole:
+        # A request that crosses the close of an idle connection, and that
+        # nothing was done with, may be sent again.
+        taken = answer.status or answer.request.request_id in ran
+        if answer.sent and not answer.whole and taken:
             yield (
                 f"{answer.request.request_id}: cut at {answer.gateway} by a "
                 f"planned change, status {answer.status}"
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/proxy.py
@@ -0,0 +1,124 @@
+"""A loopback proxy that delays, cuts, silences and resets connections."""
+
+import collections.abc
+import enum
+import socket
+import struct
+
+import trio
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65_536
+BACKLOG = 200
+DELAY_S = 0.15
+# Closing with this option resets a connection.
+RESET = struct.pack("ii", 1, 0)
+
+
+class Mode(enum.Enum):
+    """What a proxy does with its connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENT = "silent"
+    # Nothing goes towards the server, or towards the client.
+    CUT_UP = "cut up"
+    CUT_DOWN = "cut down"
+
+
+FAULTS = tuple(mode for mode in Mode if mode is not Mode.PASS)
+HELD_UP = (Mode.SILENT, Mode.CUT_UP)
+HELD_DOWN = (Mode.SILENT, Mode.CUT_DOWN)
+
+
+class Proxy:
+    """Stands before one port.
+
+    :param name: what stands behind it.
+    :param target: the port.
+    """
+
+    def __init__(self, name: str, target: int) -> None:
+        self._target = target
+        self._changed = trio.Event()
+        self._scopes: set[trio.CancelScope] = set()
+        self._socket = socket.socket()
+        self._socket.bind((HOST, 0))
+        self._socket.listen(BACKLOG)
+        self.name = name
+        self.mode = Mode.PASS
+
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self._socket.getsockname()[1]
+
+    def enter(self, mode: Mode) -> None:
+        """Change what it does; a reset also ends what is open.
+
+        :param mode: what it does from now on.
+        """
+        self.mode = mode
+        if mode is Mode.RESET:
+            for scope in self._scopes:
+                scope.cancel()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def run(self) -> None:
+        """Serve; never returns."""
+        self._socket.setblocking(False)
+        listener = trio.socket.from_stdlib_socket(self._socket)
+        async with trio.open_nursery() as nursery:
+            while True:
+                accepted, _ = await listener.accept()
+                nursery.start_soon(self._relay, accepted)
+
+    async def _relay(self, accepted: trio.socket.SocketType) -> None:
+        client = trio.SocketStream(accepted)
+        if self.mode is Mode.RESET:
+            _reset(client)
+            return
+        try:
+            server = await trio.open_tcp_stream(HOST, self._target)
+        except OSError:
+            _reset(client)
+            return
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, client, server, HELD_UP, scope)
+                nursery.start_soon(
+                    self._pump, server, client, HELD_DOWN, scope
+                )
+        self._scopes.discard(scope)
+        _reset(client)
+        _reset(server)
+
+    async def _pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        held: collections.abc.Container[Mode],
+        scope: trio.CancelScope,
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive_some(CHUNK_BYTES)
+                while self.mode in held:
+                    await self._changed.wait()
+                if self.mode is Mode.DELAY:
+                    await trio.sleep(DELAY_S)
+                if not data:
+                    await sink.send_eof()
+                    return
+                await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            scope.cancel()
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    """Close a connection; the other side sees a reset if data was left."""
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    stream.socket.close()
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/soak.py
@@ -0,0 +1,400 @@
+"""The fault soak: real processes, random faults from outside, promises.
+
+Explanation
+===========
+
+A seed draws an installation's faults and planned changes, in series and
+overlapping, while callers use kept connections until a process is gone. At
+the end everything is mended and must serve again. What callers got and what
+the engines ran is checked by :func:`wasabilanding.experiments.installation.
+violations`. Processes and ports are real, so that a seed repeats what is
+done, not how the machine schedules it.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+import httpx
+import trio
+import typer
+
+from wasabilanding.experiments.installation import checks
+from wasabilanding.experiments.installation import launch
+from wasabilanding.experiments.installation import load
+from wasabilanding.experiments.installation import proxy
+
+CALLERS = 12
+PAUSE_S = (0.0, 0.25)
+BETWEEN_CHANGES_S = (0.1, 1.5)
+FAULT_S = (0.3, 3.0)
+RECOVERY_S = 15.0
+STOP_S = launch.SHUTDOWN_GRACE_S + 2.0
+EXIT_BROKEN = 1
+KEYS = ("key-1", "key-2")
+# A safe margin over the bound on a change of the configuration.
+LAST_CHANGE_S = 1.0
+
+app = typer.Typer(add_completion=False)
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """Result of one seed.
+
+    :param seed: the seed.
+    :param actions: what was done, in order.
+    :param outcomes: answers by status; 0 for none that is whole.
+    :param broken: what did not hold.
+    """
+
+    seed: int
+    actions: tuple[str, ...]
+    outcomes: dict[int, int]
+    broken: tuple[str, ...]
+
+
+class Soak:
+    """One run of the soak.
+
+    :param seed: draws what is done.
+    :param planned_only: whether only planned changes are made.
+    :param folder: takes settings and logs.
+    """
+
+    def __init__(
+        self, seed: int, planned_only: bool, folder: pathlib.Path
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._planned_only = planned_only
+        self._proxies: dict[str, proxy.Proxy] = {}
+        self._installation = launch.Installation(
+            launch.Plan(), folder, self._forward
+        )
+        self._busy: set[str] = set()
+        self._version = 1
+        self._count = 0
+        self._revoked: dict[str, float] = {}
+        self._is_over = False
+        self.actions: list[str] = []
+        self.answers: list[load.Answer] = []
+
+    def _forward(self, name: str, port: int) -> int:
+        self._proxies[name] = proxy.Proxy(name, port)
+        return self._proxies[name].port
+
+    async def run(self, seconds: float) -> tuple[str, ...]:
+        """Run the installation with all that happens to it.
+
+        :param seconds: how long things happen.
+        :returns: what did not hold.
+        """
+        enter = self._installation.__enter__
+        async with trio.open_nursery() as nursery:
+            # The proxies must run while the processes start.
+            starter = trio.Event()
+            nursery.start_soon(self._run_proxies, starter)
+            await trio.to_thread.run_sync(enter)
+            starter.set()
+            try:
+                broken = await self._play(seconds)
+            finally:
+                with trio.CancelScope(shield=True):
+                    await trio.to_thread.run_sync(
+                        self._installation.__exit__, None, None, None
+                    )
+            nursery.cancel_scope.cancel()
+        return broken
+
+    async def _run_proxies(self, starter: trio.Event) -> None:
+        """Run proxies as they appear while the installation starts."""
+        running: set[str] = set()
+        async with trio.open_nursery() as nursery:
+            while True:
+                for name in list(self._proxies):
+                    if name not in running:
+                        running.add(name)
+                        nursery.start_soon(self._proxies[name].run)
+                with trio.move_on_after(launch.POLL_S):
+                    await starter.wait()
+                    return await trio.sleep_forever()
+
+    async def _play(self, seconds: float) -> tuple[str, ...]:
+        await trio.to_thread.run_sync(self._installation.wait_until_serving)
+        async with trio.open_nursery() as nursery:
+            for _ in range(CALLERS):
+                nursery.start_soon(self._call)
+            async with trio.open_nursery() as changes:
+                with trio.move_on_after(seconds):
+                    await self._change(changes)
+            await trio.sleep(LAST_CHANGE_S)
+            self._is_over = True
+        return await self._judge()
+
+    async def _judge(self) -> tuple[str, ...]:
+        late = []
+        try:
+            await trio.to_thread.run_sync(
+                self._installation.wait_until_serving, RECOVERY_S
+            )
+        except TimeoutError as error:
+            late.append(f"does not serve again: {error}")
+        seen = checks.Observation(
+            tuple(self.answers),
+            tuple(await trio.to_thread.run_sync(self._installation.runs)),
+            tuple(self._installation.broken_by_engines()),
+            self._revoked,
+            self._planned_only,
+        )
+        return (*checks.violations(seen), *late)
+
+    async def _call(self) -> None:
+        """Send requests, each to a random gateway, on kept connections."""
+        async with httpx.AsyncClient() as client:
+            while not self._is_over:
+                gateway = self._rng.choice(self._installation.gateways)
+                key = self._rng.choice(KEYS)
+                self._count += 1
+                request = load.draw(self._rng, self._count, key)
+                self.answers.append(await load.send(client, gateway, request))
+                await trio.sleep(self._rng.uniform(*PAUSE_S))
+
+    async def _change(self, nursery: trio.Nursery) -> None:
+        """Begin faults and planned changes, also while others go on."""
+        kinds: list[collections.abc.Callable] = [
+            self._stop_gateway,
+            self._reload_gateway,
+            self._configure,
+            self._let_engine_leave,
+        ]
+        if not self._planned_only:
+            kinds += [
+                self._kill_gateway,
+                self._freeze_gateway,
+                self._kill_engine,
+                self._pause_engine,
+                self._harm_link,
+                self._harm_link,
+                self._harm_platform,
+            ]
+        while True:
+            await trio.sleep(self._rng.uniform(*BETWEEN_CHANGES_S))
+            nursery.start_soon(self._rng.choice(kinds))
+
+    def _draw(self, names: collections.abc.Sequence[str]) -> str | None:
+        """Return a target that nothing happens to yet, and note it."""
+        free = [name for name in names if name not in self._busy]
+        if not free:
+            return None
+        found = self._rng.choice(free)
+        self._busy.add(found)
+        return found
+
+    def _note(self, text: str) -> None:
+        self.actions.append(f"{trio.current_time():.1f} {text}")
+
+    def _draw_gateway(self) -> launch.Gateway | None:
+        by_name = {one.name: one for one in self._installation.gateways}
+        name = self._draw(list(by_name))
+        return by_name[name] if name else None
+
+    def _draw_vm(self) -> launch.Vm | None:
+        by_name = {one.endpoint_id: one for one in self._installation.vms}
+        name = self._draw(list(by_name))
+        return by_name[name] if name else None
+
+    async def _tell(self, vm: launch.Vm, what: str) -> None:
+        self._note(f"{what} {vm.endpoint_id}")
+        await trio.to_thread.run_sync(self._installation.tell_vm, vm, what)
+
+    async def _rest(self) -> None:
+        with trio.CancelScope(shield=True):
+            await trio.sleep(self._rng.uniform(*FAULT_S))
+
+    async def _wait_end(self, process: subprocess.Popen) -> None:
+        while process.poll() is None:
+            await trio.sleep(launch.POLL_S)
+
+    async def _stop_gateway(self) -> None:
+        gateway = self._draw_gateway()
+        if gateway is None:
+            return
+        self._note(f"SIGTERM {gateway.name}")
+        gateway.process.terminate()
+        with trio.move_on_after(STOP_S) as scope:
+            await self._wait_end(gateway.process)
+        if scope.cancelled_caught:
+            self._note(f"{gateway.name} did not end in {STOP_S} s")
+            gateway.process.kill()
+            await self._wait_end(gateway.process)
+        self._installation.restart(gateway)
+        self._busy.discard(gateway.name)
+
+    async def _reload_gateway(self) -> None:
+        gateway = self._draw_gateway()
+        if gateway is None:
+            return
+        self._note(f"SIGHUP {gateway.name}")
+        gateway.process.send_signal(signal.SIGHUP)
+        self._busy.discard(gateway.name)
+
+    async def _configure(self) -> None:
+        self._version += 1
+        keys = KEYS
+        if not self._revoked and self._rng.random() < 0.3:
+            keys = KEYS[:1]
+        if self._revoked:
+            keys = KEYS[:1]
+        timeout_s = self._rng.choice((4.0, 5.0, 6.0))
+        wanted = launch.table(self._version, keys, timeout_s)
+        self._note(f"configuration {self._version}, keys {keys}")
+        try:
+            await trio.to_thread.run_sync(self._installation.configure, wanted)
+        except httpx.HTTPError as error:
+            self._note(f"the platform did not take it: {error!r}")
+            return
+        if keys != KEYS:
+            self._revoked.setdefault(KEYS[1], trio.current_time())
+
+    async def _let_engine_leave(self) -> None:
+        vm = self._draw_vm()
+        if vm is None:
+            return
+        await self._tell(vm, "leave")
+        await trio.sleep(6.0)
+        await self._tell(vm, "restart")
+        self._busy.discard(vm.endpoint_id)
+
+    async def _kill_gateway(self) -> None:
+        gateway = self._draw_gateway()
+        if gateway is None:
+            return
+        self._note(f"SIGKILL {gateway.name}")
+        gateway.process.kill()
+        await self._wait_end(gateway.process)
+        await self._rest()
+        self._installation.restart(gateway)
+        self._busy.discard(gateway.name)
+
+    async def _freeze_gateway(self) -> None:
+        gateway = self._draw_gateway()
+        if gateway is None:
+            return
+        self._note(f"SIGSTOP {gateway.name}")
+        gateway.process.send_signal(signal.SIGSTOP)
+        await self._rest()
+        gateway.process.send_signal(signal.SIGCONT)
+        self._busy.discard(gateway.name)
+
+    async def _kill_engine(self) -> None:
+        vm = self._draw_vm()
+        if vm is None:
+            return
+        await self._tell(vm, "kill")
+        await self._rest()
+        await self._tell(vm, "restart")
+        self._busy.discard(vm.endpoint_id)
+
+    async def _pause_engine(self) -> None:
+        vm = self._draw_vm()
+        if vm is None:
+            return
+        await self._tell(vm, "pause")
+        await self._rest()
+        await self._tell(vm, "resume")
+        self._busy.discard(vm.endpoint_id)
+
+    async def _harm_link(self) -> None:
+        found = self._rng.choice(list(self._proxies.values()))
+        if found.mode is not proxy.Mode.PASS:
+            return
+        mode = self._rng.choice(proxy.FAULTS)
+        self._note(f"link to {found.name}: {mode.value}")
+        found.enter(mode)
+        await self._rest()
+        found.enter(proxy.Mode.PASS)
+
+    async def _harm_platform(self) -> None:
+        fault = self._rng.choice(
+            ({"down": True}, {"delay_s": 0.3}, {"lose_answers": 3})
+        )
+        self._note(f"platform: {fault}")
+        url = f"{self._installation.platform_url}/standin/faults"
+        async with httpx.AsyncClient() as client:
+            await client.put(url, json=fault)
+            await self._rest()
+            await client.put(url, json={})
+
+
+def run_seed(
+    seed: int, seconds: float, planned_only: bool, folder: pathlib.Path
+) -> Result:
+    """Run one seed.
+
+    :param seed: the seed.
+    :param seconds: how long faults and changes happen.
+    :param planned_only: whether only planned changes are made.
+    :param folder: takes settings and logs.
+    """
+    soak = Soak(seed, planned_only, folder)
+    broken = trio.run(soak.run, seconds)
+    outcomes = collections.Counter(
+        answer.status if answer.whole else 0 for answer in soak.answers
+    )
+    return Result(seed, tuple(soak.actions), dict(outcomes), broken)
+
+
+def _show(result: Result) -> None:
+    outcomes = ", ".join(
+        f"{status}: {count}"
+        for status, count in sorted(result.outcomes.items())
+    )
+    verdict = "BROKEN" if result.broken else "kept"
+    print(
+        f"seed {result.seed}: {verdict}; {len(result.actions)} changes; "
+        f"answers {outcomes}",
+        flush=True,
+    )
+    for text in result.broken:
+        print(f"  {text}", flush=True)
+
+
+@app.command()
+def main(
+    seed: typing.Annotated[int, typer.Option(help="First seed.")] = 1,
+    count: typing.Annotated[int, typer.Option(help="Seeds to run.")] = 1,
+    seconds: typing.Annotated[
+        float, typer.Option(help="Seconds of faults for each seed.")
+    ] = 12.0,
+    planned: typing.Annotated[
+        bool, typer.Option(help="Planned changes only: nothing may be cut.")
+    ] = False,
+    keep: typing.Annotated[
+        pathlib.Path, typer.Option(help="Takes the logs of broken seeds.")
+    ] = pathlib.Path("soak-logs"),
+) -> None:
+    """Run seeds of the soak one after the other."""
+    broken = 0
+    for one in range(seed, seed + count):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder)
+            result = run_seed(one, seconds, planned, path)
+            _show(result)
+            if result.broken:
+                broken += 1
+                (path / "actions").write_text("\n".join(result.actions))
+                shutil.copytree(path, keep / str(one), dirs_exist_ok=True)
+    print(f"{count} seeds, {broken} broken", flush=True)
+    sys.exit(EXIT_BROKEN if broken else 0)
+
+
+if __name__ == "__main__":
+    app()
