--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/checks_steps.py
@@ -0,0 +1,176 @@
+"""Steps for the checks of the soak."""
+
+import dataclasses
+import json
+
+import behave
+
+from wasabilanding.experiments import installation
+
+STREAMS = ("drafts-1", "drafts-2")
+PAGE = "pages-3"
+SHEET = "sheets-4"
+NAMES = (*STREAMS, PAGE, SHEET)
+EVENTS = 3
+
+
+def _answer(name):
+    kind = name.partition("-")[0]
+    events = EVENTS if kind == "drafts" else 0
+    request = installation.Request(name, kind, events=events)
+    body = request.due or json.dumps({"body": request.body})
+    return installation.Answer(
+        request, "g1", 10.0, 11.0, 200, True, body, True
+    )
+
+
+def _run(name):
+    request = _answer(name).request
+    return {
+        "request_id": name,
+        "path": request.path,
+        "body": request.body,
+        "customer": "salon",
+        "whole": True,
+    }
+
+
+@behave.given(
+    "two streams, a page and a sheet that were answered as they should"
+)
+def given_observation(context):
+    """Make an observation in which nothing is wrong."""
+    context.answers = {name: _answer(name) for name in NAMES}
+    context.runs = [_run(name) for name in NAMES]
+    context.more = {}
+
+
+def _change_answer(context, name, **changes):
+    answer = context.answers[name]
+    context.answers[name] = dataclasses.replace(answer, **changes)
+
+
+def _change_run(context, name, **changes):
+    for run in context.runs:
+        if run["request_id"] == name:
+            run.update(changes)
+
+
+def _drop_run(context, name):
+    context.runs = [r for r in context.runs if r["request_id"] != name]
+
+
+@behave.when("nothing is wrong")
+def change_nothing(context):
+    """Change nothing."""
+
+
+@behave.when("a stream misses a piece")
+def lose_piece(context):
+    """Take the second event out."""
+    pieces = _answer(STREAMS[0]).body.split("\n\n")
+    text = "\n\n".join([pieces[0], *pieces[2:]])
+    _change_answer(context, STREAMS[0], body=text)
+
+
+@behave.when("a stream has a piece twice")
+def double_piece(context):
+    """Repeat the first event."""
+    text = _answer(STREAMS[0]).body
+    first = text.partition("\n\n")[0] + "\n\n"
+    _change_answer(context, STREAMS[0], body=first + text)
+
+
+@behave.when("a page's answer belongs to another")
+def swap_answer(context):
+    """Give a page the sheet's answer."""
+    _change_answer(context, PAGE, body=_answer(SHEET).body)
+
+
+@behave.when("a {kind} runs twice")
+def run_twice(context, kind):
+    """Add a run."""
+    context.runs.append(_run(PAGE if kind == "page" else SHEET))
+
+
+@behave.when("a sheet that ran is answered 503")
+def refuse_after_run(context):
+    """Answer that it did not run."""
+    _change_answer(context, SHEET, status=503, body="")
+
+
+@behave.when("a sheet that did not run is answered 503")
+def refuse(context):
+    """Answer that it did not run, which is so."""
+    refuse_after_run(context)
+    _drop_run(context, SHEET)
+
+
+@behave.when("a run has no caller")
+def run_unasked(context):
+    """Add a run that nobody asked for."""
+    context.runs.append({**_run(PAGE), "request_id": "pages-99"})
+
+
+@behave.when("a run has another {what}")
+def run_changed(context, what):
+    """Change a run."""
+    _change_run(context, PAGE, **{what: "another"})
+
+
+@behave.when("a run meets a replica that never was whole")
+def run_partial(context):
+    """Let a stream run in a replica without a member."""
+    _change_run(context, STREAMS[0], whole=False)
+
+
+@behave.when("a key runs {seconds:g} s after it was revoked")
+def run_revoked(context, seconds):
+    """Revoke the key of one request."""
+    request = dataclasses.replace(context.answers[PAGE].request, key="key-2")
+    _change_answer(context, PAGE, request=request)
+    context.more = {"revoked": {"key-2": 10.0 - seconds}}
+
+
+@behave.when("a stream is cut by a planned change")
+def cut_planned(context):
+    """Cut a stream while nothing unplanned happens."""
+    _change_answer(context, STREAMS[0], whole=False, body="id: 0")
+    context.more = {"planned_only": True}
+
+
+@behave.when("a stream is cut beside a fault")
+def cut_by_fault(context):
+    """Cut a stream while a fault may have done it."""
+    _change_answer(context, STREAMS[0], whole=False, body="id: 0")
+
+
+@behave.when("a request crosses the close of a connection")
+def cross_close(context):
+    """Send a request on a connection that closes, and run it nowhere."""
+    _change_answer(context, PAGE, whole=False, status=0, body="")
+    _drop_run(context, PAGE)
+    context.more = {"planned_only": True}
+
+
+@behave.when("an engine joins two replicas")
+def join_two(context):
+    """Let an engine report it."""
+    context.more = {"broken_by_engines": ("e1 joins two replicas",)}
+
+
+@behave.then('{count:d} violation is found that says "{text}"')
+def check_found(context, count, text):
+    """Compare what is found."""
+    seen = installation.Observation(
+        tuple(context.answers.values()), tuple(context.runs), **context.more
+    )
+    found = installation.violations(seen)
+    assert len(found) == count, found
+    assert all(text in one for one in found), found
+
+
+@behave.then('{count:d} violation is found that says ""')
+def check_nothing_found(context, count):
+    """Compare what is found."""
+    check_found(context, count, "")
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/soak_steps.py
@@ -0,0 +1,97 @@
+"""Steps for the soak and its proxy."""
+
+import pathlib
+import tempfile
+
+import behave
+import trio
+
+from wasabilanding.experiments.installation import proxy
+from wasabilanding.experiments.installation import soak
+
+HTTP_OK = 200
+WAIT_S = 0.6
+MESSAGE = b"hello"
+
+
+@behave.when("seed {seed:d} of the soak with {changes} runs for {seconds:g} s")
+def run_soak(context, seed, changes, seconds):
+    """Run one seed."""
+    with tempfile.TemporaryDirectory() as folder:
+        context.result = soak.run_seed(
+            seed,
+            seconds,
+            changes == "planned changes only",
+            pathlib.Path(folder),
+        )
+
+
+@behave.then("at least {count:d} requests were answered with 200")
+def check_answers(context, count):
+    """Compare the answers."""
+    outcomes = context.result.outcomes
+    assert outcomes.get(HTTP_OK, 0) >= count, outcomes
+
+
+@behave.then("nothing is broken")
+def check_kept(context):
+    """Compare what did not hold."""
+    assert not context.result.broken, (
+        context.result.actions,
+        context.result.broken,
+    )
+
+
+@behave.given("an echo server behind a proxy")
+def given_proxy(context):
+    """Nothing runs yet."""
+
+
+async def _echo(stream):
+    async for data in stream:
+        await stream.send_all(data)
+
+
+async def _exchange(mode, mended_after_s):
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            trio.serve_tcp, _echo, 0, host=proxy.HOST
+        )
+        port = listeners[0].socket.getsockname()[1]
+        link = proxy.Proxy("echo", port)
+        nursery.start_soon(link.run)
+        link.enter(proxy.Mode(mode))
+        stream = await trio.open_tcp_stream(proxy.HOST, link.port)
+        result = "nothing"
+        try:
+            await stream.send_all(MESSAGE)
+            if mended_after_s:
+                await trio.sleep(mended_after_s)
+                link.enter(proxy.Mode.PASS)
+            with trio.move_on_after(WAIT_S):
+                data = await stream.receive_some()
+                result = "echo" if data == MESSAGE else "reset"
+        except trio.BrokenResourceError:
+            result = "reset"
+        nursery.cancel_scope.cancel()
+    return result
+
+
+@behave.when("a message is sent while the link is in mode {mode}")
+def send(context, mode):
+    """Send a message through the proxy."""
+    context.result = trio.run(_exchange, mode, 0.0)
+
+
+@behave.when(
+    "a message is sent over a silent link that is mended {seconds:g} s later"
+)
+def send_and_mend(context, seconds):
+    """Send a message, and mend the link while it waits."""
+    context.result = trio.run(_exchange, "silent", seconds)
+
+
+@behave.then('what comes back is "{result}"')
+def check_result(context, result):
+    """Compare the answer."""
+    assert context.result == result, context.result
