--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -31,7 +31,7 @@
 MAX_DATAGRAM_BYTES = 65_535
 # Changes of the load are told after this, later where there are many nodes.
 LOAD_PERIOD_S = 0.05
-MAX_DATAGRAMS_PER_S = 200.0
+MAX_DATAGRAMS_PER_S = 60.0
 # Load that has not changed is told again after this.
 LOAD_REFRESH_S = 0.5
 # Hints that wait to be sent; more are dropped.
