Show the gateways in the demo: registration, joins, routes, keys, staging

`make demo` goes on with a second part: 20 engines register themselves before four gateways, three kinds of request, an engine killed while it streams, a key revoked, a gateway stopped with streams open.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 PROJECTS := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 FUZZ_EXAMPLES ?= 2000
 
-.PHONY: setup demo test fuzz lint format docs relay-benchmark capacity
+SEED ?= 1
+SEEDS ?= 5
+
+.PHONY: setup demo test fuzz lint format docs relay-benchmark capacity soak
 
 setup: $(STAMP)
 
@@ -48,3 +51,7 @@
 
 capacity: setup
 	$(VENV)/bin/python -m wasabilanding.experiments.capacity.measure
+
+soak: setup
+	$(VENV)/bin/python -m wasabilanding.experiments.installation.soak \
+		--seed $(SEED) --count $(SEEDS) $(SOAK)
--- a/packages/experiments/wasabilanding/experiments/demo.py
+++ b/packages/experiments/wasabilanding/experiments/demo.py
@@ -1,4 +1,4 @@
-"""The demo: the main job on an embedded system, with its faults.
+"""The demo: the main job on embedded systems, with its faults.
 
 Explanation
 ===========
@@ -25,6 +25,7 @@
 import rich.table
 
 from wasabilanding.experiments import calling
+from wasabilanding.experiments.installation import demo as installation_demo
 from wasabilanding.experiments import launcher
 
 DOMAINS = ("stgo-prov", "stgo-nunoa", "stgo-maipu")
@@ -276,9 +277,15 @@
 def main() -> None:
     """Run the demo in a temporary folder."""
     with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder)
         try:
-            run_demo(pathlib.Path(folder))
-        except (BrokenPromise, TimeoutError) as error:
+            run_demo(path)
+            installation_demo.run_demo(path, say)
+        except (
+            BrokenPromise,
+            installation_demo.BrokenPromise,
+            TimeoutError,
+        ) as error:
             say(f"BROKEN: {error}")
             sys.exit(EXIT_BROKEN)
     say("every promise was kept")
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/demo.py
@@ -0,0 +1,194 @@
+"""The second part of the demo: gateways before engines that register.
+
+Engines register themselves and join replicas by order; requests of three
+kinds go through four gateways; an engine dies while it streams; a key is
+revoked; a gateway is stopped with streams open. Each step checks a promise.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import pathlib
+
+import httpx
+import rich.console
+import rich.table
+import trio
+
+from wasabilanding.experiments.installation import checks
+from wasabilanding.experiments.installation import launch
+from wasabilanding.experiments.installation import load
+
+SAY = collections.abc.Callable[[str], None]
+REQUESTS_OF_KIND = 12
+LONG_STREAM = 60
+STREAMS = 8
+UNDER_WAY_S = 0.4
+REVOKED_WITHIN_S = 3.0
+POLL_S = 0.1
+HTTP_OK = 200
+HTTP_UNAUTHORIZED = 401
+
+
+class BrokenPromise(Exception):
+    """Something that must always hold did not."""
+
+
+class _Demo:
+    """Callers of one installation, and what they got.
+
+    :param installation: the installation.
+    :param say: prints what happens.
+    """
+
+    def __init__(self, installation: launch.Installation, say: SAY) -> None:
+        self._installation = installation
+        self._say = say
+        self._client = httpx.AsyncClient()
+        self._count = 0
+        self.answers: list[load.Answer] = []
+
+    async def __aenter__(self) -> "_Demo":
+        await self._client.__aenter__()
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._client.__aexit__(*error)
+
+    def _request(self, kind: str, events: int = 10) -> load.Request:
+        self._count += 1
+        if kind != "drafts":
+            return load.Request(f"{kind}-{self._count}", kind)
+        name = load.MODELS[self._count % len(load.MODELS)]
+        return load.Request(
+            f"{kind}-{self._count}", kind, model=name, events=events
+        )
+
+    async def _ask(
+        self, gateway: launch.Gateway, request: load.Request
+    ) -> load.Answer:
+        answer = await load.send(self._client, gateway, request)
+        self.answers.append(answer)
+        return answer
+
+    async def serve_all_kinds(self) -> None:
+        """Send requests of each kind through each gateway."""
+        async with trio.open_nursery() as nursery:
+            for kind in ("drafts", "pages", "sheets"):
+                for i in range(REQUESTS_OF_KIND):
+                    gateways = self._installation.gateways
+                    gateway = gateways[i % len(gateways)]
+                    nursery.start_soon(self._ask, gateway, self._request(kind))
+        counts = collections.Counter(one.status for one in self.answers)
+        self._say(f"{len(self.answers)} requests through 4 gateways: {counts}")
+        if set(counts) != {HTTP_OK}:
+            raise BrokenPromise(f"a calm request was not served: {counts}")
+
+    async def _stream(self, gateway: launch.Gateway, what: str) -> None:
+        """Stream long answers while something happens."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(STREAMS):
+                request = self._request("drafts", LONG_STREAM)
+                nursery.start_soon(self._ask, gateway, request)
+        streams = self.answers[-STREAMS:]
+        if not all(s.whole and s.status == HTTP_OK for s in streams):
+            raise BrokenPromise(f"a stream was cut when {what}")
+        self._say(f"{STREAMS} streams went on when {what}")
+
+    async def kill_engine(self) -> None:
+        """Kill an engine that serves while streams run."""
+        gateway = self._installation.gateways[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stream, gateway, "an engine died")
+            await trio.sleep(UNDER_WAY_S)
+            newest = f"drafts-{self._count}"
+            name = next(
+                run["endpoint"]
+                for run in self._installation.runs()
+                if run["request_id"] == newest
+            )
+            victim = next(
+                vm for vm in self._installation.vms if vm.endpoint_id == name
+            )
+            self._installation.tell_vm(victim, "kill")
+            self._say(f"engine {name} was killed while it streamed")
+
+    async def revoke_key(self) -> None:
+        """Take a key away and wait until each gateway refuses it."""
+        self._installation.configure(launch.table(2, ("key-1",)))
+        begun = trio.current_time()
+        for gateway in self._installation.gateways:
+            status = HTTP_OK
+            while status != HTTP_UNAUTHORIZED:
+                if trio.current_time() - begun > REVOKED_WITHIN_S:
+                    raise BrokenPromise(f"{gateway.name} takes a revoked key")
+                request = dataclasses.replace(
+                    self._request("pages"), key="key-2"
+                )
+                status = (await self._ask(gateway, request)).status
+                await trio.sleep(POLL_S)
+        took = trio.current_time() - begun
+        self._say(f"a revoked key is refused everywhere after {took:.1f} s")
+
+    async def stop_gateway(self) -> None:
+        """Stop a gateway while it streams."""
+        gateway = self._installation.gateways[1]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._stream, gateway, f"{gateway.name} was told to stop"
+            )
+            await trio.sleep(UNDER_WAY_S)
+            gateway.process.terminate()
+        while gateway.process.poll() is None:
+            await trio.sleep(POLL_S)
+        self._say(f"{gateway.name} ended after its last stream")
+
+
+def _judge(
+    installation: launch.Installation, answers: list[load.Answer]
+) -> None:
+    seen = checks.Observation(
+        tuple(answers),
+        tuple(installation.runs()),
+        tuple(installation.broken_by_engines()),
+    )
+    broken = checks.violations(seen)
+    if broken:
+        raise BrokenPromise("; ".join(broken))
+
+
+def _print_table(
+    installation: launch.Installation, answers: list[load.Answer]
+) -> None:
+    table = rich.table.Table("measure", "value")
+    for status, count in sorted(
+        collections.Counter(one.status for one in answers).items()
+    ):
+        table.add_row(f"requests answered {status}", str(count))
+    table.add_row("requests run by engines", str(len(installation.runs())))
+    rich.console.Console().print(table)
+
+
+async def _play(installation: launch.Installation, say: SAY) -> None:
+    async with _Demo(installation, say) as demo:
+        await demo.serve_all_kinds()
+        await demo.kill_engine()
+        await demo.revoke_key()
+        await demo.stop_gateway()
+        _judge(installation, demo.answers)
+        _print_table(installation, demo.answers)
+
+
+def run_demo(folder: pathlib.Path, say: SAY) -> None:
+    """Run this part of the demo.
+
+    :param folder: takes settings and logs.
+    :param say: prints what happens.
+    :raises BrokenPromise: when something that must hold did not.
+    :raises TimeoutError: when replicas are not assembled in time.
+    """
+    with launch.Installation(launch.Plan(), folder) as installation:
+        say("20 engines register themselves before 4 gateways")
+        took = installation.wait_until_serving()
+        say(f"both models are served by each gateway after {took:.1f} s")
+        trio.run(_play, installation, say)
--- a/packages/experiments/wasabilanding/experiments/tests/steps/demo_steps.py
+++ b/packages/experiments/wasabilanding/experiments/tests/steps/demo_steps.py
@@ -6,6 +6,7 @@
 import behave
 
 from wasabilanding.experiments import demo
+from wasabilanding.experiments.installation import demo as installation_demo
 
 
 @behave.when("the demo runs")
@@ -19,6 +20,17 @@
             context.broken = error
 
 
+@behave.when("the demo of the gateways runs")
+def run_installation(context):
+    """Run the gateways' part as separate processes."""
+    context.broken = None
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            installation_demo.run_demo(pathlib.Path(folder), demo.say)
+        except installation_demo.BrokenPromise as error:
+            context.broken = error
+
+
 @behave.then("it reports no broken promise")
 def check(context):
     """Compare with no broken promise."""
