Tell which endpoints work, so that a queue is not taken for silence

Two replicas of the large model were open instead of three, requests waited in their queues for over 0.6 s, and a node whose own requests all waited told the others that the replica is silent, so that all of them went to the other one, and back.

Ruled out: dead replicas (12 of 17, 12 of 18 and 10 of 19 endpoints served steadily in this time).

Change: with its load a node tells which endpoints have worked lately. Such a sign counts as one of its own: a request waits for 1.6 s instead of 0.6 s, and the silence is neither told nor believed.

Tests that failed first: forwarding.feature, "A request that waits in a queue goes elsewhere later" (0.6 s for 1.6 s); hints.feature, "A node does not believe a silence where a third one sees work".

--- a/packages/decisions/wasabilanding/dispatch/board.py
+++ b/packages/decisions/wasabilanding/dispatch/board.py
@@ -139,14 +139,31 @@
         self._records[endpoint_id].in_flight -= 1
 
     def note_progress(self, endpoint_id: str, now: float) -> None:
-        """Note that an endpoint gave a sign of work.
+        """Note that an endpoint gave a sign of work, here or elsewhere.
+
+        The load pattern it answers: a replica with a long queue. Requests
+        that wait there get no sign of work for long, while those of other
+        nodes go on.
 
         :param endpoint_id: its identity.
-        :param now: local monotonic time in seconds.
+        :param now: local monotonic time in seconds of the sign.
         """
         record = self._records[endpoint_id]
-        record.progress_at = now
-        record.waiting_since = now
+        record.progress_at = max(record.progress_at, now)
+        record.waiting_since = max(record.waiting_since, now)
+
+    def worked_ago_s(self, now: float, within_s: float) -> dict[str, float]:
+        """Return which endpoints have worked here lately, and when.
+
+        :param now: local monotonic time in seconds.
+        :param within_s: how long ago at most, in seconds.
+        :returns: seconds since their last sign of work, by endpoint.
+        """
+        return {
+            name: now - record.progress_at
+            for name, record in self._records.items()
+            if now - record.progress_at < within_s
+        }
 
     def avoid(self, endpoint_id: str, now: float, for_s: float) -> None:
         """Prefer other endpoints for a time.
--- a/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
+++ b/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
@@ -82,3 +82,17 @@
       | 90     | 99.5  | no   |
       | 90     | 100.2 | yes  |
       | 100.1  | 100.2 | no   |
+
+  Scenario Outline: An endpoint that works for another node is not silent
+    Given endpoints near with 1 and far with 1 requests in flight
+    And near has been silent since 99 s
+    And another node tells that near worked at <worked> s
+    When a request is sent at 100 s
+    Then it goes to <chosen>
+    And near counts as silent: <silent>
+
+    Examples:
+      | worked | chosen | silent |
+      | 98     | far    | yes    |
+      | 99.55  | far    | no     |
+      | 99.8   | near   | no     |
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -9,7 +9,8 @@
 which see the endpoint over the same links.
 
 Load. Each node tells its requests in flight by endpoint, whole each time, so
-that a lost datagram is made good by the next.
+that a lost datagram is made good by the next; and which endpoints have
+worked lately, so that a long queue is not taken for silence.
 
 A hint is one datagram that may be lost. It moves requests elsewhere and lets
 the planner ask the replica's members; nothing is done on its word alone.
@@ -29,15 +30,19 @@
 from wasabilanding import model
 
 MAX_DATAGRAM_BYTES = 65_535
-# Changes of the load are told after this, later where there are many nodes.
+# Load is told so often, less often where there are many nodes.
 LOAD_PERIOD_S = 0.05
 MAX_DATAGRAMS_PER_S = 60.0
-# Load that has not changed is told again after this.
-LOAD_REFRESH_S = 0.5
+# Signs of work since the last time are told, and some that are older, as a
+# datagram may be lost.
+WORKED_MARGIN_S = 0.1
+# New nodes are looked for so often.
+LOOK_S = 0.5
 # Hints that wait to be sent; more are dropped.
 QUEUE = 64
 
 Count = typing.Annotated[int, pydantic.Field(ge=0)]
+Seconds = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 
 _LOG = logging.getLogger(__name__)
 Address = tuple[str, int]
@@ -52,11 +57,14 @@
         for none.
     :param in_flight: all its requests in flight, by endpoint; None when not
         told.
+    :param worked_ago_s: seconds since an endpoint's last sign of work there,
+        for those that have worked lately.
     """
 
     node: str
     silent: str = ""
     in_flight: dict[str, Count] | None = None
+    worked_ago_s: dict[str, Seconds] = dataclasses.field(default_factory=dict)
 
 
 class Datagrams(typing.Protocol):
@@ -137,22 +145,22 @@
 
     async def _send_load(self, datagrams: Datagrams) -> None:
         told: dict[str, int] = {}
-        told_at = looked_at = float("-inf")
+        looked_at = float("-inf")
         others: list[Address] = []
         while True:
             period_s = max(LOAD_PERIOD_S, len(others) / MAX_DATAGRAMS_PER_S)
             await trio.sleep(period_s)
             now = trio.current_time()
             load = self._board.own_load
-            if now - looked_at > LOAD_REFRESH_S:
+            if now - looked_at > LOOK_S:
                 others = self._others()
                 looked_at = now
-            if load == told and (not load or now - told_at < LOAD_REFRESH_S):
+            if not load and not told:
                 continue
-            hint = Hint(self._node, in_flight=load)
+            worked = self._board.worked_ago_s(now, period_s + WORKED_MARGIN_S)
+            hint = Hint(self._node, in_flight=load, worked_ago_s=worked)
             await self._send(datagrams, hint, others)
             told = load
-            told_at = now
 
     async def _send(
         self,
@@ -186,6 +194,9 @@
         now = trio.current_time()
         if hint.in_flight is not None:
             self._board.learn_load(hint.node, hint.in_flight, now)
+        for name, ago_s in hint.worked_ago_s.items():
+            if self._belief.registry.get(name) is not None:
+                self._board.note_progress(name, now - ago_s)
         if self._belief.registry.get(hint.silent) is not None:
             self._learn_silent(hint, now)
 
--- a/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -119,3 +119,17 @@
       | silent 2, events 5 | e0   |
       | reset 2, events 5  |      |
       | refuse, events 5   |      |
+
+  Scenario Outline: A request that waits in a queue goes elsewhere later than one at a dead endpoint
+    Given resumable streaming requests of up to 2 attempts
+    And endpoints that "mute, events 5"
+    And other nodes tell each <period> s that the first endpoint works
+    When a request is sent
+    Then its answer is whole with events 0-4
+    And it takes at least <least> s
+    And it takes at most <most> s
+
+    Examples:
+      | period | least | most |
+      | 0.3    | 1.6   | 2.0  |
+      | 5      | 0.6   | 1.0  |
--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -19,6 +19,12 @@
     When node n1 gives up a silent request to e1
     Then the nodes that count e1 as silent are "n1"
 
+  Scenario: A node does not believe a silence where a third one sees work
+    Given endpoint e2 worked on node n1 0.1 s ago
+    And node n2 gets the datagram {"node": "n9", "in_flight": {"e1": 3}, "worked_ago_s": {"e1": 0.1}}
+    When node n1 gives up a silent request to e1
+    Then the nodes that count e1 as silent are "n1"
+
   Scenario Outline: A datagram that cannot be used does no harm
     When node n2 gets the datagram <data>
     And endpoint e2 worked on node n1 0.1 s ago
@@ -33,6 +39,10 @@
       | {"node": 1, "silent": []}       |
       | {"node": "n1"}                  |
       | {"node": "n1", "silent": "e99"} |
+      | {"node": "n1", "in_flight": {"e1": -1}} |
+      | {"node": "n1", "worked_ago_s": {"e1": "x"}} |
+      | {"node": "n1", "worked_ago_s": {"e1": -5}} |
+      | {"node": "n1", "worked_ago_s": {"e99": 0}} |
 
   Scenario Outline: An address that cannot be read does not hide the others
     Given the address of a node reads <value>
