Serve without hints while their port is taken

Cause: found in reading: a node whose datagram port is held by another process would end at its start. Now it serves, warns and tries the port again; its address is registered once the port is its own.

Test: hints.feature, a port that is held for 3 s.

--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -38,6 +38,8 @@
 WORKED_MARGIN_S = 0.1
 # New nodes are looked for so often.
 LOOK_S = 0.5
+# An address that another process holds is tried again after this.
+BIND_RETRY_S = 2.0
 # Hints that wait to be sent; more are dropped.
 QUEUE = 64
 
@@ -211,11 +213,17 @@
 
 
 async def bound_socket(address: Address) -> trio.socket.SocketType:
-    """Return a socket that takes datagrams.
+    """Return a socket that takes datagrams, once the address is free.
 
     :param address: IP address and port.
-    :raises OSError: when the address is taken.
     """
-    found = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-    await found.bind(address)
-    return found
+    while True:
+        found = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        try:
+            await found.bind(address)
+        except OSError as error:
+            found.close()
+            _LOG.warning("takes no hints at %s:%d: %s", *address, error)
+            await trio.sleep(BIND_RETRY_S)
+        else:
+            return found
--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -66,3 +66,8 @@
       | answers                  | 100     | 5     |
       | grants no lease at first | 20      | 3     |
       | forgets the lease        | 70      | 6     |
+
+  Scenario: A port that another process holds keeps a node from hints, not from its work
+    Given a port that another process holds for 3 s
+    When a node wants to take hints there
+    Then it does so between 3 and 6 s later
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -228,3 +228,42 @@
 def check_calls(context, calls):
     """Compare the calls."""
     assert context.store.calls <= calls, context.store.calls
+
+
+@behave.given("a port that another process holds for {seconds:g} s")
+def given_held_port(context, seconds):
+    """Hold a port."""
+    context.held_s = seconds
+
+
+@behave.when("a node wants to take hints there")
+def bind(context):
+    """Bind to the port until it is free."""
+
+    async def run():
+        held = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await held.bind(("127.0.0.1", 0))
+        address = held.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_close_later, held, context.held_s)
+            (await hints.bound_socket(address)).close()
+        return trio.current_time()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    context.took_s = trio.run(_timed, run, clock=clock)
+
+
+async def _timed(run):
+    begun = trio.current_time()
+    return await run() - begun
+
+
+async def _close_later(held, seconds):
+    await trio.sleep(seconds)
+    held.close()
+
+
+@behave.then("it does so between {least:g} and {most:g} s later")
+def check_bound(context, least, most):
+    """Compare the time."""
+    assert least <= context.took_s <= most, context.took_s
