--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/soak_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/soak_steps.py
@@ -1,5 +1,6 @@
 """Steps for the soak and its proxy."""
 
+import functools
 import pathlib
 import tempfile
 
@@ -54,9 +55,8 @@
 
 async def _exchange(mode, mended_after_s):
     async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(
-            trio.serve_tcp, _echo, 0, host=proxy.HOST
-        )
+        serve = functools.partial(trio.serve_tcp, host=proxy.HOST)
+        listeners = await nursery.start(serve, _echo, 0)
         port = listeners[0].socket.getsockname()[1]
         link = proxy.Proxy("echo", port)
         nursery.start_soon(link.run)
