--- /dev/null
+++ b/packages/standins/wasabilanding/standins/fabric_server.py
@@ -0,0 +1,168 @@
+"""Listeners, registrations and faults of a fabric's engines."""
+
+import dataclasses
+
+import quart
+import quart_trio
+import trio
+
+from wasabilanding import metadata
+from wasabilanding.standins import listening
+from wasabilanding.standins import registered
+from wasabilanding.standins import registered_http
+
+
+@dataclasses.dataclass(frozen=True)
+class RegisteredVm:
+    """An engine that registers itself.
+
+    :param endpoint_id: its identity.
+    :param service: service that it belongs to.
+    :param port: port of its listener.
+    :param fabric_domain: fabric domain; empty for a plain endpoint.
+    :param registered_port: port that it registers, where something stands
+        before its listener; 0 for none.
+    """
+
+    endpoint_id: str
+    service: str
+    port: int
+    fabric_domain: str = ""
+    registered_port: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class FabricSettings:
+    """The engines of one failure domain that register themselves.
+
+    :param platform_url: base URL of the platform.
+    :param failure_domain: the failure domain.
+    :param control_port: port for faults.
+    :param vms: the engines.
+    :param behaviour: how they behave.
+    """
+
+    platform_url: str
+    failure_domain: str
+    control_port: int
+    vms: tuple[RegisteredVm, ...]
+    behaviour: registered.RegisteredSettings = registered.RegisteredSettings()
+
+
+class FabricServer:
+    """Listeners and registrations of the engines of one failure domain.
+
+    :param settings: the engines.
+    :param store: the platform's items.
+    :param nursery: runs them.
+    """
+
+    def __init__(
+        self,
+        settings: FabricSettings,
+        store: metadata.ItemStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._nursery = nursery
+        self._ports = {vm.endpoint_id: vm.port for vm in settings.vms}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self.fabric = registered.Fabric(
+            settings.failure_domain, settings.behaviour, nursery
+        )
+        for vm in settings.vms:
+            engine = self.fabric.add(
+                vm.endpoint_id, vm.service, vm.fabric_domain
+            )
+            nursery.start_soon(
+                registered_http.keep_registered,
+                engine,
+                store,
+                listening.HOST,
+                vm.registered_port or vm.port,
+            )
+            self.open(vm.endpoint_id)
+
+    def open(self, endpoint_id: str) -> None:
+        """Listen for an engine.
+
+        :param endpoint_id: its identity.
+        """
+        self._nursery.start_soon(self._listen, endpoint_id)
+
+    async def _listen(self, endpoint_id: str) -> None:
+        engine = self.fabric.engines[endpoint_id]
+        application = registered_http.registered_app(engine, self.fabric)
+        with trio.CancelScope() as scope:
+            self._scopes[endpoint_id] = scope
+            await listening.serve(application, self._ports[endpoint_id])
+
+    def kill(self, endpoint_id: str) -> None:
+        """End an engine: its connections break, its registration lapses.
+
+        :param endpoint_id: its identity.
+        """
+        self.fabric.engines[endpoint_id].kill()
+        self._scopes[endpoint_id].cancel()
+
+    async def leave(self, endpoint_id: str) -> None:
+        """Let an engine announce that it leaves, serve on, and end.
+
+        :param endpoint_id: its identity.
+        """
+        engine = self.fabric.engines[endpoint_id]
+        engine.draining = True
+        engine.notify()
+        life = engine.life
+        await trio.sleep(self.fabric.settings.drain_s)
+        while engine.in_flight and engine.life == life:
+            await trio.sleep(registered.CHECK_S)
+        if engine.life == life:
+            self.kill(endpoint_id)
+
+
+def control_app(server: FabricServer) -> quart_trio.QuartTrio:
+    """Return the app that takes faults and tells what was run.
+
+    :param server: the engines.
+    """
+    application = quart_trio.QuartTrio("fabric-control")
+    fabric = server.fabric
+
+    @application.post("/standin/<vm>/kill")
+    async def kill(vm: str) -> quart.ResponseReturnValue:
+        server.kill(vm)
+        return {}
+
+    @application.post("/standin/<vm>/restart")
+    async def restart(vm: str) -> quart.ResponseReturnValue:
+        if not fabric.engines[vm].alive:
+            fabric.engines[vm].restart()
+            server.open(vm)
+        return {}
+
+    @application.post("/standin/<vm>/leave")
+    async def leave(vm: str) -> quart.ResponseReturnValue:
+        fabric.start(server.leave, vm)
+        return {}
+
+    @application.post("/standin/<vm>/pause")
+    async def pause(vm: str) -> quart.ResponseReturnValue:
+        fabric.engines[vm].paused = True
+        fabric.engines[vm].notify()
+        return {}
+
+    @application.post("/standin/<vm>/resume")
+    async def resume(vm: str) -> quart.ResponseReturnValue:
+        fabric.engines[vm].paused = False
+        fabric.engines[vm].notify()
+        return {}
+
+    @application.get("/standin/runs")
+    async def runs() -> quart.ResponseReturnValue:
+        return quart.jsonify([dataclasses.asdict(r) for r in fabric.runs])
+
+    @application.get("/standin/violations")
+    async def violations() -> quart.ResponseReturnValue:
+        return quart.jsonify(fabric.violations)
+
+    return application
