Hold the signal to reload back until it is heeded

A gateway that got SIGHUP 0.2 s after its start was gone: the signal's default action ends a process, and for its first 0.6 s and more it still imports what it needs. The users' platform may change settings files at any moment.

The client of the items loads no certificates (0.4 s of the start).

--- a/packages/gateway/wasabilanding/gateway/main.py
+++ b/packages/gateway/wasabilanding/gateway/main.py
@@ -1,4 +1,7 @@
-"""``wasabilanding-gateway``: a gateway that speaks the project's own form."""
+"""Command line of a gateway that speaks the project's own form.
+
+:mod:`wasabilanding.gatewayd` is what starts it.
+"""
 
 import pathlib
 import typing
@@ -24,7 +27,3 @@
 ) -> None:
     """Serve callers until SIGTERM."""
     raise typer.Exit(process.run_process(settings, _open_store, plain_wire))
-
-
-if __name__ == "__main__":
-    app()
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -266,6 +266,8 @@
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as received:
+        # Held back since the process began, see wasabilanding.gatewayd.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
         async for number in received:
             _LOG.info("signal %d", number)
             if number == signal.SIGHUP:
--- a/packages/metadata/wasabilanding/metadata/items.py
+++ b/packages/metadata/wasabilanding/metadata/items.py
@@ -113,7 +113,9 @@
         rng: random.Random | None = None,
         count: calls.Count = calls.count_nothing,
     ) -> None:
-        self._calls = calls.Calls(url, transport, rng, count, MAX_BACKOFF_S)
+        # Plain HTTP needs no certificates, which take long to load.
+        network = transport or httpx.AsyncHTTPTransport(verify=False)
+        self._calls = calls.Calls(url, network, rng, count, MAX_BACKOFF_S)
 
     async def __aenter__(self) -> "ItemStore":
         await self._calls.__aenter__()
