Say 503, not 404, while the daemon knows no configuration

It now answers 503 with a time to come back, as it can't tell.

Test that failed first: daemon plain.feature, two rows (404 before).

--- a/packages/daemon/wasabilanding/daemon/plain.py
+++ b/packages/daemon/wasabilanding/daemon/plain.py
@@ -20,6 +20,7 @@
 from wasabilanding import callers
 from wasabilanding import configuration
 from wasabilanding.daemon import context as context_module
+from wasabilanding.daemon import selection
 from wasabilanding import model
 from wasabilanding import retries
 
@@ -154,6 +155,7 @@
             return await attempts.run(addresses, path, deadline)
 
     def _profile(self, service: str) -> model.PlainProfile:
+        selection.check_configured(self._context)
         entry = self._context.known.configuration.profile_of(service)
         if entry is None or entry.profile.kind != "plain":
             raise callers.RequestFailed(
--- a/packages/daemon/wasabilanding/daemon/selection.py
+++ b/packages/daemon/wasabilanding/daemon/selection.py
@@ -13,7 +13,26 @@
 NO_REPLICA_COMEBACK_S = 2.0
 
 
+def check_configured(context: context_module.Context) -> None:
+    """Check that the node has learnt a configuration.
+
+    Until then it can't tell whether a service exists.
+
+    :param context: what the node knows.
+    :raises wasabilanding.callers.RequestFailed: when it has not.
+    """
+    if context.known.configuration.revision == 0:
+        raise callers.RequestFailed(
+            model.not_run(
+                model.Reason.NO_REPLICA,
+                "this node has not learnt a configuration yet",
+                NO_REPLICA_COMEBACK_S,
+            )
+        )
+
+
 def _check_service(context: context_module.Context, service: str) -> None:
+    check_configured(context)
     if context.known.configuration.profile_of(service) is None:
         raise callers.RequestFailed(
             model.not_run(
--- a/packages/daemon/wasabilanding/daemon/tests/plain.feature
+++ b/packages/daemon/wasabilanding/daemon/tests/plain.feature
@@ -26,3 +26,12 @@
     When a caller is given two cookies and another one calls after it
     Then the first one has both cookies and the second one sent none
     And headers of one hop were not passed on
+
+  Scenario Outline: A node that knows no configuration does not say that a service is unknown
+    When a <kind> request comes before any configuration
+    Then it is answered <status> and told when to come back
+
+    Examples:
+      | kind     | status |
+      | plain    | 503    |
+      | streamed | 503    |
--- a/packages/daemon/wasabilanding/daemon/tests/steps/plain_steps.py
+++ b/packages/daemon/wasabilanding/daemon/tests/steps/plain_steps.py
@@ -172,3 +172,34 @@
     answered, calls = context.seen
     assert "x-hop" not in dict(answered), answered
     assert "X-Mine" not in calls[0], calls[0]
+
+
+@behave.when("a {kind} request comes before any configuration")
+def call_unconfigured(context, kind):
+    """Send a request to a node that has learnt nothing."""
+
+    async def act():
+        async with cluster.open_cluster(PLAN) as system:
+            await trio.sleep(1.0)
+            async with system.client("prov") as http:
+                if kind == "plain":
+                    return await http.post(URL)
+                message = {"role": "user", "content": "menu"}
+                body = {
+                    "model": SERVICE,
+                    "stream": True,
+                    "messages": [message],
+                }
+                url = f"http://prov-node-0:{cluster.CALLERS_PORT}"
+                return await http.post(f"{url}/v1/chat/completions", json=body)
+
+    context.answer = cluster.run_seeded(act)
+
+
+@behave.then("it is answered {status:d} and told when to come back")
+def check_unconfigured(context, status):
+    """Compare the answer."""
+    answer = context.answer
+    assert answer.status_code == status, (answer.status_code, answer.text)
+    assert int(answer.headers["Retry-After"]) > 0
+    assert answer.headers["X-Outcome"] == "not_run"
