--- a/packages/metadata/wasabilanding/metadata/__init__.py
+++ b/packages/metadata/wasabilanding/metadata/__init__.py
@@ -9,8 +9,12 @@
 (:mod:`wasabilanding.metadata.backoff`).
 """
 
+from wasabilanding.metadata.answers import Answer
+from wasabilanding.metadata.answers import decoded
+from wasabilanding.metadata.answers import has_status
 from wasabilanding.metadata.calls import Calls
 from wasabilanding.metadata.calls import Count
+from wasabilanding.metadata.calls import count_nothing
 from wasabilanding.metadata.client import LeaseGranted
 from wasabilanding.metadata.client import PlatformClient
 from wasabilanding.metadata.client import ReadResult
@@ -41,33 +45,37 @@
 from wasabilanding.metadata.results import Written
 
 __all__ = [
+    "Answer",
+    "CONFIGURATION_KEY",
     "Calls",
+    "Changes",
+    "Conflict",
     "Count",
-    "Removal",
-    "Listing",
-    "Lease",
+    "Entry",
+    "HistoryLost",
     "Item",
     "ItemBody",
     "ItemStore",
     "ItemsBody",
-    "WritesBody",
-    "HistoryLost",
-    "Changes",
-    "CONFIGURATION_KEY",
-    "Conflict",
-    "Entry",
+    "Lease",
     "LeaseGranted",
+    "Listing",
     "Missing",
     "PlatformClient",
     "ReadResult",
+    "Removal",
     "Unavailable",
     "Unknown",
     "VmList",
     "WriteResult",
+    "WritesBody",
     "Written",
     "accept_change",
     "control_key",
+    "count_nothing",
     "decode_configuration",
+    "decoded",
+    "has_status",
     "read_configuration",
     "read_record",
     "write_record",
--- a/packages/metadata/wasabilanding/metadata/client.py
+++ b/packages/metadata/wasabilanding/metadata/client.py
@@ -6,6 +6,7 @@
 
 import httpx
 
+from wasabilanding.metadata import answers
 from wasabilanding.metadata import calls
 from wasabilanding.metadata import results
 from wasabilanding import model
@@ -143,7 +144,7 @@
         response = await self._calls.send(
             "grant_lease", "POST", "/v1/leases", json={"ttl_s": ttl_s}
         )
-        body = _decode_answer(_LeaseBody, response)
+        body = answers.decoded(_LeaseBody, response)
         if isinstance(body, results.Unavailable):
             return body
         return LeaseGranted(body.lease_id, ttl_s)
@@ -158,9 +159,9 @@
         response = await self._calls.send(
             "renew_lease", "POST", f"/v1/leases/{lease_id}/renew"
         )
-        if _has_status(response, HTTP_NOT_FOUND):
+        if answers.has_status(response, HTTP_NOT_FOUND):
             return results.Missing(lease_id)
-        body = _decode_answer(dict[str, float], response)
+        body = answers.decoded(dict[str, float], response)
         if isinstance(body, results.Unavailable):
             return body
         if "ttl_s" not in body:
@@ -189,48 +190,23 @@
             "/v1/vms",
             params={"failure_domain": failure_domain},
         )
-        vms = _decode_answer(tuple[model.Vm, ...], response)
+        vms = answers.decoded(tuple[model.Vm, ...], response)
         if isinstance(vms, results.Unavailable):
             return vms
         return VmList(vms)
 
 
-def _has_status(
-    response: httpx.Response | results.Unavailable | results.Unknown,
-    status: int,
-) -> bool:
-    if not isinstance(response, httpx.Response):
-        return False
-    return response.status_code == status
-
-
-def _decode_answer(
-    kind: typing.Any,
-    response: httpx.Response | results.Unavailable | results.Unknown,
-) -> typing.Any:
-    if not isinstance(response, httpx.Response):
-        return results.Unavailable(response.detail)
-    if response.is_error:
-        return results.Unavailable(response.text)
-    try:
-        return model.decode(kind, response.content)
-    except model.InvalidDocument as error:
-        return results.Unavailable(f"answer is malformed: {error}")
-
-
-def _read_result(
-    key: str, response: httpx.Response | results.Unavailable | results.Unknown
-) -> ReadResult:
-    if _has_status(response, HTTP_NOT_FOUND):
+def _read_result(key: str, response: answers.Answer) -> ReadResult:
+    if answers.has_status(response, HTTP_NOT_FOUND):
         return results.Missing(key)
-    body = _decode_answer(_ValueBody, response)
+    body = answers.decoded(_ValueBody, response)
     if isinstance(body, results.Unavailable):
         return body
     return results.Entry(key, body.value, body.revision)
 
 
 def _write_result(
-    response: httpx.Response | results.Unavailable | results.Unknown,
+    response: answers.Answer,
 ) -> results.WriteResult:
     if not isinstance(response, httpx.Response):
         return response
--- a/packages/metadata/wasabilanding/metadata/items.py
+++ b/packages/metadata/wasabilanding/metadata/items.py
@@ -10,6 +10,7 @@
 
 import httpx
 
+from wasabilanding.metadata import answers
 from wasabilanding.metadata import calls
 from wasabilanding.metadata import results
 from wasabilanding import model
@@ -71,26 +72,6 @@
     revision: int
 
 
-Answer = httpx.Response | results.Unavailable | results.Unknown
-
-
-def _decoded(
-    kind: typing.Any, answer: Answer
-) -> typing.Any | results.Unavailable:
-    if not isinstance(answer, httpx.Response):
-        return results.Unavailable(answer.detail)
-    if answer.is_error:
-        return results.Unavailable(f"{answer.status_code} {answer.text}")
-    try:
-        return model.decode(kind, answer.content)
-    except model.InvalidDocument as error:
-        return results.Unavailable(f"the answer is malformed: {error}")
-
-
-def _has_status(answer: Answer, status: int) -> bool:
-    return isinstance(answer, httpx.Response) and answer.status_code == status
-
-
 def _event(body: ItemBody) -> results.Item | results.Removal:
     if body.value is None:
         return results.Removal(body.key, body.revision)
@@ -134,7 +115,7 @@
         answer = await self._calls.send(
             "items", "GET", "/v1/items", params={"prefix": prefix}
         )
-        body = _decoded(ItemsBody, answer)
+        body = answers.decoded(ItemsBody, answer)
         if isinstance(body, results.Unavailable):
             return body
         return results.Listing(tuple(map(_event, body.items)), body.revision)
@@ -162,9 +143,9 @@
             params={"prefix": prefix, "after": after, "timeout": wait_s},
             timeout=wait_s + WATCH_MARGIN_S,
         )
-        if _has_status(answer, HTTP_GONE):
+        if answers.has_status(answer, HTTP_GONE):
             return results.HistoryLost()
-        body = _decoded(ItemsBody, answer)
+        body = answers.decoded(ItemsBody, answer)
         if isinstance(body, results.Unavailable):
             return body
         return results.Changes(tuple(map(_event, body.items)), body.revision)
@@ -203,9 +184,9 @@
         )
         if isinstance(answer, results.Unknown):
             return answer
-        if _has_status(answer, HTTP_CONFLICT):
+        if answers.has_status(answer, HTTP_CONFLICT):
             return results.Conflict(0)
-        written = _decoded(_RevisionBody, answer)
+        written = answers.decoded(_RevisionBody, answer)
         if isinstance(written, results.Unavailable):
             return written
         return results.Written(written.revision)
@@ -220,7 +201,7 @@
         answer = await self._calls.send(
             "grant_lease", "POST", "/v1/leases", json={"ttl_s": ttl_s}
         )
-        body = _decoded(_LeaseBody, answer)
+        body = answers.decoded(_LeaseBody, answer)
         if isinstance(body, results.Unavailable):
             return body
         return results.Lease(body.lease_id, ttl_s)
@@ -235,9 +216,9 @@
         answer = await self._calls.send(
             "renew_lease", "POST", f"/v1/leases/{lease.lease_id}/renew"
         )
-        if _has_status(answer, HTTP_NOT_FOUND):
+        if answers.has_status(answer, HTTP_NOT_FOUND):
             return results.Missing(str(lease.lease_id))
-        body = _decoded(dict[str, float], answer)
+        body = answers.decoded(dict[str, float], answer)
         if isinstance(body, results.Unavailable):
             return body
         return lease
--- a/packages/metadata/wasabilanding/metadata/results.py
+++ b/packages/metadata/wasabilanding/metadata/results.py
@@ -74,13 +74,11 @@
     :param key: its key.
     :param value: the bytes.
     :param revision: revision of the store at which it was written.
-    :param lease: lease whose end removes it; 0 for none.
     """
 
     key: str
     value: bytes
     revision: int
-    lease: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
