Write and read the nodes' own documents, headers and starts in one place

- Addresses of nodes and notes of joins were each decoded in a loop of their own, again with each look, and a malformed one was warned of each time; and each was written under a fresh lease by code of its own. own_items.py does both; a document is decoded, and warned of, once.
- Headers about one connection: platform/exchange.py and plain_wire.py had a list each. gateway/headers.py serves both, so that the project's own form now also drops the rarer ones and those that Connection names.
- The two programs held the signal to reload back by the same lines; gatewayd.start serves both.
- "Works lately" and milliseconds to seconds stood twice in the board and the settings.
Names that the gateway's package exported for nobody are gone.

Behaviour: as before but for the warnings, the texts of two log lines, and the headers named above.

--- a/packages/decisions/wasabilanding/dispatch/board.py
+++ b/packages/decisions/wasabilanding/dispatch/board.py
@@ -197,11 +197,7 @@
         :param endpoint_id: its identity.
         :param now: local monotonic time in seconds.
         """
-        working = {
-            name
-            for name, record in self._records.items()
-            if now - record.progress_at < SIGN_S
-        }
+        working = self.worked_ago_s(now, SIGN_S)
         return bool(working) and endpoint_id not in working
 
     def note_silent(self, endpoint_id: str, now: float) -> bool:
--- a/packages/gateway/wasabilanding/gateway/__init__.py
+++ b/packages/gateway/wasabilanding/gateway/__init__.py
@@ -14,8 +14,7 @@
 :class:`~wasabilanding.gateway.messages.Store`.
 """
 
-from wasabilanding.gateway.logs import configure_logging
-from wasabilanding.gateway.measures import Measures
+from wasabilanding.gateway.headers import end_to_end
 from wasabilanding.gateway.messages import CallerRequest
 from wasabilanding.gateway.messages import Errand
 from wasabilanding.gateway.messages import Head
@@ -26,7 +25,6 @@
 from wasabilanding.gateway.messages import Store
 from wasabilanding.gateway.messages import Wire
 from wasabilanding.gateway.process import run_process
-from wasabilanding.gateway.settings import load_settings
 from wasabilanding.gateway.settings import Settings
 from wasabilanding.gateway.upstream import TCP_KEEPALIVE
 
@@ -36,14 +34,12 @@
     "Head",
     "Header",
     "InvalidHead",
-    "Measures",
     "ReplyHead",
     "ReplyKind",
     "Settings",
     "Store",
     "TCP_KEEPALIVE",
     "Wire",
-    "configure_logging",
-    "load_settings",
+    "end_to_end",
     "run_process",
 ]
--- a/packages/gateway/wasabilanding/gateway/admission.py
+++ b/packages/gateway/wasabilanding/gateway/admission.py
@@ -9,7 +9,6 @@
 from wasabilanding.gateway import work as work_module
 from wasabilanding import routes
 
-MS_PER_S = 1000
 DEFAULT_DEADLINE_S = 30.0
 UNINFORMED_COMEBACK_S = 1.0
 # Margin before the revocation bound at which keyed requests are refused.
@@ -99,7 +98,7 @@
     ) -> routes.KeyHolder | None:
         if table.key_holders is None or route.public:
             return None
-        bound_s = self._settings.key_revocation_ms / MS_PER_S
+        bound_s = self._settings.key_revocation_s
         age_s = self._belief.proof_age_s
         if bound_s and age_s > bound_s - REVOCATION_MARGIN_S:
             raise work_module.Refused(
--- a/packages/gateway/wasabilanding/gateway/directory.py
+++ b/packages/gateway/wasabilanding/gateway/directory.py
@@ -11,8 +11,8 @@
 import trio
 
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import own_items
 from wasabilanding import metadata
-from wasabilanding import model
 
 # Long, so that renewals cost the store little.
 LEASE_S = 90.0
@@ -65,31 +65,7 @@
     :param items: the nodes' own keys.
     :param prefix: begin of the keys that hold addresses.
     """
-    found = []
-    for key, item in items.items():
-        if not key.startswith(prefix):
-            continue
-        try:
-            found.append(model.decode(NodeAddress, item.value))
-        except model.InvalidDocument as error:
-            _LOG.warning("address %s is not used: %s", key, error)
-    return found
-
-
-async def _register(
-    store: messages.Store, key: str, address: NodeAddress
-) -> metadata.Lease | None:
-    lease = await store.grant_lease(LEASE_S)
-    if not isinstance(lease, metadata.Lease):
-        _LOG.info("the address is not registered: %s", lease.detail)
-        return None
-    value = model.encode(address).encode()
-    written = await store.put_all({key: value}, lease)
-    if not isinstance(written, metadata.Written):
-        _LOG.info("the address is not registered: %s", written)
-        return None
-    _LOG.info("registered its address", extra={"address": str(address)})
-    return lease
+    return own_items.documents(items, prefix, NodeAddress)
 
 
 async def keep_registered(
@@ -104,7 +80,10 @@
     lease = None
     while True:
         if lease is None:
-            lease = await _register(store, f"{prefix}{address.node}", address)
+            key = f"{prefix}{address.node}"
+            lease = await own_items.write(store, {key: address}, LEASE_S)
+            if lease is not None:
+                _LOG.info("registered its address: %s", address)
         else:
             renewed = await store.renew_lease(lease)
             if isinstance(renewed, metadata.Missing):
--- a/packages/gateway/wasabilanding/gateway/intents.py
+++ b/packages/gateway/wasabilanding/gateway/intents.py
@@ -8,19 +8,16 @@
 
 import collections.abc
 import dataclasses
-import logging
 
 from wasabilanding import assembly
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import own_items
 from wasabilanding import metadata
-from wasabilanding import model
 
 NOTE_S = 20.0
 # The store's bound on the writes of one transaction.
 BATCH = 32
 
-_LOG = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(frozen=True)
 class Note:
@@ -43,14 +40,7 @@
     :param prefix: begin of the keys of notes.
     """
     pending: dict[str, int] = {}
-    for key, item in items.items():
-        if not key.startswith(prefix):
-            continue
-        try:
-            note = model.decode(Note, item.value)
-        except model.InvalidDocument as error:
-            _LOG.warning("note %s is not used: %s", key, error)
-            continue
+    for note in own_items.documents(items, prefix, Note):
         for name in note.members:
             pending[name] = max(pending.get(name, 0), note.epoch)
     return pending
@@ -79,17 +69,9 @@
         return {j.replica for j in joins if j.replica in self._noted}
 
     async def _write(self, joins: list[assembly.Join]) -> None:
-        items = {}
+        notes = {}
         for join in joins:
             names = tuple(one.endpoint_id for one in join.members)
-            note = model.encode(Note(join.epoch, names))
-            items[f"{self._prefix}{join.replica}"] = note.encode()
-        lease = await self._store.grant_lease(NOTE_S)
-        if not isinstance(lease, metadata.Lease):
-            _LOG.info("joins are not noted: %s", lease.detail)
-            return
-        written = await self._store.put_all(items, lease)
-        if isinstance(written, metadata.Written):
+            notes[f"{self._prefix}{join.replica}"] = Note(join.epoch, names)
+        if await own_items.write(self._store, notes, NOTE_S):
             self._noted.update(join.replica for join in joins)
-        else:
-            _LOG.info("joins are not noted: %s", written)
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -20,6 +20,7 @@
 
 from wasabilanding import assembly
 from wasabilanding import fleet
+from wasabilanding.gateway import headers as headers_module
 from wasabilanding.gateway import messages
 from wasabilanding import model
 from wasabilanding import routes
@@ -30,15 +31,10 @@
 
 HTTP_ERROR = 400
 HTTP_MISDIRECTED = 421
-# Headers that are about one connection, or that this node sets itself.
-NOT_PASSED = frozenset(
+# Headers that this node sets itself.
+OWN_HEADERS = frozenset(
     (
-        b"connection",
-        b"content-length",
-        b"expect",
         b"host",
-        b"keep-alive",
-        b"transfer-encoding",
         b"x-customer",
         b"x-deadline-s",
         b"x-endpoint",
@@ -47,9 +43,6 @@
         b"x-resumes-after",
     )
 )
-NOT_RETURNED = frozenset(
-    (b"connection", b"content-length", b"keep-alive", b"transfer-encoding")
-)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -103,7 +96,7 @@
     :raises wasabilanding.gateway.InvalidHead: when a header is malformed.
     """
     fields = {name: value.decode("latin-1") for name, value in head.headers}
-    kept = [item for item in head.headers if item[0] not in NOT_PASSED]
+    passed = headers_module.end_to_end(head.headers)
     return messages.CallerRequest(
         request_id=fields.get(b"x-request", ""),
         host=fields.get(b"host", "").partition(":")[0].lower(),
@@ -114,7 +107,7 @@
         prompt_tokens=0,
         max_output_tokens=0,
         expected_output_tokens=0,
-        headers=tuple(kept),
+        headers=tuple(h for h in passed if h[0] not in OWN_HEADERS),
     )
 
 
@@ -169,7 +162,7 @@
     return messages.ReplyHead(
         kind=kind,
         status=status,
-        headers=tuple(h for h in headers if h[0] not in NOT_RETURNED),
+        headers=headers_module.end_to_end(headers),
         is_events=b"x-events" in fields,
         is_misdirected=status == HTTP_MISDIRECTED,
     )
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -53,6 +53,11 @@
     metrics_port: Port = 0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
+    @property
+    def key_revocation_s(self) -> float:
+        """Seconds after which a revoked key must be refused; 0 for none."""
+        return self.key_revocation_ms / MS_PER_S
+
     @property
     def change_bounds_s(self) -> tuple[float, ...]:
         """Seconds within which changes must be in force."""
--- a/packages/gateway/wasabilanding/gatewayd.py
+++ b/packages/gateway/wasabilanding/gatewayd.py
@@ -1,8 +1,8 @@
 """``wasabilanding-gateway``: the gateway in the project's own form.
 
-A signal to reload may come while the process still imports what it needs; by
+A signal to reload may come while a program still imports what it needs; by
 default it would end the process. It is held back until it is heeded, before
-anything else is imported.
+anything else is imported, so this module imports nothing of the project.
 """
 
 import importlib
@@ -10,10 +10,20 @@
 import sys
 
 
+def start(module: str, function: str) -> int:
+    """Run a program with the signal to reload held back.
+
+    :param module: module of the program, imported only now.
+    :param function: what runs it.
+    :returns: exit status.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+    return getattr(importlib.import_module(module), function)()
+
+
 def main() -> int:
     """Run the gateway until it has shut down."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
-    return importlib.import_module("wasabilanding.gateway.main").app()
+    return start("wasabilanding.gateway.main", "app")
 
 
 if __name__ == "__main__":
