Start stand-ins, listeners and changes of the soak in one way each

- launcher.Processes starts a stand-in and the platform for both launchers, which did so with the same lines; both parts of the demo raise one BrokenPromise.
- listening.Listeners serves the fleet and the fabric, which each kept scopes of their own.
- The soak's proxies start where they are made; a loop that looked for new ones each 0.1 s and an event are gone.
Seven changes drew their target, looked whether there was one and freed it; one method does that.
- Requests in flight of a stand-in engine are counted in one place, and a branch that could never run is gone (a request that waits is in flight).

--- a/packages/experiments/wasabilanding/experiments/demo.py
+++ b/packages/experiments/wasabilanding/experiments/demo.py
@@ -27,6 +27,7 @@
 from wasabilanding.experiments import calling
 from wasabilanding.experiments.installation import demo as installation_demo
 from wasabilanding.experiments import launcher
+from wasabilanding.experiments import promises
 
 DOMAINS = ("stgo-prov", "stgo-nunoa", "stgo-maipu")
 SERVICE = "escriba"
@@ -46,10 +47,6 @@
 EXIT_BROKEN = 1
 
 
-class BrokenPromise(Exception):
-    """Something that must always hold did not."""
-
-
 def say(text: str) -> None:
     """Print what happens, with the time."""
     print(f"{time.strftime('%H:%M:%S')}  {text}", flush=True)
@@ -107,7 +104,9 @@
         if all(n >= count for n in serving):
             return time.monotonic() - begun
         time.sleep(POLL_S)
-    raise BrokenPromise(f"replicas did not serve within {timeout_s} s")
+    raise promises.BrokenPromise(
+        f"replicas did not serve within {timeout_s} s"
+    )
 
 
 def _write_profile(system: launcher.System, folder: pathlib.Path) -> None:
@@ -157,7 +156,9 @@
         f"one price sheet sent through 3 entry VMs ran {runs} time: {verdicts}"
     )
     if runs != 1:
-        raise BrokenPromise(f"a non-idempotent request ran {runs} times")
+        raise promises.BrokenPromise(
+            f"a non-idempotent request ran {runs} times"
+        )
 
 
 def _kill_one_vm(
@@ -197,7 +198,9 @@
             say(f"replica rebuilt on {members} after {took:.1f} s")
             return
         time.sleep(POLL_S)
-    raise BrokenPromise(f"no replica was rebuilt in {REPAIR_TIMEOUT_S} s")
+    raise promises.BrokenPromise(
+        f"no replica was rebuilt in {REPAIR_TIMEOUT_S} s"
+    )
 
 
 def _stop_gracefully(
@@ -215,7 +218,9 @@
         stopped = [future.result() for future in futures]
     answers.extend(stopped)
     if not all(answer.whole for answer in stopped):
-        raise BrokenPromise(f"a stream was cut by the stop of {node.name}")
+        raise promises.BrokenPromise(
+            f"a stream was cut by the stop of {node.name}"
+        )
     node.process.wait(timeout=10.0)
     say(f"entry VM {node.name} ended after its last stream")
 
@@ -249,14 +254,15 @@
         if answer.verdict == "completed" and not answer.whole
     ]
     if broken:
-        raise BrokenPromise(f"{len(broken)} answers were not whole")
+        raise promises.BrokenPromise(f"{len(broken)} answers were not whole")
 
 
 def run_demo(folder: pathlib.Path) -> None:
     """Run the demo.
 
     :param folder: takes settings, logs and traces.
-    :raises BrokenPromise: when something that must hold did not.
+    :raises wasabilanding.experiments.promises.BrokenPromise: when something
+        that must hold did not.
     """
     answers: list[calling.Answer] = []
     with launcher.System(launcher.Plan(DOMAINS), folder) as system:
@@ -281,11 +287,7 @@
         try:
             run_demo(path)
             installation_demo.run_demo(path, say)
-        except (
-            BrokenPromise,
-            installation_demo.BrokenPromise,
-            TimeoutError,
-        ) as error:
+        except (promises.BrokenPromise, TimeoutError) as error:
             say(f"BROKEN: {error}")
             sys.exit(EXIT_BROKEN)
     say("every promise was kept")
--- a/packages/experiments/wasabilanding/experiments/installation/changes.py
+++ b/packages/experiments/wasabilanding/experiments/installation/changes.py
@@ -1,6 +1,7 @@
 """Faults and planned changes of the soak, drawn from its seed."""
 
 import collections.abc
+import functools
 import random
 import signal
 import subprocess
@@ -19,6 +20,9 @@
 TIMEOUTS_S = (4.0, 5.0, 6.0)
 KEYS = ("key-1", "key-2")
 
+# What is done to one gateway or engine.
+Change = collections.abc.Callable[..., collections.abc.Awaitable[None]]
+
 
 class Changes:
     """What is done to an installation.
@@ -48,17 +52,17 @@
     async def run(self, nursery: trio.Nursery) -> None:
         """Begin faults and planned changes, also while others go on."""
         kinds: list[collections.abc.Callable] = [
-            self._stop_gateway,
-            self._reload_gateway,
+            functools.partial(self._on_gateway, self._stop_gateway),
+            functools.partial(self._on_gateway, self._reload_gateway),
             self._configure,
-            self._let_engine_leave,
+            functools.partial(self._on_vm, self._let_engine_leave),
         ]
         if not self._planned_only:
             kinds += [
-                self._kill_gateway,
-                self._freeze_gateway,
-                self._kill_engine,
-                self._pause_engine,
+                functools.partial(self._on_gateway, self._kill_gateway),
+                functools.partial(self._on_gateway, self._freeze_gateway),
+                functools.partial(self._on_vm, self._kill_engine),
+                functools.partial(self._on_vm, self._pause_engine),
                 self._harm_link,
                 self._harm_link,
                 self._harm_platform,
@@ -67,28 +71,31 @@
             await trio.sleep(self._rng.uniform(*BETWEEN_CHANGES_S))
             nursery.start_soon(self._rng.choice(kinds))
 
-    def _draw(self, names: collections.abc.Sequence[str]) -> str | None:
-        """Return a target that nothing happens to yet, and note it."""
-        free = [name for name in names if name not in self._busy]
+    async def _on_gateway(self, change: Change) -> None:
+        gateways = {one.name: one for one in self._installation.gateways}
+        await self._on_one_of(gateways, change)
+
+    async def _on_vm(self, change: Change) -> None:
+        vms = {one.endpoint_id: one for one in self._installation.vms}
+        await self._on_one_of(vms, change)
+
+    async def _on_one_of(
+        self,
+        targets: collections.abc.Mapping[str, launch.Gateway | launch.Vm],
+        change: Change,
+    ) -> None:
+        """Change a target that nothing happens to yet, if there is one."""
+        free = [name for name in targets if name not in self._busy]
         if not free:
-            return None
-        found = self._rng.choice(free)
-        self._busy.add(found)
-        return found
+            return
+        name = self._rng.choice(free)
+        self._busy.add(name)
+        await change(targets[name])
+        self._busy.discard(name)
 
     def _note(self, text: str) -> None:
         self.actions.append(f"{trio.current_time():.1f} {text}")
 
-    def _draw_gateway(self) -> launch.Gateway | None:
-        by_name = {one.name: one for one in self._installation.gateways}
-        name = self._draw(list(by_name))
-        return by_name[name] if name else None
-
-    def _draw_vm(self) -> launch.Vm | None:
-        by_name = {one.endpoint_id: one for one in self._installation.vms}
-        name = self._draw(list(by_name))
-        return by_name[name] if name else None
-
     async def _tell(self, vm: launch.Vm, what: str) -> None:
         self._note(f"{what} {vm.endpoint_id}")
         await trio.to_thread.run_sync(self._installation.tell_vm, vm, what)
@@ -101,10 +108,7 @@
         while process.poll() is None:
             await trio.sleep(launch.POLL_S)
 
-    async def _stop_gateway(self) -> None:
-        gateway = self._draw_gateway()
-        if gateway is None:
-            return
+    async def _stop_gateway(self, gateway: launch.Gateway) -> None:
         self._note(f"SIGTERM {gateway.name}")
         gateway.process.terminate()
         with trio.move_on_after(STOP_S) as scope:
@@ -114,23 +118,15 @@
             gateway.process.kill()
             await self._wait_end(gateway.process)
         self._installation.restart(gateway)
-        self._busy.discard(gateway.name)
 
-    async def _reload_gateway(self) -> None:
-        gateway = self._draw_gateway()
-        if gateway is None:
-            return
+    async def _reload_gateway(self, gateway: launch.Gateway) -> None:
         self._note(f"SIGHUP {gateway.name}")
         gateway.process.send_signal(signal.SIGHUP)
-        self._busy.discard(gateway.name)
 
     async def _configure(self) -> None:
         self._version += 1
-        keys = KEYS
-        if not self.revoked and self._rng.random() < REVOKE_PART:
-            keys = KEYS[:1]
-        if self.revoked:
-            keys = KEYS[:1]
+        revokes = self.revoked or self._rng.random() < REVOKE_PART
+        keys = KEYS[:1] if revokes else KEYS
         timeout_s = self._rng.choice(TIMEOUTS_S)
         wanted = launch.table(self._version, keys, timeout_s)
         self._note(f"configuration {self._version}, keys {keys}")
@@ -142,53 +138,33 @@
         if keys != KEYS:
             self.revoked.setdefault(KEYS[1], trio.current_time())
 
-    async def _let_engine_leave(self) -> None:
-        vm = self._draw_vm()
-        if vm is None:
-            return
+    async def _let_engine_leave(self, vm: launch.Vm) -> None:
         await self._tell(vm, "leave")
         await trio.sleep(LEAVE_S)
         await self._tell(vm, "restart")
-        self._busy.discard(vm.endpoint_id)
 
-    async def _kill_gateway(self) -> None:
-        gateway = self._draw_gateway()
-        if gateway is None:
-            return
+    async def _kill_gateway(self, gateway: launch.Gateway) -> None:
         self._note(f"SIGKILL {gateway.name}")
         gateway.process.kill()
         await self._wait_end(gateway.process)
         await self._rest()
         self._installation.restart(gateway)
-        self._busy.discard(gateway.name)
 
-    async def _freeze_gateway(self) -> None:
-        gateway = self._draw_gateway()
-        if gateway is None:
-            return
+    async def _freeze_gateway(self, gateway: launch.Gateway) -> None:
         self._note(f"SIGSTOP {gateway.name}")
         gateway.process.send_signal(signal.SIGSTOP)
         await self._rest()
         gateway.process.send_signal(signal.SIGCONT)
-        self._busy.discard(gateway.name)
 
-    async def _kill_engine(self) -> None:
-        vm = self._draw_vm()
-        if vm is None:
-            return
+    async def _kill_engine(self, vm: launch.Vm) -> None:
         await self._tell(vm, "kill")
         await self._rest()
         await self._tell(vm, "restart")
-        self._busy.discard(vm.endpoint_id)
 
-    async def _pause_engine(self) -> None:
-        vm = self._draw_vm()
-        if vm is None:
-            return
+    async def _pause_engine(self, vm: launch.Vm) -> None:
         await self._tell(vm, "pause")
         await self._rest()
         await self._tell(vm, "resume")
-        self._busy.discard(vm.endpoint_id)
 
     async def _harm_link(self) -> None:
         found = self._rng.choice(list(self._proxies.values()))
--- a/packages/experiments/wasabilanding/experiments/installation/demo.py
+++ b/packages/experiments/wasabilanding/experiments/installation/demo.py
@@ -18,6 +18,7 @@
 from wasabilanding.experiments.installation import checks
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation import load
+from wasabilanding.experiments import promises
 
 SAY = collections.abc.Callable[[str], None]
 REQUESTS_OF_KIND = 12
@@ -30,10 +31,6 @@
 HTTP_UNAUTHORIZED = 401
 
 
-class BrokenPromise(Exception):
-    """Something that must always hold did not."""
-
-
 class _Demo:
     """Callers of one installation, and what they got.
 
@@ -82,7 +79,9 @@
         counts = collections.Counter(one.status for one in self.answers)
         self._say(f"{len(self.answers)} requests through 4 gateways: {counts}")
         if set(counts) != {HTTP_OK}:
-            raise BrokenPromise(f"a calm request was not served: {counts}")
+            raise promises.BrokenPromise(
+                f"a calm request was not served: {counts}"
+            )
 
     async def _stream(self, gateway: launch.Gateway, what: str) -> None:
         """Stream long answers while something happens."""
@@ -92,7 +91,7 @@
                 nursery.start_soon(self._ask, gateway, request)
         streams = self.answers[-STREAMS:]
         if not all(s.whole and s.status == HTTP_OK for s in streams):
-            raise BrokenPromise(f"a stream was cut when {what}")
+            raise promises.BrokenPromise(f"a stream was cut when {what}")
         self._say(f"{STREAMS} streams went on when {what}")
 
     async def kill_engine(self) -> None:
@@ -121,7 +120,9 @@
             status = HTTP_OK
             while status != HTTP_UNAUTHORIZED:
                 if trio.current_time() - begun > REVOKED_WITHIN_S:
-                    raise BrokenPromise(f"{gateway.name} takes a revoked key")
+                    raise promises.BrokenPromise(
+                        f"{gateway.name} takes a revoked key"
+                    )
                 request = dataclasses.replace(
                     self._request("pages"), key="key-2"
                 )
@@ -154,7 +155,7 @@
     )
     broken = checks.violations(seen)
     if broken:
-        raise BrokenPromise("; ".join(broken))
+        raise promises.BrokenPromise("; ".join(broken))
 
 
 def _print_table(
@@ -184,7 +185,8 @@
 
     :param folder: takes settings and logs.
     :param say: prints what happens.
-    :raises BrokenPromise: when something that must hold did not.
+    :raises wasabilanding.experiments.promises.BrokenPromise: when something
+        that must hold did not.
     :raises TimeoutError: when replicas are not assembled in time.
     """
     with launch.Installation(launch.Plan(), folder) as installation:
--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -6,7 +6,6 @@
 import pathlib
 import signal
 import subprocess
-import sys
 import time
 import types
 
@@ -18,7 +17,6 @@
 from wasabilanding import routes
 
 HOST = launcher.HOST
-STANDINS = "wasabilanding.standins.main"
 WRITER = "writer"
 PAGES = "pages"
 SITE = "salon.example"
@@ -163,7 +161,10 @@
 
     def __enter__(self) -> "Installation":
         try:
-            self._start_platform()
+            self._platform_port = next(self._ports)
+            self.platform_url = self._processes.start_platform(
+                self._platform_port
+            )
             self.configure(table(1, ("key-1", "key-2")))
             for domain in self._plan.failure_domains:
                 self._start_fabric(domain)
@@ -184,15 +185,6 @@
                 gateway.process.send_signal(signal.SIGCONT)
         self._processes.stop()
 
-    def _start_platform(self) -> None:
-        self._platform_port = next(self._ports)
-        self.platform_url = f"http://{HOST}:{self._platform_port}"
-        module = (sys.executable, "-m", STANDINS)
-        self._processes.spawn(
-            "platform", *module, "platform", str(self._platform_port)
-        )
-        launcher.wait_for_http(f"{self.platform_url}/standin/calls")
-
     def configure(self, wanted: routes.RoutingTable) -> None:
         """Write the operators' configuration.
 
@@ -238,11 +230,15 @@
         }
         path = self._folder / f"fabric-{domain}.json"
         path.write_text(json.dumps(settings))
-        module = (sys.executable, "-m", STANDINS)
-        self._processes.spawn(f"fabric-{domain}", *module, "fabric", str(path))
+        control_url = launcher.url_of(control_port)
+        self._processes.start_standin(
+            f"fabric-{domain}",
+            "fabric",
+            str(path),
+            f"{control_url}/standin/runs",
+        )
         self.vms.extend(vms)
-        self.control_urls[domain] = f"http://{HOST}:{control_port}"
-        launcher.wait_for_http(f"http://{HOST}:{control_port}/standin/runs")
+        self.control_urls[domain] = control_url
 
     def _start_gateways(self) -> None:
         for domain in self._plan.failure_domains:
@@ -269,8 +265,8 @@
         self.gateways.append(
             Gateway(
                 name,
-                f"http://{HOST}:{callers}",
-                f"http://{HOST}:{ready}/ready",
+                launcher.url_of(callers),
+                f"{launcher.url_of(ready)}/ready",
                 path,
                 self._spawn_gateway(name, path),
             )
--- a/packages/experiments/wasabilanding/experiments/installation/soak.py
+++ b/packages/experiments/wasabilanding/experiments/installation/soak.py
@@ -76,6 +76,7 @@
         self._changes = changes.Changes(
             self._installation, self._proxies, self._rng, planned_only
         )
+        self._nursery: trio.Nursery | None = None
         self._count = 0
         self._is_over = False
         self.answers: list[load.Answer] = []
@@ -86,8 +87,11 @@
         return self._changes.actions
 
     def _forward(self, name: str, port: int) -> int:
-        self._proxies[name] = proxy.Proxy(name, port)
-        return self._proxies[name].port
+        """Put a proxy before a port, from the thread that starts processes."""
+        link = proxy.Proxy(name, port)
+        self._proxies[name] = link
+        trio.from_thread.run_sync(self._nursery.start_soon, link.run)
+        return link.port
 
     async def run(self, seconds: float) -> tuple[str, ...]:
         """Run the installation with all that happens to it.
@@ -95,13 +99,9 @@
         :param seconds: how long things happen.
         :returns: what did not hold.
         """
-        enter = self._installation.__enter__
         async with trio.open_nursery() as nursery:
-            # The proxies must run while the processes start.
-            starter = trio.Event()
-            nursery.start_soon(self._run_proxies, starter)
-            await trio.to_thread.run_sync(enter)
-            starter.set()
+            self._nursery = nursery
+            await trio.to_thread.run_sync(self._installation.__enter__)
             try:
                 broken = await self._play(seconds)
             finally:
@@ -112,19 +112,6 @@
             nursery.cancel_scope.cancel()
         return broken
 
-    async def _run_proxies(self, starter: trio.Event) -> None:
-        """Run proxies as they appear while the installation starts."""
-        running: set[str] = set()
-        async with trio.open_nursery() as nursery:
-            while True:
-                for name in list(self._proxies):
-                    if name not in running:
-                        running.add(name)
-                        nursery.start_soon(self._proxies[name].run)
-                with trio.move_on_after(launch.POLL_S):
-                    await starter.wait()
-                    return await trio.sleep_forever()
-
     async def _play(self, seconds: float) -> tuple[str, ...]:
         await trio.to_thread.run_sync(self._installation.wait_until_serving)
         async with trio.open_nursery() as nursery:
--- a/packages/experiments/wasabilanding/experiments/launcher.py
+++ b/packages/experiments/wasabilanding/experiments/launcher.py
@@ -20,6 +20,7 @@
 import httpx
 
 HOST = "127.0.0.1"
+STANDINS = "wasabilanding.standins.main"
 BIN = pathlib.Path(sys.executable).parent
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
@@ -102,7 +103,11 @@
     return ports
 
 
-def _url(port: int) -> str:
+def url_of(port: int) -> str:
+    """Return the URL of a port on loopback.
+
+    :param port: the port.
+    """
     return f"http://{HOST}:{port}"
 
 
@@ -127,6 +132,29 @@
         self._started.append(process)
         return process
 
+    def start_standin(
+        self, name: str, kind: str, argument: str, answers: str
+    ) -> None:
+        """Start a process of the stand-ins and wait until it answers.
+
+        :param name: name of its log file.
+        :param kind: "platform", "fleet" or "fabric".
+        :param argument: its port or its settings file.
+        :param answers: URL that it answers once it runs.
+        """
+        self.spawn(name, sys.executable, "-m", STANDINS, kind, argument)
+        wait_for_http(answers)
+
+    def start_platform(self, port: int) -> str:
+        """Start the stand-in of the platform and return its URL.
+
+        :param port: its port.
+        """
+        url = url_of(port)
+        answers = f"{url}/standin/calls"
+        self.start_standin("platform", "platform", str(port), answers)
+        return url
+
     def stop(self) -> None:
         """End all processes, by their ids."""
         for process in self._started:
@@ -165,7 +193,9 @@
 
     def __enter__(self) -> "System":
         try:
-            self._start_platform()
+            self.platform_url = self._processes.start_platform(
+                next(self._ports)
+            )
             for domain in self._plan.failure_domains:
                 self._start_fleet(domain)
             httpx.put(f"{self.platform_url}/standin/vms", json=self._vms)
@@ -183,19 +213,6 @@
     ) -> None:
         self._processes.stop()
 
-    def _start_platform(self) -> None:
-        port = next(self._ports)
-        self.platform_url = _url(port)
-        self._processes.spawn(
-            "platform",
-            sys.executable,
-            "-m",
-            "wasabilanding.standins.main",
-            "platform",
-            str(port),
-        )
-        wait_for_http(f"{self.platform_url}/standin/calls")
-
     def _fleet_vms(self, domain: str) -> list[dict]:
         plan = self._plan
         count = plan.fabrics_per_domain * plan.vms_per_fabric
@@ -205,7 +222,7 @@
                 "port": port,
                 "vm": {
                     "vm": f"{domain}-vm-{index}",
-                    "address": _url(port),
+                    "address": url_of(port),
                     "failure_domain": domain,
                     "fabric_domain": (
                         f"{domain}-fabric-{index // plan.vms_per_fabric}"
@@ -225,17 +242,15 @@
         }
         path = self._folder / f"fleet-{domain}.json"
         path.write_text(json.dumps(settings))
-        self._processes.spawn(
+        control_url = url_of(control_port)
+        self._processes.start_standin(
             f"fleet-{domain}",
-            sys.executable,
-            "-m",
-            "wasabilanding.standins.main",
             "fleet",
             str(path),
+            f"{control_url}/standin/log",
         )
         self._vms.extend(vm["vm"] for vm in vms)
-        self._fleet_urls[domain] = _url(control_port)
-        wait_for_http(f"{_url(control_port)}/standin/log")
+        self._fleet_urls[domain] = control_url
 
     def _start_nodes(self) -> None:
         names = [
@@ -271,7 +286,7 @@
             name, str(BIN / "wasabilandingd"), "--settings", str(path)
         )
         handle = NodeHandle(
-            name, domain, _url(ports[0]), _url(ports[1]), process
+            name, domain, url_of(ports[0]), url_of(ports[1]), process
         )
         self.nodes.append(handle)
 
--- a/packages/experiments/wasabilanding/experiments/tests/steps/demo_steps.py
+++ b/packages/experiments/wasabilanding/experiments/tests/steps/demo_steps.py
@@ -7,6 +7,7 @@
 
 from wasabilanding.experiments import demo
 from wasabilanding.experiments.installation import demo as installation_demo
+from wasabilanding.experiments import promises
 
 
 @behave.when("the demo runs")
@@ -16,7 +17,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             demo.run_demo(pathlib.Path(folder))
-        except demo.BrokenPromise as error:
+        except promises.BrokenPromise as error:
             context.broken = error
 
 
@@ -27,7 +28,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             installation_demo.run_demo(pathlib.Path(folder), demo.say)
-        except installation_demo.BrokenPromise as error:
+        except promises.BrokenPromise as error:
             context.broken = error
 
 
--- a/packages/standins/wasabilanding/standins/fabric_server.py
+++ b/packages/standins/wasabilanding/standins/fabric_server.py
@@ -63,9 +63,8 @@
         store: metadata.ItemStore,
         nursery: trio.Nursery,
     ) -> None:
-        self._nursery = nursery
+        self._listeners = listening.Listeners(nursery)
         self._ports = {vm.endpoint_id: vm.port for vm in settings.vms}
-        self._scopes: dict[str, trio.CancelScope] = {}
         self.fabric = registered.Fabric(
             settings.failure_domain, settings.behaviour, nursery
         )
@@ -87,14 +86,10 @@
 
         :param endpoint_id: its identity.
         """
-        self._nursery.start_soon(self._listen, endpoint_id)
-
-    async def _listen(self, endpoint_id: str) -> None:
         engine = self.fabric.engines[endpoint_id]
         application = registered_http.registered_app(engine, self.fabric)
-        with trio.CancelScope() as scope:
-            self._scopes[endpoint_id] = scope
-            await listening.serve(application, self._ports[endpoint_id])
+        port = self._ports[endpoint_id]
+        self._listeners.open(endpoint_id, application, port)
 
     def kill(self, endpoint_id: str) -> None:
         """End an engine: its connections break, its registration lapses.
@@ -102,7 +97,7 @@
         :param endpoint_id: its identity.
         """
         self.fabric.engines[endpoint_id].kill()
-        self._scopes[endpoint_id].cancel()
+        self._listeners.close(endpoint_id)
 
     async def leave(self, endpoint_id: str) -> None:
         """Let an engine announce that it leaves, serve on, and end.
--- a/packages/standins/wasabilanding/standins/listening.py
+++ b/packages/standins/wasabilanding/standins/listening.py
@@ -41,3 +41,39 @@
         async for _ in received:
             scope.cancel()
             return
+
+
+class Listeners:
+    """Listeners that open and close by name.
+
+    :param nursery: runs them.
+    """
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    def open(
+        self, name: str, application: quart_trio.QuartTrio, port: int
+    ) -> None:
+        """Listen.
+
+        :param name: name of the listener.
+        :param application: the app.
+        :param port: port on loopback.
+        """
+        self._nursery.start_soon(self._listen, name, application, port)
+
+    async def _listen(
+        self, name: str, application: quart_trio.QuartTrio, port: int
+    ) -> None:
+        with trio.CancelScope() as scope:
+            self._scopes[name] = scope
+            await serve(application, port)
+
+    def close(self, name: str) -> None:
+        """Break a listener and its connections.
+
+        :param name: its name.
+        """
+        self._scopes[name].cancel()
--- a/packages/standins/wasabilanding/standins/main.py
+++ b/packages/standins/wasabilanding/standins/main.py
@@ -75,11 +75,10 @@
 
     def __init__(self, settings: FleetSettings, nursery: trio.Nursery) -> None:
         self._ports = {vm.vm.vm: vm.port for vm in settings.vms}
-        self._nursery = nursery
-        self._scopes: dict[str, trio.CancelScope] = {}
+        self._listeners = listening.Listeners(nursery)
         fetch = functools.partial(_fetch_weights, settings.platform_url)
         self.fleet = engine_module.Fleet(nursery, fetch)
-        self.fleet.on_kill = self._close
+        self.fleet.on_kill = self._listeners.close
         for vm in settings.vms:
             self.fleet.add(vm.vm.vm, vm.settings)
 
@@ -88,16 +87,8 @@
 
         :param vm: identity of the VM.
         """
-        self._nursery.start_soon(self._listen, vm)
-
-    async def _listen(self, vm: str) -> None:
         application = engine_http.engine_app(self.fleet.engines[vm])
-        with trio.CancelScope() as scope:
-            self._scopes[vm] = scope
-            await listening.serve(application, self._ports[vm])
-
-    def _close(self, vm: str) -> None:
-        self._scopes[vm].cancel()
+        self._listeners.open(vm, application, self._ports[vm])
 
 
 async def _fetch_weights(url: str, wanted: str) -> None:
--- a/packages/standins/wasabilanding/standins/registered_http.py
+++ b/packages/standins/wasabilanding/standins/registered_http.py
@@ -1,6 +1,7 @@
 """HTTP face of an engine that registers itself, and its registration."""
 
 import collections.abc
+import contextlib
 import json
 
 import quart
@@ -36,32 +37,37 @@
     while left_s > 0 or not engine.works:
         if engine.life != life or not engine.alive:
             raise ConnectionDropped(f"{engine.endpoint_id} is gone")
-        if not engine.takes_requests and not engine.in_flight:
-            raise ConnectionDropped(f"{engine.endpoint_id} left")
         pause_s = min(max(left_s, POLL_S), POLL_S * 4)
         await trio.sleep(pause_s)
         if engine.works:
             left_s -= pause_s
 
 
-async def _events(
+@contextlib.contextmanager
+def _counted(
     engine: registered.Engine,
-    life: int,
-    numbers: range,
-    event_s: float,
-) -> collections.abc.AsyncIterator[bytes]:
+) -> collections.abc.Iterator[int]:
+    """Count a request in flight and yield the engine's start."""
+    life = engine.life
     engine.in_flight += 1
-    place = engine.place
     try:
+        yield life
+    finally:
+        if engine.life == life:
+            engine.in_flight -= 1
+
+
+async def _events(
+    engine: registered.Engine, numbers: range, event_s: float
+) -> collections.abc.AsyncIterator[bytes]:
+    place = engine.place
+    with _counted(engine) as life:
         for number in numbers:
             await _work(engine, life, event_s)
             if engine.place != place:
                 raise ConnectionDropped(f"{engine.endpoint_id} moved on")
             text = json.dumps({"piece": number})
             yield f"id: {number}\ndata: {text}\n\n".encode()
-    finally:
-        if engine.life == life:
-            engine.in_flight -= 1
 
 
 def _refusal(
@@ -151,13 +157,8 @@
     body: str,
     own: dict[str, str],
 ) -> quart.ResponseReturnValue:
-    life = engine.life
-    engine.in_flight += 1
-    try:
+    with _counted(engine) as life:
         await _work(engine, life, fabric.settings.work_s)
-    finally:
-        if engine.life == life:
-            engine.in_flight -= 1
     return {"endpoint": engine.endpoint_id, "body": body}, 200, own
 
 
@@ -169,9 +170,8 @@
     headers = quart.request.headers
     count = int(headers.get("x-events-wanted", DEFAULT_EVENTS))
     first = int(headers.get("x-resumes-after", -1)) + 1
-    events = _events(
-        engine, engine.life, range(first, count), fabric.settings.event_s
-    )
+    numbers = range(first, count)
+    events = _events(engine, numbers, fabric.settings.event_s)
     response = quart.Response(
         events, content_type=EVENTS_TYPE, headers={**own, "x-events": "1"}
     )
