Keep the weights that the next loss needs on spare endpoints

Besides, a lost replica made its model seem to lack VMs at once, and replicas of the other model in another fabric domain were closed for it although it was formed again two seconds later.

Change: the endpoints left over in a fabric domain hold the weights of its models, apportioned by VMs and need (Sainte-Lague), also before the first request, when loads are fast. A preemption starts only when a model has lacked VMs for 4 s.

--- a/packages/decisions/wasabilanding/assembly/__init__.py
+++ b/packages/decisions/wasabilanding/assembly/__init__.py
@@ -31,6 +31,8 @@
 from wasabilanding.assembly.orders import Stage
 from wasabilanding.assembly.planner import Planner
 from wasabilanding.assembly.rate_limiter import LoadRateLimiter
+from wasabilanding.assembly.spares import apportion
+from wasabilanding.assembly.spares import choose_spare_loads
 
 __all__ = [
     "Probe",
@@ -45,7 +47,9 @@
     "Planner",
     "PlannerInput",
     "Stage",
+    "apportion",
     "choose_preemption",
+    "choose_spare_loads",
     "plan_replicas",
     "choose_loads_to_stage",
 ]
--- a/packages/decisions/wasabilanding/assembly/choice.py
+++ b/packages/decisions/wasabilanding/assembly/choice.py
@@ -61,10 +61,10 @@
     vms_by_model: collections.abc.Mapping[str, int],
 ) -> tuple[float, int]:
     """Return the sort key of a model: its need, then the smaller size."""
-    need = (spec.share or 0.01) / (vms_by_model[spec.name] + 1)
+    lack = need(spec, vms_by_model[spec.name] + 1)
     if not count_cold_members(_pick_members(free, spec), spec):
-        need *= WARM_START_PREFERENCE
-    return need, -spec.size
+        lack *= WARM_START_PREFERENCE
+    return lack, -spec.size
 
 
 def group_by_fabric_domain(
@@ -139,7 +139,12 @@
     victims: tuple[fleet.Replica, ...]
 
 
-def _need(spec: routes.ModelSpec, vms: int) -> float:
+def need(spec: routes.ModelSpec, vms: int) -> float:
+    """Return how much a model lacks VMs, relative to its share of the work.
+
+    :param spec: the model.
+    :param vms: VMs in its replicas.
+    """
     return (spec.share or 0.01) / max(vms, 0.5)
 
 
@@ -155,10 +160,10 @@
     if not 1 <= count <= MAX_VICTIMS or count > len(replicas):
         return None
     after = max(
-        _need(wanted, vm_counts[wanted.name] + wanted.size),
-        _need(donor, vm_counts[donor.name] - count * donor.size),
+        need(wanted, vm_counts[wanted.name] + wanted.size),
+        need(donor, vm_counts[donor.name] - count * donor.size),
     )
-    if _need(wanted, vm_counts[wanted.name]) < MIN_PREEMPTION_GAIN * after:
+    if need(wanted, vm_counts[wanted.name]) < MIN_PREEMPTION_GAIN * after:
         return None
 
     victims = tuple(
@@ -194,7 +199,7 @@
     :param skipped: fabric domains to leave unchanged.
     """
     vm_counts = collections.Counter(vms_by_model)
-    wanted = max(spec.models, key=lambda m: _need(m, vm_counts[m.name]))
+    wanted = max(spec.models, key=lambda m: need(m, vm_counts[m.name]))
     domains = group_by_fabric_domain(free)
     serving_by_domain = collections.defaultdict(list)
     for replica in replicas:
@@ -228,32 +233,21 @@
     """Return what free endpoints should load to form replicas.
 
     In each fabric domain, the model that brings most VMs into service per
-    load is chosen; among equals, the one that lacks VMs most. Where no model
-    fits, endpoints without any weights load the smallest model.
+    load is chosen; among equals, the one that lacks VMs most.
 
     :param free: endpoints that belong to no replica.
     :param vms_by_model: VMs in replicas of each model.
     :param spec: the models.
     :returns: endpoints, each with the model to load.
     """
-    smallest = min(spec.models, key=lambda m: (m.size, m.name))
     chosen = []
     for left in group_by_fabric_domain(free).values():
         fitting = [m for m in spec.models if m.size <= len(left)]
-        if fitting:
-            best = max(
-                fitting, key=lambda m: _vms_per_load(left, m, vms_by_model)
-            )
-            members = _pick_members(left, best)
-            chosen += [
-                (m, best) for m in members if not m.has_weights(best.name)
-            ]
-        else:
-            chosen += [
-                (endpoint, smallest)
-                for endpoint in left
-                if not endpoint.resident and not endpoint.staged
-            ]
+        if not fitting:
+            continue
+        best = max(fitting, key=lambda m: _vms_per_load(left, m, vms_by_model))
+        members = _pick_members(left, best)
+        chosen += [(m, best) for m in members if not m.has_weights(best.name)]
     return chosen
 
 
@@ -263,7 +257,7 @@
     vms_by_model: collections.abc.Mapping[str, int],
 ) -> tuple[float, float]:
     loads = count_cold_members(_pick_members(free, spec), spec)
-    return spec.size / max(loads, 1), _need(
+    return spec.size / max(loads, 1), need(
         spec, vms_by_model.get(spec.name, 0)
     )
 
@@ -287,7 +281,7 @@
     """
     ranked = sorted(
         spec.models,
-        key=lambda m: (-_need(m, vms_by_model.get(m.name, 0)), m.name),
+        key=lambda m: (-need(m, vms_by_model.get(m.name, 0)), m.name),
     )
     wanted = []
     for replica in sorted(replicas, key=lambda r: r.replica_key):
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -8,6 +8,7 @@
 from wasabilanding.assembly import load_scheduler
 from wasabilanding.assembly import orders
 from wasabilanding.assembly import preemption
+from wasabilanding.assembly import spares
 from wasabilanding import fleet
 from wasabilanding import routes
 
@@ -129,7 +130,9 @@
             )
             planned += staged
             self._closing |= closing & set(replicas)
-        planned += self._form_replicas(settled, vms_by_model, inputs, now)
+        planned += self._form_replicas(
+            settled, replicas, vms_by_model, inputs, now
+        )
         if not self._forming and not self._preemptions:
             extra_loads = choice.choose_loads_to_stage(
                 serving, vms_by_model, inputs.spec
@@ -450,6 +453,7 @@
     def _form_replicas(
         self,
         free: collections.abc.Sequence[fleet.Endpoint],
+        replicas: collections.abc.Mapping[fleet.ReplicaKey, fleet.Replica],
         vms_by_model: collections.Counter[str],
         inputs: orders.PlannerInput,
         now: float,
@@ -466,34 +470,56 @@
         for plan in plans:
             planned.append(self._join(plan, inputs, now))
             used.update(endpoint.endpoint_id for endpoint in plan.members)
-        if not inputs.loads_are_unlimited:
-            idle = [
-                endpoint
-                for endpoint in free
-                if endpoint.endpoint_id not in used
-            ]
-            planned += self._load_missing_weights(
-                idle, vms_by_model, inputs, now
-            )
+        idle = [
+            endpoint for endpoint in free if endpoint.endpoint_id not in used
+        ]
+        planned += self._load_missing_weights(
+            idle, replicas, vms_by_model, inputs, now
+        )
         return planned
 
+    def _vms_by_domain(
+        self,
+        replicas: collections.abc.Mapping[fleet.ReplicaKey, fleet.Replica],
+    ) -> dict[str, collections.Counter[str]]:
+        """Return the VMs in replicas of each model, by fabric domain."""
+        vms: dict[str, collections.Counter[str]] = collections.defaultdict(
+            collections.Counter
+        )
+        for replica_key, replica in replicas.items():
+            if replica_key not in self._forming:
+                domain = replica.members[0].fabric_domain
+                vms[domain][replica.model] += len(replica.members)
+        for forming in self._forming.values():
+            domain = forming.members[0].fabric_domain
+            vms[domain][forming.model] += len(forming.members)
+        return vms
+
     def _load_missing_weights(
         self,
         idle: collections.abc.Sequence[fleet.Endpoint],
+        replicas: collections.abc.Mapping[fleet.ReplicaKey, fleet.Replica],
         vms_by_model: collections.Counter[str],
         inputs: orders.PlannerInput,
         now: float,
     ) -> list[orders.Order]:
         """Return orders to load the weights that idle endpoints lack."""
         reserved_models = self._preemptions.reserved_models
+        smallest = min(model.size for model in inputs.spec.models)
+        to_form: list[fleet.Endpoint] = []
+        spare: list[fleet.Endpoint] = []
+        for domain, own in choice.group_by_fabric_domain(idle).items():
+            if domain in reserved_models:
+                continue
+            if len(own) < smallest:
+                spare += own
+            else:
+                to_form += own
         chosen = choice.choose_loads_to_form(
-            [
-                endpoint
-                for endpoint in idle
-                if endpoint.fabric_domain not in reserved_models
-            ],
-            vms_by_model,
-            inputs.spec,
+            to_form, vms_by_model, inputs.spec
+        )
+        chosen += spares.choose_spare_loads(
+            spare, self._vms_by_domain(replicas), vms_by_model, inputs.spec
         )
         return [
             order
--- a/packages/decisions/wasabilanding/assembly/preemption.py
+++ b/packages/decisions/wasabilanding/assembly/preemption.py
@@ -12,6 +12,8 @@
 
 # Time to close the victims, in addition to the model's load time.
 CLOSE_ALLOWANCE_S = 14.0
+# A replica that lost a member is often formed again within this time.
+MIN_LACK_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +33,9 @@
 
     def __init__(self) -> None:
         self._active_by_domain: dict[str, _ActivePreemption] = {}
+        # Model that lacks VMs, and since when.
+        self._lacking_model = ""
+        self._lacking_since = 0.0
 
     def __bool__(self) -> bool:
         """Tell whether any preemption is in progress."""
@@ -83,7 +88,7 @@
             found = choice.choose_preemption(
                 free, serving, vms_by_model, spec, skipped
             )
-            if found is None:
+            if not self._lacks_long(found, now):
                 return
             vms_by_model[found.model.name] += found.model.size
             self._active_by_domain[found.victims[0].head.fabric_domain] = (
@@ -99,6 +104,14 @@
                 )
             )
 
+    def _lacks_long(self, found: choice.Preemption | None, now: float) -> bool:
+        """Tell whether the same model has lacked VMs for long."""
+        name = found.model.name if found else ""
+        if name != self._lacking_model:
+            self._lacking_model = name
+            self._lacking_since = now
+        return bool(name) and now - self._lacking_since >= MIN_LACK_S
+
     def next_orders(
         self,
         load_scheduler: load_scheduler_module.LoadScheduler,
--- a/packages/decisions/wasabilanding/assembly/tests/assembly.feature
+++ b/packages/decisions/wasabilanding/assembly/tests/assembly.feature
@@ -61,3 +61,42 @@
     Given two fabric domains of ten engines and seed 67
     When 60 s pass with a fault rate of 0.8 per second
     Then no invariant is violated
+
+  Scenario Outline: Survivors and a spare form a lost replica without a load
+    Given two fabric domains of <size> engines and seed <seed>
+    When 10 s pass without faults
+    And one replica of the <model> model loses a member permanently
+    And 2.7 s pass without faults
+    Then no invariant is violated
+    And the models have <large> and <small> engines
+
+    # A load alone takes 3 s.
+    Examples:
+      | seed | size | model | large | small |
+      | 1    | 11   | large | 8     | 12    |
+      | 2    | 11   | large | 8     | 12    |
+      | 3    | 11   | large | 8     | 12    |
+
+  Scenario Outline: The spares of a fabric domain cover its models
+    Given replicas with <large> VMs of the large and <small> of the small model
+    When spares that hold "<held>" are planned
+    Then they load "<loads>"
+
+    Examples: The model with more VMs in the fabric domain comes first
+      | large | small | held         | loads       |
+      | 6     | 3     | none         | large       |
+      | 6     | 3     | none none    | large small |
+      | 6     | 3     | small none   | large       |
+      | 6     | 3     | small small  | large       |
+      | 6     | 3     | small        | large       |
+      | 6     | 3     | large small  |             |
+      | 3     | 6     | none         | small       |
+
+    Examples: A model without a replica in the fabric domain needs no spare
+      | large | small | held      | loads       |
+      | 6     | 0     | none none | large large |
+
+    Examples: Without any replica, spares prepare the smallest model
+      | large | small | held       | loads |
+      | 0     | 0     | none       | small |
+      | 0     | 0     | large none | small |
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -71,14 +71,18 @@
 
     :param seed: seed of the random number generator.
     :param fault_rate: probability per second of each kind of fault.
+    :param domain_size: number of engines in each of two fabric domains.
     """
 
-    def __init__(self, seed: int, fault_rate: float) -> None:
+    def __init__(
+        self, seed: int, fault_rate: float, domain_size: int = 10
+    ) -> None:
         self.rng = random.Random(seed)
         self.fault_rate = fault_rate
         self.now = 0.0
         self.engines = {
-            f"e{i:02}": Engine(f"e{i:02}", f"d{i // 10}") for i in range(20)
+            f"e{i:02}": Engine(f"e{i:02}", f"d{i // domain_size}")
+            for i in range(2 * domain_size)
         }
         self.registry = fleet.Registry()
         self.revision = 1
--- a/packages/decisions/wasabilanding/assembly/tests/steps/assembly_steps.py
+++ b/packages/decisions/wasabilanding/assembly/tests/steps/assembly_steps.py
@@ -2,7 +2,12 @@
 
 import behave
 
+from wasabilanding import assembly
 from wasabilanding.assembly.tests import fake_engines
+from wasabilanding import fleet
+
+# VMs of each model in all fabric domains.
+TOTAL_VMS = {"large": 30, "small": 30}
 
 
 @behave.given("two fabric domains of ten engines and seed {seed:d}")
@@ -11,6 +16,18 @@
     context.cluster = fake_engines.SimulatedCluster(seed, 0.0)
 
 
+@behave.given("two fabric domains of {size:d} engines and seed {seed:d}")
+def given_cluster_of_size(context, size, seed):
+    """Create engines that belong to no replica."""
+    context.cluster = fake_engines.SimulatedCluster(seed, 0.0, size)
+
+
+@behave.when("one replica of the {model} model loses a member permanently")
+def lose_one(context, model):
+    """Lose one member."""
+    context.cluster.lose_member_permanently(model)
+
+
 @behave.when("{seconds:g} s pass without faults")
 def run_without_faults(context, seconds):
     """Simulate without faults."""
@@ -59,3 +76,45 @@
     """Compare the number of engines of the large model."""
     found = context.cluster.vms_of("large")
     assert found >= count, found
+
+
+@behave.given(
+    "replicas with {large:d} VMs of the large and {small:d} of the small model"
+)
+def given_vms(context, large, small):
+    """Set the VMs of each model in one fabric domain."""
+    context.vms = {"large": large, "small": small}
+
+
+def _spare(number, held):
+    return fleet.Endpoint(
+        f"e{number}",
+        "writer",
+        "10.0.0.1",
+        80,
+        "prov",
+        fabric_domain="d0",
+        staged=() if held == "none" else (held,),
+    )
+
+
+@behave.when('spares that hold "{held}" are planned')
+def plan_spares(context, held):
+    """Choose the loads of the spares in a fabric domain."""
+    spares = [_spare(i, name) for i, name in enumerate(held.split())]
+    context.loads = assembly.choose_spare_loads(
+        spares, {"d0": context.vms}, TOTAL_VMS, fake_engines.SPEC
+    )
+
+
+@behave.then('they load "{loads}"')
+def check_loads(context, loads):
+    """Compare the models to load."""
+    found = sorted(model.name for _, model in context.loads)
+    assert found == loads.split(), found
+
+
+@behave.then('they load ""')
+def check_no_loads(context):
+    """Check that nothing is loaded."""
+    check_loads(context, "")
