Draw the endpoint of a request by its free slots

Cause: nodes learn of each other's requests some tenths of a second late, and all of them sent to the endpoint that seemed least loaded until the next report. Requests left their failure domain only when an endpoint there had a whole batch more than one elsewhere.

--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -14,11 +14,13 @@
 from wasabilanding.dispatch.choice import choose
 from wasabilanding.dispatch.tracker import EndpointObservations
 from wasabilanding.dispatch.tracker import EndpointTracker
+from wasabilanding.dispatch.tracker import Load
 
 __all__ = [
     "EndpointTracker",
     "Candidate",
     "EndpointObservations",
+    "Load",
     "candidates_of",
     "choose",
 ]
--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -1,4 +1,27 @@
-"""Choice of the endpoint for a request."""
+"""Choice of the endpoint for a request.
+
+Explanation
+===========
+
+Load pattern: many nodes, each with few requests, share endpoints of a few
+slots, and learn of each other's requests only some tenths of a second later.
+If all of them chose the endpoint that seems least loaded, it would receive
+all requests until the next report [1]_. So an endpoint is drawn at random,
+with its free slots as weight.
+
+Requests leave the failure domain when few slots are free there: then those of
+other failure domains are drawn as well. When no slot is free anywhere, the
+shorter one of two random queues is taken [2]_.
+
+References
+==========
+
+.. [1] M. Mitzenmacher, "How useful is old information?", IEEE Transactions
+       on Parallel and Distributed Systems, 2000.
+.. [2] M. Mitzenmacher, "The power of two choices in randomized load
+       balancing", IEEE Transactions on Parallel and Distributed Systems,
+       2001.
+"""
 
 import collections.abc
 import dataclasses
@@ -9,11 +32,14 @@
 from wasabilanding import routes
 
 # Extra load, in requests per slot, that counts for an endpoint in another
-# failure domain.
+# failure domain when all endpoints are full.
 REMOTE_PENALTY = 1.0
 # A replica with a lapsed member is used normally if its head made progress
 # within this time.
 RECENT_PROGRESS_S = 1.0
+# Share of free slots below which requests leave the failure domain.
+MIN_FREE_SHARE = 0.2
+QUEUES_COMPARED = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +87,20 @@
     return {"": [Candidate(e, max(e.slots, 1)) for e in own if not e.draining]}
 
 
+@dataclasses.dataclass(frozen=True)
+class _Option:
+    """A candidate with this node's estimate of its load.
+
+    :param load: requests in flight, relative to its slots.
+    :param free_slots: slots without a request.
+    """
+
+    candidate: Candidate
+    is_remote: bool
+    load: float
+    free_slots: int
+
+
 def choose(
     candidates: collections.abc.Iterable[Candidate],
     tracker: tracker_module.EndpointTracker,
@@ -68,33 +108,86 @@
     now: float,
     rng: random.Random,
 ) -> Candidate | None:
-    """Return the least loaded candidate.
-
-    Suited to many short streams that arrive evenly at all nodes. The nodes
-    of a failure domain exchange their requests in flight; other failure
-    domains receive requests only when the local one is much busier.
+    """Return a candidate with little load.
 
     :param candidates: endpoints that may receive the request.
     :param tracker: this node's observations of them.
     :param failure_domain: failure domain of this node.
     :param now: local monotonic time in seconds.
-    :param rng: breaks ties.
+    :param rng: draws candidates.
     """
-
-    def cost(candidate: Candidate) -> tuple[bool, float, float]:
+    usable: list[_Option] = []
+    avoided: list[_Option] = []
+    for candidate in candidates:
+        option = _option(candidate, tracker, failure_domain)
         record = tracker.record(candidate.endpoint.endpoint_id)
-        load = tracker.load(candidate.endpoint.endpoint_id) / candidate.slots
-        if candidate.endpoint.failure_domain != failure_domain:
-            load += REMOTE_PENALTY
-        unproven = (
-            candidate.is_incomplete
-            and now - record.progress_at > RECENT_PROGRESS_S
-        )
-        avoided = (
-            unproven
-            or now < record.avoid_until
-            or record.is_silent(now, tracker_module.PROGRESS_TIMEOUT_S)
-        )
-        return avoided, load, rng.random()
-
-    return min(candidates, key=cost, default=None)
+        group = avoided if _is_avoided(candidate, record, now) else usable
+        group.append(option)
+    options = usable or avoided
+    if not options:
+        return None
+    free = _options_with_slots(options)
+    if not free:
+        return _shortest_queue(options, rng).candidate
+    weights = [option.free_slots for option in free]
+    return rng.choices(free, weights)[0].candidate
+
+
+def _options_with_slots(
+    options: collections.abc.Iterable[_Option],
+) -> list[_Option]:
+    """Return the options with free slots among which to draw."""
+    local = [option for option in options if not option.is_remote]
+    slots = sum(option.candidate.slots for option in local)
+    free_local = [option for option in local if option.free_slots > 0]
+    free_slots = sum(option.free_slots for option in free_local)
+    if free_local and free_slots >= MIN_FREE_SHARE * slots:
+        return free_local
+    return [option for option in options if option.free_slots > 0]
+
+
+def _option(
+    candidate: Candidate,
+    tracker: tracker_module.EndpointTracker,
+    failure_domain: str,
+) -> _Option:
+    in_flight = tracker.load(candidate.endpoint.endpoint_id)
+    return _Option(
+        candidate,
+        candidate.endpoint.failure_domain != failure_domain,
+        in_flight / candidate.slots,
+        candidate.slots - in_flight,
+    )
+
+
+def _is_avoided(
+    candidate: Candidate,
+    record: tracker_module.EndpointObservations,
+    now: float,
+) -> bool:
+    unproven = (
+        candidate.is_incomplete
+        and now - record.progress_at > RECENT_PROGRESS_S
+    )
+    return (
+        unproven
+        or now < record.avoid_until
+        or record.is_silent(now, tracker_module.PROGRESS_TIMEOUT_S)
+    )
+
+
+def _shortest_queue(
+    options: collections.abc.Sequence[_Option], rng: random.Random
+) -> _Option:
+    local = [option for option in options if not option.is_remote]
+    remote = [option for option in options if option.is_remote]
+    drawn = [
+        option
+        for group in (local, remote)
+        for option in rng.sample(group, min(QUEUES_COMPARED, len(group)))
+    ]
+    return min(drawn, key=_queue_cost)
+
+
+def _queue_cost(option: _Option) -> float:
+    return option.load + (REMOTE_PENALTY if option.is_remote else 0.0)
--- a/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
+++ b/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
@@ -1,5 +1,6 @@
 """Steps for the choice of an endpoint."""
 
+import collections
 import dataclasses
 import random
 
@@ -39,6 +40,56 @@
     )
 
 
+@behave.given(
+    "endpoints of 9 slots with {first:d}, {second:d} and {third:d} requests "
+    "in flight"
+)
+def given_three(context, first, second, third):
+    """Create three endpoints of one failure domain."""
+    context.tracker = dispatch.EndpointTracker()
+    context.candidates = {}
+    for name, count in (("a", first), ("b", second), ("c", third)):
+        endpoint = dataclasses.replace(
+            _candidate(name).endpoint, failure_domain="near"
+        )
+        context.candidates[name] = dispatch.Candidate(endpoint, slots=9)
+        for _ in range(count):
+            context.tracker.begin(name, RECENT_S)
+        context.tracker.record_progress(name, RECENT_S)
+
+
+@behave.when(
+    "{count:d} requests are sent at once by nodes that do not know of each "
+    "other"
+)
+def send_unaware(context, count):
+    """Choose an endpoint for each request, without counting the others."""
+    rng = random.Random(1)
+    context.received = collections.Counter(
+        dispatch.choose(
+            context.candidates.values(), context.tracker, "near", 100.0, rng
+        ).endpoint.endpoint_id
+        for _ in range(count)
+    )
+
+
+@behave.then(
+    "the endpoints receive at least {first:d}, {second:d} and {third:d} of "
+    "them"
+)
+def check_received(context, first, second, third):
+    """Compare the requests of each endpoint."""
+    least = {"a": first, "b": second, "c": third}
+    for name, count in least.items():
+        assert context.received[name] >= count, context.received
+
+
+@behave.then("near receives at least {least:d} and at most {most:d} of them")
+def check_near(context, least, most):
+    """Compare the requests that stay in the failure domain."""
+    assert least <= context.received["near"] <= most, context.received
+
+
 @behave.given("near is avoided until {until:g} s")
 def given_avoided(context, until):
     """Avoid an endpoint after a failure."""
--- a/packages/decisions/wasabilanding/dispatch/tracker.py
+++ b/packages/decisions/wasabilanding/dispatch/tracker.py
@@ -16,6 +16,9 @@
 # planner probes it, and for which the report is not repeated.
 SILENCE_REPORT_TTL_S = 1.0
 
+# Requests in flight, by endpoint.
+Load = dict[str, int]
+
 
 @dataclasses.dataclass
 class EndpointObservations:
@@ -88,6 +91,19 @@
         local = self._records[endpoint_id].in_flight
         return local + self._peer_load[endpoint_id]
 
+    def load_of_nodes(self, nodes: collections.abc.Iterable[str]) -> Load:
+        """Return the requests in flight from this node and some others.
+
+        :param nodes: names of the other nodes.
+        :returns: requests in flight, by endpoint, without zeros.
+        """
+        total = collections.Counter(self.local_load)
+        for node in nodes:
+            report = self._load_by_peer.get(node)
+            if report is not None:
+                total.update(report.in_flight)
+        return dict(+total)
+
     def update_peer_load(
         self, node: str, load: collections.abc.Mapping[str, int], now: float
     ) -> None:
