--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -8,19 +8,16 @@
 """
 
 import collections.abc
-import typing
 
 import trio
 
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import status_apps
 
-Receive = collections.abc.Callable[
-    [], collections.abc.Awaitable[dict[str, typing.Any]]
-]
-Send = collections.abc.Callable[
-    [dict[str, typing.Any]], collections.abc.Awaitable[None]
-]
+Message = status_apps.Message
+Receive = status_apps.Receive
+Send = status_apps.Send
 
 
 class BodyTooLarge(Exception):
@@ -53,9 +50,7 @@
         """Whether the head of an answer has been sent."""
         return self.status > 0
 
-    async def _send_uninterrupted(
-        self, message: dict[str, typing.Any]
-    ) -> None:
+    async def _send_uninterrupted(self, message: Message) -> None:
         # If a send were cancelled halfway, the server's protocol state would
         # be ahead of the bytes written. A cancellation takes effect after the
         # send, when it is known what the caller has received.
@@ -134,7 +129,7 @@
             return b"".join(parts)
 
 
-def _head(scope: dict[str, typing.Any]) -> messages.RequestHead:
+def _head(scope: Message) -> messages.RequestHead:
     path = scope["raw_path"]
     query = scope["query_string"]
     target = path + b"?" + query if query else path
@@ -170,9 +165,7 @@
         their answers.
     """
 
-    async def run(
-        scope: dict[str, typing.Any], receive: Receive, send: Send
-    ) -> None:
+    async def run(scope: Message, receive: Receive, send: Send) -> None:
         response = ResponseWriter(send, closes_connection)
         try:
             body = await _read_body(receive, max_body_bytes())
@@ -189,22 +182,10 @@
             await handle(_head(scope), body, response)
             nursery.cancel_scope.cancel()
 
-    async def app(
-        scope: dict[str, typing.Any], receive: Receive, send: Send
-    ) -> None:
+    async def app(scope: Message, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await status_apps.run_lifespan(receive, send)
         elif scope["type"] == "http":
             await run(scope, receive, send)
 
     return app
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        elif message["type"] == "lifespan.shutdown":
-            await send({"type": "lifespan.shutdown.complete"})
-            return
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -1,13 +1,16 @@
-"""Counters and latency histograms in the Prometheus text format.
+"""Counters and latency histograms of a gateway.
 
-They are exported on request only, without pushes or an export thread.
+They are kept as plain numbers: a node counts each request, but few nodes are
+ever asked for their metrics. :mod:`wasabilanding.gateway.metrics_export` turns
+the numbers into text; it is imported on the first request for the text, so
+that a restarted node serves callers sooner.
 """
 
-import opentelemetry.exporter.prometheus
-import opentelemetry.sdk.metrics
-import opentelemetry.sdk.metrics.view
-import opentelemetry.sdk.resources
-import prometheus_client
+import bisect
+import collections
+import collections.abc
+import dataclasses
+import importlib
 
 from wasabilanding import model
 
@@ -28,6 +31,33 @@
 )
 FIRST_EVENT_METRIC = "wasabilanding_first_event_seconds"
 ANSWER_METRIC = "wasabilanding_answer_seconds"
+EXPORT_MODULE = "wasabilanding.gateway.metrics_export"
+
+# Names and values of labels, in a fixed order.
+Labels = tuple[tuple[str, str], ...]
+CountsByLabels = collections.Counter[Labels]
+
+
+@dataclasses.dataclass
+class Histogram:
+    """Distribution of a duration.
+
+    :param counts: values in each bucket; the last one has no upper bound.
+    :param sum_s: sum of all values in seconds.
+    """
+
+    counts: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1)
+    )
+    sum_s: float = 0.0
+
+    def record(self, value_s: float) -> None:
+        """Add a value.
+
+        :param value_s: duration in seconds.
+        """
+        self.counts[bisect.bisect_left(LATENCY_BUCKETS_S, value_s)] += 1
+        self.sum_s += value_s
 
 
 class Metrics:
@@ -37,51 +67,19 @@
     """
 
     def __init__(self, node: str) -> None:
-        resource = opentelemetry.sdk.resources.Resource(
-            {"service.name": "wasabilanding", "service.instance.id": node}
-        )
-        buckets = (
-            opentelemetry.sdk.metrics.view.ExplicitBucketHistogramAggregation
-        )(LATENCY_BUCKETS_S)
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
-            registry=self._registry
-        )
-        provider = opentelemetry.sdk.metrics.MeterProvider(
-            resource=resource,
-            metric_readers=[reader],
-            views=[
-                opentelemetry.sdk.metrics.view.View(
-                    instrument_name=name, aggregation=buckets
-                )
-                for name in (FIRST_EVENT_METRIC, ANSWER_METRIC)
-            ],
-            shutdown_on_exit=False,
-        )
-        meter = provider.get_meter("wasabilanding")
-        self._requests = meter.create_counter(
-            "wasabilanding_requests",
-            description="Requests by service and status",
-        )
-        self._attempts = meter.create_counter(
-            "wasabilanding_attempts",
-            description="Attempts by service, verdict and reason",
-        )
-        self._store_calls = meter.create_counter(
-            "wasabilanding_store_calls",
-            description="Calls to the platform's store by result",
-        )
-        self._orders = meter.create_counter(
-            "wasabilanding_orders", description="Orders to endpoints by kind"
-        )
-        self._first_event = meter.create_histogram(
-            FIRST_EVENT_METRIC, unit="s"
+        self.node = node
+        self.requests: CountsByLabels = collections.Counter()
+        self.attempts: CountsByLabels = collections.Counter()
+        self.store_calls: CountsByLabels = collections.Counter()
+        self.orders: CountsByLabels = collections.Counter()
+        self.stranded: dict[Labels, int] = {}
+        self.first_event: dict[Labels, Histogram] = collections.defaultdict(
+            Histogram
         )
-        self._answer = meter.create_histogram(ANSWER_METRIC, unit="s")
-        self._stranded = meter.create_gauge(
-            "wasabilanding_stranded_endpoints",
-            description="Endpoints of a failure domain that do not serve",
+        self.answer: dict[Labels, Histogram] = collections.defaultdict(
+            Histogram
         )
+        self._export: collections.abc.Callable[[], bytes] | None = None
 
     def count_request(
         self,
@@ -97,11 +95,11 @@
         :param first_s: seconds until its answer began; None if it did not.
         :param whole_s: seconds until it ended.
         """
-        labels = {"service": service}
-        self._requests.add(1, {**labels, "status": str(status)})
+        labels = (("service", service),)
+        self.requests[(*labels, ("status", str(status)))] += 1
         if first_s is not None:
-            self._first_event.record(first_s, labels)
-        self._answer.record(whole_s, labels)
+            self.first_event[labels].record(first_s)
+        self.answer[labels].record(whole_s)
 
     def count_attempt(self, service: str, outcome: model.Outcome) -> None:
         """Count an attempt that has ended.
@@ -109,14 +107,12 @@
         :param service: its service.
         :param outcome: its outcome.
         """
-        self._attempts.add(
-            1,
-            {
-                "service": service,
-                "verdict": outcome.verdict.value,
-                "reason": outcome.reason.value,
-            },
+        labels = (
+            ("service", service),
+            ("verdict", outcome.verdict.value),
+            ("reason", outcome.reason.value),
         )
+        self.attempts[labels] += 1
 
     def count_store_call(self, operation: str, result: str) -> None:
         """Count a call to the platform's store.
@@ -124,7 +120,8 @@
         :param operation: name of the call.
         :param result: result of the call.
         """
-        self._store_calls.add(1, {"operation": operation, "result": result})
+        labels = (("operation", operation), ("result", result))
+        self.store_calls[labels] += 1
 
     def count_order(self, kind: str, result: str) -> None:
         """Count an order to an endpoint.
@@ -132,7 +129,7 @@
         :param kind: kind of the order.
         :param result: HTTP status, or the reason why there is none.
         """
-        self._orders.add(1, {"kind": kind, "result": result})
+        self.orders[(("kind", kind), ("result", result))] += 1
 
     def set_stranded(self, failure_domain: str, count: int) -> None:
         """Set the number of endpoints of model services that do not serve.
@@ -140,8 +137,11 @@
         :param failure_domain: failure domain that this node plans.
         :param count: number of endpoints.
         """
-        self._stranded.set(count, {"failure_domain": failure_domain})
+        self.stranded[(("failure_domain", failure_domain),)] = count
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        if self._export is None:
+            module = importlib.import_module(EXPORT_MODULE)
+            self._export = module.exporter(self)
+        return self._export()
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -0,0 +1,119 @@
+"""Export of a gateway's metrics in the Prometheus text format.
+
+OpenTelemetry reads the counters when it is asked. Histograms bypass it, as
+it has no instrument that takes over counts of buckets.
+"""
+
+import collections.abc
+import itertools
+
+import opentelemetry.exporter.prometheus
+import opentelemetry.metrics
+import opentelemetry.sdk.metrics
+import opentelemetry.sdk.resources
+import prometheus_client
+import prometheus_client.core
+
+from wasabilanding.gateway import metrics as metrics_module
+
+METER = "wasabilanding"
+
+
+class _HistogramCollector:
+    """Reads the histograms of a gateway for the Prometheus client.
+
+    :param metrics: the gateway's metrics.
+    """
+
+    def __init__(self, metrics: metrics_module.Metrics) -> None:
+        self._metrics = metrics
+
+    def collect(
+        self,
+    ) -> collections.abc.Iterator[prometheus_client.core.Metric]:
+        """Yield each histogram as a family of one metric per label set."""
+        for name, histograms in (
+            (metrics_module.FIRST_EVENT_METRIC, self._metrics.first_event),
+            (metrics_module.ANSWER_METRIC, self._metrics.answer),
+        ):
+            family = prometheus_client.core.HistogramMetricFamily(
+                name, name, labels=["service"]
+            )
+            for labels, histogram in histograms.items():
+                family.add_metric(
+                    [value for _, value in labels],
+                    _cumulative_buckets(histogram),
+                    histogram.sum_s,
+                )
+            yield family
+
+
+def _cumulative_buckets(
+    histogram: metrics_module.Histogram,
+) -> list[tuple[str, float]]:
+    bounds = [*map(str, metrics_module.LATENCY_BUCKETS_S), "+Inf"]
+    counts = itertools.accumulate(histogram.counts)
+    return list(zip(bounds, counts, strict=True))
+
+
+def _observe(
+    numbers: collections.abc.Mapping[metrics_module.Labels, int],
+) -> collections.abc.Callable[
+    [opentelemetry.metrics.CallbackOptions],
+    list[opentelemetry.metrics.Observation],
+]:
+    """Return a callback that reads one instrument's current numbers."""
+
+    def read(
+        options: opentelemetry.metrics.CallbackOptions,
+    ) -> list[opentelemetry.metrics.Observation]:
+        return [
+            opentelemetry.metrics.Observation(number, dict(labels))
+            for labels, number in numbers.items()
+        ]
+
+    return read
+
+
+def exporter(
+    metrics: metrics_module.Metrics,
+) -> collections.abc.Callable[[], bytes]:
+    """Return a function that returns the current metrics as text.
+
+    :param metrics: the gateway's metrics.
+    """
+    registry = prometheus_client.CollectorRegistry()
+    registry.register(_HistogramCollector(metrics))
+    reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
+        registry=registry
+    )
+    resource = opentelemetry.sdk.resources.Resource(
+        {"service.name": METER, "service.instance.id": metrics.node}
+    )
+    provider = opentelemetry.sdk.metrics.MeterProvider(
+        resource=resource, metric_readers=[reader], shutdown_on_exit=False
+    )
+    meter = provider.get_meter(METER)
+    for name, numbers, description in (
+        ("requests", metrics.requests, "Requests by service and status"),
+        (
+            "attempts",
+            metrics.attempts,
+            "Attempts by service, verdict and reason",
+        ),
+        (
+            "store_calls",
+            metrics.store_calls,
+            "Calls to the platform's store by result",
+        ),
+        ("orders", metrics.orders, "Orders to endpoints by kind"),
+    ):
+        meter.create_observable_counter(
+            f"wasabilanding_{name}", [_observe(numbers)], "1", description
+        )
+    meter.create_observable_gauge(
+        "wasabilanding_stranded_endpoints",
+        [_observe(metrics.stranded)],
+        description="Endpoints of a failure domain that do not serve",
+    )
+    return lambda: prometheus_client.generate_latest(registry)
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -11,8 +11,6 @@
 
 import hypercorn.config
 import hypercorn.trio
-import quart
-import quart_trio
 import trio
 
 from wasabilanding import dispatch
@@ -25,6 +23,7 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import settings as settings_module
+from wasabilanding.gateway import status_apps
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 from wasabilanding import routes
@@ -205,34 +204,6 @@
             await self.forwarder.wait_idle()
 
 
-def ready_app(node: Node) -> quart_trio.QuartTrio:
-    """Return the application that answers readiness checks.
-
-    :param node: the node.
-    """
-    app = quart_trio.QuartTrio("ready")
-
-    @app.get("/<path:path>")
-    async def ready(path: str) -> quart.ResponseReturnValue:
-        return {"ready": node.is_ready}, 200 if node.is_ready else 503
-
-    return app
-
-
-def metrics_app(node: Node) -> quart_trio.QuartTrio:
-    """Return the application that serves the node's metrics.
-
-    :param node: the node.
-    """
-    app = quart_trio.QuartTrio("metrics")
-
-    @app.get("/metrics")
-    async def metrics() -> quart.ResponseReturnValue:
-        return node.metrics.text(), 200, {"Content-Type": "text/plain"}
-
-    return app
-
-
 def _http_config(
     address: str, limits: routes.CallerLimits
 ) -> hypercorn.config.Config:
@@ -312,12 +283,17 @@
         nursery.start_soon(_handle_signals, node, settings, load, stopping)
         node.start_loops(nursery)
         served = [
-            (ready_app(node), settings.ready_address),
+            (
+                status_apps.ready_app(lambda: node.is_ready),
+                settings.ready_address,
+            ),
             (node.callers_app(), settings.callers_address),
         ]
         if settings.metrics_port:
             address = f"{settings.address}:{settings.metrics_port}"
-            served.append((metrics_app(node), address))
+            served.append(
+                (status_apps.metrics_app(node.metrics.text), address)
+            )
         for app, address in served:
             config = _http_config(address, limits)
             nursery.start_soon(_serve_app, app, config, stopping)
