Send the store's changes through one node of a failure domain

Change: with ten nodes or more in a failure domain, hints go through a collector, and its datagrams carry the store's changes between two revisions, without heartbeats. A node watches the store itself only when it missed changes or its view has aged, as before. The age of a view counts from when the node sent the number that the collector repeats, so a delayed datagram or a suspended node cannot understate it, and revoked keys are refused as before. The load of endpoints is also reported to the other failure domains.

--- /dev/null
+++ b/packages/decisions/wasabilanding/changefeed/tests/steps/changefeed_steps.py
@@ -0,0 +1,107 @@
+"""Steps for the change feed."""
+
+import behave
+
+from wasabilanding import changefeed
+from wasabilanding import fleet
+
+
+@behave.given("a log that was reset at revision {revision:d}")
+def given_log(context, revision):
+    """Create a log that knows all changes from a revision."""
+    context.log = changefeed.ChangeLog()
+    context.log.reset(revision)
+
+
+@behave.step(
+    "endpoint {name} is registered in state {state} at revision {revision:d}"
+)
+def register(context, name, state, revision):
+    """Record a registration; the state stands for its content."""
+    endpoint = fleet.Endpoint(name, state, "10.0.0.1", 80, "z1")
+    context.log.record_endpoint(name, endpoint, revision)
+    context.log.advance(revision)
+
+
+@behave.step("endpoint {name} is removed at revision {revision:d}")
+def remove(context, name, revision):
+    """Record a removal."""
+    context.log.record_endpoint(name, None, revision)
+    context.log.advance(revision)
+
+
+@behave.step("a segment is cut")
+def cut(context):
+    """Cut a segment."""
+    context.segment = context.log.cut(0.1)
+
+
+@behave.when("a reset happens at revision {revision:d}")
+def reset(context, revision):
+    """Reset the log."""
+    context.log.reset(revision)
+
+
+@behave.when("a burst of changes happens at revision {revision:d}")
+def burst(context, revision):
+    """Record more changes than a segment holds."""
+    for number in range(changefeed.MAX_CHANGES):
+        context.log.record_item(f"own/{number}", "x", revision)
+    context.log.advance(revision)
+
+
+@behave.then('the segment covers "{covered}" of the revisions {revisions}')
+def check_covered(context, covered, revisions):
+    """Compare the revisions at which a view may apply the segment."""
+    found = [
+        revision
+        for revision in revisions.split(", ")
+        if context.segment.covers(int(revision))
+    ]
+    assert found == covered.split(), found
+
+
+@behave.then('the segment lists "{names}"')
+def check_listed(context, names):
+    """Compare the endpoints added or changed."""
+    found = sorted(e.endpoint_id for e in context.segment.endpoints)
+    assert found == names.split(), found
+
+
+@behave.then('the segment lists ""')
+def check_nothing_listed(context):
+    """Check that no endpoint is listed."""
+    check_listed(context, "")
+
+
+@behave.then('the segment removes "{names}"')
+def check_removed(context, names):
+    """Compare the endpoints removed."""
+    found = sorted(context.segment.removed_endpoints)
+    assert found == names.split(), found
+
+
+@behave.then('the segment removes ""')
+def check_nothing_removed(context):
+    """Check that no endpoint is removed."""
+    check_removed(context, "")
+
+
+@behave.given("datagrams sent at 1, 2 and 3 s")
+def given_datagrams(context):
+    """Issue the numbers of three datagrams."""
+    context.sent = changefeed.Confirmations()
+    context.numbers = {at: context.sent.issue(at) for at in (1.0, 2.0, 3.0)}
+
+
+@behave.when("the answer to the one at {sent:g} s states an age of {age:g} s")
+def answer(context, sent, age):
+    """Process an answer."""
+    number = context.numbers[sent]
+    context.as_of = context.sent.current_as_of(number, age)
+
+
+@behave.then("the view was current at {as_of:g} s")
+def check_as_of(context, as_of):
+    """Compare the time."""
+    assert context.as_of == as_of, context.as_of
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -9,6 +9,10 @@
 confirms that the view was current. Revoked API keys must be refused soon
 after their revocation, so a node refuses all requests with a key when the
 last confirmation is too old.
+
+In a failure domain with many nodes, one of them sends the changes to the
+others (:mod:`wasabilanding.changefeed`). A node that receives them watches the
+store itself only when it has missed a change or the changes stop.
 """
 
 import collections.abc
@@ -17,6 +21,7 @@
 
 import trio
 
+from wasabilanding import changefeed
 from wasabilanding import fleet
 from wasabilanding.gateway import clocks
 from wasabilanding.gateway import messages
@@ -29,10 +34,15 @@
 PROBE_INTERVAL_S = 0.6
 PROBE_WAIT_S = 0.3
 PLANNING_INTERVAL_S = 0.25
+FEEDING_INTERVAL_S = 0.4
 # Interval between watches as a fraction of the bound on changes. The rest of
 # the bound is left for slow and lost calls.
 INTERVAL_FRACTION = 0.4
 RETRY_INTERVAL_S = 0.25
+# A node that begins to plan or to feed others watches within this time.
+WATCH_CHECK_INTERVAL_S = 0.5
+# Limit on the age stated to other nodes; older states confirm nothing.
+MAX_STATED_AGE_S = 3600.0
 # The store counts as unreachable after this time without a response.
 UNREACHABLE_AFTER_S = 3.5
 ALL_KEYS = ""
@@ -62,6 +72,9 @@
         self.revision = 0
         self._current_as_of = float("-inf")
         self.active_planners = 0
+        # Whether this node sends changes to the other nodes.
+        self.feeds_peers = False
+        self._change_log = changefeed.ChangeLog()
         self._rejected_revisions: dict[str, int] = {}
 
     @property
@@ -90,6 +103,18 @@
         """Whether this node plans replicas and thus needs changes early."""
         return self.active_planners > 0
 
+    def watch_interval_s(self, poll_interval_s: float) -> float | None:
+        """Return the time between two watches that others depend on.
+
+        :param poll_interval_s: interval for a node on which none depends.
+        :returns: seconds; None if no other node depends on the watches.
+        """
+        if self.is_planning:
+            return PLANNING_INTERVAL_S
+        if self.feeds_peers:
+            return min(FEEDING_INTERVAL_S, poll_interval_s)
+        return None
+
     async def wait_changed(self) -> None:
         """Wait until the view changes."""
         await self._changed.wait()
@@ -118,6 +143,7 @@
         self.registry.replace(endpoints, now)
         self.internal_items = internal_items
         self.revision = max(self.revision, listing.revision)
+        self._change_log.replace(endpoints, listing.revision)
         self._notify()
 
     def apply_changes(self, changes: metadata.Changes, now: float) -> None:
@@ -126,13 +152,57 @@
         :param changes: the changes, in order.
         :param now: local monotonic time in seconds.
         """
+        self._note_recovery(now)
         for event in changes.events:
             self._apply_event(event, now)
         self.revision = max(self.revision, changes.revision)
+        self._change_log.advance(changes.revision)
         self.registry.expire(now)
         if changes.events:
             self._notify()
 
+    def cut_segment(self) -> changefeed.Segment:
+        """Return the latest changes, to be sent to other nodes."""
+        return self._change_log.cut(min(self.staleness_s, MAX_STATED_AGE_S))
+
+    def apply_segment(
+        self, segment: changefeed.Segment, as_of: float | None, now: float
+    ) -> None:
+        """Apply changes that another node has sent.
+
+        :param segment: the changes.
+        :param as_of: time, of this view's clock, at which the segment was
+            current; None if unknown.
+        :param now: local monotonic time in seconds.
+        """
+        if not self.is_initialized or not segment.covers(self.revision):
+            return
+        if segment.until > self.revision:
+            self._note_recovery(now)
+            self._apply_states(segment, now)
+        self.registry.expire(now)
+        if as_of is not None:
+            self._current_as_of = max(self._current_as_of, as_of)
+
+    def _apply_states(self, segment: changefeed.Segment, now: float) -> None:
+        revision = segment.until
+        for endpoint in segment.endpoints:
+            self._put_endpoint(endpoint, revision)
+        for name in segment.removed_endpoints:
+            self._remove_endpoint(name, revision, now)
+        for key, value in segment.items.items():
+            self._put_internal(metadata.Item(key, value.encode(), revision))
+        for key in segment.removed_items:
+            self._remove_internal(key, revision)
+        self.revision = revision
+        self._change_log.advance(revision)
+        self._notify()
+
+    def _note_recovery(self, now: float) -> None:
+        """Spare the endpoints whose registrations lapsed in an outage."""
+        if self.staleness_s > UNREACHABLE_AFTER_S:
+            self.registry.note_store_recovery(now)
+
     def _apply_event(
         self, event: metadata.Item | metadata.Removal, now: float
     ) -> None:
@@ -140,13 +210,25 @@
         if key.startswith(self._wire.registrations_prefix):
             self._apply_registration(event, now)
         elif key == self._wire.configuration_key:
+            # It may be too large for a datagram.
+            self._change_log.reset(event.revision)
             if isinstance(event, metadata.Item):
                 self._apply_table(event)
         elif key.startswith(self._wire.internal_prefix):
             if isinstance(event, metadata.Item):
-                self.internal_items[key] = event
+                self._put_internal(event)
             else:
-                self.internal_items.pop(key, None)
+                self._remove_internal(key, event.revision)
+
+    def _put_internal(self, item: metadata.Item) -> None:
+        self.internal_items[item.key] = item
+        self._change_log.record_item(
+            item.key, item.value.decode(errors="replace"), item.revision
+        )
+
+    def _remove_internal(self, key: str, revision: int) -> None:
+        self.internal_items.pop(key, None)
+        self._change_log.record_item(key, None, revision)
 
     def _apply_registration(
         self, event: metadata.Item | metadata.Removal, now: float
@@ -155,9 +237,18 @@
         if isinstance(event, metadata.Item):
             endpoint = self._decode_registration(event)
         if endpoint is not None:
-            self.registry.put(endpoint)
+            self._put_endpoint(endpoint, event.revision)
             return
         name = event.key.removeprefix(self._wire.registrations_prefix)
+        self._remove_endpoint(name, event.revision, now)
+
+    def _put_endpoint(self, endpoint: fleet.Endpoint, revision: int) -> None:
+        self.registry.put(endpoint)
+        self._change_log.record_endpoint(
+            endpoint.endpoint_id, endpoint, revision
+        )
+
+    def _remove_endpoint(self, name: str, revision: int, now: float) -> None:
         if self.registry.get(name) is not None:
             _LOG.info(
                 "registration of endpoint %s was removed",
@@ -165,6 +256,7 @@
                 extra={"endpoint": name},
             )
         self.registry.remove(name, now)
+        self._change_log.record_endpoint(name, None, revision)
 
     def _decode_registration(
         self, item: metadata.Item
@@ -301,15 +393,34 @@
     if isinstance(answer.changes, metadata.HistoryLost):
         _LOG.info("history lost in the store; reading all items")
         return True
-    if view.staleness_s > UNREACHABLE_AFTER_S:
-        view.registry.note_store_recovery(now)
     view.apply_changes(answer.changes, now)
     view.mark_current(answer.age_s)
-    pause_s = PLANNING_INTERVAL_S if view.is_planning else poll_interval_s
-    await trio.sleep_until(answer.sent_at + pause_s)
+    await _wait_watch_due(view, answer.sent_at, poll_interval_s)
     return False
 
 
+async def _wait_watch_due(
+    view: ClusterView, last_watch_at: float, poll_interval_s: float
+) -> None:
+    """Wait until this node must watch the store again.
+
+    While another node sends all changes, the view stays current without.
+    """
+    while True:
+        now = trio.current_time()
+        interval_s = view.watch_interval_s(poll_interval_s)
+        if interval_s is not None:
+            left_s = last_watch_at + interval_s - now
+        else:
+            left_s = max(
+                last_watch_at + poll_interval_s - now,
+                poll_interval_s - view.staleness_s,
+            )
+        if left_s <= 0:
+            return
+        await trio.sleep(min(left_s, WATCH_CHECK_INTERVAL_S))
+
+
 async def follow_store(
     view: ClusterView,
     store: messages.Store,
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -16,9 +16,18 @@
 datagrams grows linearly with the number of nodes, not quadratically. A node
 that receives nothing from its collector chooses the next one.
 
-Datagrams may be lost, and hints are advisory: they move requests to other
+The collector also sends the changes of the store that it has seen
+(:mod:`wasabilanding.changefeed`). Each hint to it has a number, which its next
+datagram repeats, so that the receiver knows how old the changes are at most.
+
+Collectors send the load of their failure domain to those of the other failure
+domains; where there is no collector, each node sends its load there. Progress
+and silence are not sent there: other failure domains reach an endpoint over
+other links, which may be cut in one direction.
+
+Datagrams may be lost. Hints are advisory: they move requests to other
 endpoints and make the planner query the replica's members, but trigger no
-other action.
+other action. A node that loses changes reads them from the store.
 """
 
 import collections.abc
@@ -29,8 +38,10 @@
 import pydantic
 import trio
 
+from wasabilanding import changefeed
 from wasabilanding import dispatch
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import compression
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import messages
 from wasabilanding import model
@@ -41,7 +52,7 @@
 LOAD_PERIOD_PER_NODE_S = 0.008
 MAX_LOAD_PERIOD_S = 0.4
 # Up to this number of peers, hints are sent directly, without a collector.
-MAX_MESH_PEERS = 40
+MAX_MESH_PEERS = 8
 # A collector that forwards nothing for the timeout is skipped until the
 # backoff, counted from the first hint sent to it, has passed.
 COLLECTOR_TIMEOUT_S = 1.0
@@ -50,6 +61,13 @@
 # was lost.
 PROGRESS_OVERLAP_S = 0.1
 PEER_REFRESH_INTERVAL_S = 0.5
+# Interval between reports of load to other failure domains.
+REMOTE_LOAD_PERIOD_S = 0.2
+# A collector of another failure domain that sends nothing for this time is
+# searched anew among the nodes there.
+REMOTE_COLLECTOR_TTL_S = 1.5
+# Reports sent to one node of another failure domain before the next is tried.
+SEARCH_SENDS = 5
 BIND_RETRY_INTERVAL_S = 2.0
 # Queued reports of silent endpoints; further ones are dropped.
 MAX_QUEUED_REPORTS = 64
@@ -72,12 +90,14 @@
         included.
     :param worked_ago_s: seconds since the node last saw progress of an
         endpoint, for endpoints with recent progress.
+    :param number: number that a collector repeats; 0 for none.
     """
 
     node: str
     silent: str = ""
     in_flight: dict[str, Count] | None = None
     worked_ago_s: dict[str, Seconds] = dataclasses.field(default_factory=dict)
+    number: Count = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,11 +108,16 @@
     :param hints: hints of one or more nodes.
     :param is_for_all: whether it is sent to all nodes; otherwise the receiver
         must forward it.
+    :param changes: changes of the store; None if the sender is no collector.
+    :param domain: the sender's failure domain, if it is another one than the
+        receiver's; empty otherwise.
     """
 
     sender: str
     hints: tuple[Hint, ...]
     is_for_all: bool = True
+    changes: changefeed.Segment | None = None
+    domain: str = ""
 
 
 class Datagrams(typing.Protocol):
@@ -129,10 +154,17 @@
         self._tracker = tracker
         self._prefix = directory.address_prefix(wire)
         self._collected: dict[str, Hint] = {}
+        self._confirmations = changefeed.Confirmations()
         # Local monotonic times in seconds, by node.
         self._sending_since: dict[str, float] = {}
         self._received_at: dict[str, float] = {}
         self._peers: dict[str, Address] = {}
+        self._remote_nodes: dict[str, dict[str, Address]] = {}
+        # Last sender of load in each other failure domain, and when.
+        self._remote_senders: dict[str, tuple[str, float]] = {}
+        self._remote_searches = 0
+        self._sent_remote_at = float("-inf")
+        self._sent_remote_load: dispatch.Load = {}
         self._silent_sender, self._silent_receiver = trio.open_memory_channel[
             str
         ](MAX_QUEUED_REPORTS)
@@ -169,11 +201,13 @@
         nodes = directory.decode_addresses(
             self._view.internal_items, self._prefix
         )
-        self._peers = {
-            peer.node: (peer.host, peer.port)
-            for peer in nodes
-            if peer.node != self._node and peer.failure_domain == self._domain
-        }
+        by_domain: dict[str, dict[str, Address]] = {}
+        for node in nodes:
+            found = by_domain.setdefault(node.failure_domain, {})
+            found[node.node] = (node.host, node.port)
+        self._peers = by_domain.pop(self._domain, {})
+        self._peers.pop(self._node, None)
+        self._remote_nodes = by_domain
 
     async def _send_silent(self, datagrams: Datagrams) -> None:
         async for endpoint_id in self._silent_receiver:
@@ -203,7 +237,7 @@
                 self._refresh_peers()
                 refreshed_at = now
             load = self._tracker.local_load
-            if load or last_load:
+            if load or last_load or self._uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
                 )
@@ -211,20 +245,66 @@
                 await self._send_load_hint(datagrams, hint, now)
             if self._collected:
                 await self._forward_collected(datagrams)
+            await self._send_remote(datagrams, now)
             last_load = load
 
+    async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
+        """Report load to other failure domains."""
+        is_due = now - self._sent_remote_at >= REMOTE_LOAD_PERIOD_S
+        if not is_due or (self._uses_collector and not self._view.feeds_peers):
+            return
+        load = self._tracker.local_load
+        if self._uses_collector:
+            load = self._tracker.load_of_nodes(self._peers)
+        if not load and not self._sent_remote_load:
+            return
+        self._sent_remote_at = now
+        self._sent_remote_load = load
+        self._remote_searches += 1
+        hint = Hint(self._node, in_flight=load)
+        for domain, nodes in self._remote_nodes.items():
+            has_collector = len(nodes) > MAX_MESH_PEERS + 1
+            batch = HintBatch(
+                self._node, (hint,), not has_collector, domain=self._domain
+            )
+            addresses = nodes.values()
+            if has_collector:
+                addresses = [nodes[self._remote_collector(domain, now)]]
+            await self._send(datagrams, batch, addresses)
+
+    def _remote_collector(self, domain: str, now: float) -> str:
+        """Return the likely collector of another failure domain.
+
+        It is the node that last sent its load; otherwise the first ones by
+        name are tried in turn.
+        """
+        nodes = self._remote_nodes[domain]
+        sender, at = self._remote_senders.get(domain, ("", float("-inf")))
+        if sender in nodes and now - at < REMOTE_COLLECTOR_TTL_S:
+            return sender
+        names = sorted(nodes)
+        return names[self._remote_searches // SEARCH_SENDS % len(names)]
+
+    @property
+    def _uses_collector(self) -> bool:
+        return len(self._peers) > MAX_MESH_PEERS
+
     async def _send_load_hint(
         self, datagrams: Datagrams, hint: Hint, now: float
     ) -> None:
         """Send to all peers or to the collector, which may be this node."""
-        if len(self._peers) <= MAX_MESH_PEERS:
+        if not self._uses_collector:
+            self._view.feeds_peers = False
             batch = HintBatch(self._node, (hint,))
             await self._send(datagrams, batch, self._peers.values())
             return
         collector = self._collector(now)
+        self._view.feeds_peers = collector == self._node
         if collector == self._node:
             self._collected[self._node] = hint
             return
+        number = self._confirmations.issue(self._view.clock_time())
+        hint = dataclasses.replace(hint, number=number)
         batch = HintBatch(self._node, (hint,), is_for_all=False)
         await self._send(datagrams, batch, (self._peers[collector],))
 
@@ -243,7 +323,11 @@
         return self._node
 
     async def _forward_collected(self, datagrams: Datagrams) -> None:
-        batch = HintBatch(self._node, tuple(self._collected.values()))
+        batch = HintBatch(
+            self._node,
+            tuple(self._collected.values()),
+            changes=self._view.cut_segment(),
+        )
         self._collected.clear()
         await self._send(datagrams, batch, self._peers.values())
 
@@ -253,7 +337,7 @@
         batch: HintBatch,
         addresses: collections.abc.Iterable[Address],
     ) -> None:
-        data = model.encode(batch).encode()
+        data = compression.compress(model.encode(batch).encode())
         for address in addresses:
             try:
                 await datagrams.sendto(data, address)
@@ -272,21 +356,30 @@
 
     def _apply_datagram(self, data: bytes, sender: Address) -> None:
         try:
-            batch = model.decode(HintBatch, data)
-        except model.InvalidDocument as error:
+            batch = model.decode(HintBatch, compression.decompress(data))
+        except (compression.InvalidData, model.InvalidDocument) as error:
             _LOG.info(
                 "invalid datagram from %s:%d ignored: %s", *sender, error
             )
             return
         now = trio.current_time()
-        if batch.is_for_all:
+        if batch.domain:
+            self._remote_senders[batch.domain] = (batch.sender, now)
+        elif batch.changes is not None:
             self._received_at[batch.sender] = now
+        repeated = 0
         for hint in batch.hints:
             if hint.node == self._node:
+                repeated = hint.number
                 continue
             self._apply_hint(hint, now)
             if not batch.is_for_all:
                 self._collected[hint.node] = hint
+        if batch.changes is not None:
+            as_of = self._confirmations.current_as_of(
+                repeated, batch.changes.age_s
+            )
+            self._view.apply_segment(batch.changes, as_of, now)
 
     def _apply_hint(self, hint: Hint, now: float) -> None:
         if hint.in_flight is not None:
