Number datagrams anew after a restart; report load elsewhere in a module of its own

An answer that was delayed beyond a restart could repeat a number of the earlier run and so make a view seem younger than it is. A test replays it.

--- a/packages/decisions/wasabilanding/changefeed/confirmations.py
+++ b/packages/decisions/wasabilanding/changefeed/confirmations.py
@@ -22,10 +22,15 @@
 
 
 class Confirmations:
-    """Numbers that this node has sent, with the times of sending."""
+    """Numbers that this node has sent, with the times of sending.
 
-    def __init__(self) -> None:
-        self._last_number = 0
+    :param last_number: number before the first one. It must be drawn anew
+        when the process starts: a late answer may repeat a number that the
+        process sent before its restart.
+    """
+
+    def __init__(self, last_number: int) -> None:
+        self._last_number = last_number
         self._sent_at: dict[int, float] = {}
 
     def issue(self, now: float) -> int:
@@ -37,7 +42,7 @@
         ========
 
         >>> from wasabilanding import changefeed
-        >>> sent = changefeed.Confirmations()
+        >>> sent = changefeed.Confirmations(last_number=7000)
         >>> number = sent.issue(10.0)
         >>> sent.current_as_of(number, age_s=0.5)
         9.5
--- a/packages/decisions/wasabilanding/changefeed/tests/changefeed.feature
+++ b/packages/decisions/wasabilanding/changefeed/tests/changefeed.feature
@@ -59,3 +59,8 @@
       | 1    | 0   | 1     |
       | 3    | 0.5 | 2.5   |
       | 2    | 4   | -2    |
+
+  Scenario: An answer to a datagram sent before a restart confirms nothing
+    Given datagrams sent at 1, 2 and 3 s
+    When the process starts again and sends datagrams at 10 s
+    Then an answer to an earlier datagram confirms nothing
--- a/packages/decisions/wasabilanding/changefeed/tests/steps/changefeed_steps.py
+++ b/packages/decisions/wasabilanding/changefeed/tests/steps/changefeed_steps.py
@@ -5,6 +5,9 @@
 from wasabilanding import changefeed
 from wasabilanding import fleet
 
+# Number before the first one after a restart.
+SECOND_RUN = 1000
+
 
 @behave.given("a log that was reset at revision {revision:d}")
 def given_log(context, revision):
@@ -90,7 +93,7 @@
 @behave.given("datagrams sent at 1, 2 and 3 s")
 def given_datagrams(context):
     """Issue the numbers of three datagrams."""
-    context.sent = changefeed.Confirmations()
+    context.sent = changefeed.Confirmations(0)
     context.numbers = {at: context.sent.issue(at) for at in (1.0, 2.0, 3.0)}
 
 
@@ -105,3 +108,18 @@
 def check_as_of(context, as_of):
     """Compare the time."""
     assert context.as_of == as_of, context.as_of
+
+
+@behave.when("the process starts again and sends datagrams at {first:g} s")
+def restart(context, first):
+    """Issue numbers as a restarted process does."""
+    context.sent = changefeed.Confirmations(SECOND_RUN)
+    for number in range(len(context.numbers)):
+        context.sent.issue(first + number)
+
+
+@behave.then("an answer to an earlier datagram confirms nothing")
+def check_unknown(context):
+    """Process the answers to the datagrams sent before the restart."""
+    for number in context.numbers.values():
+        assert context.sent.current_as_of(number, 0.0) is None
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -33,6 +33,7 @@
 import collections.abc
 import dataclasses
 import logging
+import random
 import typing
 
 import pydantic
@@ -44,6 +45,7 @@
 from wasabilanding.gateway import compression
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import remote_reports
 from wasabilanding import model
 
 MAX_DATAGRAM_BYTES = 65_535
@@ -61,14 +63,9 @@
 # was lost.
 PROGRESS_OVERLAP_S = 0.1
 PEER_REFRESH_INTERVAL_S = 0.5
-# Interval between reports of load to other failure domains.
-REMOTE_LOAD_PERIOD_S = 0.2
-# A collector of another failure domain that sends nothing for this time is
-# searched anew among the nodes there.
-REMOTE_COLLECTOR_TTL_S = 1.5
-# Reports sent to one node of another failure domain before the next is tried.
-SEARCH_SENDS = 5
 BIND_RETRY_INTERVAL_S = 2.0
+# The first number of a process differs from those of its earlier runs.
+NUMBER_BITS = 48
 # Queued reports of silent endpoints; further ones are dropped.
 MAX_QUEUED_REPORTS = 64
 
@@ -154,17 +151,15 @@
         self._tracker = tracker
         self._prefix = directory.address_prefix(wire)
         self._collected: dict[str, Hint] = {}
-        self._confirmations = changefeed.Confirmations()
+        self._confirmations = changefeed.Confirmations(
+            random.getrandbits(NUMBER_BITS)
+        )
         # Local monotonic times in seconds, by node.
         self._sending_since: dict[str, float] = {}
         self._received_at: dict[str, float] = {}
         self._peers: dict[str, Address] = {}
         self._remote_nodes: dict[str, dict[str, Address]] = {}
-        # Last sender of load in each other failure domain, and when.
-        self._remote_senders: dict[str, tuple[str, float]] = {}
-        self._remote_searches = 0
-        self._sent_remote_at = float("-inf")
-        self._sent_remote_load: dispatch.Load = {}
+        self._remote_reports = remote_reports.RemoteReports()
         self._silent_sender, self._silent_receiver = trio.open_memory_channel[
             str
         ](MAX_QUEUED_REPORTS)
@@ -252,41 +247,25 @@
 
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
         """Report load to other failure domains."""
-        is_due = now - self._sent_remote_at >= REMOTE_LOAD_PERIOD_S
-        if not is_due or (self._uses_collector and not self._view.feeds_peers):
+        if self._uses_collector and not self._view.feeds_peers:
             return
         load = self._tracker.local_load
         if self._uses_collector:
             load = self._tracker.load_of_nodes(self._peers)
-        if not load and not self._sent_remote_load:
+        if not self._remote_reports.try_begin(load, now):
             return
-        self._sent_remote_at = now
-        self._sent_remote_load = load
-        self._remote_searches += 1
         hint = Hint(self._node, in_flight=load)
         for domain, nodes in self._remote_nodes.items():
             has_collector = len(nodes) > MAX_MESH_PEERS + 1
             batch = HintBatch(
                 self._node, (hint,), not has_collector, domain=self._domain
             )
-            addresses = nodes.values()
+            addresses = list(nodes.values())
             if has_collector:
-                addresses = [nodes[self._remote_collector(domain, now)]]
+                name = self._remote_reports.collector(domain, nodes, now)
+                addresses = [nodes[name]]
             await self._send(datagrams, batch, addresses)
 
-    def _remote_collector(self, domain: str, now: float) -> str:
-        """Return the likely collector of another failure domain.
-
-        It is the node that last sent its load; otherwise the first ones by
-        name are tried in turn.
-        """
-        nodes = self._remote_nodes[domain]
-        sender, at = self._remote_senders.get(domain, ("", float("-inf")))
-        if sender in nodes and now - at < REMOTE_COLLECTOR_TTL_S:
-            return sender
-        names = sorted(nodes)
-        return names[self._remote_searches // SEARCH_SENDS % len(names)]
-
     @property
     def _uses_collector(self) -> bool:
         return len(self._peers) > MAX_MESH_PEERS
@@ -365,7 +344,7 @@
             return
         now = trio.current_time()
         if batch.domain:
-            self._remote_senders[batch.domain] = (batch.sender, now)
+            self._remote_reports.note_sender(batch.domain, batch.sender, now)
         elif batch.changes is not None:
             self._received_at[batch.sender] = now
         repeated = 0
