--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -3,20 +3,14 @@
 Explanation
 ===========
 
-One watch of the whole store delivers the operators' configuration, the
-endpoints' registrations and the nodes' internal keys. It is a long poll that
-ends after :data:`WATCH_WAIT_S` also without changes, so that each response
-confirms that the view was current. Revoked API keys must be refused soon
-after their revocation, so a node refuses all requests with a key when the
-last confirmation is too old.
-
-In a failure domain with many nodes, one of them sends the changes to the
-others (:mod:`wasabilanding.changefeed`). A node that receives them watches the
-store itself only when it has missed a change or the changes stop.
+The store delivers the operators' configuration, the endpoints' registrations
+and the nodes' internal keys (:mod:`wasabilanding.gateway.store_watch`), or
+another node that watches the store sends their changes
+(:mod:`wasabilanding.changefeed`). Revoked API keys must be refused soon after
+their revocation, so the view knows when it was last confirmed to be current.
 """
 
 import collections.abc
-import dataclasses
 import logging
 
 import trio
@@ -28,27 +22,10 @@
 from wasabilanding import metadata
 from wasabilanding import routes
 
-WATCH_WAIT_S = 1.6
-# While the store fails, watches start at this interval and wait only briefly,
-# so that its recovery is noticed early.
-PROBE_INTERVAL_S = 0.6
-PROBE_WAIT_S = 0.3
-PLANNING_INTERVAL_S = 0.25
-FEEDING_INTERVAL_S = 0.4
-FEED_MEMORY_S = 10.0
-# Interval between watches as a fraction of the bound on changes. The rest of
-# the bound is left for slow and lost calls.
-INTERVAL_FRACTION = 0.4
-RETRY_INTERVAL_S = 0.25
-# A node that begins to plan or to feed others watches within this time.
-WATCH_CHECK_INTERVAL_S = 0.5
-# Timers of different clocks may differ by this much.
-CLOCK_TOLERANCE_S = 0.001
 # Limit on the age stated to other nodes; older states confirm nothing.
 MAX_STATED_AGE_S = 3600.0
 # The store counts as unreachable after this time without a response.
 UNREACHABLE_AFTER_S = 3.5
-ALL_KEYS = ""
 
 _LOG = logging.getLogger(__name__)
 
@@ -108,29 +85,6 @@
         """Whether this node plans replicas and thus needs changes early."""
         return self.active_planners > 0
 
-    def watch_interval_s(self, poll_interval_s: float) -> float | None:
-        """Return the time between two watches that others depend on.
-
-        :param poll_interval_s: interval for a node on which none depends.
-        :returns: seconds; None if no other node depends on the watches.
-        """
-        if self.is_planning:
-            return PLANNING_INTERVAL_S
-        if self.feeds_peers:
-            return min(FEEDING_INTERVAL_S, poll_interval_s)
-        return None
-
-    @property
-    def watch_wait_s(self) -> float:
-        """Seconds after which a watch ends without changes.
-
-        It is short if other nodes rely on the answer, or if the other node on
-        which this one has relied until now confirms nothing any more.
-        """
-        if self.feeds_peers or self.feed_age_s < FEED_MEMORY_S:
-            return FEEDING_INTERVAL_S
-        return WATCH_WAIT_S
-
     @property
     def feed_age_s(self) -> float:
         """Seconds since another node last confirmed the view."""
@@ -323,157 +277,3 @@
             table.version,
             extra={"version": table.version, "revision": item.revision},
         )
-
-
-async def _read_all(view: ClusterView, store: messages.Store) -> bool:
-    sent_at = view.clock_time()
-    listing = await store.read_all(ALL_KEYS)
-    if isinstance(listing, metadata.Unavailable):
-        _LOG.debug("could not read the store: %s", listing.detail)
-        return False
-    view.apply_listing(listing, trio.current_time())
-    view.mark_current(view.clock_time() - sent_at)
-    return True
-
-
-def max_poll_interval_s(bounds_s: collections.abc.Iterable[float]) -> float:
-    """Return the interval between watches, in which changes accumulate.
-
-    Each endpoint writes heartbeats and each node watches all of them, so a
-    change is always pending. Without a pause, nodes would call the store
-    continuously.
-
-    :param bounds_s: seconds within which changes must take effect.
-
-    Examples
-    ========
-
-    >>> max_poll_interval_s([3.0, 2.0])
-    0.8
-    """
-    return INTERVAL_FRACTION * min(bounds_s)
-
-
-@dataclasses.dataclass(frozen=True)
-class _WatchResult:
-    """Result of one watch.
-
-    :param changes: the store's response.
-    :param sent_at: local monotonic time in seconds at which it was requested.
-    :param age_s: age in seconds of the state that the response reflects.
-    """
-
-    changes: metadata.Changes | metadata.HistoryLost | metadata.Unavailable
-    sent_at: float
-    age_s: float
-
-
-async def _watch(
-    view: ClusterView, store: messages.Store, wait_s: float, is_probe: bool
-) -> _WatchResult:
-    sent_at = trio.current_time()
-    clock_sent_at = view.clock_time()
-    changes = await store.watch(ALL_KEYS, view.revision, wait_s, is_probe)
-    elapsed_s = view.clock_time() - clock_sent_at
-    # Without events, the store has waited for the whole requested time.
-    waited_s = 0.0
-    if isinstance(changes, metadata.Changes) and not changes.events:
-        waited_s = min(wait_s, trio.current_time() - sent_at)
-    return _WatchResult(changes, sent_at, elapsed_s - waited_s)
-
-
-async def _probe(
-    view: ClusterView,
-    store: messages.Store,
-    report_store_reachable: collections.abc.Callable[[bool], None],
-) -> _WatchResult:
-    """Watch a failing store repeatedly until it responds.
-
-    New calls start while earlier ones are still pending: after a hang, the
-    store never answers the calls that it received before its recovery; a
-    slow store answers the earlier calls.
-    """
-    found: list[_WatchResult] = []
-
-    async def watch_once(scope: trio.CancelScope) -> None:
-        answer = await _watch(view, store, PROBE_WAIT_S, True)
-        if not isinstance(answer.changes, metadata.Unavailable):
-            found.append(answer)
-            scope.cancel()
-
-    async with trio.open_nursery() as nursery:
-        while True:
-            nursery.start_soon(watch_once, nursery.cancel_scope)
-            await trio.sleep(PROBE_INTERVAL_S)
-            report_store_reachable(view.staleness_s < UNREACHABLE_AFTER_S)
-    return found[0]
-
-
-async def _follow(
-    view: ClusterView,
-    store: messages.Store,
-    report_store_reachable: collections.abc.Callable[[bool], None],
-    poll_interval_s: float,
-) -> bool:
-    """Apply the changes of one watch; return whether to read all anew."""
-    answer = await _watch(view, store, view.watch_wait_s, False)
-    if isinstance(answer.changes, metadata.Unavailable):
-        await trio.sleep(RETRY_INTERVAL_S)
-        answer = await _probe(view, store, report_store_reachable)
-    now = trio.current_time()
-    if isinstance(answer.changes, metadata.HistoryLost):
-        _LOG.info("history lost in the store; reading all items")
-        return True
-    view.apply_changes(answer.changes, now)
-    view.mark_current(answer.age_s)
-    await _wait_watch_due(view, answer.sent_at, poll_interval_s)
-    return False
-
-
-async def _wait_watch_due(
-    view: ClusterView, last_watch_at: float, poll_interval_s: float
-) -> None:
-    """Wait until this node must watch the store again.
-
-    While another node sends all changes, the view stays current without.
-    """
-    while True:
-        now = trio.current_time()
-        interval_s = view.watch_interval_s(poll_interval_s)
-        if interval_s is not None:
-            left_s = last_watch_at + interval_s - now
-        else:
-            left_s = max(
-                last_watch_at + poll_interval_s - now,
-                poll_interval_s - view.feed_age_s,
-            )
-        if left_s <= CLOCK_TOLERANCE_S:
-            return
-        await trio.sleep(min(left_s, WATCH_CHECK_INTERVAL_S))
-
-
-async def follow_store(
-    view: ClusterView,
-    store: messages.Store,
-    report_store_reachable: collections.abc.Callable[[bool], None],
-    poll_interval_s: float,
-) -> None:
-    """Keep a node's view up to date; never returns.
-
-    :param view: the node's view of the cluster.
-    :param store: the platform's store.
-    :param report_store_reachable: called with whether the store is reachable.
-    :param poll_interval_s: interval in seconds between watches while this
-        node does not plan.
-    """
-    needs_full_read = True
-    while True:
-        if needs_full_read:
-            needs_full_read = not await _read_all(view, store)
-            if needs_full_read:
-                await trio.sleep(RETRY_INTERVAL_S)
-        else:
-            needs_full_read = await _follow(
-                view, store, report_store_reachable, poll_interval_s
-            )
-        report_store_reachable(view.staleness_s < UNREACHABLE_AFTER_S)
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -24,6 +24,7 @@
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import status_apps
+from wasabilanding.gateway import store_watch
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 from wasabilanding import routes
@@ -127,13 +128,11 @@
         :param nursery: runs the loops.
         """
         nursery.start_soon(
-            cluster_view_module.follow_store,
+            store_watch.follow_store,
             self.view,
             self._store,
             self._log_store_reachable,
-            cluster_view_module.max_poll_interval_s(
-                self._settings.change_bounds_s
-            ),
+            store_watch.max_poll_interval_s(self._settings.change_bounds_s),
         )
         nursery.start_soon(self.controllers.run)
         nursery.start_soon(self._clean_up)
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -12,6 +12,7 @@
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import hints
 from wasabilanding.gateway import plain_wire
+from wasabilanding.gateway import store_watch
 from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests import memory_store
 from wasabilanding import metadata
@@ -607,7 +608,7 @@
         view.feeds_peers = count > 0
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                cluster_view_module.follow_store,
+                store_watch.follow_store,
                 view,
                 context.store,
                 lambda is_reachable: None,
--- a/packages/gateway/wasabilanding/gateway/tests/steps/planning_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/planning_steps.py
@@ -12,6 +12,7 @@
 from wasabilanding.gateway import lease
 from wasabilanding.gateway import metrics
 from wasabilanding.gateway import plain_wire
+from wasabilanding.gateway import store_watch
 from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests import memory_store
 from wasabilanding import standins
@@ -48,7 +49,7 @@
         with self.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    cluster_view_module.follow_store,
+                    store_watch.follow_store,
                     self.view,
                     self.store,
                     lambda _: None,
