Examine endpoints of other failure domains only when they may be needed

Each request estimated the load of all endpoints of its model, four fifths of which are in other failure domains. The load of an option is derived from its free slots instead of being kept beside them. The choice follows the same rules; only the order in which remote options are drawn differs.

--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -89,17 +89,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Option:
-    """A candidate with this node's estimate of its load.
+    """A candidate with this node's estimate of its free slots.
 
-    :param load: requests in flight, relative to its slots.
-    :param free_slots: slots without a request.
+    :param free_slots: slots without a request; negative if requests queue.
     """
 
     candidate: Candidate
     is_remote: bool
-    load: float
     free_slots: int
 
+    @property
+    def queue_cost(self) -> float:
+        """Requests in flight, relative to the slots, with any penalty."""
+        load = 1.0 - self.free_slots / self.candidate.slots
+        return load + (REMOTE_PENALTY if self.is_remote else 0.0)
+
 
 def choose(
     candidates: collections.abc.Iterable[Candidate],
@@ -110,61 +114,48 @@
 ) -> Candidate | None:
     """Return a candidate with little load.
 
+    The candidates of other failure domains, which are most of them, are
+    examined only if they may be needed.
+
     :param candidates: endpoints that may receive the request.
     :param tracker: this node's observations of them.
     :param failure_domain: failure domain of this node.
     :param now: local monotonic time in seconds.
     :param rng: draws candidates.
     """
-    usable: list[_Option] = []
-    avoided: list[_Option] = []
+    local: list[Candidate] = []
+    remote: list[Candidate] = []
     for candidate in candidates:
-        option = _option(candidate, tracker, failure_domain)
-        record = tracker.record(candidate.endpoint.endpoint_id)
-        group = avoided if _is_avoided(candidate, record, now) else usable
-        group.append(option)
-    options = usable or avoided
+        is_local = candidate.endpoint.failure_domain == failure_domain
+        (local if is_local else remote).append(candidate)
+    options = _options(_usable(local, tracker, now), tracker, False)
+    if not _has_enough_slots(options):
+        options += _options(_usable(remote, tracker, now), tracker, True)
+    if not options:
+        options = _options(local, tracker, False)
+        if not _has_enough_slots(options):
+            options += _options(remote, tracker, True)
     if not options:
         return None
-    free = _options_with_slots(options)
+    free = [option for option in options if option.free_slots > 0]
     if not free:
         return _shortest_queue(options, rng).candidate
     weights = [option.free_slots for option in free]
     return rng.choices(free, weights)[0].candidate
 
 
-def _options_with_slots(
-    options: collections.abc.Iterable[_Option],
-) -> list[_Option]:
-    """Return the options with free slots among which to draw."""
-    local = [option for option in options if not option.is_remote]
-    slots = sum(option.candidate.slots for option in local)
-    free_local = [option for option in local if option.free_slots > 0]
-    free_slots = sum(option.free_slots for option in free_local)
-    if free_local and free_slots >= MIN_FREE_SHARE * slots:
-        return free_local
-    return [option for option in options if option.free_slots > 0]
-
-
-def _option(
-    candidate: Candidate,
+def _usable(
+    candidates: collections.abc.Iterable[Candidate],
     tracker: tracker_module.EndpointTracker,
-    failure_domain: str,
-) -> _Option:
-    in_flight = tracker.load(candidate.endpoint.endpoint_id)
-    return _Option(
-        candidate,
-        candidate.endpoint.failure_domain != failure_domain,
-        in_flight / candidate.slots,
-        candidate.slots - in_flight,
-    )
+    now: float,
+) -> list[Candidate]:
+    return [c for c in candidates if not _is_avoided(c, tracker, now)]
 
 
 def _is_avoided(
-    candidate: Candidate,
-    record: tracker_module.EndpointObservations,
-    now: float,
+    candidate: Candidate, tracker: tracker_module.EndpointTracker, now: float
 ) -> bool:
+    record = tracker.record(candidate.endpoint.endpoint_id)
     unproven = (
         candidate.is_incomplete
         and now - record.progress_at > RECENT_PROGRESS_S
@@ -176,18 +167,29 @@
     )
 
 
-def _shortest_queue(
-    options: collections.abc.Sequence[_Option], rng: random.Random
-) -> _Option:
-    local = [option for option in options if not option.is_remote]
-    remote = [option for option in options if option.is_remote]
-    drawn = [
-        option
-        for group in (local, remote)
-        for option in rng.sample(group, min(QUEUES_COMPARED, len(group)))
+def _options(
+    candidates: collections.abc.Iterable[Candidate],
+    tracker: tracker_module.EndpointTracker,
+    is_remote: bool,
+) -> list[_Option]:
+    return [
+        _Option(c, is_remote, c.slots - tracker.load(c.endpoint.endpoint_id))
+        for c in candidates
     ]
-    return min(drawn, key=_queue_cost)
 
 
-def _queue_cost(option: _Option) -> float:
-    return option.load + (REMOTE_PENALTY if option.is_remote else 0.0)
+def _has_enough_slots(local: collections.abc.Iterable[_Option]) -> bool:
+    """Tell whether requests need not leave the failure domain."""
+    slots = sum(option.candidate.slots for option in local)
+    free_slots = sum(max(option.free_slots, 0) for option in local)
+    return free_slots > 0 and free_slots >= MIN_FREE_SHARE * slots
+
+
+def _shortest_queue(
+    options: collections.abc.Sequence[_Option], rng: random.Random
+) -> _Option:
+    drawn: list[_Option] = []
+    for is_remote in (False, True):
+        group = [o for o in options if o.is_remote is is_remote]
+        drawn += rng.sample(group, min(QUEUES_COMPARED, len(group)))
+    return min(drawn, key=lambda option: option.queue_cost)
