Write each rule, type and description of the change once

The number of nodes above which a collector is used stood in two forms. The description of a probe's result stood twice and its two booleans were passed by position: it is a type now. The types of ASGI applications and the lifespan were imported from the status pages; they are a module. Readiness is asked once a check. A maximum that an earlier check made needless is gone, and three descriptions said less or other than the code does.

--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -52,17 +52,14 @@
         self._load_scheduler = load_scheduler.LoadScheduler()
 
     def record_probe_result(
-        self, endpoint_id: str, is_alive: bool, is_open: bool, now: float
+        self, endpoint_id: str, result: upkeep.ProbeResult
     ) -> None:
-        """Record the result of a probe.
+        """Record the result of a probe that the planner has ordered.
 
         :param endpoint_id: identity of the probed endpoint.
-        :param is_alive: whether it still belongs to the replica of its last
-            registration.
-        :param is_open: whether it may be accepting requests.
-        :param now: local monotonic time in seconds.
+        :param result: the result.
         """
-        self._upkeep.record_probe_result(endpoint_id, is_alive, is_open, now)
+        self._upkeep.record_probe_result(endpoint_id, result)
 
     def plan(
         self, inputs: orders.PlannerInput, now: float
@@ -224,7 +221,7 @@
             if endpoint not in settled
         }
         for replica in replicas.values():
-            left = self._upkeep.has_lost_head(replica)
+            left = self._upkeep.head_has_left(replica)
             if not left and not self._upkeep.is_serving(replica, inputs):
                 domains_in_transition.add(replica.members[0].fabric_domain)
         for forming in self._forming.values():
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -355,7 +355,8 @@
             STATES.CLOSING,
         )
         planner.record_probe_result(
-            seen.endpoint_id, engine is not None, is_open, self.now
+            seen.endpoint_id,
+            assembly.ProbeResult(self.now, engine is not None, is_open),
         )
 
     def stranded(self) -> int:
--- a/packages/decisions/wasabilanding/assembly/upkeep.py
+++ b/packages/decisions/wasabilanding/assembly/upkeep.py
@@ -16,7 +16,15 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _ProbeResult:
+class ProbeResult:
+    """Result of a probe of an endpoint.
+
+    :param at: local monotonic time in seconds.
+    :param is_alive: whether it still belongs to the replica of its last
+        registration.
+    :param is_open: whether it may be accepting requests.
+    """
+
     at: float
     is_alive: bool
     is_open: bool
@@ -34,20 +42,17 @@
         ] = {}
         self._closing: set[fleet.ReplicaKey] = set()
         self._heads_leaving: set[fleet.ReplicaKey] = set()
-        self._probe_results: dict[str, _ProbeResult] = {}
+        self._probe_results: dict[str, ProbeResult] = {}
 
     def record_probe_result(
-        self, endpoint_id: str, is_alive: bool, is_open: bool, now: float
+        self, endpoint_id: str, result: ProbeResult
     ) -> None:
         """Record the result of a probe.
 
         :param endpoint_id: identity of the probed endpoint.
-        :param is_alive: whether it still belongs to the replica of its last
-            registration.
-        :param is_open: whether it may be accepting requests.
-        :param now: local monotonic time in seconds.
+        :param result: the result.
         """
-        self._probe_results[endpoint_id] = _ProbeResult(now, is_alive, is_open)
+        self._probe_results[endpoint_id] = result
 
     def drop_outdated(
         self,
@@ -72,8 +77,8 @@
         """
         self._closing.update(replica_keys)
 
-    def has_lost_head(self, replica: fleet.Replica) -> bool:
-        """Tell whether a replica's head has left it as ordered.
+    def head_has_left(self, replica: fleet.Replica) -> bool:
+        """Tell whether a replica's head has obeyed the order to leave.
 
         :param replica: the replica.
         """
@@ -258,7 +263,7 @@
 
     def _recent_probe_result(
         self, endpoint_id: str, now: float
-    ) -> _ProbeResult | None:
+    ) -> ProbeResult | None:
         result = self._probe_results.get(endpoint_id)
         if result is None or now - result.at > PROBE_RESULT_TTL_S:
             return None
--- a/packages/experiments/wasabilanding/experiments/placing/simulation.py
+++ b/packages/experiments/wasabilanding/experiments/placing/simulation.py
@@ -63,6 +63,7 @@
         self._pattern = pattern
         self._policy = policy
         self._rng = rng
+        self._now = 0.0
         self._events: list[tuple] = []
         self._order = itertools.count()
         self._domains = [f"z{i}" for i in range(pattern.failure_domains)]
@@ -158,7 +159,7 @@
             self._start(replica, replica.queue.popleft())
 
     def _report(self, node: int) -> None:
-        """Send a node's load to all others, those of its domain sooner."""
+        """Send a node's load to all others."""
         load = self._trackers[node].local_load
         delay_s = self._pattern.report_delay_s
         self._at(self._now + delay_s, self._learn, node, load)
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -121,7 +121,7 @@
                 internal_items[item.key] = item
         self.registry.replace(endpoints, now)
         self.internal_items = internal_items
-        self.revision = max(self.revision, listing.revision)
+        self.revision = listing.revision
         self._change_log.replace(endpoints, listing.revision)
         self._notify()
 
--- a/packages/gateway/wasabilanding/gateway/compression.py
+++ b/packages/gateway/wasabilanding/gateway/compression.py
@@ -7,7 +7,7 @@
 
 import zlib
 
-# Smaller datagrams fit into one packet without.
+# Smaller datagrams fit into one packet uncompressed.
 MIN_COMPRESSED_BYTES = 1000
 FASTEST_LEVEL = 1
 MAX_TEXT_BYTES = 1024 * 1024
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -331,7 +331,8 @@
         except ValueError as error:
             detail = str(error)
         planner.record_probe_result(
-            endpoint.endpoint_id, is_member, is_open, trio.current_time()
+            endpoint.endpoint_id,
+            assembly.ProbeResult(trio.current_time(), is_member, is_open),
         )
         _LOG.info(
             "report of %s: member=%s open=%s %s",
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -53,8 +53,8 @@
 MIN_LOAD_PERIOD_S = 0.05
 LOAD_PERIOD_PER_NODE_S = 0.008
 MAX_LOAD_PERIOD_S = 0.4
-# Up to this number of peers, hints are sent directly, without a collector.
-MAX_MESH_PEERS = 8
+# Up to this number of nodes send hints to each other, without a collector.
+MAX_MESH_NODES = 9
 # A collector that forwards nothing for the timeout is skipped until the
 # backoff, counted from the first hint sent to it, has passed.
 COLLECTOR_TIMEOUT_S = 1.0
@@ -256,7 +256,7 @@
             return
         hint = Hint(self._node, in_flight=load)
         for domain, nodes in self._remote_nodes.items():
-            has_collector = len(nodes) > MAX_MESH_PEERS + 1
+            has_collector = _needs_collector(len(nodes))
             batch = HintBatch(
                 self._node, (hint,), not has_collector, domain=self._domain
             )
@@ -268,7 +268,7 @@
 
     @property
     def _uses_collector(self) -> bool:
-        return len(self._peers) > MAX_MESH_PEERS
+        return _needs_collector(len(self._peers) + 1)
 
     async def _send_load_hint(
         self, datagrams: Datagrams, hint: Hint, now: float
@@ -380,6 +380,11 @@
             )
 
 
+def _needs_collector(nodes: int) -> bool:
+    """Tell whether the nodes of a failure domain send to a collector."""
+    return nodes > MAX_MESH_NODES
+
+
 async def bind_socket(address: Address) -> trio.socket.SocketType:
     """Return a datagram socket, bound once the address is free.
 
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -12,12 +12,12 @@
 import trio
 
 from wasabilanding.gateway import answers
+from wasabilanding.gateway import asgi
 from wasabilanding.gateway import messages
-from wasabilanding.gateway import status_apps
 
-Message = status_apps.Message
-Receive = status_apps.Receive
-Send = status_apps.Send
+Message = asgi.Message
+Receive = asgi.Receive
+Send = asgi.Send
 
 
 class BodyTooLarge(Exception):
@@ -184,7 +184,7 @@
 
     async def app(scope: Message, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await status_apps.run_lifespan(receive, send)
+            await asgi.run_lifespan(receive, send)
         elif scope["type"] == "http":
             await run(scope, receive, send)
 
--- a/packages/gateway/wasabilanding/gateway/status_apps.py
+++ b/packages/gateway/wasabilanding/gateway/status_apps.py
@@ -3,14 +3,8 @@
 import collections.abc
 import dataclasses
 import json
-import typing
 
-Message = dict[str, typing.Any]
-Receive = collections.abc.Callable[[], collections.abc.Awaitable[Message]]
-Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
-App = collections.abc.Callable[
-    [Message, Receive, Send], collections.abc.Awaitable[None]
-]
+from wasabilanding.gateway import asgi
 
 JSON_TYPE = b"application/json"
 TEXT_TYPE = b"text/plain; charset=utf-8"
@@ -31,30 +25,19 @@
     body: bytes
 
 
-async def run_lifespan(receive: Receive, send: Send) -> None:
-    """Confirm the server's start and stop, which need no work.
-
-    :param receive: ASGI callable.
-    :param send: ASGI callable.
-    """
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 def status_app(
     respond: collections.abc.Callable[[str], StatusResponse],
-) -> App:
+) -> asgi.App:
     """Return an application that answers each GET with a short response.
 
     :param respond: returns the response to a path.
     """
 
-    async def app(scope: Message, receive: Receive, send: Send) -> None:
+    async def app(
+        scope: asgi.Message, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
         if scope["type"] == "lifespan":
-            await run_lifespan(receive, send)
+            await asgi.run_lifespan(receive, send)
             return
         response = respond(scope["path"])
         headers = [
@@ -73,20 +56,21 @@
     return app
 
 
-def ready_app(is_ready: collections.abc.Callable[[], bool]) -> App:
+def ready_app(is_ready: collections.abc.Callable[[], bool]) -> asgi.App:
     """Return the application that answers readiness checks on any path.
 
     :param is_ready: returns whether the balancer may send requests.
     """
 
     def respond(path: str) -> StatusResponse:
-        body = json.dumps({"ready": is_ready()}).encode()
-        return StatusResponse(200 if is_ready() else 503, JSON_TYPE, body)
+        ready = is_ready()
+        body = json.dumps({"ready": ready}).encode()
+        return StatusResponse(200 if ready else 503, JSON_TYPE, body)
 
     return status_app(respond)
 
 
-def metrics_app(text: collections.abc.Callable[[], bytes]) -> App:
+def metrics_app(text: collections.abc.Callable[[], bytes]) -> asgi.App:
     """Return the application that serves metrics.
 
     :param text: returns all metrics as text.
--- a/packages/gateway/wasabilanding/gateway/store_watch.py
+++ b/packages/gateway/wasabilanding/gateway/store_watch.py
@@ -44,13 +44,11 @@
 _LOG = logging.getLogger(__name__)
 
 
-def watch_wait_s(view: cluster_view.ClusterView) -> float:
+def _watch_wait_s(view: cluster_view.ClusterView) -> float:
     """Return the seconds after which a watch ends without changes.
 
     It is short if other nodes rely on the answer, or if the other node on
     which this one has relied until now confirms nothing any more.
-
-    :param view: the node's view of the cluster.
     """
     if view.feeds_peers or view.feed_age_s < FEED_MEMORY_S:
         return FEEDING_INTERVAL_S
@@ -166,7 +164,7 @@
     poll_interval_s: float,
 ) -> bool:
     """Apply the changes of one watch; return whether to read all anew."""
-    answer = await _watch(view, store, watch_wait_s(view), False)
+    answer = await _watch(view, store, _watch_wait_s(view), False)
     if isinstance(answer.changes, metadata.Unavailable):
         await trio.sleep(RETRY_INTERVAL_S)
         answer = await _probe(view, store, report_store_reachable)
--- a/packages/gateway/wasabilanding/gatewayd.py
+++ b/packages/gateway/wasabilanding/gatewayd.py
@@ -3,8 +3,8 @@
 SIGHUP, which asks for a reload, may arrive while a program still imports its
 modules, and would then terminate the process by default. It is blocked before
 anything else is imported and unblocked once a handler is installed, so this
-module imports nothing of the project at the top. Collections of garbage, which
-find none among imported modules, are put off until they are imported.
+module imports nothing of the project at the top. Garbage is not collected
+during the import, as imported modules stay in use.
 """
 
 import gc
