Reproduce a request that ends endpoint after endpoint

The stand-in engines learn it: a request whose path contains /crash ends the engine that runs it, which is back 1.5 s later. Real gateways, three plain endpoints and ten engines a failure domain; submissions of one request, of each kind, through all gateways in turn, through one, under one identifier, in bursts, two requests at a time, and while gateways are killed and started.

--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
@@ -0,0 +1,181 @@
+"""Steps for requests that end the endpoints that run them."""
+
+import collections
+import functools
+import itertools
+import pathlib
+import random
+import signal
+import tempfile
+
+import behave
+import httpx
+import trio
+
+from wasabilanding.experiments.installation import launch
+from wasabilanding.standins import registered_engine
+
+CONTACT_S = 3.0
+ALLOWED_LATER = 3
+SEND_INTERVAL_S = 0.25
+BURST_INTERVAL_S = 2.0
+RESTART_INTERVAL_S = 2.0
+TIMEOUT_S = 4.0
+INNOCENT_CALLERS = 4
+INNOCENT_PAUSE_S = 0.1
+PLAN = launch.Plan(pages_per_domain=3)
+HTTP_OK = 200
+
+
+class _Load:
+    """Requests that end endpoints, and others beside them."""
+
+    def __init__(self, installation, kind, count, pattern, seconds):
+        self._installation = installation
+        self._kind = kind
+        self._paths = [
+            f"/{kind}{registered_engine.CRASH_MARKER}-{number}?q=1"
+            for number in range(count)
+        ]
+        self._pattern = pattern
+        self._seconds = seconds
+        self._numbers = itertools.count()
+        self.statuses = collections.Counter()
+        self.innocent = collections.Counter()
+
+    async def _send(self, client, gateway, path, request_id):
+        headers = {
+            "host": launch.SITE,
+            "x-request": request_id,
+            "x-deadline-s": str(TIMEOUT_S),
+            "x-key": "key-1",
+            "x-model": launch.SMALL.name if self._kind == "drafts" else "",
+            "x-events-wanted": "3",
+        }
+        url = f"{gateway.callers_url}{path}"
+        try:
+            answer = await client.post(url, headers=headers, content=b"body")
+        except httpx.HTTPError:
+            return 0
+        return answer.status_code
+
+    async def _send_crashing(self, client, gateway, path):
+        request_id = f"crash-{next(self._numbers)}"
+        if self._pattern == "under one identifier":
+            request_id = "crash"
+        status = await self._send(client, gateway, path, request_id)
+        self.statuses[status] += 1
+
+    def _gateways(self, turn):
+        gateways = self._installation.gateways
+        if self._pattern == "in bursts":
+            return gateways
+        if self._pattern == "through one gateway":
+            return gateways[:1]
+        return [gateways[turn % len(gateways)]]
+
+    async def _repeat(self, client):
+        interval_s = SEND_INTERVAL_S
+        if self._pattern == "in bursts":
+            interval_s = BURST_INTERVAL_S
+        async with trio.open_nursery() as nursery:
+            for turn in itertools.count():
+                for gateway in self._gateways(turn):
+                    for path in self._paths:
+                        nursery.start_soon(
+                            self._send_crashing, client, gateway, path
+                        )
+                await trio.sleep(interval_s)
+
+    async def _send_innocent(self, client, rng):
+        while True:
+            number = next(self._numbers)
+            path = f"/{self._kind}/other-{number}"
+            gateway = rng.choice(self._installation.gateways)
+            status = await self._send(client, gateway, path, f"o-{number}")
+            # A gateway that is down refuses the connection.
+            if status:
+                self.innocent[status] += 1
+            await trio.sleep(INNOCENT_PAUSE_S)
+
+    async def _restart_gateways(self):
+        for gateway in self._installation.gateways:
+            await trio.sleep(RESTART_INTERVAL_S)
+            gateway.process.send_signal(signal.SIGKILL)
+            await trio.to_thread.run_sync(gateway.process.wait)
+            self._installation.restart(gateway)
+
+    async def run(self):
+        """Send requests for the given time."""
+        transport = httpx.AsyncHTTPTransport(verify=False)
+        async with httpx.AsyncClient(
+            transport=transport, timeout=TIMEOUT_S
+        ) as client:
+            with trio.move_on_after(self._seconds):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._repeat, client)
+                    if self._pattern == "while gateways restart":
+                        nursery.start_soon(self._restart_gateways)
+                    for number in range(INNOCENT_CALLERS):
+                        rng = random.Random(number)
+                        nursery.start_soon(self._send_innocent, client, rng)
+
+
+@behave.given("an installation with three plain endpoints a failure domain")
+def given_installation(context):
+    """Start an installation; it ends with the scenario."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = pathlib.Path(folder.name)
+    context.installation = launch.Installation(PLAN, context.folder)
+    context.installation.__enter__()
+    context.add_cleanup(
+        functools.partial(context.installation.__exit__, None, None, None)
+    )
+    context.installation.wait_until_serving()
+
+
+@behave.when(
+    "{count:d} requests that end endpoints, of kind {kind}, come {pattern} "
+    "for {seconds:d} s beside other requests"
+)
+def send(context, count, kind, pattern, seconds):
+    """Send requests and read what the endpoints ran."""
+    context.load = _Load(context.installation, kind, count, pattern, seconds)
+    trio.run(context.load.run)
+    context.runs = context.installation.runs()
+
+
+def _begun_by_path(runs):
+    found = collections.defaultdict(list)
+    for run in runs:
+        if registered_engine.CRASH_MARKER in run["path"]:
+            found[run["path"]].append(run["begun_at"])
+    return {path: sorted(times) for path, times in found.items()}
+
+
+@behave.then(
+    "each ends at most {count:d} endpoints later than {bound:g} s after the "
+    "third"
+)
+def check_ended(context, count, bound):
+    """Count the runs after the third end of an endpoint."""
+    begun_by_path = _begun_by_path(context.runs)
+    assert begun_by_path, context.load.statuses
+    crash_after_s = registered_engine.RegisteredSettings().crash_after_s
+    for path, begun_at in begun_by_path.items():
+        since = (begun_at[2:3] or begun_at[-1:])[0] + crash_after_s + bound
+        later = [at for at in begun_at if at > since]
+        assert len(later) <= count, (
+            f"{path} ended {len(begun_at)} endpoints, {len(later)} of them "
+            f"later than {bound} s after the third; {context.load.statuses}"
+        )
+
+
+@behave.then(
+    "at least {share:g} of the other requests of the route are served"
+)
+def check_others(context, share):
+    """Compare the share of other requests that were answered with 200."""
+    found = context.load.innocent
+    assert found[HTTP_OK] >= share * found.total(), found
--- a/packages/standins/wasabilanding/standins/fabric_server.py
+++ b/packages/standins/wasabilanding/standins/fabric_server.py
@@ -90,7 +90,7 @@
         """
         engine = self.fabric.engines[endpoint_id]
         application = registered_engine_http.registered_app(
-            engine, self.fabric
+            engine, self.fabric, self.crash
         )
         port = self._ports[endpoint_id]
         self._listeners.open(endpoint_id, application, port)
@@ -103,6 +103,27 @@
         self.fabric.engines[endpoint_id].kill()
         self._listeners.close(endpoint_id)
 
+    def restart(self, endpoint_id: str) -> None:
+        """Start an engine again that was stopped.
+
+        :param endpoint_id: ID of the engine.
+        """
+        if not self.fabric.engines[endpoint_id].alive:
+            self.fabric.engines[endpoint_id].restart()
+            self.open(endpoint_id)
+
+    def crash(self, endpoint_id: str) -> None:
+        """Stop an engine and start it again later.
+
+        :param endpoint_id: ID of the engine.
+        """
+        self.kill(endpoint_id)
+        self.fabric.start(self._restart_later, endpoint_id)
+
+    async def _restart_later(self, endpoint_id: str) -> None:
+        await trio.sleep(self.fabric.settings.restart_after_s)
+        self.restart(endpoint_id)
+
     async def leave(self, endpoint_id: str) -> None:
         """Announce the shutdown of an engine, drain it, then stop it.
 
@@ -135,9 +156,7 @@
 
     @application.post("/standin/<vm>/restart")
     async def restart(vm: str) -> quart.ResponseReturnValue:
-        if not fabric.engines[vm].alive:
-            fabric.engines[vm].restart()
-            server.open(vm)
+        server.restart(vm)
         return {}
 
     @application.post("/standin/<vm>/leave")
--- a/packages/standins/wasabilanding/standins/registered_engine.py
+++ b/packages/standins/wasabilanding/standins/registered_engine.py
@@ -26,6 +26,8 @@
 HTTP_CONFLICT = 409
 HTTP_PRECONDITION_FAILED = 412
 CHECK_INTERVAL_S = 0.05
+# A request whose path contains this ends each engine that runs it.
+CRASH_MARKER = "/crash"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,6 +46,9 @@
         before it is broken.
     :param drain_s: minimum seconds that an engine serves after it has
         announced its shutdown.
+    :param crash_after_s: seconds after which a request whose path contains
+        :data:`CRASH_MARKER` ends the engine that runs it.
+    :param restart_after_s: seconds until such an engine starts again.
     """
 
     slots: int = 4
@@ -56,6 +61,8 @@
     form_s: float = 0.1
     stall_s: float = 4.0
     drain_s: float = 2.0
+    crash_after_s: float = 0.1
+    restart_after_s: float = 1.5
 
 
 class RunEnd(enum.StrEnum):
--- a/packages/standins/wasabilanding/standins/registered_engine_http.py
+++ b/packages/standins/wasabilanding/standins/registered_engine_http.py
@@ -138,12 +138,15 @@
 
 
 def registered_app(
-    engine: registered_engine.Engine, fabric: registered_engine.Fabric
+    engine: registered_engine.Engine,
+    fabric: registered_engine.Fabric,
+    crash: collections.abc.Callable[[str], None],
 ) -> quart_trio.QuartTrio:
     """Return the HTTP application of one engine.
 
     :param engine: engine that the application serves.
     :param fabric: the engines of its failure domain.
+    :param crash: ends the engine with an identity and starts it again later.
     """
     app = quart_trio.QuartTrio("registered")
 
@@ -194,6 +197,11 @@
                 {**response_headers, "x-not-run": "1"},
             )
         run = fabric.begin_run(_run_entry(engine, fabric, body))
+        if registered_engine.CRASH_MARKER in request.path:
+            with _track_run(engine, fabric, run) as life:
+                await _run_for(engine, life, fabric.settings.crash_after_s)
+                crash(engine.endpoint_id)
+                await _run_for(engine, life, 0.0)
         if engine.fabric_domain:
             return _stream(engine, fabric, run, response_headers)
         with _track_run(engine, fabric, run) as life:
--- a/packages/standins/wasabilanding/standins/tests/steps/registered_steps.py
+++ b/packages/standins/wasabilanding/standins/tests/steps/registered_steps.py
@@ -241,7 +241,7 @@
     async def step():
         fabric = context.simulation.fabric
         app = registered_engine_http.registered_app(
-            fabric.engines["a"], fabric
+            fabric.engines["a"], fabric, lambda endpoint_id: None
         )
         method, path, body = CALLS[request]
         async with httpx.AsyncClient(
