--- a/packages/decisions/wasabilanding/poison/__init__.py
+++ b/packages/decisions/wasabilanding/poison/__init__.py
@@ -14,6 +14,14 @@
 quarantined, which means that it is refused for some time, if it was in flight
 at two crashes whose weights add up to one, or at three crashes.
 
+*Mass events.* Where many replicas crash within a second, most of them without
+the request, its own crash hardly tells anything: its weight is divided by the
+number of these crashes, and it does not count among the two or three. Five
+crashes count in any case.
+
+*Evidence.* A broken connection alone is no crash: endpoints reset connections
+while they live. :class:`BrokenConnections` keeps them until it is known.
+
 *Home replicas.* Notices are delayed, and copies of one request may arrive
 through all entry VMs at once. Each request may therefore run only on a few
 replicas of a failure domain, its *homes*, which every node determines in the
@@ -37,7 +45,7 @@
 >>> request == poison.fingerprint("escriba", " the prompt")
 True
 >>> for at, replica in ((1.0, "vm-1@1"), (5.0, "vm-2@1")):
-...     suspicions.record_crash(request, replica, at)
+...     notice = suspicions.record_crash(request, replica, at)
 >>> suspicions.status(request, now=6.0).quarantined
 True
 
@@ -55,11 +63,16 @@
        increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
 """
 
+from wasabilanding.poison.evidence import BrokenConnection
+from wasabilanding.poison.evidence import BrokenConnections
+from wasabilanding.poison.evidence import EndpointState
 from wasabilanding.poison.homes import home_names
 from wasabilanding.poison.homes import HOME_RETENTION_S
 from wasabilanding.poison.homes import HomeCandidates
 from wasabilanding.poison.homes import HOMES_PER_REQUEST
 from wasabilanding.poison.homes import trial_names
+from wasabilanding.poison.homes import trial_order
+from wasabilanding.poison.suspicions import exact_fingerprint
 from wasabilanding.poison.suspicions import fingerprint
 from wasabilanding.poison.suspicions import Notice
 from wasabilanding.poison.suspicions import NOTICE_RETENTION_S
@@ -68,6 +81,9 @@
 from wasabilanding.poison.suspicions import SuspicionStatus
 
 __all__ = [
+    "BrokenConnection",
+    "BrokenConnections",
+    "EndpointState",
     "HOMES_PER_REQUEST",
     "HOME_RETENTION_S",
     "NOTICE_RETENTION_S",
@@ -76,7 +92,9 @@
     "HomeCandidates",
     "SuspicionStatus",
     "Suspicions",
+    "exact_fingerprint",
     "fingerprint",
     "home_names",
     "trial_names",
+    "trial_order",
 ]
--- a/packages/decisions/wasabilanding/poison/homes.py
+++ b/packages/decisions/wasabilanding/poison/homes.py
@@ -43,6 +43,28 @@
     return (*by_text, *by_prefix)
 
 
+def trial_order(
+    fingerprint: str, names: collections.abc.Iterable[str]
+) -> tuple[str, ...]:
+    """Return the order in which a suspected request tries endpoints.
+
+    All nodes find the same order, so that copies that arrive at several nodes
+    end one endpoint, not several.
+
+    :param fingerprint: fingerprint of the request.
+    :param names: names of the endpoints.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import poison
+    >>> order = poison.trial_order("a", ["e1", "e2", "e3"])
+    >>> order == poison.trial_order("a", ["e3", "e1", "e2"])
+    True
+    """
+    return tuple(_ranked(fingerprint, sorted(names)))
+
+
 def trial_names(
     homes: collections.abc.Iterable[str],
     crashed: collections.abc.Container[str],
--- a/packages/decisions/wasabilanding/poison/suspicions.py
+++ b/packages/decisions/wasabilanding/poison/suspicions.py
@@ -1,6 +1,7 @@
 """Requests that are suspected of crashing endpoints."""
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import hashlib
@@ -10,6 +11,15 @@
 UNCONDITIONAL_QUARANTINE_CRASHES = 3
 WEIGHTED_QUARANTINE_CRASHES = 2
 QUARANTINE_WEIGHT = 0.99
+# Crashes are a mass event if so many replicas that did not run a request
+# crash within the window of one that did.
+MASS_EVENT_REPLICAS = 4
+MASS_EVENT_WINDOW_S = 1.0
+# Copies of a notice may differ so much in their time, as each node derives it
+# from an age.
+SAME_EVENT_S = 1.0
+# Quarantined after so many crashes even if all were part of mass events.
+MASS_EVENT_QUARANTINE_CRASHES = 5
 MAX_NOTICES = 20_000
 DIGEST_BYTES = 12
 
@@ -28,6 +38,26 @@
     return digest.hexdigest()
 
 
+def exact_fingerprint(parts: collections.abc.Iterable[bytes]) -> str:
+    """Return the fingerprint of a request whose parts count byte for byte.
+
+    :param parts: what identifies the request, such as its path and body.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import poison
+    >>> one = poison.exact_fingerprint([b"/a", b"bc"])
+    >>> one == poison.exact_fingerprint([b"/ab", b"c"])
+    False
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.hexdigest()
+
+
 class NoticeKind(enum.Enum):
     """Kind of a notice."""
 
@@ -45,12 +75,15 @@
     :param fingerprint: fingerprint of the request.
     :param replica: replica that crashed; empty for a completed request.
     :param at: local monotonic time of the event in seconds.
+    :param in_flight: requests that were in flight at a crash, as far as the
+        node knew that reports it.
     """
 
     kind: NoticeKind
     fingerprint: str
     replica: str
     at: float
+    in_flight: int = 1
 
     @property
     def identity(self) -> tuple[NoticeKind, str, str]:
@@ -65,11 +98,13 @@
     :param crashed: replicas that crashed while they ran it.
     :param weight: sum of the weights of the crashes.
     :param until: local monotonic time at which the last crash expires.
+    :param isolated: number of the crashes that are no part of a mass event.
     """
 
     crashed: tuple[str, ...] = ()
     weight: float = 0.0
     until: float = 0.0
+    isolated: int = 0
 
     @property
     def suspected(self) -> bool:
@@ -80,10 +115,12 @@
     def quarantined(self) -> bool:
         """Whether it is to be refused."""
         crashes = len(self.crashed)
-        if crashes >= UNCONDITIONAL_QUARANTINE_CRASHES:
+        if self.isolated >= UNCONDITIONAL_QUARANTINE_CRASHES:
+            return True
+        if crashes >= MASS_EVENT_QUARANTINE_CRASHES:
             return True
         return (
-            crashes >= WEIGHTED_QUARANTINE_CRASHES
+            self.isolated >= WEIGHTED_QUARANTINE_CRASHES
             and self.weight >= QUARANTINE_WEIGHT
         )
 
@@ -97,31 +134,102 @@
         self._crashes: dict[str, set[str]] = collections.defaultdict(set)
         self._requests: dict[str, set[str]] = collections.defaultdict(set)
 
-    def record_crash(self, request: str, replica: str, at: float) -> None:
+    @property
+    def are_empty(self) -> bool:
+        """Whether no request is suspected or was."""
+        return not self._notices
+
+    @property
+    def suspects(self) -> collections.abc.Collection[str]:
+        """Fingerprints of the requests that were in flight at a crash."""
+        return self._crashes.keys()
+
+    def has_crashed(self, replica: str) -> bool:
+        """Return whether a replica is known to have crashed.
+
+        :param replica: the replica.
+        """
+        return replica in self._requests
+
+    def quarantined(self, now: float) -> tuple[str, ...]:
+        """Return the fingerprints of the requests that are to be refused.
+
+        :param now: local monotonic time in seconds.
+        """
+        return tuple(
+            request
+            for request, replicas in self._crashes.items()
+            if len(replicas) >= WEIGHTED_QUARANTINE_CRASHES
+            and self.status(request, now).quarantined
+        )
+
+    def crashes_of(self, request: str) -> tuple[Notice, ...]:
+        """Return the notices of the crashes of a request.
+
+        :param request: its fingerprint.
+        """
+        return tuple(
+            self._notices[(NoticeKind.CRASH, request, replica)]
+            for replica in sorted(self._crashes.get(request, ()))
+        )
+
+    def withdraw_all(self, replica: str, at: float) -> tuple[Notice, ...]:
+        """Record that a replica, presumed to have crashed, has not.
+
+        :param replica: the replica.
+        :param at: local monotonic time in seconds.
+        :returns: a notice for each request that was in flight there.
+        """
+        return tuple(
+            self.withdraw(request, replica, at)
+            for request in sorted(self._requests.get(replica, ()))
+        )
+
+    def record_crash(
+        self, request: str, replica: str, at: float, in_flight: int = 1
+    ) -> Notice:
         """Record that a request was in flight when a replica crashed.
 
         :param request: fingerprint of the request.
         :param replica: the replica.
         :param at: local monotonic time in seconds.
+        :param in_flight: known requests in flight there.
+        :returns: the notice.
         """
-        self.merge(Notice(NoticeKind.CRASH, request, replica, at), at)
+        notice = Notice(NoticeKind.CRASH, request, replica, at, in_flight)
+        self.merge(notice, at)
+        return notice
 
-    def withdraw(self, request: str, replica: str, at: float) -> None:
+    def withdraw(self, request: str, replica: str, at: float) -> Notice:
         """Record that a presumed crash did not happen.
 
         :param request: fingerprint of the request in flight.
         :param replica: the replica.
         :param at: local monotonic time in seconds.
+        :returns: the notice.
         """
-        self.merge(Notice(NoticeKind.WITHDRAWN, request, replica, at), at)
+        notice = Notice(NoticeKind.WITHDRAWN, request, replica, at)
+        self.merge(notice, at)
+        return notice
 
-    def clear(self, request: str, at: float) -> None:
+    def clear(self, request: str, at: float) -> Notice:
         """Record that a suspected request has completed.
 
         :param request: fingerprint of the request.
         :param at: local monotonic time in seconds.
+        :returns: the notice.
         """
-        self.merge(Notice(NoticeKind.CLEARED, request, "", at), at)
+        notice = Notice(NoticeKind.CLEARED, request, "", at)
+        self.merge(notice, at)
+        return notice
+
+    def is_news(self, notice: Notice) -> bool:
+        """Return whether a received notice is no copy of a known one.
+
+        :param notice: the notice, with its time on the local clock.
+        """
+        known = self._notices.get(notice.identity)
+        return known is None or notice.at > known.at + SAME_EVENT_S
 
     def merge(self, notice: Notice, now: float) -> bool:
         """Merge a notice; the latest one per identity is kept.
@@ -130,14 +238,13 @@
         :param now: local monotonic time in seconds.
         :returns: whether it was new.
         """
-        if (
-            now - notice.at > NOTICE_RETENTION_S
-            or len(self._notices) >= MAX_NOTICES
-        ):
+        if now - notice.at > NOTICE_RETENTION_S:
             return False
         known = self._notices.get(notice.identity)
         if known and known.at >= notice.at:
             return False
+        if known is None and len(self._notices) >= MAX_NOTICES:
+            return False
         self._notices[notice.identity] = notice
         if known is None:
             self._received_at[notice.identity] = now
@@ -179,7 +286,8 @@
         crash = self._notices.get((NoticeKind.CRASH, request, replica))
         if crash is None or now - crash.at > NOTICE_RETENTION_S:
             return False
-        if (NoticeKind.WITHDRAWN, request, replica) in self._notices:
+        withdrawn = self._notices.get((NoticeKind.WITHDRAWN, request, replica))
+        if withdrawn is not None and withdrawn.at >= crash.at:
             return False
         cleared = self._notices.get((NoticeKind.CLEARED, request, ""))
         return cleared is None or cleared.at < crash.at
@@ -198,23 +306,48 @@
         )
         if not crashed:
             return SuspicionStatus()
-        weight = sum(
-            1 / self._suspect_count(replica, now) for replica in crashed
-        )
+        weight = 0.0
+        isolated = 0
+        for replica in crashed:
+            others = self._crashes_beside(request, replica)
+            is_mass_event = others >= MASS_EVENT_REPLICAS
+            isolated += not is_mass_event
+            causes = 1 + others if is_mass_event else 1
+            weight += 1 / (self._suspect_count(replica, now) * causes)
         last = max(
             self._notices[(NoticeKind.CRASH, request, replica)].at
             for replica in crashed
         )
         return SuspicionStatus(
-            tuple(crashed), weight, last + NOTICE_RETENTION_S
+            tuple(crashed), weight, last + NOTICE_RETENTION_S, isolated
         )
 
     def _suspect_count(self, replica: str, now: float) -> int:
+        """Return how many requests may have caused a crash."""
+        requests = self._requests[replica]
+        valid = sum(
+            self._is_valid_crash(request, replica, now) for request in requests
+        )
+        in_flight = max(
+            self._notices[(NoticeKind.CRASH, request, replica)].in_flight
+            for request in requests
+        )
+        unknown = max(in_flight - len(requests), 0)
+        return valid + unknown
+
+    def _crashes_beside(self, request: str, replica: str) -> int:
+        """Count crashes about the time of one that had no part in them."""
+        at = self._notices[(NoticeKind.CRASH, request, replica)].at
         return sum(
-            self._is_valid_crash(request, replica, now)
-            for request in self._requests[replica]
+            request not in requests
+            and self._crash_is_near(other, next(iter(requests)), at)
+            for other, requests in self._requests.items()
         )
 
+    def _crash_is_near(self, replica: str, request: str, at: float) -> bool:
+        notice = self._notices[(NoticeKind.CRASH, request, replica)]
+        return abs(notice.at - at) <= MASS_EVENT_WINDOW_S
+
 
 def _discard(index: dict[str, set[str]], key: str, value: str) -> None:
     index[key].discard(value)
--- a/packages/decisions/wasabilanding/poison/tests/poison_rules.feature
+++ b/packages/decisions/wasabilanding/poison/tests/poison_rules.feature
@@ -36,6 +36,30 @@
     When the last crash is withdrawn before its notice arrives
     Then at the peer request "p" is suspected
 
+  Scenario Outline: Many crashes at the same moment condemn no innocent request
+    Given <others> other replicas crash at the same moment as each crash <in mass event>
+    And crashes with request p in flight at <own>, and <beside> others each
+    Then request "p" is <standing>
+
+    Examples: 60 of 100 endpoints are lost at once, or a few
+      | others | in mass event | own   | beside | standing  |
+      | 60     | 1             | 1     | 0      | suspected |
+      | 60     | 1             | 1 2   | 0      | suspected |
+      | 60     | 1 2           | 1 2   | 0      | suspected |
+      | 60     | 1 2           | 1 2 3 | 8      | suspected |
+      | 3      | 1 2           | 1 2   | 0      | condemned |
+
+    Examples: One of the requests ends endpoints beside the mass event
+      | others | in mass event | own       | beside | standing  |
+      | 60     | 1             | 1 2 3     | 0      | condemned |
+      | 60     | 2             | 1 2 3 4   | 8      | condemned |
+      | 60     | 1 2 3 4 5     | 1 2 3 4 5 | 8      | condemned |
+
+  Scenario: Requests of the whole fleet stay admitted in a mass event
+    Given 60 replicas that crash at once, each with 9 of 540 requests in flight
+    When each request runs again beside one that ends replicas
+    Then no request but that one is condemned
+
   Scenario: Homes depend on the prefix and on the text
     When homes are chosen among 12 replicas for 400 texts with one prefix
     Then two replicas are homes of all texts
--- a/packages/decisions/wasabilanding/poison/tests/steps/poison_rules_steps.py
+++ b/packages/decisions/wasabilanding/poison/tests/steps/poison_rules_steps.py
@@ -35,6 +35,66 @@
     context.now = _note(context.suspicions, crashes)
 
 
+@behave.given(
+    "{count:d} other replicas crash at the same moment as each crash {numbers}"
+)
+def given_mass_event(context, count, numbers):
+    """Record crashes without the request."""
+    context.suspicions = poison.Suspicions()
+    for number in numbers.split():
+        for index in range(count):
+            name = f"other-{number}-{index}"
+            at = int(number) * CRASH_INTERVAL_S
+            context.suspicions.record_crash(f"by-{name}", name, at)
+
+
+@behave.given(
+    "crashes with request p in flight at {numbers}, and {beside:d} others each"
+)
+def given_own_crashes(context, numbers, beside):
+    """Record crashes with the request."""
+    for number in numbers.split():
+        context.now = int(number) * CRASH_INTERVAL_S
+        name = f"vm-{number}"
+        context.suspicions.record_crash("p", name, context.now)
+        for index in range(beside):
+            other = f"beside-{number}-{index}"
+            context.suspicions.record_crash(other, name, context.now)
+
+
+@behave.given(
+    "{replicas:d} replicas that crash at once, each with {share:d} of "
+    "{count:d} requests in flight"
+)
+def given_fleet_event(context, replicas, share, count):
+    """Record one mass event under many requests."""
+    context.suspicions = poison.Suspicions()
+    context.requests = [f"r{i}" for i in range(count)]
+    for index, request in enumerate(context.requests):
+        name = f"vm-{index % replicas}"
+        context.suspicions.record_crash(request, name, CRASH_INTERVAL_S)
+    assert share * replicas == count
+
+
+@behave.when("each request runs again beside one that ends replicas")
+def run_beside(context):
+    """Let one request end two more replicas, with others in flight there."""
+    for number in (1, 2, 3):
+        context.now = CRASH_INTERVAL_S * (1 + number)
+        first = (number - 1) * 8
+        for request in ("p", *context.requests[first : first + 8]):
+            context.suspicions.record_crash(
+                request, f"next-{number}", context.now
+            )
+
+
+@behave.then("no request but that one is condemned")
+def check_only_one(context):
+    """Compare the condemned requests."""
+    found = context.suspicions.quarantined(context.now)
+    assert found == ("p",), found
+
+
 @behave.given('requests that complete later "{completed}"')
 @behave.given('requests that complete later ""')
 def given_completed(context, completed=""):
--- a/packages/experiments/wasabilanding/experiments/installation/tests/crashing_requests.feature
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/crashing_requests.feature
@@ -4,6 +4,7 @@
     Given an installation with three plain endpoints a failure domain
     When <count> requests that end endpoints, of kind <kind>, come <pattern> for <seconds> s beside other requests
     Then each ends at most 3 endpoints later than 3 s after the third
+    And each ends at most 3 endpoints of a failure domain
     And at least <share> of the other requests of the route are served
 
     Examples: One submission after the other, through each gateway in turn
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
@@ -172,6 +172,18 @@
         )
 
 
+@behave.then("each ends at most {count:d} endpoints of a failure domain")
+def check_ended_in_domain(context, count):
+    """Count the runs in each failure domain."""
+    ended = collections.Counter(
+        (run["path"], run["endpoint"].partition("-")[0])
+        for run in context.runs
+        if registered_engine.CRASH_MARKER in run["path"]
+    )
+    print(f"ended: {dict(ended)}")
+    assert max(ended.values()) <= count, ended
+
+
 @behave.then(
     "at least {share:g} of the other requests of the route are served"
 )
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -77,6 +77,11 @@
         self._is_run_counted = False
         self.silence = dispatch.SilenceMonitor(trio.current_time())
 
+    @property
+    def endpoint(self) -> fleet.Endpoint:
+        """The endpoint."""
+        return self._endpoint
+
     @property
     def endpoint_id(self) -> str:
         """Identity of the endpoint."""
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -22,6 +22,7 @@
 
 from wasabilanding import dispatch
 from wasabilanding.gateway import attempt as attempt_module
+from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import hedging
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import metrics as metrics_module
@@ -48,6 +49,7 @@
     :param tracker: this node's observations of the endpoints.
     :param metrics: counts attempts.
     :param report_silent: reports a silent endpoint to other nodes.
+    :param crash_guard: examines endpoints that break connections.
     """
 
     attempts: attempt_module.AttemptContext
@@ -55,6 +57,7 @@
     tracker: dispatch.EndpointTracker
     metrics: metrics_module.Metrics
     report_silent: collections.abc.Callable[[str], None]
+    crash_guard: crash_guard_module.CrashGuard
 
 
 @dataclasses.dataclass(frozen=True)
@@ -163,6 +166,11 @@
 
     async def _run_attempt(self, attempt: attempt_module.Attempt) -> None:
         outcome = await attempt.run()
+        if outcome is not None and _may_be_crash(outcome):
+            # The next attempt depends on what is found.
+            await self._context.crash_guard.examine(
+                self._state, attempt.endpoint
+            )
         if attempt in self._open:
             self._open.remove(attempt)
         self._ended.append(_EndedAttempt(attempt, outcome))
@@ -338,3 +346,11 @@
                 extra=self._log_fields(self._open[0].endpoint_id),
             )
         self._hedge_obstacle = obstacle
+
+
+def _may_be_crash(outcome: model.Outcome) -> bool:
+    """Return whether an attempt may have ended together with its endpoint."""
+    return (
+        outcome.reason is model.Reason.CONNECTION_LOST
+        and outcome.verdict is model.Verdict.MAY_HAVE_RUN
+    )
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from wasabilanding.gateway import attempt as attempt_module
 from wasabilanding.gateway import attempt_set
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
@@ -43,6 +44,7 @@
     :param tracker: this node's observations of the endpoints.
     :param report_silent: reports an endpoint that stopped responding to other
         nodes.
+    :param crash_guard: holds back requests that end endpoints.
     :param rng: random number generator.
     """
 
@@ -55,17 +57,24 @@
         metrics: metrics_module.Metrics,
         tracker: dispatch.EndpointTracker,
         report_silent: collections.abc.Callable[[str], None],
+        crash_guard: crash_guard_module.CrashGuard,
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._metrics = metrics
+        self._crash_guard = crash_guard
         self._view = view
         self._wire = wire
         self._budget = retries.RetryBudget()
         self.update_retry_budget(0)
         self._admission = admission.Admission(settings, view, rng)
         selector = selection.EndpointSelector(
-            view, tracker, settings.failure_domain, self._budget, rng
+            view,
+            tracker,
+            settings.failure_domain,
+            self._budget,
+            crash_guard,
+            rng,
         )
         self._attempts_context = attempt_set.AttemptSetContext(
             attempt_module.AttemptContext(
@@ -75,6 +84,7 @@
             tracker,
             metrics,
             report_silent,
+            crash_guard,
         )
         self._open_requests: dict[
             inbound.ResponseWriter, request_state_module.OpenRequest
@@ -149,12 +159,14 @@
         try:
             state = self._admission.admit(head, body, request, arrived_at)
             self._open_requests[response].state = state
+            self._crash_guard.check(state)
             self._budget.deposit(state.service.name)
             with trio.move_on_at(state.deadline_at) as scope:
                 attempts = attempt_set.AttemptSet(
                     self._attempts_context, state, response
                 )
                 await attempts.run()
+                self._crash_guard.record_completed(state)
             if scope.cancelled_caught:
                 raise request_state_module.RequestRejected(
                     answers.timed_out("the deadline has passed")
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -29,11 +29,15 @@
 This one notifies the others at once, and for some time repeats it in the hints
 on load, which also reach other failure domains.
 
+Crashes: reports on requests under which endpoints have ended take the same
+ways (:mod:`wasabilanding.gateway.crash_reports`). The first batches of a node
+ask for them.
+
 Datagrams may be lost. Hints are advisory: they move requests to other
 endpoints, make the planner query the replica's members, and make it replace
 the replica of an endpoint that announced its shutdown, but trigger no other
-action; no hint makes a node use an endpoint again. A node that loses changes
-reads them from the store.
+action but that requests which end endpoints are rejected; no hint makes a node
+use an endpoint again. A node that loses changes reads them from the store.
 
 Each datagram states the version of the sender's configuration. A node whose
 view begins in a newer era of the store asks other nodes for theirs, since the
@@ -54,6 +58,8 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import compression
+from wasabilanding.gateway import crash_guard as crash_guard_module
+from wasabilanding.gateway import crash_reports
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import remote_reports
@@ -84,6 +90,11 @@
 # Nodes that are asked for their version, and the interval between questions.
 ASKED_NODES = 6
 ASK_INTERVAL_S = 0.1
+# Number of first batches by which a node asks for reports of crashes.
+CRASH_QUESTIONS = 10
+
+LOCAL = crash_reports.Scope.LOCAL
+REMOTE = crash_reports.Scope.REMOTE
 
 Count = typing.Annotated[int, pydantic.Field(ge=0)]
 Seconds = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
@@ -117,6 +128,7 @@
         endpoint, for endpoints with recent progress.
     :param number: number that a collector repeats; 0 for none.
     :param leaving: endpoints that have recently announced their shutdown.
+    :param crashes: reports on requests under which endpoints have ended.
     """
 
     node: str
@@ -125,6 +137,7 @@
     worked_ago_s: dict[str, Seconds] = dataclasses.field(default_factory=dict)
     number: Count = 0
     leaving: tuple[LeavingEndpoint, ...] = ()
+    crashes: tuple[crash_reports.CrashReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -141,6 +154,8 @@
     :param version: version of the configuration in force at the sender; 0 for
         none.
     :param asks_version: whether the receiver must answer with its version.
+    :param asks_crashes: whether the receiver must answer with its reports of
+        crashes.
     """
 
     sender: str
@@ -150,6 +165,7 @@
     domain: str = ""
     version: Count = 0
     asks_version: bool = False
+    asks_crashes: bool = False
 
 
 class Datagrams(typing.Protocol):
@@ -169,6 +185,7 @@
     :param failure_domain: its failure domain.
     :param view: the node's view of the cluster.
     :param tracker: receives other nodes' observations.
+    :param crash_guard: gives and receives reports of crashes.
     :param wire: defines the store's key prefixes.
     """
 
@@ -178,12 +195,14 @@
         failure_domain: str,
         view: cluster_view_module.ClusterView,
         tracker: dispatch.EndpointTracker,
+        crash_guard: crash_guard_module.CrashGuard,
         wire: messages.WireFormat,
     ) -> None:
         self._node = node
         self._domain = failure_domain
         self._view = view
         self._tracker = tracker
+        self._crash_guard = crash_guard
         self._prefix = directory.address_prefix(wire)
         self._collected: dict[str, Hint] = {}
         self._confirmations = changefeed.Confirmations(
@@ -195,6 +214,7 @@
         self._peers: dict[str, Address] = {}
         self._remote_nodes: dict[str, dict[str, Address]] = {}
         self._remote_reports = remote_reports.RemoteReports()
+        self._crash_questions = CRASH_QUESTIONS
         # Local monotonic times in seconds until which they are repeated.
         self._leaving: dict[LeavingEndpoint, float] = {}
         self._urgent_sender, self._urgent_receiver = trio.open_memory_channel[
@@ -228,6 +248,19 @@
             f"{leaving.endpoint_id} announces its shutdown",
         )
 
+    def report_crashes(
+        self,
+        reports: collections.abc.Collection[crash_reports.CrashReport],
+    ) -> None:
+        """Report requests under which endpoints have ended to other nodes.
+
+        :param reports: the reports.
+        """
+        self._queue(
+            Hint(self._node, crashes=tuple(reports)),
+            f"endpoints ended under {len(reports)} requests, or did not",
+        )
+
     def _repeat_leaving(self, leaving: LeavingEndpoint) -> None:
         self._leaving[leaving] = trio.current_time() + LEAVING_REPEAT_S
 
@@ -271,11 +304,18 @@
             await self._send(datagrams, batch, asked)
             await trio.sleep(ASK_INTERVAL_S)
 
-    async def _answer_version(
-        self, datagrams: Datagrams, address: Address
+    async def _answer(
+        self, datagrams: Datagrams, question: HintBatch, address: Address
     ) -> None:
-        if self._view.is_configuration_proven:
+        if question.asks_version and self._view.is_configuration_proven:
             await self._send(datagrams, HintBatch(self._node, ()), [address])
+        if not question.asks_crashes:
+            return
+        reports = self._crash_guard.quarantine_reports(trio.current_time())
+        if reports:
+            hint = Hint(self._node, crashes=reports)
+            batch = HintBatch(self._node, (hint,))
+            await self._send(datagrams, batch, [address])
 
     def _refresh_peers(self) -> None:
         nodes = directory.decode_addresses(
@@ -315,7 +355,9 @@
                 self._view.feeds_peers = False
             load = self._tracker.local_load
             leaving = self._recently_leaving(now)
-            if load or last_load or leaving or self._uses_collector:
+            crashes = self._crash_guard.due_reports(LOCAL, now)
+            has_news = bool(leaving or crashes or self._crash_questions)
+            if load or last_load or has_news or self._uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
                 )
@@ -324,6 +366,7 @@
                     in_flight=load,
                     worked_ago_s=worked,
                     leaving=leaving,
+                    crashes=crashes,
                 )
                 await self._send_load_hint(datagrams, hint, now)
             if self._collected:
@@ -332,16 +375,22 @@
             last_load = load
 
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
-        """Report load and shutdowns to other failure domains."""
+        """Report load, shutdowns and crashes to other failure domains."""
         if self._uses_collector and not self._view.feeds_peers:
             return
+        if not self._remote_reports.is_due(now):
+            return
         load = self._tracker.local_load
         if self._uses_collector:
             load = self._tracker.load_of_nodes(self._peers)
         leaving = self._recently_leaving(now)
-        if not self._remote_reports.try_begin(load, bool(leaving), now):
+        crashes = self._crash_guard.due_reports(REMOTE, now)
+        has_news = bool(leaving or crashes)
+        if not self._remote_reports.try_begin(load, has_news, now):
             return
-        hint = Hint(self._node, in_flight=load, leaving=leaving)
+        hint = Hint(
+            self._node, in_flight=load, leaving=leaving, crashes=crashes
+        )
         for domain, nodes in self._remote_nodes.items():
             has_collector = _needs_collector(len(nodes))
             batch = HintBatch(
@@ -404,9 +453,15 @@
         batch: HintBatch,
         addresses: collections.abc.Iterable[Address],
     ) -> None:
+        addresses = tuple(addresses)
+        if not addresses:
+            return
         table = self._view.table
         if table is not None:
             batch = dataclasses.replace(batch, version=table.version)
+        if self._crash_questions:
+            self._crash_questions -= 1
+            batch = dataclasses.replace(batch, asks_crashes=True)
         data = compression.compress(model.encode(batch).encode())
         for address in addresses:
             try:
@@ -423,8 +478,8 @@
                 _LOG.debug("cannot receive datagram: %s", error)
                 continue
             batch = self._apply_datagram(data, sender)
-            if batch is not None and batch.asks_version:
-                await self._answer_version(datagrams, sender)
+            if batch is not None:
+                await self._answer(datagrams, batch, sender)
 
     def _apply_datagram(
         self, data: bytes, sender: Address
@@ -468,6 +523,8 @@
             self._apply_silent(hint, now)
         for leaving in hint.leaving:
             self._apply_leaving(hint, leaving, now)
+        for report in hint.crashes:
+            self._crash_guard.apply_report(hint.node, report, now)
 
     def _apply_silent(self, hint: Hint, now: float) -> None:
         if self._tracker.record_silence(hint.silent, now):
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -81,6 +81,8 @@
         self.store_calls: CountsByLabels = collections.Counter()
         self.orders: CountsByLabels = collections.Counter()
         self.notices: CountsByLabels = collections.Counter()
+        self.crashes: CountsByLabels = collections.Counter()
+        self.suspected: dict[Labels, int] = {}
         self.loop_failures: CountsByLabels = collections.Counter()
         self.stranded: dict[Labels, int] = {}
         self.capacity: dict[Labels, int] = {}
@@ -161,6 +163,22 @@
         """
         self.notices[(("kind", kind),)] += 1
 
+    def count_crash(self, kind: str) -> None:
+        """Count an endpoint that ended under requests, or a rejection.
+
+        :param kind: "crash" that this node found, or "rejection" of a request
+            that is suspected of causing crashes.
+        """
+        self.crashes[(("kind", kind),)] += 1
+
+    def set_suspected(self, counts: collections.abc.Mapping[str, int]) -> None:
+        """Set the number of requests under which endpoints have ended.
+
+        :param counts: number of requests, by state.
+        """
+        for state, count in counts.items():
+            self.suspected[(("state", state),)] = count
+
     def set_held(self, counts: collections.abc.Mapping[str, int]) -> None:
         """Set the number of endpoints that receive no or few requests.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -117,6 +117,11 @@
             metrics.notices,
             "What endpoints asked for in heads of replies, by kind",
         ),
+        (
+            "endpoint_crashes",
+            metrics.crashes,
+            "Endpoints that ended under requests, and rejections",
+        ),
         (
             "loop_failures",
             metrics.loop_failures,
@@ -157,6 +162,11 @@
             metrics.held,
             "Endpoints that asked to receive nothing for a time, by state",
         ),
+        (
+            "suspected_requests",
+            metrics.suspected,
+            "Requests under which endpoints have ended, by state",
+        ),
         (
             "leaving_endpoints",
             metrics.leaving,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -14,6 +14,7 @@
 from wasabilanding.gateway import asgi
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import control
+from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import endpoint_guard
 from wasabilanding.gateway import forwarding
@@ -68,14 +69,19 @@
         self.metrics = metrics
         self.view = cluster_view_module.ClusterView(wire)
         self._tracker = dispatch.EndpointTracker()
+        self._crash_guard = crash_guard.CrashGuard(
+            self.view, self._tracker, metrics
+        )
         self._nodes_prefix = directory.address_prefix(wire)
         self._hints = hints.HintExchange(
             settings.node,
             settings.failure_domain,
             self.view,
             self._tracker,
+            self._crash_guard,
             wire,
         )
+        self._crash_guard.report_through(self._hints.report_crashes)
         self._guard = endpoint_guard.EndpointGuard(
             self.view,
             self._tracker,
@@ -93,6 +99,7 @@
             metrics,
             self._tracker,
             self._hints.report_silent,
+            self._crash_guard,
             rng,
         )
         self.controllers = control.ControllerSet(
@@ -213,6 +220,7 @@
             self.forwarder.update_retry_budget(nodes)
             self._tracker.drop_expired(trio.current_time())
             self._guard.observe()
+            await self._crash_guard.observe()
             for endpoint_id in self._upstream.endpoint_ids:
                 endpoint = self.view.registry.get(endpoint_id)
                 is_departed = (
--- a/packages/gateway/wasabilanding/gateway/remote_reports.py
+++ b/packages/gateway/wasabilanding/gateway/remote_reports.py
@@ -23,6 +23,13 @@
         self._sent_at = NEVER
         self._sent_load: dispatch.Load = {}
 
+    def is_due(self, now: float) -> bool:
+        """Tell whether a report may be sent now.
+
+        :param now: local monotonic time in seconds.
+        """
+        return now - self._sent_at >= PERIOD_S
+
     def try_begin(
         self, load: dispatch.Load, has_news: bool, now: float
     ) -> bool:
@@ -34,7 +41,7 @@
         :param has_news: whether something else is to be reported.
         :param now: local monotonic time in seconds.
         """
-        if now - self._sent_at < PERIOD_S:
+        if not self.is_due(now):
             return False
         if not (load or self._sent_load or has_news):
             return False
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -36,6 +36,8 @@
     runs: int = 0
     may_have_run: bool = False
     last_event: int | None = None
+    # Identifies its content; empty until it is computed.
+    fingerprint: str = ""
     # Whether a stream can resume after the last delivered event.
     is_position_known: bool = True
     tried_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -6,6 +6,7 @@
 
 from wasabilanding import dispatch
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding import model
 from wasabilanding import retries
@@ -26,6 +27,7 @@
     :param tracker: this node's observations of the endpoints.
     :param failure_domain: failure domain of this node.
     :param budget: this node's share of the retries.
+    :param crash_guard: holds back requests that end endpoints.
     :param rng: random number generator.
     """
 
@@ -35,12 +37,14 @@
         tracker: dispatch.EndpointTracker,
         failure_domain: str,
         budget: retries.RetryBudget,
+        crash_guard: crash_guard_module.CrashGuard,
         rng: random.Random,
     ) -> None:
         self._view = view
         self._tracker = tracker
         self._failure_domain = failure_domain
         self._budget = budget
+        self._crash_guard = crash_guard
         self._rng = rng
         self._candidates: dict[str, dict[str, list[dispatch.Candidate]]] = {}
         self._candidates_version: tuple[object, int] = (None, -1)
@@ -53,7 +57,7 @@
         :param state: the request.
         """
         return dispatch.choose(
-            self._untried(state),
+            self._crash_guard.confine(state, self._untried(state)),
             self._tracker,
             self._failure_domain,
             trio.current_time(),
@@ -146,7 +150,7 @@
             return f"run {runs} times"
         if not state.is_position_known:
             return "events without an id were delivered"
-        return ""
+        return self._crash_guard.obstacle(state)
 
     def _budget_obstacle(
         self, state: request_state_module.RequestState
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/crash_guard.feature
@@ -0,0 +1,90 @@
+Feature: Requests that end endpoints are turned away
+
+  Scenario Outline: Only an endpoint that has ended counts
+    Given <kind> requests of up to 2 attempts
+    And endpoints that "<script>, <other>"
+    When requests for "/a" are sent at 0 s
+    Then <count> requests are suspected
+
+    Examples: It ends, or breaks the connection and lives
+      | kind                | script   | other    | count |
+      | unsafe              | crash    | answer   | 1     |
+      | resumable streaming | reset 2  | events 4 | 0     |
+      | resumable streaming | reset 0  | events 4 | 0     |
+      | safe                | fail     | answer   | 0     |
+      | safe                | foreign  | answer   | 0     |
+      | safe                | refuse   | answer   | 0     |
+
+    Examples: The request is cleared, since another endpoint answers it
+      | kind                | script   | other    | count |
+      | safe                | crash    | answer   | 0     |
+      | resumable streaming | crash    | events 4 | 0     |
+
+  Scenario Outline: An endpoint that was leaving has not crashed
+    Given unsafe requests of up to 1 attempts
+    And endpoints that "crash, answer"
+    And e0 <change> at 0.01 s
+    When requests for "/a" are sent at 0 s
+    Then <count> requests are suspected
+
+    Examples:
+      | change                 | count |
+      | does nothing           | 1     |
+      | announces its shutdown | 0     |
+
+  Scenario Outline: An endpoint that breaks a connection and is gone soon has ended
+    Given unsafe requests of up to 1 attempts
+    And endpoints that "foreign, answer"
+    And e0 <change> at <at> s
+    And the node looks after broken connections for <at> s
+    When requests for "/a" are sent at 0 s
+    Then <count> requests are suspected
+
+    Examples:
+      | change                          | at | count |
+      | does nothing                    | 2  | 0     |
+      | starts again                    | 2  | 1     |
+      | starts again                    | 8  | 0     |
+      | is removed, and lives           | 2  | 0     |
+      | is removed, and is dead         | 2  | 1     |
+
+  Scenario Outline: A request ends two endpoints at most
+    Given <kind> requests of up to <attempts> attempts
+    And endpoints that "answer, answer, answer, answer, answer, answer"
+    And requests for "/crash" end endpoints
+    And a request for "/other" with body "body" is sent at 5 s
+    And a request for "/crash" with body "another" is sent at 6 s
+    When requests for "/crash" are sent at 0 1 2 3 4 s
+    Then 2 endpoints have ended under "/crash" with body "body"
+    And the request at 4 s gets 503 "poisoned" within 0.01 s, to return in 590 to 600 s
+    And the request at 5 s gets 200
+    And the request at 6 s gets 502
+
+    Examples:
+      | kind                | attempts |
+      | safe                | 1        |
+      | safe                | 4        |
+      | unsafe              | 1        |
+      | resumable streaming | 3        |
+
+  Scenario: Submissions at the same time share their fate
+    Given safe requests of up to 2 attempts
+    And endpoints that "answer, answer, answer, answer, answer, answer"
+    And requests for "/crash" end endpoints
+    When requests for "/crash" are sent at 0 0 0 0 1 1 s
+    Then 2 endpoints have ended under "/crash" with body "body"
+
+  Scenario: A suspicion expires
+    Given safe requests of up to 1 attempts
+    And endpoints that "answer, answer, answer, answer"
+    And requests for "/crash" end endpoints
+    When requests for "/crash" are sent at 0 1 2 610 s
+    Then 3 endpoints have ended under "/crash" with body "body"
+
+  Scenario: An endpoint that was unreachable but makes progress has not ended
+    Given unsafe requests of up to 1 attempts
+    And endpoints that "crash, answer"
+    And e0 makes progress at 2 s
+    And the node looks after broken connections for 3 s
+    When requests for "/a" are sent at 0 s
+    Then 0 requests are suspected
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -10,6 +10,7 @@
 from wasabilanding.dispatch import silence
 from wasabilanding import fleet
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import endpoint_guard
 from wasabilanding.gateway import forwarding
 from wasabilanding.gateway import inbound
@@ -29,6 +30,7 @@
     (b"x-model", b"large"),
 )
 TOKEN_S = 0.05
+CONNECT_S = 0.002
 # Longer than any silence after which another endpoint is tried.
 PAUSE_S = 2.0
 EVENTS_BEFORE_PAUSE = 2
@@ -119,7 +121,8 @@
         "queued N" (N events after :data:`QUEUED_S`), "pause N" (N events, a
         pause of :data:`PAUSE_S` before the third), "comment" (one comment,
         then a reset), "refuse", "fail", "foreign" (a reply to another
-        request), "unreachable", "mute" (no reply), "clinging" (no reply, and
+        request), "unreachable", "crash" (the endpoint ends when it has run
+        a request), "mute" (no reply), "clinging" (no reply, and
         a cancelled request ends some time later). In front of it, "leaving"
         announces the endpoint's shutdown, and "busy TEXT" asks to receive
         nothing.
@@ -133,6 +136,10 @@
         self.arrivals = []
         self.closed_at = {}
         self.arrival_times = []
+        # Endpoints that have ended, by the target and body of the request.
+        self.ended = collections.Counter()
+        # A request for one of these paths ends each endpoint that runs it.
+        self.ending_paths = set()
 
     def endpoint(self, name):
         """Return an endpoint's registration.
@@ -144,6 +151,14 @@
             name, "service", f"10.0.0.{number}", 80, "z1", slots=9
         )
 
+    async def is_reachable(self, endpoint):
+        """Return whether an endpoint accepts connections.
+
+        :param endpoint: its registration.
+        """
+        await trio.sleep(CONNECT_S)
+        return self.scripts[endpoint.endpoint_id] != "unreachable"
+
     async def handle(self, request):
         """Reply to a request.
 
@@ -166,6 +181,10 @@
             await trio.sleep(LATE_S)
         if script == "queued":
             await trio.sleep(QUEUED_S)
+        if request.extensions["target"] in self.ending_paths:
+            script = "crash"
+        if script == "crash":
+            await self._crash(name, request)
         if script == "clinging":
             await _end_late()
         if script not in ("refuse", "foreign"):
@@ -176,6 +195,15 @@
         response.headers.update(notice)
         return response
 
+    async def _crash(self, name, request):
+        self.runs[name] += 1
+        body = await request.aread()
+        await trio.sleep(TOKEN_S)
+        if self.scripts[name] != "unreachable":
+            self.ended[request.extensions["target"], body] += 1
+        self.scripts[name] = "unreachable"
+        raise httpx.ReadError("reset")
+
     def _note_close(self, name):
         self.closed_at[name] = trio.current_time()
 
@@ -302,6 +330,12 @@
             self.reported_leaving.append,
             random.Random(1),
         )
+        self.crash_guard = crash_guard.CrashGuard(
+            self.view,
+            self.tracker,
+            self.metrics,
+            self.endpoints.is_reachable,
+        )
         for name in scripts:
             self.view.registry.put(self.endpoints.endpoint(name))
 
@@ -313,13 +347,16 @@
         found.require_permits(self.guard.admit)
         return found
 
-    async def ask(self, headers=()):
+    async def ask(self, headers=(), target=b"/a", body=b"body"):
         """Send a request and return the caller with its answer.
 
         :param headers: additional headers.
+        :param target: path and query.
+        :param body: body of the request.
         """
         caller = Caller(self.caller_read_s)
-        head = messages.RequestHead("POST", b"/a", "/a", (*HEADERS, *headers))
+        path = target.decode().partition("?")[0]
+        head = messages.RequestHead("POST", target, path, (*HEADERS, *headers))
         response = inbound.ResponseWriter(caller.send, lambda: False)
         begun_at = trio.current_time()
         async with self.upstream() as upstream:
@@ -331,9 +368,10 @@
                 self.metrics,
                 self.tracker,
                 self.reported.append,
+                self.crash_guard,
                 _FirstRandom(1),
             )
-            await forwarder.handle(head, b"body", response)
+            await forwarder.handle(head, body, response)
         caller.ended_at = trio.current_time()
         caller.took_s = caller.ended_at - begun_at
         return caller
--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -244,3 +244,62 @@
       | 0    | 000  | 0.6     |
       | 0    | 007  | 0.8     |
       | 1    | 007  | 4.0     |
+
+  Scenario Outline: Reports of crashes reach the nodes of all failure domains
+    Given the first <lost> datagrams from n1 to n2 are lost
+    And the first <lost> datagrams from n1 to n3 are lost
+    When <count> endpoints end under a request at node n1
+    And the nodes exchange hints for <seconds> s
+    Then the nodes that turn the request away are "<nodes>"
+
+    Examples: Without losses
+      | count | lost | seconds | nodes    |
+      | 2     | 0    | 0.2     | n1 n2 n3 |
+      | 1     | 0    | 0.3     |          |
+
+    Examples: Repeated after a loss
+      | count | lost | seconds | nodes    |
+      | 2     | 3    | 1.5     | n1 n2 n3 |
+      | 2     | 104  | 10      | n1 n2 n3 |
+
+  Scenario Outline: A node that starts late learns of earlier crashes
+    Given node <late> starts <at> s late
+    When 2 endpoints end under a request at node n1
+    And the nodes exchange hints for <seconds> s
+    Then the nodes that turn the request away are "<nodes>"
+
+    Examples: By its first question, and by what is repeated
+      | late | at | seconds | nodes    |
+      | n2   | 8  | 8.2     | n1 n2 n3 |
+      | n3   | 8  | 8.5     | n1 n2 n3 |
+
+  Scenario Outline: A request that has completed is cleared everywhere
+    When <count> endpoints end under a request at node n1
+    And the nodes exchange hints for 0.3 s
+    And the request completes at node n3
+    And the nodes exchange hints for 0.5 s
+    Then the nodes that suspect the request are ""
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
+  Scenario Outline: Reports reach all nodes through collectors
+    Given 12 nodes in each of 3 failure domains, each with a request in flight
+    And the first <dead> nodes of each failure domain are dead
+    When 2 endpoints end under a request at node z1-007
+    And the nodes exchange hints for <seconds> s
+    Then all nodes turn the request away
+
+    Examples:
+      | dead | seconds |
+      | 0    | 1.0     |
+      | 1    | 4.0     |
+
+  Scenario: Reports on many requests at once reach all nodes
+    When 300 requests are in flight at an endpoint that ends at node n1
+    And 2 endpoints end under a request at node n1
+    And the nodes exchange hints for 2 s
+    Then the nodes that turn the request away are "n1 n2 n3"
+    And no datagram has more than 8192 bytes
--- a/packages/gateway/wasabilanding/gateway/tests/memory_network.py
+++ b/packages/gateway/wasabilanding/gateway/tests/memory_network.py
@@ -11,6 +11,7 @@
     def __init__(self):
         self._queues = {}
         self.sent = 0
+        self.largest_bytes = 0
         self.delay_s = 0.0
         # Datagrams still to lose, by sender and receiver.
         self.to_lose = collections.Counter()
@@ -23,6 +24,7 @@
     def send(self, data, sender, address):
         """Deliver a datagram if a socket has the address."""
         self.sent += 1
+        self.largest_bytes = max(self.largest_bytes, len(data))
         if self.to_lose[sender, address]:
             self.to_lose[sender, address] -= 1
         elif address in self._queues:
--- a/packages/gateway/wasabilanding/gateway/tests/restore_cluster.py
+++ b/packages/gateway/wasabilanding/gateway/tests/restore_cluster.py
@@ -11,6 +11,7 @@
 from wasabilanding.gateway import admission
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import control
+from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import hints
 from wasabilanding.gateway import messages
@@ -85,7 +86,12 @@
             name, FAILURE_DOMAIN, f"10.0.1.{number}", 1
         )
         self._hints = hints.HintExchange(
-            name, FAILURE_DOMAIN, self.view, tracker, plain_wire
+            name,
+            FAILURE_DOMAIN,
+            self.view,
+            tracker,
+            crash_guard.CrashGuard(self.view, tracker, metrics.Metrics(name)),
+            plain_wire,
         )
         self._network = network
 
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/crash_guard_steps.py
@@ -0,0 +1,119 @@
+"""Steps for requests that end endpoints."""
+
+import functools
+import json
+
+import behave
+import trio
+
+from wasabilanding.gateway.tests.steps import notices_steps
+
+OBSERVE_INTERVAL_S = 1.0
+# A time after the end of each run, on its mock clock.
+AFTER_RUN_S = 20.0
+
+
+@behave.given('requests for "{target}" end endpoints')
+def given_ending(context, target):
+    """Let a request end each endpoint that runs it."""
+    context.system.endpoints.ending_paths.add(target.encode())
+
+
+@behave.given("e0 makes progress at {at:g} s")
+def given_progress(context, at):
+    """Let another node report progress of the endpoint."""
+
+    async def progress():
+        context.system.tracker.record_progress("e0", trio.current_time())
+
+    notices_steps.timeline_of(context).add(at, progress)
+
+
+@behave.given("e0 is removed, and {state} at {at:g} s")
+def given_removal(context, state, at):
+    """Remove the registration of the endpoint."""
+
+    async def remove():
+        context.system.view.registry.remove("e0", trio.current_time())
+        if state == "is dead":
+            context.system.endpoints.scripts["e0"] = "unreachable"
+
+    notices_steps.timeline_of(context).add(at, remove)
+
+
+@behave.given("the node looks after broken connections for {seconds:d} s")
+def given_clean_up(context, seconds):
+    """Let the node observe, as its clean-up does."""
+
+    async def observe():
+        for _ in range(seconds + 2):
+            await trio.sleep(OBSERVE_INTERVAL_S)
+            await context.system.crash_guard.observe()
+
+    notices_steps.timeline_of(context).add(0.0, observe)
+
+
+def _ask(context, target, body, at):
+    timeline = notices_steps.timeline_of(context)
+    asked = functools.partial(timeline.ask, target.encode(), body.encode())
+    if not hasattr(context, "answers"):
+        context.answers = {}
+
+    async def ask():
+        number = len(timeline.callers)
+        await asked()
+        context.answers[at] = timeline.callers[number]
+
+    timeline.add(at, ask)
+
+
+@behave.given(
+    'a request for "{target}" with body "{body}" is sent at {at:g} s'
+)
+def given_request(context, target, body, at):
+    """Send one request later."""
+    _ask(context, target, body, at)
+
+
+@behave.when('requests for "{target}" are sent at {times} s')
+def send(context, target, times):
+    """Send requests and run the timeline."""
+    for at in times.split():
+        _ask(context, target, "body", float(at))
+    context.timeline.run()
+
+
+@behave.then("{count:d} requests are suspected")
+def check_suspected(context, count):
+    """Compare the number of suspected requests, which no one has cleared."""
+    found = context.system.crash_guard.suspected_count(AFTER_RUN_S)
+    assert found == count, found
+
+
+@behave.then(
+    '{count:d} endpoints have ended under "{target}" with body "{body}"'
+)
+def check_ended(context, count, target, body):
+    """Compare the number of endpoints that a request has ended."""
+    found = context.system.endpoints.ended
+    assert found[target.encode(), body.encode()] == count, found
+
+
+@behave.then(
+    'the request at {at:g} s gets {status:d} "{reason}" within {bound:g} s, '
+    "to return in {least:g} to {most:g} s"
+)
+def check_rejection(context, at, status, reason, bound, least, most):
+    """Compare a rejection."""
+    answer = context.answers[at]
+    assert answer.status == status, (answer.status, answer.body)
+    assert json.loads(answer.body)["error"]["reason"] == reason, answer.body
+    assert answer.took_s <= bound, answer.took_s
+    assert least <= float(answer.headers[b"retry-after"]) <= most
+
+
+@behave.then("the request at {at:g} s gets {status:d}")
+def check_status(context, at, status):
+    """Compare the status of an answer."""
+    answer = context.answers[at]
+    assert answer.status == status, (answer.status, answer.body)
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -8,8 +8,10 @@
 
 from wasabilanding import dispatch
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import hints
+from wasabilanding.gateway import metrics
 from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway import store_watch
 from wasabilanding.gateway.tests import fakes
@@ -40,6 +42,9 @@
         }
         self.trackers = {name: dispatch.EndpointTracker() for name in domains}
         self.hints = {}
+        self.guards = {}
+        # Seconds after which a node starts, by name.
+        self.late_s = {}
         self.views = {}
         for entry in self.addresses:
             view = cluster_view_module.ClusterView(
@@ -50,11 +55,15 @@
             self.views[entry.node] = view
             for name in ("e1", "e2"):
                 view.registry.put(endpoints.endpoint(name))
+            self.guards[entry.node] = crash_guard.CrashGuard(
+                view, self.trackers[entry.node], metrics.Metrics(entry.node)
+            )
             self.hints[entry.node] = hints.HintExchange(
                 entry.node,
                 entry.failure_domain,
                 view,
                 self.trackers[entry.node],
+                self.guards[entry.node],
                 plain_wire,
             )
 
@@ -73,11 +82,18 @@
         found = next(entry for entry in self.addresses if entry.node == node)
         return found.host, found.port
 
+    async def _run_late(self, name, exchange):
+        await trio.sleep(self.late_s[name])
+        await exchange.run(self.network.socket(self.address(name)))
+
     async def run(self, steps):
         """Run all nodes and execute the steps in order."""
         network = self.network = memory_network.Network()
         async with trio.open_nursery() as nursery:
             for name, entry in self.hints.items():
+                if name in self.late_s:
+                    nursery.start_soon(self._run_late, name, entry)
+                    continue
                 socket = network.socket(self.address(name))
                 nursery.start_soon(entry.run, socket)
             for step in steps:
--- a/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
@@ -45,11 +45,11 @@
         """Add an asynchronous action at a time in seconds."""
         self._events.append((at, action))
 
-    async def ask(self):
+    async def ask(self, target=b"/a", body=b"body"):
         """Send a request."""
         index = len(self.callers)
         self.callers.append(None)
-        self.callers[index] = await self.system.ask()
+        self.callers[index] = await self.system.ask((), target, body)
 
     async def call(self, purpose):
         """Call the control API of the first endpoint."""
@@ -107,7 +107,7 @@
             self._events = []
 
 
-def _timeline(context):
+def timeline_of(context):
     """Return the timeline, created at its first step."""
     if not hasattr(context, "timeline"):
         context.timeline = _Timeline(context.system)
@@ -127,13 +127,13 @@
 @behave.given("e0 does nothing at {at:g} s")
 def given_nothing(context, at):
     """Change nothing."""
-    _timeline(context)
+    timeline_of(context)
 
 
 @behave.given("e0 starts again at {at:g} s")
 def given_restart(context, at):
     """Register another start of the endpoint."""
-    timeline = _timeline(context)
+    timeline = timeline_of(context)
 
     async def restart():
         changed = dataclasses.replace(timeline.endpoint, started_at_ms=1)
@@ -149,7 +149,7 @@
     async def change():
         context.system.endpoints.scripts["e0"] = script
 
-    _timeline(context).add(at, change)
+    timeline_of(context).add(at, change)
 
 
 @behave.given("e0 announces its shutdown at {at:g} s")
@@ -159,7 +159,7 @@
     async def announce():
         context.system.view.announce_shutdown(("e0", 0), trio.current_time())
 
-    _timeline(context).add(at, announce)
+    timeline_of(context).add(at, announce)
 
 
 @behave.given("e0 is held for {seconds:g} s at {at:g} s")
@@ -170,13 +170,13 @@
         now = trio.current_time()
         context.system.tracker.holds.hold("e0", now, seconds)
 
-    _timeline(context).add(at, hold)
+    timeline_of(context).add(at, hold)
 
 
 @behave.when("requests are sent at {times} s")
 def send(context, times):
     """Send requests and run the timeline."""
-    timeline = _timeline(context)
+    timeline = timeline_of(context)
     for at in _times(times):
         timeline.add(at, timeline.ask)
     timeline.run()
@@ -185,7 +185,7 @@
 @behave.when("a call for {purpose} is made at {at:g} s")
 def call(context, purpose, at):
     """Call the endpoint's control API."""
-    timeline = _timeline(context)
+    timeline = timeline_of(context)
     kind = upstream_module.Purpose(purpose)
     timeline.add(at, lambda: timeline.call(kind))
 
@@ -193,7 +193,7 @@
 @behave.when("its membership is queried at {at:g} s")
 def query(context, at):
     """Query the membership of the endpoint."""
-    timeline = _timeline(context)
+    timeline = timeline_of(context)
     timeline.add(at, timeline.query)
     timeline.run()
 
