--- a/packages/experiments/wasabilanding/experiments/proofs/claims.py
+++ b/packages/experiments/wasabilanding/experiments/proofs/claims.py
@@ -6,6 +6,10 @@
 
 HISTORIES = "packages/experiments/wasabilanding/experiments/histories/tests"
 DECISIONS = "packages/decisions/wasabilanding"
+INSTALLATION = (
+    "packages/experiments/wasabilanding/experiments/installation/tests"
+)
+GATEWAY = "packages/gateway/wasabilanding/gateway/tests"
 
 PROOFS = (
     proof.Proof(
@@ -51,4 +55,26 @@
         "copies, late notices and rebuilt replicas in any order",
         "four crashes, before new replicas waited to become homes",
     ),
+    proof.Proof(
+        (Subject.POISONOUS_REQUEST,),
+        f"{INSTALLATION}/crashing_requests.feature",
+        "It reaches few endpoints once three have ended under it",
+        "one or two requests through four gateways, in turn, in bursts, and "
+        "while gateways start again",
+        "up to 41 endpoints in 12 s",
+    ),
+    proof.Proof(
+        (Subject.POISONOUS_REQUEST, Subject.VM_DIES),
+        f"{DECISIONS}/poison/tests/poison_rules.feature",
+        "Requests of the whole fleet stay admitted in a mass event",
+        "60 replicas crash at once under 540 requests",
+        "not shown: the scenario was written with the rule",
+    ),
+    proof.Proof(
+        (Subject.POISONOUS_REQUEST,),
+        f"{GATEWAY}/hints.feature",
+        "Reports of crashes reach the nodes of all failure domains",
+        "up to 104 datagrams lost in a row",
+        "not shown: gateways sent no such reports",
+    ),
 )
