Reproduce endpoints that get more than the limit that they name

The stand-in engines learn to name a limit (x-limit in their replies) and to record what reached them meanwhile.

--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -321,6 +321,25 @@
             f"{url}/standin/{vm.endpoint_id}/{action}"
         ).raise_for_status()
 
+    def set_limit(self, vm: Vm, limit: str) -> None:
+        """Let the stand-in of an engine name a limit in its replies.
+
+        :param vm: the engine.
+        :param limit: requests a second; empty for none.
+        """
+        url = self.control_urls[vm.failure_domain]
+        httpx.post(
+            f"{url}/standin/{vm.endpoint_id}/limit", params={"limit": limit}
+        ).raise_for_status()
+
+    def arrivals(self) -> list[dict]:
+        """Return what reached the engines, with its age in seconds."""
+        return [
+            arrival
+            for url in self.control_urls.values()
+            for arrival in httpx.get(f"{url}/standin/arrivals").json()
+        ]
+
     def runs(self) -> list[dict]:
         """Return the requests that the engines ran, in no particular order."""
         return [
--- a/packages/standins/wasabilanding/standins/fabric_server.py
+++ b/packages/standins/wasabilanding/standins/fabric_server.py
@@ -197,6 +197,11 @@
         fabric.engines[vm].retry_after = ""
         return {}
 
+    @application.post("/standin/<vm>/limit")
+    async def limit(vm: str) -> quart.ResponseReturnValue:
+        fabric.engines[vm].limit = quart.request.args["limit"]
+        return {}
+
     @application.get("/standin/arrivals")
     async def arrivals() -> quart.ResponseReturnValue:
         now = trio.current_time()
--- a/packages/standins/wasabilanding/standins/registered_engine.py
+++ b/packages/standins/wasabilanding/standins/registered_engine.py
@@ -115,6 +115,7 @@
     :param at: time in seconds on trio's clock.
     :param is_leaving: whether the reply announces the engine's shutdown.
     :param retry_after: value of that header of the reply; empty for none.
+    :param limit: requests a second that the reply names; empty for none.
     """
 
     request_id: str
@@ -123,6 +124,7 @@
     at: float
     is_leaving: bool
     retry_after: str
+    limit: str
 
 
 class Engine:
@@ -169,6 +171,8 @@
         self.announces_leaving = False
         # It refuses everything with this Retry-After header; empty for not.
         self.retry_after = ""
+        # The limit that its replies name; empty for none.
+        self.limit = ""
 
     def notify(self) -> None:
         """Wake the tasks that wait for a change of this engine."""
@@ -498,6 +502,7 @@
                 trio.current_time(),
                 engine.announces_leaving,
                 engine.retry_after,
+                engine.limit,
             )
         )
 
--- a/packages/standins/wasabilanding/standins/registered_engine_http.py
+++ b/packages/standins/wasabilanding/standins/registered_engine_http.py
@@ -167,6 +167,8 @@
     async def announce(response: quart.Response) -> quart.Response:
         if engine.announces_leaving:
             response.headers["x-leaving"] = "1"
+        if engine.limit:
+            response.headers["x-limit"] = engine.limit
         return response
 
     @app.post("/v1/orders")
