Keep the limits that endpoints name, all nodes together

Class: what an endpoint asks for in its replies is obeyed by each node for itself; a limit on all nodes together needs one place that counts.

Change: one node keeps the times at which requests may be sent to a limited endpoint, found alike on all nodes by rendezvous hashing among the nodes of the endpoint's failure domain (dispatch/send_slots.py, the generic cell rate algorithm). A request to such an endpoint, also a repeat or a resumption, asks it by a datagram (gateway/send_grants.py); without a grant it is not sent. If it does not answer, the second in the order stands in with half of the limit, so that both together stay within one and a half times. Limited endpoints are used when the others have no free slot; what nobody can serve is rejected at once with the time of the next grant. A limit below 0.25 is tried at 0.25, as an endpoint that names 0 has no other chance to end it. Limits go with the hints to all nodes; the newest observation counts; a reply to a request that ran and names none ends it, a refusal or a reply to a call does not.

Ruled out: a share of limit / nodes for each node (195 first tokens are 195 requests; with 9 nodes and limit 1 a node may send every 9 s while others are idle); owners that alone may send (two thirds of the nodes would reject what the endpoint could take).

--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -14,6 +14,11 @@
 from wasabilanding.dispatch.choice import choose
 from wasabilanding.dispatch.holds import EndpointHolds
 from wasabilanding.dispatch.holds import Ticket
+from wasabilanding.dispatch.named_limits import NamedLimit
+from wasabilanding.dispatch.named_limits import NamedLimits
+from wasabilanding.dispatch.send_slots import MAX_WAIT_S
+from wasabilanding.dispatch.send_slots import SendSlots
+from wasabilanding.dispatch.send_slots import SHARES
 from wasabilanding.dispatch.silence import SilenceMonitor
 from wasabilanding.dispatch.silence import WAITS_FOR_CALLER
 from wasabilanding.dispatch.tracker import EndpointObservations
@@ -21,12 +26,17 @@
 from wasabilanding.dispatch.tracker import Load
 
 __all__ = [
+    "MAX_WAIT_S",
+    "SHARES",
     "WAITS_FOR_CALLER",
     "EndpointTracker",
     "Candidate",
     "EndpointHolds",
     "EndpointObservations",
     "Load",
+    "NamedLimit",
+    "NamedLimits",
+    "SendSlots",
     "SilenceMonitor",
     "Ticket",
     "candidates_of",
--- a/packages/decisions/wasabilanding/fleet/registry.py
+++ b/packages/decisions/wasabilanding/fleet/registry.py
@@ -19,6 +19,14 @@
 Incarnation = tuple[str, int]
 
 
+def incarnation_of(endpoint: Endpoint) -> Incarnation:
+    """Return the identity and start of an endpoint.
+
+    :param endpoint: the endpoint.
+    """
+    return endpoint.endpoint_id, endpoint.started_at_ms
+
+
 @dataclasses.dataclass(frozen=True)
 class RemovedEndpoint:
     """An endpoint that is no longer registered.
--- a/packages/gateway/wasabilanding/gateway/__init__.py
+++ b/packages/gateway/wasabilanding/gateway/__init__.py
@@ -25,6 +25,7 @@
 from wasabilanding.gateway.messages import RequestHead
 from wasabilanding.gateway.messages import Store
 from wasabilanding.gateway.messages import WireFormat
+from wasabilanding.gateway.named_limit import read_limit
 from wasabilanding.gateway.process import run_process
 from wasabilanding.gateway.retry_after import read_retry_after
 from wasabilanding.gateway.settings import Settings
@@ -44,6 +45,7 @@
     "TCP_KEEPALIVE",
     "WireFormat",
     "end_to_end",
+    "read_limit",
     "read_retry_after",
     "run_process",
 ]
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -59,6 +59,7 @@
     :param state: the request.
     :param endpoint: the endpoint.
     :param answer: the answer to the request.
+    :param purpose: whether the request has a grant for the endpoint.
     """
 
     def __init__(
@@ -67,8 +68,10 @@
         state: request_state_module.RequestState,
         endpoint: fleet.Endpoint,
         answer: shared_answer.SharedAnswer,
+        purpose: upstream_module.Purpose = upstream_module.Purpose.CALLER,
     ) -> None:
         self._context = context
+        self._purpose = purpose
         self._tracker = context.tracker
         self._state = state
         self._endpoint = endpoint
@@ -180,6 +183,7 @@
             state.head.target,
             headers,
             state.body,
+            purpose=self._purpose,
         )
         async with sent as reply:
             self._record_progress()
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -117,7 +117,7 @@
     ) -> request_state_module.RequestRejected | None:
         while True:
             if not self._open:
-                obstacle = self._start_next(nursery)
+                obstacle = await self._start_next(nursery)
                 if obstacle:
                     return self._rejection(obstacle)
             await self._wait_changed()
@@ -137,10 +137,10 @@
             self._state, self._last_outcome, obstacle
         )
 
-    def _start_next(self, nursery: trio.Nursery) -> str:
+    async def _start_next(self, nursery: trio.Nursery) -> str:
         """Start the next attempt; return why not if there is none."""
-        candidate = self._context.selector.pick(self._state)
-        if candidate is None:
+        selected = await self._context.selector.pick(self._state)
+        if selected is None:
             held = self._context.selector.held_outcome(self._state)
             self._last_outcome = held or self._last_outcome
             return selection.NO_OTHER_ENDPOINT
@@ -148,17 +148,18 @@
             self._state, self._last_outcome
         )
         if not obstacle:
-            self._start(nursery, candidate)
+            self._start(nursery, selected)
         return obstacle
 
     def _start(
-        self, nursery: trio.Nursery, candidate: dispatch.Candidate
+        self, nursery: trio.Nursery, selected: selection.Selection
     ) -> None:
         attempt = attempt_module.Attempt(
             self._context.attempts,
             self._state,
-            candidate.endpoint,
+            selected.endpoint,
             self._answer,
+            selected.purpose,
         )
         self._state.tried_endpoint_ids.append(attempt.endpoint_id)
         self._open.append(attempt)
@@ -324,9 +325,9 @@
     def _start_hedge(self, nursery: trio.Nursery) -> None:
         """Start an attempt beside the silent ones, if the limits allow it."""
         replaced = hedging.replaceable(self._state, self._open)
-        candidate = self._context.selector.pick(self._state)
+        selected = self._context.selector.pick_unlimited(self._state)
         obstacle = selection.NO_OTHER_ENDPOINT
-        if candidate is not None:
+        if selected is not None:
             obstacle = self._context.selector.hedge_obstacle(
                 self._state,
                 hedging.possible_runs(self._state, self._open, replaced),
@@ -336,7 +337,7 @@
             return
         for attempt in replaced:
             self._cancel(attempt)
-        self._start(nursery, candidate)
+        self._start(nursery, selected)
 
     def _log_obstacle(self, obstacle: str) -> None:
         if obstacle and obstacle != self._hedge_obstacle:
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -196,7 +196,7 @@
         :param state: the request on that connection.
         :param endpoint: the endpoint.
         """
-        incarnation = _incarnation(endpoint)
+        incarnation = fleet.incarnation_of(endpoint)
         if self._state_of(incarnation) is poison.EndpointState.LEAVING:
             return
         self._endpoints[incarnation] = endpoint
@@ -433,16 +433,12 @@
     return max(different, known - copies)
 
 
-def _incarnation(endpoint: fleet.Endpoint) -> fleet.Incarnation:
-    return endpoint.endpoint_id, endpoint.started_at_ms
-
-
 def _name(incarnation: fleet.Incarnation) -> str:
     return f"{incarnation[0]}@{incarnation[1]}"
 
 
 def _name_of(endpoint: fleet.Endpoint) -> str:
-    return _name(_incarnation(endpoint))
+    return _name(fleet.incarnation_of(endpoint))
 
 
 def _summary(state: State, status: poison.SuspicionStatus) -> str:
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -6,7 +6,9 @@
 All that a node sends to an endpoint passes :class:`EndpointGuard`: requests,
 retries, resumptions, orders and requests for a report. So the head of each
 reply is read here, whatever becomes of the reply, and nothing reaches an
-endpoint that has announced its shutdown or wants nothing for a time.
+endpoint that has announced its shutdown or wants nothing for a time. Where it
+names a limit, a caller's request needs a grant
+(:mod:`wasabilanding.gateway.send_grants`).
 
 An admitted request is checked again after its connection is established, as
 that takes time.
@@ -24,6 +26,7 @@
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 
@@ -33,6 +36,7 @@
 # Statuses by which an endpoint states that it does not accept a request.
 REFUSAL_STATUSES = (421, 429, 503)
 Purpose = upstream_module.Purpose
+CALLERS_PURPOSES = (Purpose.CALLER, Purpose.GRANTED)
 
 _LOG = logging.getLogger(__name__)
 
@@ -44,6 +48,7 @@
     :param tracker: this node's observations of the endpoints.
     :param wire: decodes the heads of replies.
     :param metrics: counts what endpoints ask for.
+    :param grants: keeps the limits that endpoints name.
     :param report_leaving: reports an incarnation of an endpoint that has
         announced its shutdown to other nodes.
     :param rng: random number generator.
@@ -55,6 +60,7 @@
         tracker: dispatch.EndpointTracker,
         wire: messages.WireFormat,
         metrics: metrics_module.Metrics,
+        grants: send_grants.SendGrants,
         report_leaving: collections.abc.Callable[[fleet.Incarnation], None],
         rng: random.Random,
     ) -> None:
@@ -62,6 +68,7 @@
         self._tracker = tracker
         self._wire = wire
         self._metrics = metrics
+        self._grants = grants
         self._report_leaving = report_leaving
         self._rng = rng
         # Endpoints that were held, or draining, at the last observation.
@@ -109,6 +116,8 @@
             return
         if self._view.registry.has_announced_shutdown(endpoint):
             raise _held_back(endpoint, "announced its shutdown")
+        if purpose is Purpose.CALLER and self._grants.is_limited(endpoint):
+            raise _held_back(endpoint, "has named a limit")
 
     def settle(
         self, ticket: dispatch.Ticket, is_accepted: bool | None
@@ -122,11 +131,16 @@
         self._tracker.holds.settle(ticket, is_accepted)
 
     def obey(
-        self, endpoint: fleet.Endpoint, status: int, headers: list
+        self,
+        endpoint: fleet.Endpoint,
+        purpose: upstream_module.Purpose,
+        status: int,
+        headers: list,
     ) -> messages.EndpointNotice:
         """Obey what the head of a reply says about its endpoint.
 
         :param endpoint: the endpoint.
+        :param purpose: what the request was for.
         :param status: HTTP status of the reply.
         :param headers: headers, names in lower case.
         """
@@ -136,8 +150,35 @@
             self._record_leaving(endpoint, now)
         if notice.retry_after_s is not None:
             self._record_hold(endpoint, notice, now)
+        is_accepted = status not in REFUSAL_STATUSES
+        may_end_limit = is_accepted and purpose in CALLERS_PURPOSES
+        if notice.limit_per_s is not None or may_end_limit:
+            self._record_limit(endpoint, notice, now)
         return notice
 
+    def _record_limit(
+        self,
+        endpoint: fleet.Endpoint,
+        notice: messages.EndpointNotice,
+        now: float,
+    ) -> None:
+        """Record a limit, or that a reply to a caller's request has none.
+
+        Refusals and replies to calls need not name the limit, so that none
+        there does not end it. Neither does an invalid value.
+        """
+        if notice.invalid_limit is not None:
+            _LOG.info(
+                "%s names a limit that is no number: %r",
+                endpoint.endpoint_id,
+                notice.invalid_limit,
+                extra={"endpoint": endpoint.endpoint_id},
+            )
+            if notice.limit_per_s is None:
+                return
+        incarnation = fleet.incarnation_of(endpoint)
+        self._grants.record_limit(incarnation, notice.limit_per_s, now)
+
     def _record_leaving(self, endpoint: fleet.Endpoint, now: float) -> None:
         incarnation = (endpoint.endpoint_id, endpoint.started_at_ms)
         if not self._view.announce_shutdown(incarnation, now):
@@ -185,6 +226,7 @@
         for name in self._held - held - returning:
             _LOG.info("%s receives requests as before", name)
         self._held = held | returning
+        self._grants.observe(self._view.registry, now)
         since = self._view.registry.announced_since()
         for name in self._leaving - since.keys():
             _LOG.info("%s, which announced its shutdown, is gone", name)
@@ -227,7 +269,7 @@
     ) -> messages.EndpointNotice:
         """Record the head of the reply, and obey what it asks for."""
         self.settle(status not in REFUSAL_STATUSES)
-        return self._guard.obey(self._endpoint, status, headers)
+        return self._guard.obey(self._endpoint, self._purpose, status, headers)
 
     def settle(self, is_accepted: bool | None) -> None:
         """Record the reply, or that there was none, once.
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -26,6 +26,7 @@
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
+from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import retries
@@ -45,6 +46,7 @@
     :param report_silent: reports an endpoint that stopped responding to other
         nodes.
     :param crash_guard: holds back requests that end endpoints.
+    :param grants: grants requests to endpoints with limits.
     :param rng: random number generator.
     """
 
@@ -58,6 +60,7 @@
         tracker: dispatch.EndpointTracker,
         report_silent: collections.abc.Callable[[str], None],
         crash_guard: crash_guard_module.CrashGuard,
+        grants: send_grants.SendGrants,
         rng: random.Random,
     ) -> None:
         self._settings = settings
@@ -74,6 +77,7 @@
             settings.failure_domain,
             self._budget,
             crash_guard,
+            grants,
             rng,
         )
         self._attempts_context = attempt_set.AttemptSetContext(
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -33,6 +33,10 @@
 ways (:mod:`wasabilanding.gateway.crash_reports`). The first batches of a node
 ask for them.
 
+Limits: limits that endpoints name are told to all nodes with the hints on
+load. A node asks another one directly before it sends a request to such an
+endpoint (:mod:`wasabilanding.gateway.send_grants`).
+
 Datagrams may be lost. Hints are advisory: they move requests to other
 endpoints, make the planner query the replica's members, and make it replace
 the replica of an endpoint that announced its shutdown, but trigger no other
@@ -61,8 +65,10 @@
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import crash_reports
 from wasabilanding.gateway import directory
+from wasabilanding.gateway import limit_messages
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import remote_reports
+from wasabilanding.gateway import send_grants
 from wasabilanding import model
 
 MAX_DATAGRAM_BYTES = 65_535
@@ -85,6 +91,8 @@
 NUMBER_BITS = 48
 # Queued urgent reports; further ones are dropped.
 MAX_QUEUED_REPORTS = 64
+# Queued datagrams to single nodes; further ones are dropped.
+MAX_QUEUED_DATAGRAMS = 256
 # Time for which an announced shutdown is repeated in the hints on load.
 LEAVING_REPEAT_S = 5.0
 # Nodes that are asked for their version, and the interval between questions.
@@ -129,6 +137,7 @@
     :param number: number that a collector repeats; 0 for none.
     :param leaving: endpoints that have recently announced their shutdown.
     :param crashes: reports on requests under which endpoints have ended.
+    :param limits: limits that endpoints have recently named, or ended.
     """
 
     node: str
@@ -138,6 +147,7 @@
     number: Count = 0
     leaving: tuple[LeavingEndpoint, ...] = ()
     crashes: tuple[crash_reports.CrashReport, ...] = ()
+    limits: tuple[limit_messages.LimitNotice, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -156,6 +166,8 @@
     :param asks_version: whether the receiver must answer with its version.
     :param asks_crashes: whether the receiver must answer with its reports of
         crashes.
+    :param questions: questions of the sender about endpoints with limits.
+    :param replies: replies to such questions of the receiver.
     """
 
     sender: str
@@ -166,6 +178,8 @@
     version: Count = 0
     asks_version: bool = False
     asks_crashes: bool = False
+    questions: tuple[limit_messages.SendQuestion, ...] = ()
+    replies: tuple[limit_messages.SendReply, ...] = ()
 
 
 class Datagrams(typing.Protocol):
@@ -186,6 +200,7 @@
     :param view: the node's view of the cluster.
     :param tracker: receives other nodes' observations.
     :param crash_guard: gives and receives reports of crashes.
+    :param grants: asks, and answers, for endpoints with limits.
     :param wire: defines the store's key prefixes.
     """
 
@@ -196,6 +211,7 @@
         view: cluster_view_module.ClusterView,
         tracker: dispatch.EndpointTracker,
         crash_guard: crash_guard_module.CrashGuard,
+        grants: send_grants.SendGrants,
         wire: messages.WireFormat,
     ) -> None:
         self._node = node
@@ -203,6 +219,7 @@
         self._view = view
         self._tracker = tracker
         self._crash_guard = crash_guard
+        self._grants = grants
         self._prefix = directory.address_prefix(wire)
         self._collected: dict[str, Hint] = {}
         self._confirmations = changefeed.Confirmations(
@@ -220,6 +237,9 @@
         self._urgent_sender, self._urgent_receiver = trio.open_memory_channel[
             Hint
         ](MAX_QUEUED_REPORTS)
+        self._direct_sender, self._direct_receiver = trio.open_memory_channel[
+            tuple[HintBatch, Address]
+        ](MAX_QUEUED_DATAGRAMS)
 
     def report_silent(self, endpoint_id: str) -> None:
         """Report a silent endpoint to the other nodes.
@@ -278,6 +298,39 @@
         else:
             _LOG.info("reporting to other nodes that %s", content)
 
+    def keepers_of(self, failure_domain: str) -> send_grants.Keepers:
+        """Return the nodes that keep the limits of some endpoints.
+
+        :param failure_domain: failure domain of the endpoints.
+        """
+        if failure_domain == self._domain:
+            return send_grants.Keepers(self._node, (*self._peers, self._node))
+        names = tuple(self._remote_nodes.get(failure_domain, ()))
+        return send_grants.Keepers(self._node, names or (self._node,))
+
+    def ask_to_send(
+        self, node: str, question: limit_messages.SendQuestion
+    ) -> None:
+        """Ask another node for the permission to send a request.
+
+        :param node: name of the node.
+        :param question: the question.
+        """
+        for nodes in (self._peers, *self._remote_nodes.values()):
+            if node in nodes:
+                batch = HintBatch(self._node, (), questions=(question,))
+                self._send_directly(batch, nodes[node])
+
+    def _send_directly(self, batch: HintBatch, address: Address) -> None:
+        try:
+            self._direct_sender.send_nowait((batch, address))
+        except trio.WouldBlock:
+            _LOG.info("queue full; a datagram to %s:%d is dropped", *address)
+
+    async def _send_queued(self, datagrams: Datagrams) -> None:
+        async for batch, address in self._direct_receiver:
+            await self._send(datagrams, batch, [address])
+
     async def run(self, datagrams: Datagrams) -> None:
         """Send and receive hints; never returns.
 
@@ -285,6 +338,7 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_urgent, datagrams)
+            nursery.start_soon(self._send_queued, datagrams)
             nursery.start_soon(self._send_load, datagrams)
             nursery.start_soon(self._receive, datagrams)
             nursery.start_soon(self._ask_versions, datagrams)
@@ -307,6 +361,13 @@
     async def _answer(
         self, datagrams: Datagrams, question: HintBatch, address: Address
     ) -> None:
+        if question.questions:
+            now = trio.current_time()
+            replies = tuple(
+                self._grants.answer(asked, now) for asked in question.questions
+            )
+            batch = HintBatch(self._node, (), replies=replies)
+            await self._send(datagrams, batch, [address])
         if question.asks_version and self._view.is_configuration_proven:
             await self._send(datagrams, HintBatch(self._node, ()), [address])
         if not question.asks_crashes:
@@ -356,7 +417,10 @@
             load = self._tracker.local_load
             leaving = self._recently_leaving(now)
             crashes = self._crash_guard.due_reports(LOCAL, now)
-            has_news = bool(leaving or crashes or self._crash_questions)
+            limits = self._grants.due_notices(now)
+            has_news = bool(
+                leaving or crashes or limits or self._crash_questions
+            )
             if load or last_load or has_news or self._uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
@@ -367,6 +431,7 @@
                     worked_ago_s=worked,
                     leaving=leaving,
                     crashes=crashes,
+                    limits=limits,
                 )
                 await self._send_load_hint(datagrams, hint, now)
             if self._collected:
@@ -385,11 +450,16 @@
             load = self._tracker.load_of_nodes(self._peers)
         leaving = self._recently_leaving(now)
         crashes = self._crash_guard.due_reports(REMOTE, now)
-        has_news = bool(leaving or crashes)
+        limits = self._grants.due_notices(now)
+        has_news = bool(leaving or crashes or limits)
         if not self._remote_reports.try_begin(load, has_news, now):
             return
         hint = Hint(
-            self._node, in_flight=load, leaving=leaving, crashes=crashes
+            self._node,
+            in_flight=load,
+            leaving=leaving,
+            crashes=crashes,
+            limits=limits,
         )
         for domain, nodes in self._remote_nodes.items():
             has_collector = _needs_collector(len(nodes))
@@ -494,6 +564,8 @@
             return None
         now = trio.current_time()
         self._view.note_peer_version(batch.version)
+        for reply in batch.replies:
+            self._grants.apply_reply(reply)
         if batch.domain:
             self._remote_reports.note_sender(batch.domain, batch.sender, now)
         elif batch.changes is not None:
@@ -525,6 +597,8 @@
             self._apply_leaving(hint, leaving, now)
         for report in hint.crashes:
             self._crash_guard.apply_report(hint.node, report, now)
+        for notice in hint.limits:
+            self._grants.apply_notice(notice, now)
 
     def _apply_silent(self, hint: Hint, now: float) -> None:
         if self._tracker.record_silence(hint.silent, now):
--- a/packages/gateway/wasabilanding/gateway/messages.py
+++ b/packages/gateway/wasabilanding/gateway/messages.py
@@ -120,11 +120,16 @@
         request; None if it does not ask for that.
     :param invalid_retry_after: a value that is no valid duration; None for
         none. ``retry_after_s`` is a default then, unless another one is valid.
+    :param limit_per_s: requests a second that the endpoint takes from all
+        nodes together; None if it names no limit.
+    :param invalid_limit: a value that is no valid limit; None for none.
     """
 
     is_leaving: bool = False
     retry_after_s: float | None = None
     invalid_retry_after: str | None = None
+    limit_per_s: float | None = None
+    invalid_limit: str | None = None
 
 
 class InvalidHead(ValueError):
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -81,6 +81,8 @@
         self.store_calls: CountsByLabels = collections.Counter()
         self.orders: CountsByLabels = collections.Counter()
         self.notices: CountsByLabels = collections.Counter()
+        self.grants: CountsByLabels = collections.Counter()
+        self.limited: dict[Labels, int] = {}
         self.crashes: CountsByLabels = collections.Counter()
         self.suspected: dict[Labels, int] = {}
         self.loop_failures: CountsByLabels = collections.Counter()
@@ -163,6 +165,21 @@
         """
         self.notices[(("kind", kind),)] += 1
 
+    def count_grant(self, result: str) -> None:
+        """Count a question for the permission to send a request.
+
+        :param result: "granted", "refused" or "unanswered"; the last one
+            counts as refused as well.
+        """
+        self.grants[(("result", result),)] += 1
+
+    def set_limited(self, count: int) -> None:
+        """Set the number of endpoints that name a limit.
+
+        :param count: the number.
+        """
+        self.limited[()] = count
+
     def count_crash(self, kind: str) -> None:
         """Count an endpoint that ended under requests, or a rejection.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -117,6 +117,11 @@
             metrics.notices,
             "What endpoints asked for in heads of replies, by kind",
         ),
+        (
+            "send_grants",
+            metrics.grants,
+            "Permissions to send to endpoints with limits, by result",
+        ),
         (
             "endpoint_crashes",
             metrics.crashes,
@@ -162,6 +167,11 @@
             metrics.held,
             "Endpoints that asked to receive nothing for a time, by state",
         ),
+        (
+            "limited_endpoints",
+            metrics.limited,
+            "Endpoints that name a limit in their replies",
+        ),
         (
             "suspected_requests",
             metrics.suspected,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -23,6 +23,7 @@
 from wasabilanding.gateway import listeners
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import status_apps
 from wasabilanding.gateway import store_watch
@@ -72,6 +73,9 @@
         self._crash_guard = crash_guard.CrashGuard(
             self.view, self._tracker, metrics
         )
+        self._grants = send_grants.SendGrants(
+            dispatch.NamedLimits(), metrics, rng
+        )
         self._nodes_prefix = directory.address_prefix(wire)
         self._hints = hints.HintExchange(
             settings.node,
@@ -79,14 +83,19 @@
             self.view,
             self._tracker,
             self._crash_guard,
+            self._grants,
             wire,
         )
+        self._grants.exchange_through(
+            self._hints.ask_to_send, self._hints.keepers_of
+        )
         self._crash_guard.report_through(self._hints.report_crashes)
         self._guard = endpoint_guard.EndpointGuard(
             self.view,
             self._tracker,
             wire,
             metrics,
+            self._grants,
             self._hints.report_leaving,
             rng,
         )
@@ -100,6 +109,7 @@
             self._tracker,
             self._hints.report_silent,
             self._crash_guard,
+            self._grants,
             rng,
         )
         self.controllers = control.ControllerSet(
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -16,7 +16,8 @@
 request did not run, and ``x-events`` that the body is a stream of events.
 Any reply, also to orders, may have ``x-leaving: 1``, which announces the
 endpoint's shutdown, and with status 503 ``retry-after``: the endpoint wants no
-other request from this node for so many seconds.
+other request from this node for so many seconds. ``x-limit`` names the
+requests a second that the endpoint takes from all nodes together.
 """
 
 import dataclasses
@@ -25,6 +26,7 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import headers as headers_module
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import named_limit
 from wasabilanding.gateway import retry_after
 from wasabilanding import model
 from wasabilanding import routes
@@ -37,6 +39,9 @@
 HTTP_MISDIRECTED = 421
 LEAVING = b"x-leaving"
 LEAVING_YES = b"1"
+LIMIT = b"x-limit"
+# What replies say about their endpoint is not forwarded.
+NOTICES = (LEAVING, LIMIT)
 # Headers that the node sets or removes, so the caller's are not forwarded.
 OWN_HEADERS = frozenset(
     (
@@ -171,7 +176,7 @@
         headers=tuple(
             pair
             for pair in headers_module.end_to_end(headers)
-            if pair[0] != LEAVING
+            if pair[0] not in NOTICES
         ),
         is_events=b"x-events" in fields,
         is_misdirected=status == HTTP_MISDIRECTED,
@@ -190,7 +195,10 @@
         status, headers
     )
     return messages.EndpointNotice(
-        (LEAVING, LEAVING_YES) in headers, retry_after_s, invalid_retry_after
+        (LEAVING, LEAVING_YES) in headers,
+        retry_after_s,
+        invalid_retry_after,
+        *named_limit.read_limit(LIMIT, headers),
     )
 
 
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -1,13 +1,17 @@
 """Selection of the endpoint of an attempt, and limits on attempts."""
 
+import dataclasses
 import random
 
 import trio
 
 from wasabilanding import dispatch
+from wasabilanding import fleet
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import request_state as request_state_module
+from wasabilanding.gateway import send_grants
+from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 from wasabilanding import retries
 
@@ -18,6 +22,22 @@
 MAX_RETRY_AFTER_S = 10.0
 NOT_SENT_REASONS = (model.Reason.CONNECT_FAILED, model.Reason.ENDPOINT_HELD)
 NO_OTHER_ENDPOINT = "no other endpoint"
+# Endpoints with limits that are asked for one after the other.
+MAX_LIMITED_ASKED = 3
+# Share of a route's latency goal for which a request waits for a grant.
+GRANT_WAIT_SHARE = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class Selection:
+    """An endpoint for an attempt.
+
+    :param endpoint: the endpoint.
+    :param purpose: whether the request has a grant for it.
+    """
+
+    endpoint: fleet.Endpoint
+    purpose: upstream_module.Purpose = upstream_module.Purpose.CALLER
 
 
 class EndpointSelector:
@@ -28,6 +48,7 @@
     :param failure_domain: failure domain of this node.
     :param budget: this node's share of the retries.
     :param crash_guard: holds back requests that end endpoints.
+    :param grants: grants requests to endpoints with limits.
     :param rng: random number generator.
     """
 
@@ -38,6 +59,7 @@
         failure_domain: str,
         budget: retries.RetryBudget,
         crash_guard: crash_guard_module.CrashGuard,
+        grants: send_grants.SendGrants,
         rng: random.Random,
     ) -> None:
         self._view = view
@@ -45,25 +67,96 @@
         self._failure_domain = failure_domain
         self._budget = budget
         self._crash_guard = crash_guard
+        self._grants = grants
         self._rng = rng
         self._candidates: dict[str, dict[str, list[dispatch.Candidate]]] = {}
         self._candidates_version: tuple[object, int] = (None, -1)
 
-    def pick(
+    async def pick(
         self, state: request_state_module.RequestState
-    ) -> dispatch.Candidate | None:
+    ) -> Selection | None:
         """Return an endpoint for the next attempt; None if there is none.
 
+        Endpoints with limits are needed only if the others have no free
+        slot.
+
         :param state: the request.
         """
+        limited, unlimited = self._candidates_by_limit(state)
+        found = self._choose(unlimited)
+        if limited and not self._has_free_slot(found):
+            max_wait_s = state.route.latency_goal_s * GRANT_WAIT_SHARE
+            granted = await self._pick_limited(limited, max_wait_s)
+            if granted is not None:
+                return granted
+        return Selection(found.endpoint) if found is not None else None
+
+    def pick_unlimited(
+        self, state: request_state_module.RequestState
+    ) -> Selection | None:
+        """Return an endpoint without a limit for the next attempt.
+
+        :param state: the request.
+        """
+        found = self._choose(self._candidates_by_limit(state)[1])
+        return Selection(found.endpoint) if found is not None else None
+
+    def _candidates_by_limit(
+        self, state: request_state_module.RequestState
+    ) -> tuple[list[dispatch.Candidate], list[dispatch.Candidate]]:
+        """Return the candidates with limits, and those without."""
+        allowed = self._crash_guard.confine(state, self._untried(state))
+        if not self._grants.has_limits:
+            return [], allowed
+        limited: list[dispatch.Candidate] = []
+        unlimited: list[dispatch.Candidate] = []
+        for candidate in allowed:
+            is_limited = self._grants.is_limited(candidate.endpoint)
+            (limited if is_limited else unlimited).append(candidate)
+        return limited, unlimited
+
+    def _choose(
+        self, candidates: list[dispatch.Candidate]
+    ) -> dispatch.Candidate | None:
         return dispatch.choose(
-            self._crash_guard.confine(state, self._untried(state)),
+            candidates,
             self._tracker,
             self._failure_domain,
             trio.current_time(),
             self._rng,
         )
 
+    def _has_free_slot(self, candidate: dispatch.Candidate | None) -> bool:
+        if candidate is None:
+            return False
+        endpoint_id = candidate.endpoint.endpoint_id
+        return self._tracker.load(endpoint_id) < candidate.slots
+
+    async def _pick_limited(
+        self, candidates: list[dispatch.Candidate], max_wait_s: float
+    ) -> Selection | None:
+        """Return an endpoint with a limit that grants the request.
+
+        Those from which a grant is known to be far are not asked for.
+        """
+        now = trio.current_time()
+        likely = [
+            candidate
+            for candidate in candidates
+            if self._grants.wait_s(candidate.endpoint, now) <= max_wait_s
+        ]
+        self._rng.shuffle(likely)
+        likely.sort(key=self._is_remote)
+        for candidate in likely[:MAX_LIMITED_ASKED]:
+            if await self._grants.acquire(candidate.endpoint, max_wait_s):
+                return Selection(
+                    candidate.endpoint, upstream_module.Purpose.GRANTED
+                )
+        return None
+
+    def _is_remote(self, candidate: dispatch.Candidate) -> bool:
+        return candidate.endpoint.failure_domain != self._failure_domain
+
     def held_outcome(
         self, state: request_state_module.RequestState
     ) -> model.Outcome | None:
@@ -73,10 +166,13 @@
 
         :param state: the request.
         """
-        ids = [c.endpoint.endpoint_id for c in self._candidates_for(state)]
-        wait_s = self._tracker.holds.wait_s(ids, trio.current_time())
-        if wait_s is None:
+        waits_s = [
+            self._wait_s(candidate.endpoint)
+            for candidate in self._candidates_for(state)
+        ]
+        if not waits_s or None in waits_s:
             return None
+        wait_s = min(waits_s)
         wait_s += self._rng.uniform(*CALLER_RETURN_SPREAD_S)
         return model.not_run(
             model.Reason.ENDPOINT_HELD,
@@ -84,6 +180,15 @@
             min(wait_s, MAX_RETRY_AFTER_S),
         )
 
+    def _wait_s(self, endpoint: fleet.Endpoint) -> float | None:
+        """Return the time until an endpoint wants a request again."""
+        now = trio.current_time()
+        held_s = self._tracker.holds.wait_s([endpoint.endpoint_id], now)
+        limited_s = self._grants.wait_s(endpoint, now)
+        return max(
+            (s for s in (held_s, limited_s) if s is not None), default=None
+        )
+
     def may_repeat(self, state: request_state_module.RequestState) -> bool:
         """Return whether a request may run again at another endpoint.
 
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -0,0 +1,336 @@
+"""Keeps the limits that endpoints name, together with the other nodes.
+
+Explanation
+===========
+
+One node keeps the times at which requests may be sent to an endpoint
+(:mod:`wasabilanding.dispatch.send_slots`). The others ask it by a datagram for
+each request. A question that is not answered is repeated under its number, for
+which the same reply is given again; if there is none at all, the request is
+not sent. A node that leaves several questions in a row without a reply is
+replaced by the next one in the order for a while.
+
+A refused node remembers when the next request may be sent, and does not ask
+before.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import logging
+import random
+
+import trio
+
+from wasabilanding import dispatch
+from wasabilanding import fleet
+from wasabilanding.gateway import limit_messages
+from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding import membership
+
+REPLY_TIMEOUT_S = 0.05
+MAX_TRIES = 3
+# Questions in a row without a reply after which a node is replaced, and the
+# time for which it is.
+MAX_UNANSWERED = 2
+REPLACED_S = 5.0
+# Time for which an endpoint is not asked for again if nobody replied.
+UNANSWERED_WAIT_S = 0.5
+# Replies that are kept for repeated questions.
+MAX_KEPT_REPLIES = 4096
+NUMBER_BITS = 48
+NEVER = float("-inf")
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class Keepers:
+    """Nodes that may keep the limit of an endpoint.
+
+    :param own: name of this node.
+    :param names: names of the nodes, this one included if it is one of them.
+    """
+
+    own: str
+    names: tuple[str, ...]
+
+
+SendTo = collections.abc.Callable[[str, limit_messages.SendQuestion], None]
+KeepersOf = collections.abc.Callable[[str], Keepers]
+
+
+@dataclasses.dataclass
+class _Reliability:
+    """How a node replies to questions.
+
+    :param unanswered: questions in a row without a reply.
+    :param replaced_until: local monotonic time in seconds until which the
+        next node stands in for it.
+    """
+
+    unanswered: int = 0
+    replaced_until: float = NEVER
+
+
+class SendGrants:
+    """Permissions to send requests to endpoints with limits.
+
+    :param limits: the known limits.
+    :param metrics: counts the permissions.
+    :param rng: draws numbers.
+    """
+
+    def __init__(
+        self,
+        limits: dispatch.NamedLimits,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._limits = limits
+        self._metrics = metrics
+        self._rng = rng
+        self._slots = dispatch.SendSlots()
+        self._send_to: SendTo = lambda node, question: None
+        self._keepers_of: KeepersOf = lambda domain: Keepers("", ("",))
+        self._waiting: dict[int, trio.MemorySendChannel] = {}
+        self._kept: collections.OrderedDict[int, limit_messages.SendReply] = (
+            collections.OrderedDict()
+        )
+        self._reliability: dict[str, _Reliability] = collections.defaultdict(
+            _Reliability
+        )
+        # Local monotonic times in seconds before which not to ask.
+        self._refused_until: dict[fleet.Incarnation, float] = {}
+
+    def exchange_through(self, send_to: SendTo, keepers_of: KeepersOf) -> None:
+        """Set how to reach the other nodes.
+
+        :param send_to: sends a question to a node.
+        :param keepers_of: returns the nodes that may keep the limits of the
+            endpoints of a failure domain.
+        """
+        self._send_to = send_to
+        self._keepers_of = keepers_of
+
+    @property
+    def has_limits(self) -> bool:
+        """Whether any endpoint has named a limit recently."""
+        return self._limits.has_any
+
+    def is_limited(self, endpoint: fleet.Endpoint) -> bool:
+        """Return whether an endpoint has named a limit.
+
+        :param endpoint: the endpoint.
+        """
+        return self._limits.rate(fleet.incarnation_of(endpoint)) is not None
+
+    def wait_s(self, endpoint: fleet.Endpoint, now: float) -> float | None:
+        """Return the known time until a request may be sent to an endpoint.
+
+        :param endpoint: the endpoint.
+        :param now: local monotonic time in seconds.
+        :returns: seconds; None if it has no limit.
+        """
+        if not self.is_limited(endpoint):
+            return None
+        incarnation = fleet.incarnation_of(endpoint)
+        return max(self._refused_until.get(incarnation, NEVER) - now, 0.0)
+
+    async def acquire(
+        self, endpoint: fleet.Endpoint, max_wait_s: float
+    ) -> bool:
+        """Wait for the permission to send one request to an endpoint.
+
+        :param endpoint: the endpoint, which has a limit.
+        :param max_wait_s: longest wait in seconds.
+        :returns: whether the request may be sent now.
+        """
+        incarnation = fleet.incarnation_of(endpoint)
+        known = self._limits.limit_of(incarnation)
+        now = trio.current_time()
+        if known is None:
+            return True
+        max_wait_s = min(max_wait_s, dispatch.MAX_WAIT_S)
+        earliest_at = self._refused_until.get(incarnation, NEVER)
+        if earliest_at - now > max_wait_s:
+            return False
+        notice = limit_messages.notice_of(incarnation, known, now)
+        reply = await self._ask(endpoint.failure_domain, notice, max_wait_s)
+        if reply is None:
+            self._metrics.count_grant("unanswered")
+            reply = limit_messages.SendReply(0, False, UNANSWERED_WAIT_S)
+        if not reply.is_granted:
+            self._metrics.count_grant("refused")
+            self._refused_until[incarnation] = (
+                trio.current_time() + reply.wait_s
+            )
+            return False
+        self._metrics.count_grant("granted")
+        await trio.sleep(reply.wait_s)
+        return True
+
+    async def _ask(
+        self,
+        failure_domain: str,
+        notice: limit_messages.LimitNotice,
+        max_wait_s: float,
+    ) -> limit_messages.SendReply | None:
+        """Ask the node that keeps a limit; return its reply, if any."""
+        keepers = self._keepers_of(failure_domain)
+        rank, node = self._keeper(notice, keepers)
+        question = limit_messages.SendQuestion(
+            self._rng.getrandbits(NUMBER_BITS), notice, rank, max_wait_s
+        )
+        if node == keepers.own:
+            return self.answer(question, trio.current_time())
+        reply = await self._exchange(node, question)
+        self._record_reply(node, reply is not None)
+        return reply
+
+    def _keeper(
+        self, notice: limit_messages.LimitNotice, keepers: Keepers
+    ) -> tuple[int, str]:
+        """Return the rank and name of the node that keeps a limit now."""
+        order = membership.owners_of(
+            notice.endpoint_id, keepers.names, len(dispatch.SHARES)
+        )
+        now = trio.current_time()
+        for rank, node in enumerate(order):
+            if node == keepers.own:
+                return rank, node
+            if now >= self._reliability[node].replaced_until:
+                return rank, node
+        return 0, order[0]
+
+    async def _exchange(
+        self, node: str, question: limit_messages.SendQuestion
+    ) -> limit_messages.SendReply | None:
+        sender, receiver = trio.open_memory_channel[limit_messages.SendReply](
+            1
+        )
+        self._waiting[question.number] = sender
+        try:
+            for _ in range(MAX_TRIES):
+                self._send_to(node, question)
+                with trio.move_on_after(REPLY_TIMEOUT_S):
+                    return await receiver.receive()
+        finally:
+            del self._waiting[question.number]
+        return None
+
+    def _record_reply(self, node: str, is_answered: bool) -> None:
+        found = self._reliability[node]
+        found.unanswered = 0 if is_answered else found.unanswered + 1
+        if found.unanswered >= MAX_UNANSWERED:
+            found.unanswered = 0
+            found.replaced_until = trio.current_time() + REPLACED_S
+            _LOG.info("%s does not reply to questions on limits", node)
+
+    def apply_reply(self, reply: limit_messages.SendReply) -> None:
+        """Hand a received reply to the request that waits for it.
+
+        :param reply: the reply.
+        """
+        waiting = self._waiting.get(reply.number)
+        if waiting is not None:
+            with contextlib.suppress(trio.WouldBlock):
+                waiting.send_nowait(reply)
+
+    def answer(
+        self, question: limit_messages.SendQuestion, now: float
+    ) -> limit_messages.SendReply:
+        """Answer a question for an endpoint whose limit this node keeps.
+
+        :param question: the question.
+        :param now: local monotonic time in seconds.
+        """
+        kept = self._kept.get(question.number)
+        if kept is not None:
+            return kept
+        self.apply_notice(question.notice, now)
+        rate = self._limits.rate(question.notice.incarnation)
+        if rate is None:
+            # It has ended, which the asking node does not know yet.
+            reply = limit_messages.SendReply(question.number, True, 0.0)
+        else:
+            reply = limit_messages.SendReply(
+                question.number,
+                *self._slots.reserve(
+                    question.notice.incarnation,
+                    question.rank,
+                    rate,
+                    question.max_wait_s,
+                    now,
+                ),
+            )
+        self._kept[question.number] = reply
+        if len(self._kept) > MAX_KEPT_REPLIES:
+            self._kept.popitem(last=False)
+        return reply
+
+    def apply_notice(
+        self, notice: limit_messages.LimitNotice, now: float
+    ) -> None:
+        """Record what another node has observed.
+
+        :param notice: the observation.
+        :param now: local monotonic time in seconds.
+        """
+        self.record_limit(notice.incarnation, notice.per_s, now - notice.age_s)
+
+    def record_limit(
+        self, endpoint: fleet.Incarnation, per_s: float | None, at: float
+    ) -> None:
+        """Record what a reply of an endpoint said about its limit.
+
+        :param endpoint: the endpoint.
+        :param per_s: requests a second; None if it named no limit.
+        :param at: local monotonic time in seconds of the reply.
+        """
+        if not self._limits.note(endpoint, per_s, at):
+            return
+        fields = {"endpoint": endpoint[0], "limit": per_s}
+        if per_s is None:
+            _LOG.info("%s names no limit any more", endpoint[0], extra=fields)
+        else:
+            _LOG.info(
+                "%s takes %g requests a second from all nodes",
+                endpoint[0],
+                per_s,
+                extra=fields,
+            )
+
+    def due_notices(
+        self, now: float
+    ) -> tuple[limit_messages.LimitNotice, ...]:
+        """Return the observations to tell other nodes.
+
+        :param now: local monotonic time in seconds.
+        """
+        return tuple(
+            limit_messages.notice_of(endpoint, known, now)
+            for endpoint, known in self._limits.recent(now).items()
+        )
+
+    def observe(self, registry: fleet.Registry, now: float) -> None:
+        """Drop what has expired, and set the metric.
+
+        :param registry: the registered endpoints.
+        :param now: local monotonic time in seconds.
+        """
+
+        def is_registered(incarnation: fleet.Incarnation) -> bool:
+            found = registry.get(incarnation[0])
+            return (
+                found is not None
+                and fleet.incarnation_of(found) == incarnation
+            )
+
+        self._limits.drop_expired(is_registered, now)
+        self._slots.drop_unused(now)
+        for incarnation, until in list(self._refused_until.items()):
+            if now >= until:
+                del self._refused_until[incarnation]
+        self._metrics.set_limited(self._limits.limited_count)
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -17,6 +17,7 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics
 from wasabilanding.gateway import plain_wire
+from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
@@ -97,6 +98,9 @@
     word, _, rest = script.partition(" ")
     if word == "leaving":
         return {"x-leaving": "1"}, rest
+    if word == "limit":
+        text, _, rest = rest.partition(" ")
+        return {"x-limit": text}, rest
     if word == "busy":
         text, _, rest = rest.partition(" ")
         return {"retry-after": text}, rest
@@ -124,8 +128,8 @@
         request), "unreachable", "crash" (the endpoint ends when it has run
         a request), "mute" (no reply), "clinging" (no reply, and
         a cancelled request ends some time later). In front of it, "leaving"
-        announces the endpoint's shutdown, and "busy TEXT" asks to receive
-        nothing.
+        announces the endpoint's shutdown, "busy TEXT" asks to receive
+        nothing, and "limit TEXT" names a limit.
     """
 
     def __init__(self, scripts):
@@ -293,6 +297,16 @@
     return routes.RoutingTable(1, (route,), (service,), limits, holders)
 
 
+def grants(node="n1"):
+    """Return grants of a node that knows no other node.
+
+    :param node: name of the node.
+    """
+    return send_grants.SendGrants(
+        dispatch.NamedLimits(), metrics.Metrics(node), random.Random(node)
+    )
+
+
 class _FirstRandom(random.Random):
     """Draws the first of several, so that attempts follow the scripts."""
 
@@ -322,11 +336,13 @@
         self.reported = []
         self.reported_leaving = []
         self.metrics = metrics.Metrics("n1")
+        self.grants = grants()
         self.guard = endpoint_guard.EndpointGuard(
             self.view,
             self.tracker,
             plain_wire,
             self.metrics,
+            self.grants,
             self.reported_leaving.append,
             random.Random(1),
         )
@@ -369,6 +385,7 @@
                 self.tracker,
                 self.reported.append,
                 self.crash_guard,
+                self.grants,
                 _FirstRandom(1),
             )
             await forwarder.handle(head, body, response)
--- a/packages/gateway/wasabilanding/gateway/tests/memory_network.py
+++ b/packages/gateway/wasabilanding/gateway/tests/memory_network.py
@@ -1,6 +1,7 @@
 """Network that delivers datagrams in memory, for tests."""
 
 import collections
+import random
 
 import trio
 
@@ -13,6 +14,11 @@
         self.sent = 0
         self.largest_bytes = 0
         self.delay_s = 0.0
+        # Share of the datagrams that are lost.
+        self.loss = 0.0
+        # Times in seconds from which on an address neither sends nor receives.
+        self.dead_from = {}
+        self._rng = random.Random(1)
         # Datagrams still to lose, by sender and receiver.
         self.to_lose = collections.Counter()
 
@@ -27,11 +33,20 @@
         self.largest_bytes = max(self.largest_bytes, len(data))
         if self.to_lose[sender, address]:
             self.to_lose[sender, address] -= 1
+        elif self._rng.random() < self.loss or self._is_dead(sender, address):
+            return
         elif address in self._queues:
             trio.lowlevel.spawn_system_task(
                 self._deliver, (data, sender), address
             )
 
+    def _is_dead(self, *addresses):
+        now = trio.current_time()
+        return any(
+            now >= self.dead_from.get(address, now + 1)
+            for address in addresses
+        )
+
     async def _deliver(self, datagram, address):
         await trio.sleep(self.delay_s)
         self._queues[address][0].send_nowait(datagram)
--- a/packages/gateway/wasabilanding/gateway/tests/restore_cluster.py
+++ b/packages/gateway/wasabilanding/gateway/tests/restore_cluster.py
@@ -91,6 +91,7 @@
             self.view,
             tracker,
             crash_guard.CrashGuard(self.view, tracker, metrics.Metrics(name)),
+            fakes.grants(),
             plain_wire,
         )
         self._network = network
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -25,7 +25,7 @@
 OWN = directory.NodeAddress("n1", "z1", "10.0.0.1", 1)
 
 
-class _Nodes:
+class Nodes:
     """Nodes that know each other and two endpoints."""
 
     def __init__(self, domains):
@@ -43,6 +43,7 @@
         self.trackers = {name: dispatch.EndpointTracker() for name in domains}
         self.hints = {}
         self.guards = {}
+        self.grants = {}
         # Seconds after which a node starts, by name.
         self.late_s = {}
         self.views = {}
@@ -58,14 +59,20 @@
             self.guards[entry.node] = crash_guard.CrashGuard(
                 view, self.trackers[entry.node], metrics.Metrics(entry.node)
             )
+            self.grants[entry.node] = fakes.grants(entry.node)
             self.hints[entry.node] = hints.HintExchange(
                 entry.node,
                 entry.failure_domain,
                 view,
                 self.trackers[entry.node],
                 self.guards[entry.node],
+                self.grants[entry.node],
                 plain_wire,
             )
+            self.grants[entry.node].exchange_through(
+                self.hints[entry.node].ask_to_send,
+                self.hints[entry.node].keepers_of,
+            )
 
     def items(self, names, revision=1):
         """Return the stored registrations of endpoints."""
@@ -114,7 +121,7 @@
 @behave.given("nodes {first} and {second} in failure domain z1 and n3 in z2")
 def given_nodes(context, first, second):
     """Make three nodes."""
-    context.nodes = _Nodes({first: "z1", second: "z1", "n3": "z2"})
+    context.nodes = Nodes({first: "z1", second: "z1", "n3": "z2"})
     context.plan = []
 
 
@@ -285,7 +292,7 @@
 )
 def given_many(context, count):
     """Make many nodes."""
-    context.nodes = _Nodes({f"n{i:03}": "z1" for i in range(count)})
+    context.nodes = Nodes({f"n{i:03}": "z1" for i in range(count)})
     for tracker in context.nodes.trackers.values():
         tracker.begin("e1", 0.0)
 
@@ -296,7 +303,7 @@
 )
 def given_many_domains(context, count, domains):
     """Make many nodes in several failure domains."""
-    context.nodes = _Nodes(
+    context.nodes = Nodes(
         {
             f"z{domain}-{i:03}": f"z{domain}"
             for domain in range(domains)
@@ -351,7 +358,7 @@
 @behave.given("{count:d} nodes of one failure domain at revision {revision:d}")
 def given_current(context, count, revision):
     """Make many nodes whose views are current at the start."""
-    context.nodes = _Nodes({f"n{i:03}": "z1" for i in range(count)})
+    context.nodes = Nodes({f"n{i:03}": "z1" for i in range(count)})
 
     def begin(network):
         for view in context.nodes.views.values():
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -79,9 +79,11 @@
 
     A caller's request and an order that begins something are not sent to an
     endpoint that leaves; a report, or an order that ends its service, may be.
+    A caller's request to an endpoint with a limit needs a grant.
     """
 
     CALLER = "caller"
+    GRANTED = "granted"
     PLACEMENT = "placement"
     CONTROL = "control"
 
