Bound what is read of replies without end

Change: checked settings max_failure_bytes, max_event_bytes (2 MiB each) and max_answer_bytes (64 MiB) bound bodies of failures and of replies to calls, events, and answers; a reply that breaks one is a failure of its endpoint, a warning, and its connection is closed. The splitter searches each byte once.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -19,6 +19,7 @@
 from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import reply_bounds
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import shared_answer
 from wasabilanding.gateway import sse
@@ -73,6 +74,7 @@
         self._context = context
         self._purpose = purpose
         self._tracker = context.tracker
+        self._bounds = context.upstream.bounds
         self._state = state
         self._endpoint = endpoint
         self._answer = answer
@@ -220,7 +222,10 @@
         self, head: messages.ReplyHead, reply: upstream_module.Reply
     ) -> model.Outcome:
         """Relay a failure reply, unless the request may be retried."""
-        body = await reply.read()
+        body = await reply.read(
+            f"failure {head.status} of {self.endpoint_id}",
+            self._bounds.failure_bytes,
+        )
         if self._may_be_replaced():
             return model.may_have_run(
                 model.Reason.ENDPOINT_ERROR,
@@ -247,7 +252,10 @@
             )
         buffered: list[bytes] = []
         size = 0
-        async for chunk in reply.chunks():
+        chunks = reply.bounded_chunks(
+            f"answer of {self.endpoint_id}", self._bounds.answer_bytes
+        )
+        async for chunk in chunks:
             self._record_progress()
             buffered.append(chunk)
             size += len(chunk)
@@ -279,10 +287,13 @@
     async def _relay_events(
         self, head: messages.ReplyHead, reply: upstream_module.Reply
     ) -> model.Outcome:
-        splitter = sse.EventSplitter()
+        splitter = sse.EventSplitter(self._bounds.event_bytes)
         async for chunk in reply.chunks():
             self._record_progress()
-            events = splitter.feed(chunk)
+            try:
+                events = splitter.feed(chunk)
+            except reply_bounds.BoundExceeded as error:
+                raise upstream_module.bound_failure(error) from None
             if events:
                 with self._waiting_for_caller():
                     await self._answer.deliver(self, head, events)
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -377,6 +377,8 @@
     :param metrics: metrics of the node.
     """
     rng = random.Random()
-    async with upstream_module.Upstream() as upstream:
+    async with upstream_module.Upstream(
+        bounds=settings.reply_bounds
+    ) as upstream:
         _LOG.info("starts", extra={"settings": str(settings)})
         yield Node(settings, store, upstream, wire, metrics, rng)
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -6,9 +6,11 @@
 
 import pydantic
 
+from wasabilanding.gateway import reply_bounds
 from wasabilanding import model
 
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+Size = typing.Annotated[int, pydantic.Field(ge=1)]
 MS_PER_S = 1000
 DEFAULT_CHANGE_BOUNDS_MS = (2000.0,)
 
@@ -38,6 +40,11 @@
         configuration, and the removal of an endpoint, must take effect.
     :param peer_port: UDP port for messages from other nodes; 0 for none.
     :param metrics_port: TCP port that serves metrics; 0 for none.
+    :param max_answer_bytes: largest body of an endpoint's answer that is no
+        stream.
+    :param max_event_bytes: largest event of a stream.
+    :param max_failure_bytes: largest body of an endpoint's failure or of its
+        reply to a call.
     :param log_level: lowest level that is logged.
     """
 
@@ -54,6 +61,9 @@
     change_bounds_ms: tuple[model.Quantity, ...] = DEFAULT_CHANGE_BOUNDS_MS
     peer_port: Port = 0
     metrics_port: Port = 0
+    max_answer_bytes: Size = reply_bounds.DEFAULT.answer_bytes
+    max_event_bytes: Size = reply_bounds.DEFAULT.event_bytes
+    max_failure_bytes: Size = reply_bounds.DEFAULT.failure_bytes
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
     @property
@@ -61,6 +71,13 @@
         """Seconds after which a revoked key must be refused; 0 for none."""
         return self.key_revocation_ms / MS_PER_S
 
+    @property
+    def reply_bounds(self) -> reply_bounds.ReplyBounds:
+        """Bounds on what is read of endpoints' replies."""
+        return reply_bounds.ReplyBounds(
+            self.max_answer_bytes, self.max_event_bytes, self.max_failure_bytes
+        )
+
     @property
     def change_bounds_s(self) -> tuple[float, ...]:
         """Seconds within which changes must take effect."""
--- a/packages/gateway/wasabilanding/gateway/sse.py
+++ b/packages/gateway/wasabilanding/gateway/sse.py
@@ -7,9 +7,13 @@
 import dataclasses
 import re
 
+from wasabilanding.gateway import reply_bounds
+
 _END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"(?:^|\n)id: ?([0-9]{1,18})\r?(?:\n|$)")
 _DATA = re.compile(rb"(?:^|\n)data")
+# Bytes of the end of an event that may be part of what was searched before.
+_OVERLAP = len(b"\r\n\r\n") - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +36,11 @@
 class EventSplitter:
     """Buffers received bytes and returns the events that they complete.
 
+    Each byte is searched once, however small the parts are in which an event
+    arrives.
+
+    :param max_event_bytes: greatest length of an event.
+
     Examples
     ========
 
@@ -45,27 +54,54 @@
     b'id: 2'
     """
 
-    def __init__(self) -> None:
-        self._remainder = b""
+    def __init__(
+        self, max_event_bytes: int = reply_bounds.DEFAULT.event_bytes
+    ) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._buffer = bytearray()
 
     @property
     def remainder(self) -> bytes:
         """Bytes of an incomplete event."""
-        return self._remainder
+        return bytes(self._buffer)
 
     def feed(self, received: bytes) -> list[Event]:
         """Return the events that the received bytes complete.
 
         :param received: bytes as read from the connection.
+        :raises wasabilanding.gateway.reply_bounds.BoundExceeded: if an event
+            is too long.
+        """
+        if not self._buffer:
+            events, end = self._split(received, 0)
+            self._buffer += received[end:]
+        else:
+            searched = max(len(self._buffer) - _OVERLAP, 0)
+            self._buffer += received
+            events, end = self._split(self._buffer, searched)
+            del self._buffer[:end]
+        self._check_length(len(self._buffer))
+        return events
+
+    def _split(
+        self, buffer: bytes | bytearray, searched: int
+    ) -> tuple[list[Event], int]:
+        """Return the events in a buffer, and the end of the last one.
+
+        :param buffer: begins with an event.
+        :param searched: bytes that contain no end of an event.
         """
-        buffer = self._remainder + received
         events = []
         start = 0
-        for end in _END.finditer(buffer):
-            data = buffer[start : end.end()]
+        for end in _END.finditer(buffer, searched):
+            data = bytes(buffer[start : end.end()])
+            self._check_length(len(data))
             found = _ID.search(data)
             event_id = int(found.group(1)) if found else None
             events.append(Event(data, event_id))
             start = end.end()
-        self._remainder = buffer[start:]
-        return events
+        return events, start
+
+    def _check_length(self, length: int) -> None:
+        if length > self._max_event_bytes:
+            raise reply_bounds.BoundExceeded("event", self._max_event_bytes)
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/endless_replies_steps.py
@@ -0,0 +1,228 @@
+"""Steps for replies without end, over loopback."""
+
+import contextlib
+import functools
+
+import behave
+import trio
+
+from wasabilanding import fleet
+from wasabilanding.gateway import crash_guard
+from wasabilanding.gateway import reply_bounds
+from wasabilanding.gateway.tests import fakes
+from wasabilanding.gateway import upstream as upstream_module
+
+MIB = 1024 * 1024
+PIECE = b"x" * 65536
+# An endpoint goes silent after it, so that a test ends on any code.
+MAX_SENT_BYTES = 256 * MIB
+DEADLINE_S = 8.0
+# The caller joins all bytes of an answer again with each part.
+BOUNDS = reply_bounds.ReplyBounds(answer_bytes=12 * MIB)
+HEAD = b"HTTP/1.1 %d X\r\nx-request: r1\r\n"
+EVENTS = HEAD % 200 + b"x-events: 1\r\n\r\n"
+CHUNK = b"%x\r\n%s\r\n" % (len(PIECE), PIECE)
+BEGINNINGS = {
+    "a head": HEAD % 200,
+    "a failure": HEAD % 500 + b"\r\n",
+    "a chunked failure": HEAD % 500 + b"transfer-encoding: chunked\r\n\r\n",
+    "an event": EVENTS + b"data: ",
+    "a comment in lines": EVENTS,
+    "an event byte by byte": EVENTS + b"data: ",
+    "an answer": HEAD % 200 + b"\r\n",
+}
+PIECES = {
+    "a head": b"x-filler: x\r\n" * 500,
+    "a chunked failure": CHUNK,
+    "a comment in lines": b": still here\n" * 500,
+    "an event byte by byte": b"x" * 100,
+}
+
+
+class _Endpoint:
+    """Listener whose reply does not end, or has a given size.
+
+    :param reply: kind of the reply.
+    :param size: bytes of its body; None for no end.
+    """
+
+    def __init__(self, reply, size=None):
+        self._reply = reply
+        self._size = size
+        self.sent = 0
+        self.closed = False
+
+    async def serve(self, stream):
+        """Reply to one request."""
+        with contextlib.suppress(trio.BrokenResourceError):
+            while b"\r\n\r\n" not in await stream.receive_some():
+                pass
+            if self._size is None:
+                await self._send_endlessly(stream)
+            else:
+                await self._send_whole(stream)
+        self.closed = True
+
+    async def _send_endlessly(self, stream):
+        await stream.send_all(BEGINNINGS[self._reply])
+        piece = PIECES.get(self._reply, PIECE)
+        while self.sent < MAX_SENT_BYTES:
+            await stream.send_all(piece)
+            self.sent += len(piece)
+        await stream.receive_some()
+
+    async def _send_whole(self, stream):
+        begun = BEGINNINGS[self._reply]
+        head, _, start = begun.partition(b"\r\n\r\n")
+        end = b"\n\n" if start else b""
+        filler = b"x" * (self._size - len(start) - len(end))
+        length = b"\r\ncontent-length: %d\r\n\r\n" % self._size
+        await stream.send_all(head + length + start + filler + end)
+        await stream.receive_some()
+
+
+class _System(fakes.System):
+    """A forwarder before one listener."""
+
+    def __init__(self, port, table):
+        super().__init__({}, table)
+        self.endpoint = fleet.Endpoint(
+            "e0", "service", "127.0.0.1", port, "z1", slots=9
+        )
+        self.view.registry.put(self.endpoint)
+        self.crash_guard = crash_guard.CrashGuard(
+            self.view, self.tracker, self.metrics
+        )
+
+    def upstream(self):
+        """Return real connections."""
+        found = upstream_module.Upstream(bounds=BOUNDS)
+        found.require_permits(self.guard.admit)
+        return found
+
+
+async def _system(nursery, endpoint, table):
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(
+        functools.partial(
+            trio.serve_listeners,
+            endpoint.serve,
+            [listener],
+            handler_nursery=nursery,
+        )
+    )
+    return _System(listener.socket.getsockname()[1], table)
+
+
+@behave.given("an endpoint that replies with {reply} without end")
+def given_endless(context, reply):
+    """Make an endpoint."""
+    context.endpoint = _Endpoint(reply)
+
+
+@behave.given("an endpoint that replies with {reply} of {size:d} bytes")
+def given_sized(context, reply, size):
+    """Make an endpoint whose reply ends."""
+    context.endpoint = _Endpoint(reply, size)
+
+
+@behave.when(
+    "a {kind} request is sent to it, and one to another endpoint 0.1 s later"
+)
+def send(context, kind):
+    """Send both requests."""
+    table = fakes.table(
+        kind.removeprefix("resumable "),
+        kind.startswith("resumable "),
+        1,
+        timeout_s=DEADLINE_S,
+    )
+
+    async def ask(name, system):
+        system.view.mark_current(0.0)
+        setattr(context, name, await system.ask())
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            first = await _system(nursery, context.endpoint, table)
+            sound = _Endpoint("an answer", 100)
+            other = await _system(
+                nursery, sound, fakes.table("safe", False, 1)
+            )
+            async with trio.open_nursery() as asking:
+                asking.start_soon(ask, "first", first)
+                await trio.sleep(0.1)
+                asking.start_soon(ask, "other", other)
+            await trio.sleep(0.1)
+            context.sent = context.endpoint.sent
+            context.closed = context.endpoint.closed
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@behave.when("a call for {purpose} is made to it")
+def call(context, purpose):
+    """Call the control API of the endpoint."""
+
+    async def run():
+        table = fakes.table("safe", False, 1)
+        async with trio.open_nursery() as nursery:
+            system = await _system(nursery, context.endpoint, table)
+            started_at = trio.current_time()
+            context.failure = None
+            async with system.upstream() as upstream:
+                try:
+                    await upstream.call(
+                        system.endpoint,
+                        "GET",
+                        "/report",
+                        b"",
+                        upstream_module.Purpose(purpose),
+                    )
+                except upstream_module.AttemptFailed as error:
+                    context.failure = error
+            context.took_s = trio.current_time() - started_at
+            await trio.sleep(0.1)
+            context.sent = context.endpoint.sent
+            context.closed = context.endpoint.closed
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@behave.then("the first ends with {status:d} within {bound:g} s")
+def check_first(context, status, bound):
+    """Compare the answer."""
+    first = context.first
+    assert first.status == status, (first.status, first.body[:200])
+    assert first.took_s <= bound, first.took_s
+
+
+@behave.then(
+    "the endpoint could send at most {most:g} MiB before its connection closed"
+)
+def check_sent(context, most):
+    """Compare what the endpoint could send."""
+    assert context.sent <= most * MIB, f"{context.sent / MIB:.1f} MiB"
+    assert context.closed
+
+
+@behave.then("the other is answered within {bound:g} s")
+def check_other(context, bound):
+    """Compare the answer to the other request."""
+    assert context.other.status == 200, context.other.status
+    assert context.other.took_s <= bound, context.other.took_s
+
+
+@behave.then("the call fails within {bound:g} s")
+def check_call(context, bound):
+    """Compare the outcome of the call."""
+    assert context.failure is not None
+    assert context.took_s <= bound, context.took_s
+
+
+@behave.then("its body has {size:d} bytes")
+def check_body(context, size):
+    """Compare the length of the answer."""
+    assert len(context.first.body) == size, len(context.first.body)
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -12,6 +12,7 @@
 import contextlib
 import dataclasses
 import enum
+import logging
 import re
 import socket
 import ssl
@@ -22,6 +23,7 @@
 
 from wasabilanding import fleet
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import reply_bounds
 from wasabilanding import model
 
 CONNECT_TIMEOUT_S = 0.4
@@ -50,6 +52,7 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 # Event of the connection just before it sends a request.
 SENDING = "http11.send_request_headers.started"
+_LOG = logging.getLogger(__name__)
 _TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 
 
@@ -74,6 +77,17 @@
     )
 
 
+def bound_failure(error: reply_bounds.BoundExceeded) -> AttemptFailed:
+    """Return the failure of an attempt whose reply is too large.
+
+    :param error: the bound that it breaks.
+    """
+    _LOG.warning("reply is given up: %s", error)
+    return AttemptFailed(
+        model.may_have_run(model.Reason.CONNECTION_LOST, str(error))
+    )
+
+
 class Purpose(enum.Enum):
     """What a request to an endpoint is for.
 
@@ -166,12 +180,33 @@
         except httpx.HTTPError as error:
             raise _failure(error) from None
 
-    async def read(self) -> bytes:
+    async def bounded_chunks(
+        self, what: str, max_bytes: int
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the body as it arrives, up to a bound.
+
+        :param what: what the body is, for messages.
+        :param max_bytes: greatest number of bytes.
+        :raises AttemptFailed: if it is truncated or larger.
+        """
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                raise bound_failure(
+                    reply_bounds.BoundExceeded(what, max_bytes)
+                )
+            yield chunk
+
+    async def read(self, what: str, max_bytes: int) -> bytes:
         """Return the whole body.
 
-        :raises AttemptFailed: if it is truncated.
+        :param what: what the body is, for messages.
+        :param max_bytes: greatest number of bytes.
+        :raises AttemptFailed: if it is truncated or larger.
         """
-        return b"".join([chunk async for chunk in self.chunks()])
+        chunks = self.bounded_chunks(what, max_bytes)
+        return b"".join([chunk async for chunk in chunks])
 
 
 class _Pool:
@@ -240,6 +275,7 @@
     """Connection pools of the endpoints; a context manager.
 
     :param make_transport: creates the pool of an endpoint; tests replace it.
+    :param bounds: bounds on replies.
     """
 
     def __init__(
@@ -248,7 +284,9 @@
             [float], httpx.AsyncBaseTransport
         ]
         | None = None,
+        bounds: reply_bounds.ReplyBounds = reply_bounds.DEFAULT,
     ) -> None:
+        self.bounds = bounds
         self._ssl = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self._make_pool = make_transport or self._make_transport
         self._pools: dict[str, _Pool] = {}
@@ -400,7 +438,9 @@
                 purpose,
             )
             async with sent as reply:
-                text = await reply.read()
+                text = await reply.read(
+                    f"reply to {path}", self.bounds.failure_bytes
+                )
                 return CallReply(reply.status, text, reply.notice)
         raise AttemptFailed(
             model.may_have_run(
