Split what nodes send each other, and what counts as a crash, from their users

Endpoints that are gone are examined side by side, as each may take 0.4 s and the clean-up waits for them. The number of suspected requests is counted without the weights, which compare each crash with all others. No other change of behaviour.

--- a/packages/decisions/wasabilanding/poison/suspicions.py
+++ b/packages/decisions/wasabilanding/poison/suspicions.py
@@ -139,17 +139,16 @@
         """Whether no request is suspected or was."""
         return not self._notices
 
-    @property
-    def suspects(self) -> collections.abc.Collection[str]:
-        """Fingerprints of the requests that were in flight at a crash."""
-        return self._crashes.keys()
-
-    def has_crashed(self, replica: str) -> bool:
-        """Return whether a replica is known to have crashed.
+    def suspected(self, now: float) -> tuple[str, ...]:
+        """Return the fingerprints of the requests that are suspected.
 
-        :param replica: the replica.
+        :param now: local monotonic time in seconds.
         """
-        return replica in self._requests
+        return tuple(
+            request
+            for request, replicas in self._crashes.items()
+            if any(self._is_valid_crash(request, r, now) for r in replicas)
+        )
 
     def quarantined(self, now: float) -> tuple[str, ...]:
         """Return the fingerprints of the requests that are to be refused.
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/crash_evidence.py
@@ -0,0 +1,183 @@
+"""Finds out whether an endpoint that broke a connection has ended.
+
+Explanation
+===========
+
+After a connection broke, the node connects to the endpoint anew. If nothing
+accepts, the endpoint has ended. If it accepts, and its registration is removed
+or replaced within some seconds, it has ended too, unless it still accepts
+connections at an address that no other has. An endpoint that was leaving has
+not crashed, and one that makes progress afterwards has not ended.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+
+import trio
+
+from wasabilanding import dispatch
+from wasabilanding import fleet
+from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding import poison
+
+# Progress of an endpoint so long after its presumed crash shows that it lives.
+SURVIVAL_S = 0.5
+
+IsReachable = collections.abc.Callable[
+    [fleet.Endpoint], collections.abc.Awaitable[bool]
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Crash:
+    """An endpoint that has ended.
+
+    :param endpoint: the endpoint.
+    :param broken: its broken connections that were not reported before.
+    :param is_new: whether its end was not known.
+    """
+
+    endpoint: fleet.Incarnation
+    broken: tuple[poison.BrokenConnection, ...]
+    is_new: bool
+
+
+class CrashEvidence:
+    """Broken connections, and the endpoints that have ended.
+
+    :param view: the node's view of the cluster.
+    :param tracker: this node's observations of the endpoints.
+    :param is_reachable: returns whether an endpoint accepts connections.
+    :param report_crash: receives endpoints that have ended.
+    :param report_survival: receives endpoints that have not, after all.
+    """
+
+    def __init__(
+        self,
+        view: cluster_view_module.ClusterView,
+        tracker: dispatch.EndpointTracker,
+        is_reachable: IsReachable,
+        report_crash: collections.abc.Callable[[Crash], None],
+        report_survival: collections.abc.Callable[[fleet.Incarnation], None],
+    ) -> None:
+        self._view = view
+        self._tracker = tracker
+        self._is_reachable = is_reachable
+        self._report_crash = report_crash
+        self._report_survival = report_survival
+        self._broken = poison.BrokenConnections()
+        self._endpoints: dict[fleet.Incarnation, fleet.Endpoint] = {}
+        # Endpoints that are being connected to.
+        self._checks: dict[fleet.Incarnation, trio.Event] = {}
+        # Local monotonic times in seconds of the ends.
+        self._ended_at: dict[fleet.Incarnation, float] = {}
+
+    async def examine(
+        self, fingerprint: str, endpoint: fleet.Endpoint
+    ) -> None:
+        """Find out whether an endpoint that broke a connection has ended.
+
+        :param fingerprint: fingerprint of the request on that connection.
+        :param endpoint: the endpoint.
+        """
+        incarnation = fleet.incarnation_of(endpoint)
+        if self._state_of(incarnation) is poison.EndpointState.LEAVING:
+            return
+        self._endpoints[incarnation] = endpoint
+        self._broken.add(
+            poison.BrokenConnection(
+                fingerprint,
+                incarnation,
+                trio.current_time(),
+                self._tracker.load(endpoint.endpoint_id) + 1,
+            )
+        )
+        while incarnation in self._checks:
+            await self._checks[incarnation].wait()
+        if incarnation not in self._ended_at:
+            with self._checking(incarnation):
+                if await self._is_reachable(endpoint):
+                    return
+        self._record_end(incarnation)
+
+    @contextlib.contextmanager
+    def _checking(
+        self, incarnation: fleet.Incarnation
+    ) -> collections.abc.Iterator[None]:
+        """Let other requests wait for the result of this check."""
+        self._checks[incarnation] = trio.Event()
+        try:
+            yield
+        finally:
+            self._checks.pop(incarnation).set()
+
+    def _state_of(
+        self, incarnation: fleet.Incarnation
+    ) -> poison.EndpointState:
+        endpoint_id, started_at_ms = incarnation
+        registry = self._view.registry
+        found = registry.get(endpoint_id)
+        if found is None and endpoint_id in registry.recently_removed:
+            removed = registry.recently_removed[endpoint_id].endpoint
+            if removed.started_at_ms == started_at_ms and removed.draining:
+                return poison.EndpointState.LEAVING
+        if found is None or found.started_at_ms != started_at_ms:
+            return poison.EndpointState.GONE
+        if found.draining:
+            return poison.EndpointState.LEAVING
+        return poison.EndpointState.REGISTERED
+
+    def _record_end(self, incarnation: fleet.Incarnation) -> None:
+        broken = self._broken.take(incarnation)
+        if not broken:
+            return
+        is_new = incarnation not in self._ended_at
+        self._ended_at[incarnation] = trio.current_time()
+        self._report_crash(Crash(incarnation, broken, is_new))
+
+    async def observe(self) -> None:
+        """Decide about broken connections; drop what has expired."""
+        now = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for incarnation in self._broken.decide(self._state_of, now):
+                nursery.start_soon(self._examine_gone, incarnation)
+        self._find_survivors()
+        for incarnation, at in list(self._ended_at.items()):
+            if now - at > poison.NOTICE_RETENTION_S:
+                del self._ended_at[incarnation]
+        kept = self._ended_at.keys() | self._broken.endpoints
+        for incarnation in self._endpoints.keys() - kept:
+            del self._endpoints[incarnation]
+
+    async def _examine_gone(self, incarnation: fleet.Incarnation) -> None:
+        """Examine an endpoint that is not registered any more.
+
+        A registration may lapse although its endpoint lives.
+        """
+        endpoint = self._endpoints[incarnation]
+        if self._is_replaced(endpoint):
+            self._record_end(incarnation)
+        elif await self._is_reachable(endpoint):
+            self._broken.take(incarnation)
+        else:
+            self._record_end(incarnation)
+
+    def _is_replaced(self, endpoint: fleet.Endpoint) -> bool:
+        """Return whether another start has registered at its address."""
+        return any(
+            (found.host, found.port) == (endpoint.host, endpoint.port)
+            and found.started_at_ms > endpoint.started_at_ms
+            for found in self._view.registry.endpoints
+        )
+
+    def _find_survivors(self) -> None:
+        """Report endpoints that make progress after their presumed end."""
+        for incarnation, at in list(self._ended_at.items()):
+            if self._state_of(incarnation) is poison.EndpointState.GONE:
+                continue
+            progress_at = self._tracker.record(incarnation[0]).progress_at
+            if progress_at < at + SURVIVAL_S:
+                continue
+            del self._ended_at[incarnation]
+            self._report_survival(incarnation)
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -6,20 +6,15 @@
 Now and then a request ends each endpoint that begins to run it, and its caller
 sends it again, at any node, with another identifier. The rules that decide are
 those of :mod:`wasabilanding.poison`; here is what they need: a request's
-fingerprint, what counts as a crash, and the exchange with the other nodes.
+fingerprint, and the exchange with the other nodes. What counts as a crash is
+found out in :mod:`wasabilanding.gateway.crash_evidence`.
 
 A request is identified by host, path with query, customer and body. Its
 fingerprint is computed only once one of its connections broke, or while any
 request is suspected, so that it costs nothing on a calm day.
-
-After a connection broke, the node connects to the endpoint anew. If nothing
-accepts, the endpoint has ended. If it accepts, and its registration is
-removed or replaced within some seconds, it has ended too. An endpoint that
-was leaving has not crashed.
 """
 
 import collections.abc
-import contextlib
 import logging
 
 import trio
@@ -28,6 +23,7 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import crash_evidence
 from wasabilanding.gateway import crash_reports
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import request_state as request_state_module
@@ -37,8 +33,6 @@
 
 # From this weight on, all nodes try a suspected request at the same endpoint.
 CONFINED_WEIGHT = 0.5
-# Progress of an endpoint so long after its presumed crash shows that it lives.
-SURVIVAL_S = 0.5
 QUARANTINE_OBSTACLE = "the request ends the endpoints that run it"
 
 _NOT_SUSPECTED = poison.SuspicionStatus()
@@ -64,22 +58,16 @@
         view: cluster_view_module.ClusterView,
         tracker: dispatch.EndpointTracker,
         metrics: metrics_module.Metrics,
-        is_reachable: collections.abc.Callable[
-            [fleet.Endpoint], collections.abc.Awaitable[bool]
-        ] = upstream_module.is_reachable,
+        is_reachable: crash_evidence.IsReachable = (
+            upstream_module.is_reachable
+        ),
     ) -> None:
-        self._view = view
-        self._tracker = tracker
         self._metrics = metrics
-        self._is_reachable = is_reachable
         self._report: Report = lambda reports: None
         self._suspicions = poison.Suspicions()
-        self._broken = poison.BrokenConnections()
-        self._endpoints: dict[fleet.Incarnation, fleet.Endpoint] = {}
-        # Endpoints that are being connected to, and those found to have ended
-        # with the local monotonic time in seconds.
-        self._checks: dict[fleet.Incarnation, trio.Event] = {}
-        self._crashed: dict[fleet.Incarnation, float] = {}
+        self._evidence = crash_evidence.CrashEvidence(
+            view, tracker, is_reachable, self._record_crash, self._withdraw
+        )
         self._repeated = {
             scope: crash_reports.RepeatedNotices()
             for scope in crash_reports.Scope
@@ -115,10 +103,7 @@
 
         :param now: local monotonic time in seconds.
         """
-        return sum(
-            self._suspicions.status(fingerprint, now).suspected
-            for fingerprint in self._suspicions.suspects
-        )
+        return len(self._suspicions.suspected(now))
 
     def check(self, state: State) -> None:
         """Reject a request that is quarantined.
@@ -188,83 +173,37 @@
         )
         self._share([notice], now)
 
-    # Evidence.
-
     async def examine(self, state: State, endpoint: fleet.Endpoint) -> None:
         """Find out whether an endpoint that broke a connection has ended.
 
         :param state: the request on that connection.
         :param endpoint: the endpoint.
         """
-        incarnation = fleet.incarnation_of(endpoint)
-        if self._state_of(incarnation) is poison.EndpointState.LEAVING:
-            return
-        self._endpoints[incarnation] = endpoint
-        in_flight = self._tracker.load(endpoint.endpoint_id) + 1
-        self._broken.add(
-            poison.BrokenConnection(
-                _fingerprint(state),
-                incarnation,
-                trio.current_time(),
-                in_flight,
-            )
-        )
-        while incarnation in self._checks:
-            await self._checks[incarnation].wait()
-        if incarnation in self._crashed:
-            self._record_crash(incarnation)
-            return
-        with self._checking(incarnation):
-            is_alive = await self._is_reachable(endpoint)
-        if not is_alive:
-            self._record_crash(incarnation)
-
-    @contextlib.contextmanager
-    def _checking(
-        self, incarnation: fleet.Incarnation
-    ) -> collections.abc.Iterator[None]:
-        self._checks[incarnation] = trio.Event()
-        try:
-            yield
-        finally:
-            self._checks.pop(incarnation).set()
-
-    def _state_of(
-        self, incarnation: fleet.Incarnation
-    ) -> poison.EndpointState:
-        endpoint_id, started_at_ms = incarnation
-        registry = self._view.registry
-        found = registry.get(endpoint_id)
-        if found is None and endpoint_id in registry.recently_removed:
-            removed = registry.recently_removed[endpoint_id].endpoint
-            if removed.started_at_ms == started_at_ms and removed.draining:
-                return poison.EndpointState.LEAVING
-        if found is None or found.started_at_ms != started_at_ms:
-            return poison.EndpointState.GONE
-        if found.draining:
-            return poison.EndpointState.LEAVING
-        return poison.EndpointState.REGISTERED
-
-    def _record_crash(self, incarnation: fleet.Incarnation) -> None:
+        await self._evidence.examine(_fingerprint(state), endpoint)
+
+    def _record_crash(self, crash: crash_evidence.Crash) -> None:
         """Record that an endpoint has ended under the requests it had."""
         now = trio.current_time()
-        broken = self._broken.take(incarnation)
-        if not broken:
-            return
-        if incarnation not in self._crashed:
+        if crash.is_new:
             self._metrics.count_crash("crash")
-        self._crashed[incarnation] = now
-        in_flight = _different_requests(broken)
+        in_flight = _different_requests(crash.broken)
         notices = [
             self._suspicions.record_crash(
-                b.fingerprint, _name(incarnation), b.at, in_flight
+                b.fingerprint, _name(crash.endpoint), b.at, in_flight
             )
-            for b in broken
+            for b in crash.broken
         ]
         for notice in notices:
             self._log_crash(notice, "this node", now)
         self._share(notices, now)
 
+    def _withdraw(self, endpoint: fleet.Incarnation) -> None:
+        """Withdraw the presumed crash of an endpoint that makes progress."""
+        now = trio.current_time()
+        name = _name(endpoint)
+        _LOG.info("%s has not ended: it makes progress", name)
+        self._share(self._suspicions.withdraw_all(name, now), now)
+
     def _log_crash(
         self, notice: poison.Notice, reporter: str, now: float
     ) -> None:
@@ -287,15 +226,7 @@
         """Decide about broken connections; drop what has expired."""
         now = trio.current_time()
         self._suspicions.forget(now)
-        for incarnation in self._broken.decide(self._state_of, now):
-            await self._examine_gone(incarnation)
-        self._withdraw_survivors(now)
-        for incarnation, at in list(self._crashed.items()):
-            if now - at > poison.NOTICE_RETENTION_S:
-                del self._crashed[incarnation]
-        kept = self._crashed.keys() | self._broken.endpoints
-        for incarnation in self._endpoints.keys() - kept:
-            del self._endpoints[incarnation]
+        await self._evidence.observe()
         self._metrics.set_suspected(
             {
                 "suspected": self.suspected_count(now),
@@ -303,40 +234,6 @@
             }
         )
 
-    async def _examine_gone(self, incarnation: fleet.Incarnation) -> None:
-        """Examine an endpoint that is not registered any more.
-
-        A registration may lapse although its endpoint lives.
-        """
-        endpoint = self._endpoints[incarnation]
-        if self._is_replaced(endpoint):
-            self._record_crash(incarnation)
-        elif await self._is_reachable(endpoint):
-            self._broken.take(incarnation)
-        else:
-            self._record_crash(incarnation)
-
-    def _is_replaced(self, endpoint: fleet.Endpoint) -> bool:
-        """Return whether another start has registered at its address."""
-        return any(
-            (found.host, found.port) == (endpoint.host, endpoint.port)
-            and found.started_at_ms > endpoint.started_at_ms
-            for found in self._view.registry.endpoints
-        )
-
-    def _withdraw_survivors(self, now: float) -> None:
-        """Withdraw presumed crashes of endpoints that make progress."""
-        for incarnation, at in list(self._crashed.items()):
-            if self._state_of(incarnation) is poison.EndpointState.GONE:
-                continue
-            progress_at = self._tracker.record(incarnation[0]).progress_at
-            if progress_at < at + SURVIVAL_S:
-                continue
-            del self._crashed[incarnation]
-            name = _name(incarnation)
-            _LOG.info("%s has not ended: it makes progress", name)
-            self._share(self._suspicions.withdraw_all(name, now), now)
-
     # Exchange with other nodes.
 
     def _share(
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -0,0 +1,87 @@
+"""Datagrams between nodes: what they have observed of endpoints.
+
+See :mod:`wasabilanding.gateway.hints` for who sends what to whom.
+"""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from wasabilanding import changefeed
+from wasabilanding.gateway import crash_reports
+from wasabilanding.gateway import limit_messages
+
+Count = typing.Annotated[int, pydantic.Field(ge=0)]
+Seconds = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+
+
+@dataclasses.dataclass(frozen=True)
+class LeavingEndpoint:
+    """An endpoint that has announced its shutdown.
+
+    :param endpoint_id: its identity.
+    :param started_at_ms: Unix time in milliseconds of its start.
+    """
+
+    endpoint_id: str
+    started_at_ms: Count
+
+
+@dataclasses.dataclass(frozen=True)
+class Hint:
+    """One node's observations of endpoints.
+
+    :param node: name of the node.
+    :param silent: identity of an endpoint that shows no progress; empty for
+        none.
+    :param in_flight: the node's requests in flight, by endpoint; None if not
+        included.
+    :param worked_ago_s: seconds since the node last saw progress of an
+        endpoint, for endpoints with recent progress.
+    :param number: number that a collector repeats; 0 for none.
+    :param leaving: endpoints that have recently announced their shutdown.
+    :param crashes: reports on requests under which endpoints have ended.
+    :param limits: limits that endpoints have recently named, or ended.
+    """
+
+    node: str
+    silent: str = ""
+    in_flight: dict[str, Count] | None = None
+    worked_ago_s: dict[str, Seconds] = dataclasses.field(default_factory=dict)
+    number: Count = 0
+    leaving: tuple[LeavingEndpoint, ...] = ()
+    crashes: tuple[crash_reports.CrashReport, ...] = ()
+    limits: tuple[limit_messages.LimitNotice, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class HintBatch:
+    """Content of one datagram.
+
+    :param sender: name of the node that sends it.
+    :param hints: hints of one or more nodes.
+    :param is_for_all: whether it is sent to all nodes; otherwise the receiver
+        must forward it.
+    :param changes: changes of the store; None if the sender is no collector.
+    :param domain: the sender's failure domain, if it is another one than the
+        receiver's; empty otherwise.
+    :param version: version of the configuration in force at the sender; 0 for
+        none.
+    :param asks_version: whether the receiver must answer with its version.
+    :param asks_crashes: whether the receiver must answer with its reports of
+        crashes.
+    :param questions: questions of the sender about endpoints with limits.
+    :param replies: replies to such questions of the receiver.
+    """
+
+    sender: str
+    hints: tuple[Hint, ...]
+    is_for_all: bool = True
+    changes: changefeed.Segment | None = None
+    domain: str = ""
+    version: Count = 0
+    asks_version: bool = False
+    asks_crashes: bool = False
+    questions: tuple[limit_messages.SendQuestion, ...] = ()
+    replies: tuple[limit_messages.SendReply, ...] = ()
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -54,7 +54,6 @@
 import random
 import typing
 
-import pydantic
 import trio
 
 from wasabilanding import changefeed
@@ -65,6 +64,7 @@
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import crash_reports
 from wasabilanding.gateway import directory
+from wasabilanding.gateway import hint_messages
 from wasabilanding.gateway import limit_messages
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import remote_reports
@@ -104,84 +104,10 @@
 LOCAL = crash_reports.Scope.LOCAL
 REMOTE = crash_reports.Scope.REMOTE
 
-Count = typing.Annotated[int, pydantic.Field(ge=0)]
-Seconds = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
-
 _LOG = logging.getLogger(__name__)
 Address = tuple[str, int]
 
 
-@dataclasses.dataclass(frozen=True)
-class LeavingEndpoint:
-    """An endpoint that has announced its shutdown.
-
-    :param endpoint_id: its identity.
-    :param started_at_ms: Unix time in milliseconds of its start.
-    """
-
-    endpoint_id: str
-    started_at_ms: Count
-
-
-@dataclasses.dataclass(frozen=True)
-class Hint:
-    """One node's observations of endpoints.
-
-    :param node: name of the node.
-    :param silent: identity of an endpoint that shows no progress; empty for
-        none.
-    :param in_flight: the node's requests in flight, by endpoint; None if not
-        included.
-    :param worked_ago_s: seconds since the node last saw progress of an
-        endpoint, for endpoints with recent progress.
-    :param number: number that a collector repeats; 0 for none.
-    :param leaving: endpoints that have recently announced their shutdown.
-    :param crashes: reports on requests under which endpoints have ended.
-    :param limits: limits that endpoints have recently named, or ended.
-    """
-
-    node: str
-    silent: str = ""
-    in_flight: dict[str, Count] | None = None
-    worked_ago_s: dict[str, Seconds] = dataclasses.field(default_factory=dict)
-    number: Count = 0
-    leaving: tuple[LeavingEndpoint, ...] = ()
-    crashes: tuple[crash_reports.CrashReport, ...] = ()
-    limits: tuple[limit_messages.LimitNotice, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True)
-class HintBatch:
-    """Content of one datagram.
-
-    :param sender: name of the node that sends it.
-    :param hints: hints of one or more nodes.
-    :param is_for_all: whether it is sent to all nodes; otherwise the receiver
-        must forward it.
-    :param changes: changes of the store; None if the sender is no collector.
-    :param domain: the sender's failure domain, if it is another one than the
-        receiver's; empty otherwise.
-    :param version: version of the configuration in force at the sender; 0 for
-        none.
-    :param asks_version: whether the receiver must answer with its version.
-    :param asks_crashes: whether the receiver must answer with its reports of
-        crashes.
-    :param questions: questions of the sender about endpoints with limits.
-    :param replies: replies to such questions of the receiver.
-    """
-
-    sender: str
-    hints: tuple[Hint, ...]
-    is_for_all: bool = True
-    changes: changefeed.Segment | None = None
-    domain: str = ""
-    version: Count = 0
-    asks_version: bool = False
-    asks_crashes: bool = False
-    questions: tuple[limit_messages.SendQuestion, ...] = ()
-    replies: tuple[limit_messages.SendReply, ...] = ()
-
-
 class Datagrams(typing.Protocol):
     """A datagram socket."""
 
@@ -221,7 +147,7 @@
         self._crash_guard = crash_guard
         self._grants = grants
         self._prefix = directory.address_prefix(wire)
-        self._collected: dict[str, Hint] = {}
+        self._collected: dict[str, hint_messages.Hint] = {}
         self._confirmations = changefeed.Confirmations(
             random.getrandbits(NUMBER_BITS)
         )
@@ -233,12 +159,12 @@
         self._remote_reports = remote_reports.RemoteReports()
         self._crash_questions = CRASH_QUESTIONS
         # Local monotonic times in seconds until which they are repeated.
-        self._leaving: dict[LeavingEndpoint, float] = {}
+        self._leaving: dict[hint_messages.LeavingEndpoint, float] = {}
         self._urgent_sender, self._urgent_receiver = trio.open_memory_channel[
-            Hint
+            hint_messages.Hint
         ](MAX_QUEUED_REPORTS)
         self._direct_sender, self._direct_receiver = trio.open_memory_channel[
-            tuple[HintBatch, Address]
+            tuple[hint_messages.HintBatch, Address]
         ](MAX_QUEUED_DATAGRAMS)
 
     def report_silent(self, endpoint_id: str) -> None:
@@ -254,17 +180,20 @@
             return
         if not self._tracker.record_silence(endpoint_id, now):
             return
-        self._queue(Hint(self._node, endpoint_id), f"{endpoint_id} is silent")
+        self._queue(
+            hint_messages.Hint(self._node, endpoint_id),
+            f"{endpoint_id} is silent",
+        )
 
     def report_leaving(self, incarnation: fleet.Incarnation) -> None:
         """Report that an endpoint has announced its shutdown to this node.
 
         :param incarnation: the endpoint.
         """
-        leaving = LeavingEndpoint(*incarnation)
+        leaving = hint_messages.LeavingEndpoint(*incarnation)
         self._repeat_leaving(leaving)
         self._queue(
-            Hint(self._node, leaving=(leaving,)),
+            hint_messages.Hint(self._node, leaving=(leaving,)),
             f"{leaving.endpoint_id} announces its shutdown",
         )
 
@@ -277,20 +206,22 @@
         :param reports: the reports.
         """
         self._queue(
-            Hint(self._node, crashes=tuple(reports)),
+            hint_messages.Hint(self._node, crashes=tuple(reports)),
             f"endpoints ended under {len(reports)} requests, or did not",
         )
 
-    def _repeat_leaving(self, leaving: LeavingEndpoint) -> None:
+    def _repeat_leaving(self, leaving: hint_messages.LeavingEndpoint) -> None:
         self._leaving[leaving] = trio.current_time() + LEAVING_REPEAT_S
 
-    def _recently_leaving(self, now: float) -> tuple[LeavingEndpoint, ...]:
+    def _recently_leaving(
+        self, now: float
+    ) -> tuple[hint_messages.LeavingEndpoint, ...]:
         for leaving, until in list(self._leaving.items()):
             if now >= until:
                 del self._leaving[leaving]
         return tuple(self._leaving)
 
-    def _queue(self, hint: Hint, content: str) -> None:
+    def _queue(self, hint: hint_messages.Hint, content: str) -> None:
         try:
             self._urgent_sender.send_nowait(hint)
         except trio.WouldBlock:
@@ -318,10 +249,14 @@
         """
         for nodes in (self._peers, *self._remote_nodes.values()):
             if node in nodes:
-                batch = HintBatch(self._node, (), questions=(question,))
+                batch = hint_messages.HintBatch(
+                    self._node, (), questions=(question,)
+                )
                 self._send_directly(batch, nodes[node])
 
-    def _send_directly(self, batch: HintBatch, address: Address) -> None:
+    def _send_directly(
+        self, batch: hint_messages.HintBatch, address: Address
+    ) -> None:
         try:
             self._direct_sender.send_nowait((batch, address))
         except trio.WouldBlock:
@@ -345,7 +280,7 @@
 
     async def _ask_versions(self, datagrams: Datagrams) -> None:
         """Ask other nodes for the version of their configuration."""
-        batch = HintBatch(self._node, (), asks_version=True)
+        batch = hint_messages.HintBatch(self._node, (), asks_version=True)
         while True:
             if not self._view.asks_peers:
                 await self._view.wait_changed()
@@ -359,23 +294,28 @@
             await trio.sleep(ASK_INTERVAL_S)
 
     async def _answer(
-        self, datagrams: Datagrams, question: HintBatch, address: Address
+        self,
+        datagrams: Datagrams,
+        question: hint_messages.HintBatch,
+        address: Address,
     ) -> None:
         if question.questions:
             now = trio.current_time()
             replies = tuple(
                 self._grants.answer(asked, now) for asked in question.questions
             )
-            batch = HintBatch(self._node, (), replies=replies)
+            batch = hint_messages.HintBatch(self._node, (), replies=replies)
             await self._send(datagrams, batch, [address])
         if question.asks_version and self._view.is_configuration_proven:
-            await self._send(datagrams, HintBatch(self._node, ()), [address])
+            await self._send(
+                datagrams, hint_messages.HintBatch(self._node, ()), [address]
+            )
         if not question.asks_crashes:
             return
         reports = self._crash_guard.quarantine_reports(trio.current_time())
         if reports:
-            hint = Hint(self._node, crashes=reports)
-            batch = HintBatch(self._node, (hint,))
+            hint = hint_messages.Hint(self._node, crashes=reports)
+            batch = hint_messages.HintBatch(self._node, (hint,))
             await self._send(datagrams, batch, [address])
 
     def _refresh_peers(self) -> None:
@@ -393,7 +333,7 @@
     async def _send_urgent(self, datagrams: Datagrams) -> None:
         async for hint in self._urgent_receiver:
             self._refresh_peers()
-            batch = HintBatch(self._node, (hint,))
+            batch = hint_messages.HintBatch(self._node, (hint,))
             await self._send(datagrams, batch, self._peers.values())
 
     async def _send_load(self, datagrams: Datagrams) -> None:
@@ -425,7 +365,7 @@
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
                 )
-                hint = Hint(
+                hint = hint_messages.Hint(
                     self._node,
                     in_flight=load,
                     worked_ago_s=worked,
@@ -454,7 +394,7 @@
         has_news = bool(leaving or crashes or limits)
         if not self._remote_reports.try_begin(load, has_news, now):
             return
-        hint = Hint(
+        hint = hint_messages.Hint(
             self._node,
             in_flight=load,
             leaving=leaving,
@@ -463,7 +403,7 @@
         )
         for domain, nodes in self._remote_nodes.items():
             has_collector = _needs_collector(len(nodes))
-            batch = HintBatch(
+            batch = hint_messages.HintBatch(
                 self._node, (hint,), not has_collector, domain=self._domain
             )
             addresses = list(nodes.values())
@@ -477,11 +417,11 @@
         return _needs_collector(len(self._peers) + 1)
 
     async def _send_load_hint(
-        self, datagrams: Datagrams, hint: Hint, now: float
+        self, datagrams: Datagrams, hint: hint_messages.Hint, now: float
     ) -> None:
         """Send to all peers or to the collector, which may be this node."""
         if not self._uses_collector:
-            batch = HintBatch(self._node, (hint,))
+            batch = hint_messages.HintBatch(self._node, (hint,))
             await self._send(datagrams, batch, self._peers.values())
             return
         collector = self._collector(now)
@@ -491,7 +431,7 @@
             return
         number = self._confirmations.issue(self._view.clock_time())
         hint = dataclasses.replace(hint, number=number)
-        batch = HintBatch(self._node, (hint,), is_for_all=False)
+        batch = hint_messages.HintBatch(self._node, (hint,), is_for_all=False)
         await self._send(datagrams, batch, (self._peers[collector],))
 
     def _collector(self, now: float) -> str:
@@ -509,7 +449,7 @@
         return self._node
 
     async def _forward_collected(self, datagrams: Datagrams) -> None:
-        batch = HintBatch(
+        batch = hint_messages.HintBatch(
             self._node,
             tuple(self._collected.values()),
             changes=self._view.cut_segment(),
@@ -520,7 +460,7 @@
     async def _send(
         self,
         datagrams: Datagrams,
-        batch: HintBatch,
+        batch: hint_messages.HintBatch,
         addresses: collections.abc.Iterable[Address],
     ) -> None:
         addresses = tuple(addresses)
@@ -553,10 +493,12 @@
 
     def _apply_datagram(
         self, data: bytes, sender: Address
-    ) -> HintBatch | None:
+    ) -> hint_messages.HintBatch | None:
         """Apply a datagram and return its content; None if it is invalid."""
         try:
-            batch = model.decode(HintBatch, compression.decompress(data))
+            batch = model.decode(
+                hint_messages.HintBatch, compression.decompress(data)
+            )
         except (compression.InvalidData, model.InvalidDocument) as error:
             _LOG.info(
                 "invalid datagram from %s:%d ignored: %s", *sender, error
@@ -585,7 +527,7 @@
             self._view.apply_segment(batch.changes, as_of, now)
         return batch
 
-    def _apply_hint(self, hint: Hint, now: float) -> None:
+    def _apply_hint(self, hint: hint_messages.Hint, now: float) -> None:
         if hint.in_flight is not None:
             self._tracker.update_peer_load(hint.node, hint.in_flight, now)
         for name, ago_s in hint.worked_ago_s.items():
@@ -600,7 +542,7 @@
         for notice in hint.limits:
             self._grants.apply_notice(notice, now)
 
-    def _apply_silent(self, hint: Hint, now: float) -> None:
+    def _apply_silent(self, hint: hint_messages.Hint, now: float) -> None:
         if self._tracker.record_silence(hint.silent, now):
             _LOG.info(
                 "%s reports that %s is silent",
@@ -610,7 +552,10 @@
             )
 
     def _apply_leaving(
-        self, hint: Hint, leaving: LeavingEndpoint, now: float
+        self,
+        hint: hint_messages.Hint,
+        leaving: hint_messages.LeavingEndpoint,
+        now: float,
     ) -> None:
         incarnation = (leaving.endpoint_id, leaving.started_at_ms)
         if not self._view.announce_shutdown(incarnation, now):
