Say once what the exchange of crashes and limits had written twice

Found on reading the change again; behaviour and assertions stay.

- The bounds of numbers on the wire stand in model.Count and model.Quantity; three modules of datagrams had written them again.
- fleet.incarnation_of and Registry.get_start replace five comparisons of identity and start.
- One function builds the part of a hint that is repeated, for nodes of the own failure domain and of others; one converts notices into reports.
- SendGrants makes its own NamedLimits, as every caller gave it a new one.
- The node that keeps an endpoint's limit had three names; it is its owner now, as in membership.owners_of.
- The log line on reports says that a suspicion has changed, where it said that endpoints ended, "or did not".

--- a/packages/decisions/wasabilanding/fleet/registry.py
+++ b/packages/decisions/wasabilanding/fleet/registry.py
@@ -78,6 +78,16 @@
         """
         return self._endpoints.get(endpoint_id)
 
+    def get_start(self, incarnation: Incarnation) -> Endpoint | None:
+        """Return one start of an endpoint, if it is the registered one.
+
+        :param incarnation: identity and start of the endpoint.
+        """
+        found = self._endpoints.get(incarnation[0])
+        if found is None or incarnation_of(found) != incarnation:
+            return None
+        return found
+
     def announce_shutdown(
         self, endpoint_id: str, started_at_ms: int, now: float
     ) -> bool:
@@ -106,10 +116,7 @@
 
         :param endpoint: the endpoint.
         """
-        return (
-            endpoint.endpoint_id,
-            endpoint.started_at_ms,
-        ) in self._announced
+        return incarnation_of(endpoint) in self._announced
 
     def announced_since(self) -> dict[str, float]:
         """Return when registered endpoints announced their shutdown.
@@ -117,10 +124,9 @@
         :returns: local monotonic time in seconds, by identity.
         """
         return {
-            name: at
-            for (name, started_at_ms), at in self._announced.items()
-            if name in self._endpoints
-            and self._endpoints[name].started_at_ms == started_at_ms
+            incarnation[0]: at
+            for incarnation, at in self._announced.items()
+            if self.get_start(incarnation) is not None
         }
 
     def note_store_recovery(self, now: float) -> None:
--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -29,6 +29,7 @@
 from wasabilanding.model.profiles import PlainProfile
 from wasabilanding.model.profiles import Profile
 from wasabilanding.model.profiles import ReplicaProfile
+from wasabilanding.model.quantities import Count
 from wasabilanding.model.quantities import Quantity
 from wasabilanding.model.quantities import rounded_down
 from wasabilanding.model.quantities import rounded_up
@@ -46,6 +47,7 @@
 from wasabilanding.model.store_revision import StoreRevision
 
 __all__ = [
+    "Count",
     "DomainRecord",
     "Era",
     "InvalidDocument",
--- a/packages/decisions/wasabilanding/model/quantities.py
+++ b/packages/decisions/wasabilanding/model/quantities.py
@@ -13,6 +13,7 @@
 
 import pydantic
 
+Count = typing.Annotated[int, pydantic.Field(ge=0)]
 Quantity = typing.Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
 
 
--- a/packages/gateway/wasabilanding/gateway/crash_evidence.py
+++ b/packages/gateway/wasabilanding/gateway/crash_evidence.py
@@ -115,18 +115,20 @@
     def _state_of(
         self, incarnation: fleet.Incarnation
     ) -> poison.EndpointState:
-        endpoint_id, started_at_ms = incarnation
         registry = self._view.registry
-        found = registry.get(endpoint_id)
-        if found is None and endpoint_id in registry.recently_removed:
-            removed = registry.recently_removed[endpoint_id].endpoint
-            if removed.started_at_ms == started_at_ms and removed.draining:
-                return poison.EndpointState.LEAVING
-        if found is None or found.started_at_ms != started_at_ms:
-            return poison.EndpointState.GONE
-        if found.draining:
+        found = registry.get_start(incarnation)
+        if found is not None and not found.draining:
+            return poison.EndpointState.REGISTERED
+        if found is None:
+            removed = registry.recently_removed.get(incarnation[0])
+            found = removed.endpoint if removed is not None else None
+        if (
+            found is not None
+            and found.draining
+            and fleet.incarnation_of(found) == incarnation
+        ):
             return poison.EndpointState.LEAVING
-        return poison.EndpointState.REGISTERED
+        return poison.EndpointState.GONE
 
     def _record_end(self, incarnation: fleet.Incarnation) -> None:
         broken = self._broken.take(incarnation)
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -241,7 +241,7 @@
     ) -> None:
         self._repeat(notices, now)
         first = list(notices)[: crash_reports.MAX_REPORTS_PER_DATAGRAM]
-        self._report([crash_reports.report_of(n, now) for n in first])
+        self._report(_reports(first, now))
 
     def _repeat(
         self, notices: collections.abc.Collection[poison.Notice], now: float
@@ -263,7 +263,7 @@
         due = repeated.take_due(now)
         if not due and repeated.is_quarantine_due(now):
             due = self._quarantine_notices(now)
-        return tuple(crash_reports.report_of(n, now) for n in due)
+        return _reports(due, now)
 
     def quarantine_reports(
         self, now: float
@@ -272,8 +272,7 @@
 
         :param now: local monotonic time in seconds.
         """
-        notices = self._quarantine_notices(now)
-        return tuple(crash_reports.report_of(n, now) for n in notices)
+        return _reports(self._quarantine_notices(now), now)
 
     def _quarantine_notices(self, now: float) -> list[poison.Notice]:
         notices = [
@@ -303,6 +302,12 @@
             self._log_crash(notice, node, now)
 
 
+def _reports(
+    notices: collections.abc.Iterable[poison.Notice], now: float
+) -> tuple[crash_reports.CrashReport, ...]:
+    return tuple(crash_reports.report_of(notice, now) for notice in notices)
+
+
 def _fingerprint(state: State) -> str:
     """Return the fingerprint of a request, computed once."""
     if not state.fingerprint:
--- a/packages/gateway/wasabilanding/gateway/crash_reports.py
+++ b/packages/gateway/wasabilanding/gateway/crash_reports.py
@@ -20,6 +20,7 @@
 
 import pydantic
 
+from wasabilanding import model
 from wasabilanding import poison
 
 # Time for which a report is repeated.
@@ -52,7 +53,7 @@
     kind: poison.NoticeKind
     fingerprint: str
     endpoint: str
-    age_s: typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+    age_s: model.Quantity
     in_flight: typing.Annotated[int, pydantic.Field(ge=1)] = 1
 
 
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -180,7 +180,7 @@
         self._grants.record_limit(incarnation, notice.limit_per_s, now)
 
     def _record_leaving(self, endpoint: fleet.Endpoint, now: float) -> None:
-        incarnation = (endpoint.endpoint_id, endpoint.started_at_ms)
+        incarnation = fleet.incarnation_of(endpoint)
         if not self._view.announce_shutdown(incarnation, now):
             return
         self._metrics.count_notice("leaving")
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -4,16 +4,11 @@
 """
 
 import dataclasses
-import typing
-
-import pydantic
 
 from wasabilanding import changefeed
 from wasabilanding.gateway import crash_reports
 from wasabilanding.gateway import limit_messages
-
-Count = typing.Annotated[int, pydantic.Field(ge=0)]
-Seconds = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+from wasabilanding import model
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,7 +20,7 @@
     """
 
     endpoint_id: str
-    started_at_ms: Count
+    started_at_ms: model.Count
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,13 +42,20 @@
 
     node: str
     silent: str = ""
-    in_flight: dict[str, Count] | None = None
-    worked_ago_s: dict[str, Seconds] = dataclasses.field(default_factory=dict)
-    number: Count = 0
+    in_flight: dict[str, model.Count] | None = None
+    worked_ago_s: dict[str, model.Quantity] = dataclasses.field(
+        default_factory=dict
+    )
+    number: model.Count = 0
     leaving: tuple[LeavingEndpoint, ...] = ()
     crashes: tuple[crash_reports.CrashReport, ...] = ()
     limits: tuple[limit_messages.LimitNotice, ...] = ()
 
+    @property
+    def has_notices(self) -> bool:
+        """Whether it says something besides load and progress."""
+        return bool(self.leaving or self.crashes or self.limits)
+
 
 @dataclasses.dataclass(frozen=True)
 class HintBatch:
@@ -80,7 +82,7 @@
     is_for_all: bool = True
     changes: changefeed.Segment | None = None
     domain: str = ""
-    version: Count = 0
+    version: model.Count = 0
     asks_version: bool = False
     asks_crashes: bool = False
     questions: tuple[limit_messages.SendQuestion, ...] = ()
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -207,7 +207,7 @@
         """
         self._queue(
             hint_messages.Hint(self._node, crashes=tuple(reports)),
-            f"endpoints ended under {len(reports)} requests, or did not",
+            f"the suspicion against {len(reports)} requests has changed",
         )
 
     def _repeat_leaving(self, leaving: hint_messages.LeavingEndpoint) -> None:
@@ -229,15 +229,15 @@
         else:
             _LOG.info("reporting to other nodes that %s", content)
 
-    def keepers_of(self, failure_domain: str) -> send_grants.Keepers:
-        """Return the nodes that keep the limits of some endpoints.
+    def owners_of(self, failure_domain: str) -> send_grants.Owners:
+        """Return the nodes that may own the limits of some endpoints.
 
         :param failure_domain: failure domain of the endpoints.
         """
         if failure_domain == self._domain:
-            return send_grants.Keepers(self._node, (*self._peers, self._node))
+            return send_grants.Owners(self._node, (*self._peers, self._node))
         names = tuple(self._remote_nodes.get(failure_domain, ()))
-        return send_grants.Keepers(self._node, names or (self._node,))
+        return send_grants.Owners(self._node, names or (self._node,))
 
     def ask_to_send(
         self, node: str, question: limit_messages.SendQuestion
@@ -355,23 +355,14 @@
             if not self._uses_collector:
                 self._view.feeds_peers = False
             load = self._tracker.local_load
-            leaving = self._recently_leaving(now)
-            crashes = self._crash_guard.due_reports(LOCAL, now)
-            limits = self._grants.due_notices(now)
-            has_news = bool(
-                leaving or crashes or limits or self._crash_questions
-            )
+            notices = self._due_notices(LOCAL, now)
+            has_news = notices.has_notices or self._crash_questions > 0
             if load or last_load or has_news or self._uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
                 )
-                hint = hint_messages.Hint(
-                    self._node,
-                    in_flight=load,
-                    worked_ago_s=worked,
-                    leaving=leaving,
-                    crashes=crashes,
-                    limits=limits,
+                hint = dataclasses.replace(
+                    notices, in_flight=load, worked_ago_s=worked
                 )
                 await self._send_load_hint(datagrams, hint, now)
             if self._collected:
@@ -379,6 +370,17 @@
             await self._send_remote(datagrams, now)
             last_load = load
 
+    def _due_notices(
+        self, scope: crash_reports.Scope, now: float
+    ) -> hint_messages.Hint:
+        """Return a hint with all that is to be repeated to some nodes."""
+        return hint_messages.Hint(
+            self._node,
+            leaving=self._recently_leaving(now),
+            crashes=self._crash_guard.due_reports(scope, now),
+            limits=self._grants.due_notices(now),
+        )
+
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
         """Report load, shutdowns and crashes to other failure domains."""
         if self._uses_collector and not self._view.feeds_peers:
@@ -388,19 +390,13 @@
         load = self._tracker.local_load
         if self._uses_collector:
             load = self._tracker.load_of_nodes(self._peers)
-        leaving = self._recently_leaving(now)
-        crashes = self._crash_guard.due_reports(REMOTE, now)
-        limits = self._grants.due_notices(now)
-        has_news = bool(leaving or crashes or limits)
-        if not self._remote_reports.try_begin(load, has_news, now):
-            return
-        hint = hint_messages.Hint(
-            self._node,
-            in_flight=load,
-            leaving=leaving,
-            crashes=crashes,
-            limits=limits,
+        notices = self._due_notices(REMOTE, now)
+        is_begun = self._remote_reports.try_begin(
+            load, notices.has_notices, now
         )
+        if not is_begun:
+            return
+        hint = dataclasses.replace(notices, in_flight=load)
         for domain, nodes in self._remote_nodes.items():
             has_collector = _needs_collector(len(nodes))
             batch = hint_messages.HintBatch(
--- a/packages/gateway/wasabilanding/gateway/limit_messages.py
+++ b/packages/gateway/wasabilanding/gateway/limit_messages.py
@@ -7,9 +7,8 @@
 
 from wasabilanding import dispatch
 from wasabilanding import fleet
+from wasabilanding import model
 
-Count = typing.Annotated[int, pydantic.Field(ge=0)]
-Quantity = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 Rank = typing.Annotated[int, pydantic.Field(ge=0, lt=len(dispatch.SHARES))]
 MaxWait = typing.Annotated[
     float,
@@ -28,9 +27,9 @@
     """
 
     endpoint_id: str
-    started_at_ms: Count
-    per_s: Quantity | None
-    age_s: Quantity
+    started_at_ms: model.Count
+    per_s: model.Quantity | None
+    age_s: model.Quantity
 
     @property
     def incarnation(self) -> fleet.Incarnation:
@@ -48,7 +47,7 @@
     :param max_wait_s: seconds that the request may wait.
     """
 
-    number: Count
+    number: model.Count
     notice: LimitNotice
     rank: Rank
     max_wait_s: MaxWait
@@ -63,9 +62,9 @@
     :param wait_s: seconds until it may be sent, or until the next one may.
     """
 
-    number: Count
+    number: model.Count
     is_granted: bool
-    wait_s: Quantity
+    wait_s: model.Quantity
 
 
 def notice_of(
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -73,9 +73,7 @@
         self._crash_guard = crash_guard.CrashGuard(
             self.view, self._tracker, metrics
         )
-        self._grants = send_grants.SendGrants(
-            dispatch.NamedLimits(), metrics, rng
-        )
+        self._grants = send_grants.SendGrants(metrics, rng)
         self._nodes_prefix = directory.address_prefix(wire)
         self._hints = hints.HintExchange(
             settings.node,
@@ -87,7 +85,7 @@
             wire,
         )
         self._grants.exchange_through(
-            self._hints.ask_to_send, self._hints.keepers_of
+            self._hints.ask_to_send, self._hints.owners_of
         )
         self._crash_guard.report_through(self._hints.report_crashes)
         self._guard = endpoint_guard.EndpointGuard(
--- a/packages/gateway/wasabilanding/gateway/send_grants.py
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -3,12 +3,12 @@
 Explanation
 ===========
 
-One node keeps the times at which requests may be sent to an endpoint
-(:mod:`wasabilanding.dispatch.send_slots`). The others ask it by a datagram for
-each request. A question that is not answered is repeated under its number, for
-which the same reply is given again; if there is none at all, the request is
-not sent. A node that leaves several questions in a row without a reply is
-replaced by the next one in the order for a while.
+One node, the owner of an endpoint's limit, keeps the times at which requests
+may be sent to it (:mod:`wasabilanding.dispatch.send_slots`). The others ask
+the owner by a datagram for each request. A question that is not answered is
+repeated under its number, for which the same reply is given again; if there is
+none at all, the request is not sent. An owner that leaves several questions in
+a row without a reply is replaced by the next node in the order for a while.
 
 A refused node remembers when the next request may be sent, and does not ask
 before.
@@ -46,8 +46,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Keepers:
-    """Nodes that may keep the limit of an endpoint.
+class Owners:
+    """Nodes that may own the limit of an endpoint.
 
     :param own: name of this node.
     :param names: names of the nodes, this one included if it is one of them.
@@ -58,7 +58,7 @@
 
 
 SendTo = collections.abc.Callable[[str, limit_messages.SendQuestion], None]
-KeepersOf = collections.abc.Callable[[str], Keepers]
+OwnersOf = collections.abc.Callable[[str], Owners]
 
 
 @dataclasses.dataclass
@@ -77,23 +77,21 @@
 class SendGrants:
     """Permissions to send requests to endpoints with limits.
 
-    :param limits: the known limits.
     :param metrics: counts the permissions.
     :param rng: draws numbers.
     """
 
     def __init__(
         self,
-        limits: dispatch.NamedLimits,
         metrics: metrics_module.Metrics,
         rng: random.Random,
     ) -> None:
-        self._limits = limits
+        self._limits = dispatch.NamedLimits()
         self._metrics = metrics
         self._rng = rng
         self._slots = dispatch.SendSlots()
         self._send_to: SendTo = lambda node, question: None
-        self._keepers_of: KeepersOf = lambda domain: Keepers("", ("",))
+        self._owners_of: OwnersOf = lambda domain: Owners("", ("",))
         self._waiting: dict[int, trio.MemorySendChannel] = {}
         self._kept: collections.OrderedDict[int, limit_messages.SendReply] = (
             collections.OrderedDict()
@@ -104,15 +102,15 @@
         # Local monotonic times in seconds before which not to ask.
         self._refused_until: dict[fleet.Incarnation, float] = {}
 
-    def exchange_through(self, send_to: SendTo, keepers_of: KeepersOf) -> None:
+    def exchange_through(self, send_to: SendTo, owners_of: OwnersOf) -> None:
         """Set how to reach the other nodes.
 
         :param send_to: sends a question to a node.
-        :param keepers_of: returns the nodes that may keep the limits of the
+        :param owners_of: returns the nodes that may own the limits of the
             endpoints of a failure domain.
         """
         self._send_to = send_to
-        self._keepers_of = keepers_of
+        self._owners_of = owners_of
 
     @property
     def has_limits(self) -> bool:
@@ -177,28 +175,28 @@
         notice: limit_messages.LimitNotice,
         max_wait_s: float,
     ) -> limit_messages.SendReply | None:
-        """Ask the node that keeps a limit; return its reply, if any."""
-        keepers = self._keepers_of(failure_domain)
-        rank, node = self._keeper(notice, keepers)
+        """Ask the owner of a limit; return its reply, if any."""
+        owners = self._owners_of(failure_domain)
+        rank, node = self._owner(notice, owners)
         question = limit_messages.SendQuestion(
             self._rng.getrandbits(NUMBER_BITS), notice, rank, max_wait_s
         )
-        if node == keepers.own:
+        if node == owners.own:
             return self.answer(question, trio.current_time())
         reply = await self._exchange(node, question)
         self._record_reply(node, reply is not None)
         return reply
 
-    def _keeper(
-        self, notice: limit_messages.LimitNotice, keepers: Keepers
+    def _owner(
+        self, notice: limit_messages.LimitNotice, owners: Owners
     ) -> tuple[int, str]:
-        """Return the rank and name of the node that keeps a limit now."""
+        """Return the rank and name of the node that owns a limit now."""
         order = membership.owners_of(
-            notice.endpoint_id, keepers.names, len(dispatch.SHARES)
+            notice.endpoint_id, owners.names, len(dispatch.SHARES)
         )
         now = trio.current_time()
         for rank, node in enumerate(order):
-            if node == keepers.own:
+            if node == owners.own:
                 return rank, node
             if now >= self._reliability[node].replaced_until:
                 return rank, node
@@ -241,7 +239,7 @@
     def answer(
         self, question: limit_messages.SendQuestion, now: float
     ) -> limit_messages.SendReply:
-        """Answer a question for an endpoint whose limit this node keeps.
+        """Answer a question for an endpoint whose limit this node owns.
 
         :param question: the question.
         :param now: local monotonic time in seconds.
@@ -320,15 +318,9 @@
         :param registry: the registered endpoints.
         :param now: local monotonic time in seconds.
         """
-
-        def is_registered(incarnation: fleet.Incarnation) -> bool:
-            found = registry.get(incarnation[0])
-            return (
-                found is not None
-                and fleet.incarnation_of(found) == incarnation
-            )
-
-        self._limits.drop_expired(is_registered, now)
+        self._limits.drop_expired(
+            lambda endpoint: registry.get_start(endpoint) is not None, now
+        )
         self._slots.drop_unused(now)
         for incarnation, until in list(self._refused_until.items()):
             if now >= until:
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -302,9 +302,7 @@
 
     :param node: name of the node.
     """
-    return send_grants.SendGrants(
-        dispatch.NamedLimits(), metrics.Metrics(node), random.Random(node)
-    )
+    return send_grants.SendGrants(metrics.Metrics(node), random.Random(node))
 
 
 class _FirstRandom(random.Random):
--- a/packages/gateway/wasabilanding/gateway/tests/limits.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/limits.feature
@@ -46,7 +46,7 @@
 
   Scenario: A repeated question gets the same reply
     Given 4 nodes in each of 2 failure domains that know limit 1 of e1
-    When the keeper of e1 is asked twice under one number
+    When the owner of e1 is asked twice under one number
     Then both replies are the same
     And one time is reserved
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/limits_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/limits_steps.py
@@ -43,7 +43,7 @@
         self.sent_at = []
 
     @property
-    def keeper(self):
+    def owner(self):
         """Name of the node that keeps the limit."""
         own = [name for name in self.names if name.startswith("z0")]
         return membership.owner_of("e1", own)
@@ -124,7 +124,7 @@
 
 
 def _is_other(senders):
-    return lambda name: name != senders.keeper
+    return lambda name: name != senders.owner
 
 
 @behave.given("one node learns limit {limit} of e1 at {at:g} s")
@@ -173,10 +173,10 @@
     assert least <= found <= most, found
 
 
-@behave.when("the keeper of e1 is asked twice under one number")
+@behave.when("the owner of e1 is asked twice under one number")
 def ask_twice(context):
     """Repeat a question."""
-    grants = context.senders.nodes.grants[context.senders.keeper]
+    grants = context.senders.nodes.grants[context.senders.owner]
     notice = limit_messages.LimitNotice(*NAMED, 2.0, 0.0)
 
     def asked(number, now):
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -78,7 +78,7 @@
 
 
 def bound_failure(error: reply_bounds.BoundExceeded) -> AttemptFailed:
-    """Return the failure of an attempt whose reply is too large.
+    """Log that a reply is too large; return the failure of its attempt.
 
     :param error: the bound that it breaks.
     """
