--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -10,6 +10,9 @@
 ``x-resumes-after``          number of the last event that the caller received
 ``x-endpoint``               intended endpoint
 ``x-customer``               customer that the key belongs to
+``x-prompt-parts``           parts of the prompt in order, separated by commas:
+                             identity in hexadecimal, colon, tokens. Requests
+                             may share all but the last one
 ============================ ===============================================
 
 An endpoint's reply repeats ``x-request``. ``x-not-run`` states that the
@@ -40,6 +43,7 @@
 LEAVING = b"x-leaving"
 LEAVING_YES = b"1"
 LIMIT = b"x-limit"
+PARTS = b"x-prompt-parts"
 # What replies say about their endpoint is not forwarded.
 NOTICES = (LEAVING, LIMIT)
 # Headers that the node sets or removes, so the caller's are not forwarded.
--- a/packages/standins/wasabilanding/standins/registered_engine.py
+++ b/packages/standins/wasabilanding/standins/registered_engine.py
@@ -28,6 +28,9 @@
 CHECK_INTERVAL_S = 0.05
 # A request whose path contains this ends each engine that runs it.
 CRASH_MARKER = "/crash"
+# A request with such a part, other than its last one, ends each engine that
+# begins to write its answer.
+CRASH_PART_PREFIX = "dead"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,7 +50,8 @@
     :param drain_s: minimum seconds that an engine serves after it has
         announced its shutdown.
     :param crash_after_s: seconds after which a request whose path contains
-        :data:`CRASH_MARKER` ends the engine that runs it.
+        :data:`CRASH_MARKER`, or an answer on a part whose identity begins
+        with :data:`CRASH_PART_PREFIX`, ends the engine.
     :param restart_after_s: seconds until such an engine starts again.
     """
 
@@ -92,6 +96,7 @@
         epoch; true for a plain endpoint.
     :param begun_at: time of day in seconds at which it began.
     :param end: how it ended.
+    :param parts: header with the parts of its prompt; empty for none.
     """
 
     request_id: str
@@ -103,6 +108,7 @@
     whole: bool
     begun_at: float = 0.0
     end: RunEnd = RunEnd.RUNNING
+    parts: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -127,6 +133,17 @@
     limit: str
 
 
+def ends_engine(parts: str) -> bool:
+    """Return whether the parts of a prompt end the engine that writes on it.
+
+    :param parts: header with the parts, such as "a1:40,dead01:300,b2:10".
+    """
+    return any(
+        part.strip().startswith(CRASH_PART_PREFIX)
+        for part in parts.split(",")[:-1]
+    )
+
+
 class Engine:
     """One engine of a fabric.
 
--- a/packages/standins/wasabilanding/standins/registered_engine_http.py
+++ b/packages/standins/wasabilanding/standins/registered_engine_http.py
@@ -204,6 +204,10 @@
                 await _run_for(engine, life, fabric.settings.crash_after_s)
                 crash(engine.endpoint_id)
                 await _run_for(engine, life, 0.0)
+        if registered_engine.ends_engine(fabric.runs[run].parts):
+            return _ending_answer(
+                engine, fabric, run, response_headers, crash
+            )
         if engine.fabric_domain:
             return _stream(engine, fabric, run, response_headers)
         with _track_run(engine, fabric, run) as life:
@@ -230,7 +234,35 @@
         body=body,
         whole=plain or fabric.had_all_members_ready(engine),
         begun_at=time.time(),
+        parts=headers.get(plain_wire.PARTS.decode(), ""),
+    )
+
+
+def _ending_answer(
+    engine: registered_engine.Engine,
+    fabric: registered_engine.Fabric,
+    run: int,
+    response_headers: dict[str, str],
+    crash: collections.abc.Callable[[str], None],
+) -> quart.Response:
+    """Return an answer whose engine ends once its head has been sent."""
+
+    async def begin() -> collections.abc.AsyncIterator[bytes]:
+        with _track_run(engine, fabric, run) as life:
+            await _run_for(engine, life, fabric.settings.crash_after_s)
+            crash(engine.endpoint_id)
+            await _run_for(engine, life, 0.0)
+        yield b""
+
+    is_stream = bool(engine.fabric_domain)
+    headers = {**response_headers, "x-events": "1"}
+    response = quart.Response(
+        begin(),
+        content_type=EVENTS_TYPE if is_stream else "application/json",
+        headers=headers if is_stream else response_headers,
     )
+    response.timeout = None
+    return response
 
 
 def _stream(
