Let a request's handler finish once its answer is complete

Cause: the server reports the end of each request as a disconnect, also after the last byte of the answer.

--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -153,10 +153,13 @@
 ) -> None:
     while True:
         message = await receive()
-        if message["type"] == "http.disconnect":
+        if message["type"] != "http.disconnect":
+            continue
+        # The server reports the end of each request so.
+        if not response.is_complete:
             response.caller_left = True
             scope.cancel()
-            return
+        return
 
 
 def callers_app(
