Turn away requests with a part that ends endpoints

The class: a guard whose unit is the whole request, while the fault sits in a piece of it.

Change: the parts of a prompt but the last are features of a request, as its content is one. Each end of an endpoint suspects the parts of all requests in flight there; a request that is sent later and answered clears its parts. A part is condemned after three ends that followed on one another (five where requests with it were answered before), 2 s after the first, unless one request explains them all. Requests are refused that have all of the parts that came together at each end: one with fewer has ended nothing yet, and tells more. Until then requests with a new part that has ended two endpoints go to one endpoint, the same on all nodes, and are not repeated by the node. Nodes tell each other as they do of whole requests.

Ruled out: parts condemned one by one.

--- a/packages/decisions/wasabilanding/fleet/__init__.py
+++ b/packages/decisions/wasabilanding/fleet/__init__.py
@@ -16,6 +16,7 @@
 from wasabilanding.fleet.endpoint import MemberState
 from wasabilanding.fleet.endpoint import ReplicaKey
 from wasabilanding.fleet.registry import Incarnation
+from wasabilanding.fleet.registry import incarnation_name
 from wasabilanding.fleet.registry import incarnation_of
 from wasabilanding.fleet.registry import RECOVERY_GRACE_S
 from wasabilanding.fleet.registry import Registry
@@ -34,6 +35,7 @@
     "RECOVERY_GRACE_S",
     "Registry",
     "Replica",
+    "incarnation_name",
     "incarnation_of",
     "merge_restored",
     "replicas_of",
--- a/packages/decisions/wasabilanding/fleet/registry.py
+++ b/packages/decisions/wasabilanding/fleet/registry.py
@@ -27,6 +27,21 @@
     return endpoint.endpoint_id, endpoint.started_at_ms
 
 
+def incarnation_name(incarnation: Incarnation) -> str:
+    """Return the name of one start of an endpoint, for notices and logs.
+
+    :param incarnation: identity and start.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import fleet
+    >>> fleet.incarnation_name(("e1", 7))
+    'e1@7'
+    """
+    return f"{incarnation[0]}@{incarnation[1]}"
+
+
 @dataclasses.dataclass(frozen=True)
 class RemovedEndpoint:
     """An endpoint that is no longer registered.
--- a/packages/decisions/wasabilanding/poison/__init__.py
+++ b/packages/decisions/wasabilanding/poison/__init__.py
@@ -22,6 +22,9 @@
 *Evidence.* A broken connection alone is no crash: endpoints reset connections
 while they live. :class:`BrokenConnections` keeps them until it is known.
 
+*Parts of prompts.* Requests that are all different may share the part that
+crashes replicas. :class:`PartSuspicions` suspects parts as well as requests.
+
 *Home replicas.* Notices are delayed, and copies of one request may arrive
 through all entry VMs at once. Each request may therefore run only on a few
 replicas of a failure domain, its *homes*, which every node determines in the
@@ -72,8 +75,14 @@
 from wasabilanding.poison.homes import HOMES_PER_REQUEST
 from wasabilanding.poison.homes import trial_names
 from wasabilanding.poison.homes import trial_order
+from wasabilanding.poison.parts import count_rounds
+from wasabilanding.poison.parts import PartStatus
+from wasabilanding.poison.parts import PartSuspicions
+from wasabilanding.poison.parts import SETTLE_S
 from wasabilanding.poison.suspicions import exact_fingerprint
+from wasabilanding.poison.suspicions import Feature
 from wasabilanding.poison.suspicions import fingerprint
+from wasabilanding.poison.suspicions import known_good
 from wasabilanding.poison.suspicions import Notice
 from wasabilanding.poison.suspicions import NOTICE_RETENTION_S
 from wasabilanding.poison.suspicions import NoticeKind
@@ -84,17 +93,23 @@
     "BrokenConnection",
     "BrokenConnections",
     "EndpointState",
+    "Feature",
     "HOMES_PER_REQUEST",
     "HOME_RETENTION_S",
     "NOTICE_RETENTION_S",
     "Notice",
     "NoticeKind",
     "HomeCandidates",
+    "PartStatus",
+    "PartSuspicions",
+    "SETTLE_S",
     "SuspicionStatus",
     "Suspicions",
+    "count_rounds",
     "exact_fingerprint",
     "fingerprint",
     "home_names",
+    "known_good",
     "trial_names",
     "trial_order",
 ]
--- a/packages/decisions/wasabilanding/poison/evidence.py
+++ b/packages/decisions/wasabilanding/poison/evidence.py
@@ -37,12 +37,16 @@
     :param endpoint: the endpoint.
     :param at: local monotonic time in seconds.
     :param in_flight: known requests in flight to the endpoint.
+    :param parts: parts of its prompt that others may share.
+    :param sent_at: local monotonic time in seconds at which it was sent.
     """
 
     fingerprint: str
     endpoint: fleet.Incarnation
     at: float
     in_flight: int
+    parts: tuple[str, ...] = ()
+    sent_at: float = 0.0
 
 
 class BrokenConnections:
--- a/packages/decisions/wasabilanding/poison/suspicions.py
+++ b/packages/decisions/wasabilanding/poison/suspicions.py
@@ -58,6 +58,13 @@
     return digest.hexdigest()
 
 
+class Feature(enum.Enum):
+    """What requests can have in common that ends endpoints."""
+
+    REQUEST = "request"
+    PART = "part"
+
+
 class NoticeKind(enum.Enum):
     """Kind of a notice."""
 
@@ -77,6 +84,13 @@
     :param at: local monotonic time of the event in seconds.
     :param in_flight: requests that were in flight at a crash, as far as the
         node knew that reports it.
+    :param feature: whether it is about a whole request, whose content the
+        fingerprint identifies, or about a part of a prompt.
+    :param sent_before_s: seconds between a request with the feature being
+        sent to the replica, the latest one, and the crash.
+    :param is_known_good: whether requests with the feature were answered
+        before.
+    :param companions: parts of the requests with a part, itself included.
     """
 
     kind: NoticeKind
@@ -84,6 +98,10 @@
     replica: str
     at: float
     in_flight: int = 1
+    feature: Feature = Feature.REQUEST
+    sent_before_s: float = 0.0
+    is_known_good: bool = False
+    companions: frozenset[str] = frozenset()
 
     @property
     def identity(self) -> tuple[NoticeKind, str, str]:
@@ -125,8 +143,16 @@
         )
 
 
+def known_good(notice: Notice) -> Notice:
+    """Return a notice on a feature with which requests were answered before.
+
+    :param notice: the notice.
+    """
+    return dataclasses.replace(notice, is_known_good=True)
+
+
 class Suspicions:
-    """Notices that a node has created or received."""
+    """Notices on one kind of feature that a node has created or received."""
 
     def __init__(self) -> None:
         self._notices: dict[tuple[NoticeKind, str, str], Notice] = {}
@@ -139,6 +165,11 @@
         """Whether no request is suspected or was."""
         return not self._notices
 
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Fingerprints with crashes that count or did."""
+        return tuple(self._crashes)
+
     def suspected(self, now: float) -> tuple[str, ...]:
         """Return the fingerprints of the requests that are suspected.
 
@@ -228,7 +259,42 @@
         :param notice: the notice, with its time on the local clock.
         """
         known = self._notices.get(notice.identity)
-        return known is None or notice.at > known.at + SAME_EVENT_S
+        if known is None or notice.at > known.at + SAME_EVENT_S:
+            return True
+        if notice.kind is NoticeKind.CLEARED:
+            return self._ends_suspicion(notice)
+        merged = _merged(known, notice)
+        return (merged.is_known_good, merged.companions) != (
+            known.is_known_good,
+            known.companions,
+        )
+
+    def _ends_suspicion(self, notice: Notice) -> bool:
+        """Return whether a crash counts that an answer speaks against."""
+        return any(
+            crash.at <= notice.at
+            for crash in self.valid_crashes(notice.fingerprint, notice.at)
+        )
+
+    def valid_crashes(self, request: str, now: float) -> list[Notice]:
+        """Return the crashes that count against a request, oldest first.
+
+        :param request: its fingerprint.
+        :param now: local monotonic time in seconds.
+        """
+        found = [
+            self._notices[(NoticeKind.CRASH, request, replica)]
+            for replica in self._crashes.get(request, ())
+            if self._is_valid_crash(request, replica, now)
+        ]
+        return sorted(found, key=lambda notice: notice.at)
+
+    def in_flight_at(self, replica: str) -> frozenset[str]:
+        """Return the fingerprints in flight at the crash of a replica.
+
+        :param replica: the replica.
+        """
+        return frozenset(self._requests.get(replica, ()))
 
     def merge(self, notice: Notice, now: float) -> bool:
         """Merge a notice; the latest one per identity is kept.
@@ -240,7 +306,9 @@
         if now - notice.at > NOTICE_RETENTION_S:
             return False
         known = self._notices.get(notice.identity)
-        if known and known.at >= notice.at:
+        if known:
+            notice = _merged(known, notice)
+        if known == notice:
             return False
         if known is None and len(self._notices) >= MAX_NOTICES:
             return False
@@ -348,6 +416,16 @@
         return abs(notice.at - at) <= MASS_EVENT_WINDOW_S
 
 
+def _merged(known: Notice, notice: Notice) -> Notice:
+    """Return what two notices say that have the same identity."""
+    latest = notice if notice.at > known.at else known
+    return dataclasses.replace(
+        latest,
+        is_known_good=known.is_known_good or notice.is_known_good,
+        companions=known.companions | notice.companions,
+    )
+
+
 def _discard(index: dict[str, set[str]], key: str, value: str) -> None:
     index[key].discard(value)
     if not index[key]:
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_parts_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_parts_steps.py
@@ -144,7 +144,7 @@
 
 def _fifth_end(times):
     """Return the time of day in seconds of the end that bounds count from."""
-    last = times[: COUNTED_ENDS][-1]
+    last = times[:COUNTED_ENDS][-1]
     return last + registered_engine.RegisteredSettings().crash_after_s
 
 
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -80,6 +80,8 @@
         self._answer = answer
         self._scope = trio.CancelScope()
         self._is_run_counted = False
+        # Local monotonic time in seconds.
+        self.sent_at = NEVER
         self.silence = dispatch.SilenceMonitor(trio.current_time())
 
     @property
@@ -125,6 +127,7 @@
         """
         state = self._state
         now = trio.current_time()
+        self.sent_at = now
         parameters = messages.AttemptParameters(
             endpoint=self._endpoint,
             remaining_s=state.deadline_at - now,
@@ -268,6 +271,11 @@
             await self._end_stream(head)
         else:
             await self._send_complete(head, b"".join(buffered))
+        return self._answered()
+
+    def _answered(self) -> model.Outcome:
+        """Return the outcome of an attempt with a whole answer."""
+        self._state.answered_sent_at = self.sent_at
         return model.completed()
 
     async def _send_complete(
@@ -305,4 +313,4 @@
                 )
             )
         await self._end_stream(head)
-        return model.completed()
+        return self._answered()
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -170,7 +170,7 @@
         if outcome is not None and _may_be_crash(outcome):
             # The next attempt depends on what is found.
             await self._context.crash_guard.examine(
-                self._state, attempt.endpoint
+                self._state, attempt.endpoint, attempt.sent_at
             )
         if attempt in self._open:
             self._open.remove(attempt)
--- a/packages/gateway/wasabilanding/gateway/crash_evidence.py
+++ b/packages/gateway/wasabilanding/gateway/crash_evidence.py
@@ -29,6 +29,20 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class SentRequest:
+    """A request that was sent to an endpoint.
+
+    :param fingerprint: its fingerprint.
+    :param parts: parts of its prompt that others may share.
+    :param sent_at: local monotonic time in seconds.
+    """
+
+    fingerprint: str
+    parts: tuple[str, ...]
+    sent_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Crash:
     """An endpoint that has ended.
@@ -74,11 +88,11 @@
         self._ended_at: dict[fleet.Incarnation, float] = {}
 
     async def examine(
-        self, fingerprint: str, endpoint: fleet.Endpoint
+        self, request: SentRequest, endpoint: fleet.Endpoint
     ) -> None:
         """Find out whether an endpoint that broke a connection has ended.
 
-        :param fingerprint: fingerprint of the request on that connection.
+        :param request: the request on that connection.
         :param endpoint: the endpoint.
         """
         incarnation = fleet.incarnation_of(endpoint)
@@ -87,10 +101,12 @@
         self._endpoints[incarnation] = endpoint
         self._broken.add(
             poison.BrokenConnection(
-                fingerprint,
+                request.fingerprint,
                 incarnation,
                 trio.current_time(),
                 self._tracker.load(endpoint.endpoint_id) + 1,
+                request.parts,
+                request.sent_at,
             )
         )
         while incarnation in self._checks:
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -6,8 +6,10 @@
 Now and then a request ends each endpoint that begins to run it, and its caller
 sends it again, at any node, with another identifier. The rules that decide are
 those of :mod:`wasabilanding.poison`; here is what they need: a request's
-fingerprint, and the exchange with the other nodes. What counts as a crash is
-found out in :mod:`wasabilanding.gateway.crash_evidence`.
+fingerprint, and what is told to the other nodes. What counts as a crash is
+found out in :mod:`wasabilanding.gateway.crash_evidence`; requests that have
+only a part of their prompts in common are recognized in
+:mod:`wasabilanding.gateway.part_guard`.
 
 A request is identified by host, path with query, customer and body. Its
 fingerprint is computed only once one of its connections broke, or while any
@@ -16,6 +18,7 @@
 
 import collections.abc
 import logging
+import typing
 
 import trio
 
@@ -24,8 +27,10 @@
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import crash_evidence
+from wasabilanding.gateway import crash_exchange
 from wasabilanding.gateway import crash_reports
 from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding.gateway import part_guard
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
@@ -34,14 +39,12 @@
 # From this weight on, all nodes try a suspected request at the same endpoint.
 CONFINED_WEIGHT = 0.5
 QUARANTINE_OBSTACLE = "the request ends the endpoints that run it"
+PART_OBSTACLE = "a part of the prompt ends the endpoints that write on it"
 
 _NOT_SUSPECTED = poison.SuspicionStatus()
 _LOG = logging.getLogger(__name__)
 
 State = request_state_module.RequestState
-Report = collections.abc.Callable[
-    [collections.abc.Collection[crash_reports.CrashReport]], None
-]
 
 
 class CrashGuard:
@@ -63,22 +66,19 @@
         ),
     ) -> None:
         self._metrics = metrics
-        self._report: Report = lambda reports: None
+        self._exchange = crash_exchange.CrashExchange()
         self._suspicions = poison.Suspicions()
+        self._parts = part_guard.PartGuard(self._suspicions)
         self._evidence = crash_evidence.CrashEvidence(
             view, tracker, is_reachable, self._record_crash, self._withdraw
         )
-        self._repeated = {
-            scope: crash_reports.RepeatedNotices()
-            for scope in crash_reports.Scope
-        }
 
-    def report_through(self, report: Report) -> None:
+    def report_through(self, report: crash_exchange.Report) -> None:
         """Set what sends reports to the other nodes at once.
 
         :param report: sends reports.
         """
-        self._report = report
+        self._exchange.report = report
 
     # Decisions about a request.
 
@@ -111,16 +111,23 @@
         :param state: the request, which has not been sent.
         :raises wasabilanding.gateway.request_state.RequestRejected: if it is.
         """
+        now = trio.current_time()
         status = self._status(state)
-        if not status.quarantined:
-            return
-        self._metrics.count_crash("rejection")
+        if status.quarantined:
+            detail = f"{QUARANTINE_OBSTACLE}: {_summary(state, status)}"
+            self._reject("rejection", detail, status.until - now)
+        found = self._parts.condemned_part(state, now)
+        if found is not None:
+            part, part_status = found
+            detail = f"{PART_OBSTACLE}: {_part_summary(part, part_status)}"
+            self._reject("part_rejection", detail, part_status.until - now)
+
+    def _reject(
+        self, kind: str, detail: str, retry_after_s: float
+    ) -> typing.NoReturn:
+        self._metrics.count_crash(kind)
         raise request_state_module.RequestRejected(
-            answers.not_run(
-                model.Reason.POISONED.value,
-                f"{QUARANTINE_OBSTACLE}: {_summary(state, status)}",
-                status.until - trio.current_time(),
-            )
+            answers.not_run(model.Reason.POISONED.value, detail, retry_after_s)
         )
 
     def obstacle(self, state: State) -> str:
@@ -128,7 +135,11 @@
 
         :param state: the request.
         """
-        return QUARANTINE_OBSTACLE if self._status(state).quarantined else ""
+        if self._status(state).quarantined:
+            return QUARANTINE_OBSTACLE
+        if self._parts.forbids_repeat(state, trio.current_time()):
+            return PART_OBSTACLE
+        return ""
 
     def confine(
         self,
@@ -142,7 +153,7 @@
         """
         status = self._status(state)
         if status.weight < CONFINED_WEIGHT:
-            return candidates
+            return self._parts.confine(state, candidates, trio.current_time())
         by_name = {
             _name_of(c.endpoint): c
             for c in candidates
@@ -159,27 +170,37 @@
         return [by_name[name] for name in order]
 
     def record_completed(self, state: State) -> None:
-        """Clear a request that an endpoint has answered.
+        """Clear a request that an endpoint has answered, and its parts.
 
         :param state: the request.
         """
+        now = trio.current_time()
+        if state.answered_sent_at is not None:
+            cleared = self._parts.record_answered(state, now)
+            if cleared:
+                self._exchange.share(cleared, now)
         if not self._status(state).suspected:
             return
-        now = trio.current_time()
         notice = self._suspicions.clear(state.fingerprint, now)
         _LOG.info(
             "suspected request is cleared: it was answered",
             extra=_log_fields(state),
         )
-        self._share([notice], now)
+        self._exchange.share([notice], now)
 
-    async def examine(self, state: State, endpoint: fleet.Endpoint) -> None:
+    async def examine(
+        self, state: State, endpoint: fleet.Endpoint, sent_at: float
+    ) -> None:
         """Find out whether an endpoint that broke a connection has ended.
 
         :param state: the request on that connection.
         :param endpoint: the endpoint.
+        :param sent_at: local monotonic time in seconds at which it was sent.
         """
-        await self._evidence.examine(_fingerprint(state), endpoint)
+        sent = crash_evidence.SentRequest(
+            _fingerprint(state), state.parts, sent_at
+        )
+        await self._evidence.examine(sent, endpoint)
 
     def _record_crash(self, crash: crash_evidence.Crash) -> None:
         """Record that an endpoint has ended under the requests it had."""
@@ -189,20 +210,28 @@
         in_flight = _different_requests(crash.broken)
         notices = [
             self._suspicions.record_crash(
-                b.fingerprint, _name(crash.endpoint), b.at, in_flight
+                b.fingerprint,
+                fleet.incarnation_name(crash.endpoint),
+                b.at,
+                in_flight,
             )
             for b in crash.broken
         ]
         for notice in notices:
             self._log_crash(notice, "this node", now)
-        self._share(notices, now)
+        part_notices = self._parts.record_crash(crash, now)
+        self._exchange.share([*part_notices, *notices], now)
 
     def _withdraw(self, endpoint: fleet.Incarnation) -> None:
         """Withdraw the presumed crash of an endpoint that makes progress."""
         now = trio.current_time()
-        name = _name(endpoint)
+        name = fleet.incarnation_name(endpoint)
         _LOG.info("%s has not ended: it makes progress", name)
-        self._share(self._suspicions.withdraw_all(name, now), now)
+        withdrawn = [
+            *self._suspicions.withdraw_all(name, now),
+            *self._parts.withdraw_all(name, now),
+        ]
+        self._exchange.share(withdrawn, now)
 
     def _log_crash(
         self, notice: poison.Notice, reporter: str, now: float
@@ -226,29 +255,18 @@
         """Decide about broken connections; drop what has expired."""
         now = trio.current_time()
         self._suspicions.forget(now)
+        self._parts.notices.forget(now)
         await self._evidence.observe()
         self._metrics.set_suspected(
             {
                 "suspected": self.suspected_count(now),
                 "quarantined": len(self._suspicions.quarantined(now)),
+                **self._parts.counts(now),
             }
         )
 
     # Exchange with other nodes.
 
-    def _share(
-        self, notices: collections.abc.Collection[poison.Notice], now: float
-    ) -> None:
-        self._repeat(notices, now)
-        first = list(notices)[: crash_reports.MAX_REPORTS_PER_DATAGRAM]
-        self._report(_reports(first, now))
-
-    def _repeat(
-        self, notices: collections.abc.Collection[poison.Notice], now: float
-    ) -> None:
-        for repeated in self._repeated.values():
-            repeated.add(notices, now)
-
     def due_reports(
         self, scope: crash_reports.Scope, now: float
     ) -> tuple[crash_reports.CrashReport, ...]:
@@ -259,11 +277,7 @@
         """
         if self._suspicions.are_empty:
             return ()
-        repeated = self._repeated[scope]
-        due = repeated.take_due(now)
-        if not due and repeated.is_quarantine_due(now):
-            due = self._quarantine_notices(now)
-        return _reports(due, now)
+        return self._exchange.due(scope, now, self._quarantine_notices)
 
     def quarantine_reports(
         self, now: float
@@ -272,7 +286,7 @@
 
         :param now: local monotonic time in seconds.
         """
-        return _reports(self._quarantine_notices(now), now)
+        return crash_exchange.reports(self._quarantine_notices(now), now)
 
     def _quarantine_notices(self, now: float) -> list[poison.Notice]:
         notices = [
@@ -280,6 +294,7 @@
             for fingerprint in self._suspicions.quarantined(now)
             for notice in self._suspicions.crashes_of(fingerprint)
         ]
+        notices += self._parts.quarantine_notices(now)
         return notices[-crash_reports.MAX_REPORTS_PER_DATAGRAM :]
 
     def apply_report(
@@ -292,22 +307,22 @@
         :param now: local monotonic time in seconds.
         """
         notice = crash_reports.notice_of(report, now)
-        if not self._suspicions.is_news(notice):
+        is_part = notice.feature is poison.Feature.PART
+        suspicions = self._parts.notices if is_part else self._suspicions
+        if is_part:
+            notice = self._parts.with_own_knowledge(notice, now)
+        if not suspicions.is_news(notice):
             return
-        if not self._suspicions.merge(notice, now):
+        if not suspicions.merge(notice, now):
             return
         # It is repeated, as this node may be the only one that reaches others.
-        self._repeat([notice], now)
-        if notice.kind is poison.NoticeKind.CRASH:
+        self._exchange.repeat([notice], now)
+        if is_part:
+            self._parts.log_received(notice, node, now)
+        elif notice.kind is poison.NoticeKind.CRASH:
             self._log_crash(notice, node, now)
 
 
-def _reports(
-    notices: collections.abc.Iterable[poison.Notice], now: float
-) -> tuple[crash_reports.CrashReport, ...]:
-    return tuple(crash_reports.report_of(notice, now) for notice in notices)
-
-
 def _fingerprint(state: State) -> str:
     """Return the fingerprint of a request, computed once."""
     if not state.fingerprint:
@@ -335,12 +350,8 @@
     return max(different, known - copies)
 
 
-def _name(incarnation: fleet.Incarnation) -> str:
-    return f"{incarnation[0]}@{incarnation[1]}"
-
-
 def _name_of(endpoint: fleet.Endpoint) -> str:
-    return _name(fleet.incarnation_of(endpoint))
+    return fleet.incarnation_name(fleet.incarnation_of(endpoint))
 
 
 def _summary(state: State, status: poison.SuspicionStatus) -> str:
@@ -348,6 +359,11 @@
     return f"{state.fingerprint} after {len(status.crashed)} crashes: {names}"
 
 
+def _part_summary(part: str, status: poison.PartStatus) -> str:
+    names = ", ".join(status.crashed)
+    return f"{part} after {len(status.crashed)} crashes: {names}"
+
+
 def _log_fields(state: State) -> dict[str, object]:
     return {
         "request": state.request.request_id,
--- a/packages/gateway/wasabilanding/gateway/crash_reports.py
+++ b/packages/gateway/wasabilanding/gateway/crash_reports.py
@@ -29,6 +29,8 @@
 QUARANTINE_PERIOD_S = 1.0
 MAX_REPORTS_PER_DATAGRAM = 32
 MAX_REPEATED = 4096
+# Parts named in a report; a datagram must hold all of its reports.
+MAX_COMPANIONS = 32
 
 
 class Scope(enum.Enum):
@@ -48,6 +50,11 @@
         that has completed.
     :param age_s: seconds since the event.
     :param in_flight: known requests in flight at the crash.
+    :param feature: whether it is about a request or a part of prompts.
+    :param sent_before_s: seconds between the latest request being sent and
+        the crash.
+    :param is_known_good: whether requests with the part were answered before.
+    :param companions: parts of the requests with the part.
     """
 
     kind: poison.NoticeKind
@@ -55,6 +62,10 @@
     endpoint: str
     age_s: model.Quantity
     in_flight: typing.Annotated[int, pydantic.Field(ge=1)] = 1
+    feature: poison.Feature = poison.Feature.REQUEST
+    sent_before_s: model.Quantity = 0.0
+    is_known_good: bool = False
+    companions: tuple[str, ...] = ()
 
 
 def report_of(notice: poison.Notice, now: float) -> CrashReport:
@@ -69,6 +80,10 @@
         notice.replica,
         round(max(now - notice.at, 0.0), 3),
         notice.in_flight,
+        notice.feature,
+        round(max(notice.sent_before_s, 0.0), 3),
+        notice.is_known_good,
+        tuple(sorted(notice.companions)[:MAX_COMPANIONS]),
     )
 
 
@@ -84,6 +99,10 @@
         report.endpoint,
         now - report.age_s,
         report.in_flight,
+        report.feature,
+        report.sent_before_s,
+        report.is_known_good,
+        frozenset(report.companions),
     )
 
 
--- a/packages/gateway/wasabilanding/gateway/messages.py
+++ b/packages/gateway/wasabilanding/gateway/messages.py
@@ -45,6 +45,8 @@
     :param expected_output_tokens: the caller's estimate of the answer's
         length; 0 if not given.
     :param headers: headers to forward.
+    :param prompt_parts: parts of the prompt, in the form of
+        :mod:`wasabilanding.gateway.prompt_parts`; empty for none.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     max_output_tokens: int
     expected_output_tokens: int
     headers: tuple[Header, ...]
+    prompt_parts: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/part_guard.py
@@ -0,0 +1,283 @@
+"""Turns away requests with a part of a prompt that ends endpoints.
+
+Explanation
+===========
+
+Requests that are all different may share a part of their prompts that ends
+each endpoint that writes an answer on it. Which part that is, is decided in
+:class:`wasabilanding.poison.PartSuspicions`. Until it is known, requests with
+a part that is new and has ended two endpoints are tried at one endpoint, the
+same on all nodes, and not repeated by the node.
+"""
+
+import collections
+import dataclasses
+import logging
+
+from wasabilanding import dispatch
+from wasabilanding import fleet
+from wasabilanding.gateway import answered_prompts
+from wasabilanding.gateway import crash_evidence
+from wasabilanding.gateway import request_state as request_state_module
+from wasabilanding import poison
+
+_LOG = logging.getLogger(__name__)
+
+State = request_state_module.RequestState
+
+
+class PartGuard:
+    """What a node knows of parts of prompts under which endpoints have ended.
+
+    :param requests: what it knows of whole requests.
+    """
+
+    def __init__(self, requests: poison.Suspicions) -> None:
+        self._suspicions = poison.PartSuspicions(requests)
+        self._answered = answered_prompts.AnsweredPrompts()
+        self.notices = self._suspicions.notices
+
+    def _statuses(
+        self, state: State, now: float
+    ) -> list[tuple[str, poison.PartStatus]]:
+        """Return the suspected parts of a request, with their status."""
+        if self.notices.are_empty:
+            return []
+        found = [
+            (part, self._suspicions.status(part, now)) for part in state.parts
+        ]
+        return [pair for pair in found if pair[1].crashed]
+
+    def condemned_part(
+        self, state: State, now: float
+    ) -> tuple[str, poison.PartStatus] | None:
+        """Return a part for which a request is turned away; None for none.
+
+        :param state: the request.
+        :param now: local monotonic time in seconds.
+        """
+        for part, status in self._statuses(state, now):
+            if status.refuses(state.parts):
+                return part, status
+        return None
+
+    def forbids_repeat(self, state: State, now: float) -> bool:
+        """Return whether a request that has run may end another endpoint.
+
+        :param state: the request.
+        :param now: local monotonic time in seconds.
+        """
+        return any(
+            status.refuses(state.parts)
+            or (status.is_confined and state.runs > 0)
+            for _, status in self._statuses(state, now)
+        )
+
+    def confine(
+        self,
+        state: State,
+        candidates: list[dispatch.Candidate],
+        now: float,
+    ) -> list[dispatch.Candidate]:
+        """Return the endpoints at which a request may be tried.
+
+        :param state: the request.
+        :param candidates: endpoints that could receive it.
+        :param now: local monotonic time in seconds.
+        """
+        for part, status in self._statuses(state, now):
+            if status.is_confined:
+                return _first_trial(state, candidates, part, status)
+        return candidates
+
+    def record_crash(
+        self, crash: crash_evidence.Crash, now: float
+    ) -> list[poison.Notice]:
+        """Record that an endpoint has ended under the parts it worked on.
+
+        :param crash: the crash.
+        :param now: local monotonic time in seconds.
+        :returns: the notices on it.
+        """
+        latest: dict[str, poison.BrokenConnection] = {}
+        companions: dict[str, set[str]] = collections.defaultdict(set)
+        for broken in sorted(crash.broken, key=lambda b: b.sent_at):
+            for part in broken.parts:
+                latest[part] = broken
+                companions[part].update(broken.parts)
+        good = self._answered.parts(now)
+        notices = [
+            poison.Notice(
+                poison.NoticeKind.CRASH,
+                part,
+                fleet.incarnation_name(crash.endpoint),
+                broken.at,
+                broken.in_flight,
+                poison.Feature.PART,
+                broken.at - broken.sent_at,
+                part in good,
+                frozenset(companions[part]),
+            )
+            for part, broken in latest.items()
+        ]
+        for notice in notices:
+            self.notices.merge(notice, now)
+            self.log_crash(notice, "this node", now)
+        return notices
+
+    def record_answered(self, state: State, now: float) -> list[poison.Notice]:
+        """Record that an endpoint has answered a request completely.
+
+        :param state: the request.
+        :param now: local monotonic time in seconds.
+        :returns: notices on the parts that are cleared by it.
+        """
+        self._answered.record(state.request.prompt_parts)
+        sent_at = state.answered_sent_at
+        if self.notices.are_empty or sent_at is None:
+            return []
+        cleared = [
+            part
+            for part in state.parts
+            if any(
+                crash.at <= sent_at
+                for crash in self.notices.valid_crashes(part, now)
+            )
+        ]
+        notices = [
+            poison.Notice(
+                poison.NoticeKind.CLEARED,
+                part,
+                "",
+                sent_at,
+                feature=poison.Feature.PART,
+            )
+            for part in cleared
+        ]
+        for notice in notices:
+            self.notices.merge(notice, now)
+            self._log_cleared(notice, state.request.request_id, "this node")
+        return notices
+
+    def withdraw_all(self, replica: str, now: float) -> list[poison.Notice]:
+        """Record that an endpoint, presumed to have ended, has not.
+
+        :param replica: its name.
+        :param now: local monotonic time in seconds.
+        :returns: the notices on it.
+        """
+        return [
+            dataclasses.replace(notice, feature=poison.Feature.PART)
+            for notice in self.notices.withdraw_all(replica, now)
+        ]
+
+    def with_own_knowledge(
+        self, notice: poison.Notice, now: float
+    ) -> poison.Notice:
+        """Return a received notice, with whether the part is known as good.
+
+        :param notice: the notice.
+        :param now: local monotonic time in seconds.
+        """
+        if notice.kind is not poison.NoticeKind.CRASH:
+            return notice
+        if notice.is_known_good:
+            return notice
+        is_good = notice.fingerprint in self._answered.parts(now)
+        return poison.known_good(notice) if is_good else notice
+
+    def quarantine_notices(self, now: float) -> list[poison.Notice]:
+        """Return what tells another node which parts end endpoints.
+
+        :param now: local monotonic time in seconds.
+        """
+        return [
+            notice
+            for part in self._suspicions.condemned(now)
+            for notice in self._suspicions.evidence(part, now)
+        ]
+
+    def counts(self, now: float) -> dict[str, int]:
+        """Return the number of parts by their state, for metrics.
+
+        :param now: local monotonic time in seconds.
+        """
+        return {
+            "part_suspected": len(self._suspicions.suspected(now)),
+            "part_quarantined": len(self._suspicions.condemned(now)),
+        }
+
+    def log_received(
+        self, notice: poison.Notice, reporter: str, now: float
+    ) -> None:
+        """Log what another node reports.
+
+        :param notice: what it reports.
+        :param reporter: name of the node.
+        :param now: local monotonic time in seconds.
+        """
+        if notice.kind is poison.NoticeKind.CRASH:
+            self.log_crash(notice, reporter, now)
+        elif notice.kind is poison.NoticeKind.CLEARED:
+            self._log_cleared(notice, "", reporter)
+
+    def log_crash(
+        self, notice: poison.Notice, reporter: str, now: float
+    ) -> None:
+        """Log that an endpoint ended under a part.
+
+        :param notice: the notice on it.
+        :param reporter: who has found it.
+        :param now: local monotonic time in seconds.
+        """
+        status = self._suspicions.status(notice.fingerprint, now)
+        _LOG.info(
+            "%s ended under a part of a prompt",
+            notice.replica,
+            extra={
+                "part": notice.fingerprint,
+                "endpoint": notice.replica,
+                "crashes": len(status.crashed),
+                "rounds": status.rounds,
+                "known_good": status.is_known_good,
+                "quarantined": status.is_condemned,
+                "reporter": reporter,
+            },
+        )
+
+    def _log_cleared(
+        self, notice: poison.Notice, request_id: str, reporter: str
+    ) -> None:
+        _LOG.info(
+            "suspected part of a prompt is cleared: a request was answered",
+            extra={
+                "part": notice.fingerprint,
+                "request": request_id,
+                "reporter": reporter,
+            },
+        )
+
+
+def _first_trial(
+    state: State,
+    candidates: list[dispatch.Candidate],
+    part: str,
+    status: poison.PartStatus,
+) -> list[dispatch.Candidate]:
+    by_name = {
+        fleet.incarnation_name(fleet.incarnation_of(c.endpoint)): c
+        for c in candidates
+    }
+    left = [name for name in by_name if name not in status.crashed]
+    order = poison.trial_order(part, left)[:1]
+    for name in order:
+        _LOG.info(
+            "request with a suspected part is held to %s",
+            name,
+            extra={
+                "request": state.request.request_id,
+                "part": part,
+                "endpoint": name,
+            },
+        )
+    return [by_name[name] for name in order]
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -123,6 +123,7 @@
         max_output_tokens=0,
         expected_output_tokens=0,
         headers=tuple(h for h in forwarded if h[0] not in OWN_HEADERS),
+        prompt_parts=fields.get(PARTS, ""),
     )
 
 
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -1,9 +1,11 @@
 """State of a request, and the final answer after all its attempts."""
 
 import dataclasses
+import functools
 
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import prompt_parts
 from wasabilanding import model
 from wasabilanding import routes
 
@@ -41,6 +43,14 @@
     # Whether a stream can resume after the last delivered event.
     is_position_known: bool = True
     tried_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
+    # Local monotonic time in seconds at which the attempt was sent that an
+    # endpoint has answered; None for none.
+    answered_sent_at: float | None = None
+
+    @functools.cached_property
+    def parts(self) -> tuple[str, ...]:
+        """Parts of its prompt that other requests may share."""
+        return prompt_parts.shared_parts(self.request.prompt_parts)
 
     @property
     def resumes_after(self) -> int | None:
--- a/packages/gateway/wasabilanding/gateway/tests/crash_guard.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/crash_guard.feature
@@ -88,3 +88,36 @@
     And the node looks after broken connections for 3 s
     When requests for "/a" are sent at 0 s
     Then 0 requests are suspected
+
+  Scenario Outline: Requests with a part that ends endpoints are turned away
+    Given <kind> requests of up to <attempts> attempts
+    And endpoints that "answer, answer, answer, answer, answer, answer, answer, answer"
+    And part "dead" of a prompt ends endpoints
+    And requests with parts "a0:4,b1:4,c2:1" are sent at 0.5 1.5 4.5 s
+    When requests with parts "<parts>" are sent at 0 1 2 3 4 s
+    Then <ended> endpoints have ended
+    And the request at 4 s gets 503 "poisoned" within 0.01 s, to return in 590 to 600 s
+    And the request at 0.5 s gets 200
+    And the request at 4.5 s gets 200
+
+    Examples:
+      | kind                | attempts | parts                           | ended |
+      | safe                | 2        | a0:4,dead:9,b1:4,c3:1           | 4     |
+      | safe                | 4        | a0:4,b1:4,dead:9,c3:1           | 4     |
+      | safe                | 2        | dead:9,a0:4,c3:1                | 4     |
+      | unsafe              | 1        | a0:4,DEAD:9,dead:9,b1:4,c3:1    | 3     |
+      | resumable streaming | 3        | a0:4, dead:9 ,b1:4,c3:1         | 4     |
+
+  Scenario Outline: Parts that cannot be read are passed on and guard nothing
+    Given unsafe requests of up to 1 attempts
+    And endpoints that "answer, answer, answer, answer, answer, answer, answer, answer"
+    And part "dead" of a prompt ends endpoints
+    When requests with parts "<parts>" are sent at 0 1 2 3 4 s
+    Then 5 endpoints have ended
+
+    Examples: No hexadecimal, no number, only one part, an empty one
+      | parts                |
+      | a0:4,dead:9,b1:4,x:1 |
+      | a0:4,dead:x,b1:4     |
+      | dead:9               |
+      | a0:4,dead:9,,b1:4    |
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -144,6 +144,8 @@
         self.ended = collections.Counter()
         # A request for one of these paths ends each endpoint that runs it.
         self.ending_paths = set()
+        # An answer on one of these parts of a prompt ends its endpoint.
+        self.ending_parts = set()
 
     def endpoint(self, name):
         """Return an endpoint's registration.
@@ -187,6 +189,10 @@
             await trio.sleep(QUEUED_S)
         if request.extensions["target"] in self.ending_paths:
             script = "crash"
+        names = request.headers.get(plain_wire.PARTS.decode(), "").split(",")
+        parts = {name.partition(":")[0].strip() for name in names}
+        if self.ending_parts & parts:
+            script = "crash"
         if script == "crash":
             await self._crash(name, request)
         if script == "clinging":
--- a/packages/gateway/wasabilanding/gateway/tests/steps/crash_guard_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/crash_guard_steps.py
@@ -6,6 +6,7 @@
 import behave
 import trio
 
+from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway.tests.steps import notices_steps
 
 OBSERVE_INTERVAL_S = 1.0
@@ -53,9 +54,11 @@
     notices_steps.timeline_of(context).add(0.0, observe)
 
 
-def _ask(context, target, body, at):
+def _ask(context, target, body, at, headers=()):
     timeline = notices_steps.timeline_of(context)
-    asked = functools.partial(timeline.ask, target.encode(), body.encode())
+    asked = functools.partial(
+        timeline.ask, target.encode(), body.encode(), headers
+    )
     if not hasattr(context, "answers"):
         context.answers = {}
 
@@ -75,6 +78,33 @@
     _ask(context, target, body, at)
 
 
+def _ask_with_parts(context, parts, times):
+    """Send requests that have nothing but some parts in common."""
+    headers = ((plain_wire.PARTS, parts.encode()),)
+    for at in times.split():
+        target = f"/{parts}/{at}"
+        _ask(context, target, f"body at {at}", float(at), headers)
+
+
+@behave.given('part "{part}" of a prompt ends endpoints')
+def given_ending_part(context, part):
+    """Let an answer on a part end each endpoint."""
+    context.system.endpoints.ending_parts.add(part)
+
+
+@behave.given('requests with parts "{parts}" are sent at {times} s')
+def given_parts(context, parts, times):
+    """Send requests later."""
+    _ask_with_parts(context, parts, times)
+
+
+@behave.when('requests with parts "{parts}" are sent at {times} s')
+def send_parts(context, parts, times):
+    """Send requests and run the timeline."""
+    _ask_with_parts(context, parts, times)
+    context.timeline.run()
+
+
 @behave.when('requests for "{target}" are sent at {times} s')
 def send(context, target, times):
     """Send requests and run the timeline."""
@@ -90,6 +120,13 @@
     assert found == count, found
 
 
+@behave.then("{count:d} endpoints have ended")
+def check_all_ended(context, count):
+    """Compare the number of endpoints that have ended."""
+    found = context.system.endpoints.ended
+    assert found.total() == count, found
+
+
 @behave.then(
     '{count:d} endpoints have ended under "{target}" with body "{body}"'
 )
--- a/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
@@ -46,11 +46,11 @@
         """Add an asynchronous action at a time in seconds."""
         self._events.append((at, action))
 
-    async def ask(self, target=b"/a", body=b"body"):
+    async def ask(self, target=b"/a", body=b"body", headers=()):
         """Send a request."""
         index = len(self.callers)
         self.callers.append(None)
-        self.callers[index] = await self.system.ask((), target, body)
+        self.callers[index] = await self.system.ask(headers, target, body)
 
     async def call(self, purpose):
         """Call the control API of the first endpoint."""
--- a/packages/standins/wasabilanding/standins/registered_engine_http.py
+++ b/packages/standins/wasabilanding/standins/registered_engine_http.py
@@ -205,9 +205,7 @@
                 crash(engine.endpoint_id)
                 await _run_for(engine, life, 0.0)
         if registered_engine.ends_engine(fabric.runs[run].parts):
-            return _ending_answer(
-                engine, fabric, run, response_headers, crash
-            )
+            return _ending_answer(engine, fabric, run, response_headers, crash)
         if engine.fabric_domain:
             return _stream(engine, fabric, run, response_headers)
         with _track_run(engine, fabric, run) as life:
