Take an answer that ends with its endpoint for broken off

Cause: where nothing but the end of the connection marks the end of an answer, the end of its endpoint looks like the end of the answer.

Change: after such an answer the node connects to the endpoint anew before it tells the caller that it is whole; one that is leaving ends in order and needs no check. Answers with a length or in chunks are not concerned.

crash_guard.feature, "An answer that ends with its connection": 2 of 6 fail before, none after; 410 tests of the gateway pass.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -43,6 +43,8 @@
     :param tracker: this node's observations of the endpoints.
     :param may_repeat: returns whether a request that an endpoint has just run
         may run again at another one.
+    :param may_have_ended: returns whether an endpoint that has closed a
+        connection may have ended.
     """
 
     wire: messages.WireFormat
@@ -51,6 +53,9 @@
     may_repeat: collections.abc.Callable[
         [request_state_module.RequestState], bool
     ]
+    may_have_ended: collections.abc.Callable[
+        [fleet.Endpoint], collections.abc.Awaitable[bool]
+    ]
 
 
 class Attempt:
@@ -265,6 +270,7 @@
             if size > MAX_BUFFERED_BYTES:
                 await self._write(head, b"".join(buffered))
                 buffered.clear()
+        await self._check_end(reply)
         if self._answer.has_begun:
             if buffered:
                 await self._write(head, b"".join(buffered))
@@ -273,6 +279,21 @@
             await self._send_complete(head, b"".join(buffered))
         return self._answered()
 
+    async def _check_end(self, reply: upstream_module.Reply) -> None:
+        """Check that a body is whole whose end only its connection marks.
+
+        It looks the same if the endpoint ends meanwhile.
+        """
+        if not reply.ends_with_connection:
+            return
+        if await self._context.may_have_ended(self._endpoint):
+            raise upstream_module.AttemptFailed(
+                model.may_have_run(
+                    model.Reason.CONNECTION_LOST,
+                    "the answer ended together with its endpoint",
+                )
+            )
+
     def _answered(self) -> model.Outcome:
         """Return the outcome of an attempt with a whole answer."""
         self._state.answered_sent_at = self.sent_at
@@ -312,5 +333,6 @@
                     "stream ended in the middle of an event",
                 )
             )
+        await self._check_end(reply)
         await self._end_stream(head)
         return self._answered()
--- a/packages/gateway/wasabilanding/gateway/crash_evidence.py
+++ b/packages/gateway/wasabilanding/gateway/crash_evidence.py
@@ -87,6 +87,18 @@
         # Local monotonic times in seconds of the ends.
         self._ended_at: dict[fleet.Incarnation, float] = {}
 
+    async def may_have_ended(self, endpoint: fleet.Endpoint) -> bool:
+        """Return whether an endpoint that closed a connection may have ended.
+
+        One that leaves ends in order, after its answers.
+
+        :param endpoint: the endpoint.
+        """
+        incarnation = fleet.incarnation_of(endpoint)
+        if self._state_of(incarnation) is poison.EndpointState.LEAVING:
+            return False
+        return not await self._is_reachable(endpoint)
+
     async def examine(
         self, request: SentRequest, endpoint: fleet.Endpoint
     ) -> None:
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -202,6 +202,13 @@
         )
         await self._evidence.examine(sent, endpoint)
 
+    async def may_have_ended(self, endpoint: fleet.Endpoint) -> bool:
+        """Return whether an endpoint that closed a connection may have ended.
+
+        :param endpoint: the endpoint.
+        """
+        return await self._evidence.may_have_ended(endpoint)
+
     def _record_crash(self, crash: crash_evidence.Crash) -> None:
         """Record that an endpoint has ended under the requests it had."""
         now = trio.current_time()
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -82,7 +82,11 @@
         )
         self._attempts_context = attempt_set.AttemptSetContext(
             attempt_module.AttemptContext(
-                wire, upstream, tracker, selector.may_repeat
+                wire,
+                upstream,
+                tracker,
+                selector.may_repeat,
+                crash_guard.may_have_ended,
             ),
             selector,
             tracker,
--- a/packages/gateway/wasabilanding/gateway/tests/crash_guard.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/crash_guard.feature
@@ -121,3 +121,21 @@
       | a0:4,dead:x,b1:4     |
       | dead:9               |
       | a0:4,dead:9,,b1:4    |
+
+  Scenario Outline: An answer that ends with its connection is whole if its endpoint lives
+    Given <kind> requests of up to 2 attempts
+    And endpoints that "<script>, events 4"
+    And e0 <change> at 0.01 s
+    When requests with parts "a0:4,b1:4,c2:1" are sent at 0 s
+    Then the request at 0 s gets 200
+    And its answer has <events> events and <end>
+    And <count> requests are suspected
+
+    Examples:
+      | kind                | script    | change                 | events | end         | count |
+      | resumable streaming | closing 4 | does nothing           | 4      | is complete | 0     |
+      | resumable streaming | dying 4   | does nothing           | 4      | is complete | 0     |
+      | resumable streaming | dying 2   | does nothing           | 4      | is complete | 0     |
+      | streaming           | closing 4 | does nothing           | 4      | is complete | 0     |
+      | streaming           | dying 2   | does nothing           | 2      | breaks off  | 1     |
+      | streaming           | dying 4   | announces its shutdown | 4      | is complete | 0     |
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -116,12 +116,20 @@
             await trio.sleep(0.001)
 
 
+def _events(request, count):
+    """Return the events of a stream that a request asks for."""
+    first = int(request.headers.get("x-resumes-after", "-1")) + 1
+    return [f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, count)]
+
+
 class FakeEndpoints:
     """Endpoints with scripted behaviour that count the requests they run.
 
     :param scripts: behaviour of each endpoint, by identity: "answer",
         "events N" (N events), "reset N" or "silent N" (after N events),
         "late N" (N events, the first exactly at the silence timeout),
+        "closing N" (N events, then the connection ends without a mark of
+        the end), "dying N" (the same, and the endpoint ends),
         "queued N" (N events after :data:`QUEUED_S`), "pause N" (N events, a
         pause of :data:`PAUSE_S` before the third), "comment" (one comment,
         then a reset), "refuse", "fail", "foreign" (a reply to another
@@ -199,6 +207,8 @@
             await _end_late()
         if script not in ("refuse", "foreign"):
             self.runs[name] += 1
+        if script == "dying":
+            self.scripts[name] = "unreachable"
         response = self._response(
             script, int(count or 0), request, lambda: self._note_close(name)
         )
@@ -220,6 +230,14 @@
     def _response(self, script, count, request, on_close):
         sent = request.headers.get("x-request", "")
         headers = {"x-request": sent, "x-endpoint": "yes"}
+        if script in ("closing", "dying"):
+            headers["x-events"] = "1"
+            return httpx.Response(
+                200,
+                headers=headers,
+                stream=_Body(_events(request, count), script, on_close),
+            )
+        headers["transfer-encoding"] = "chunked"
         if script == "answer":
             return httpx.Response(
                 200, headers=headers, stream=_Body([b"ok"], "")
@@ -233,10 +251,7 @@
             headers["x-request"] = "another"
             return httpx.Response(200, headers=headers, stream=_Body([], ""))
         headers["x-events"] = "1"
-        first = int(request.headers.get("x-resumes-after", "-1")) + 1
-        parts = [
-            f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, count)
-        ]
+        parts = _events(request, count)
         if script == "comment":
             parts = []
         elif script not in ("events", "late", "pause", "queued"):
--- a/packages/gateway/wasabilanding/gateway/tests/steps/crash_guard_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/crash_guard_steps.py
@@ -149,6 +149,14 @@
     assert least <= float(answer.headers[b"retry-after"]) <= most
 
 
+@behave.then("its answer has {count:d} events and {end}")
+def check_events(context, count, end):
+    """Compare the events that the first caller has got."""
+    (answer,) = context.answers.values()
+    assert answer.body.count(b"data: ") == count, answer.body
+    assert answer.is_whole == (end == "is complete"), answer.is_whole
+
+
 @behave.then("the request at {at:g} s gets {status:d}")
 def check_status(context, at, status):
     """Compare the status of an answer."""
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -50,6 +50,7 @@
 ).as_dict()
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 JSON_HEADERS = [(b"content-type", b"application/json")]
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Event of the connection just before it sends a request.
 SENDING = "http11.send_request_headers.started"
 _LOG = logging.getLogger(__name__)
@@ -167,6 +168,9 @@
             (name.lower(), value) for name, value in response.headers.raw
         ]
         self.notice = permit.record_reply(self.status, self.headers)
+        names = {name for name, _ in self.headers}
+        # Nothing but the end of the connection marks the end of its body.
+        self.ends_with_connection = names.isdisjoint(FRAMING_HEADERS)
 
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body as it arrives.
