--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -6,11 +6,13 @@
 import pathlib
 import signal
 import subprocess
+import sys
 import time
 import types
 
 import httpx
 
+from wasabilanding.experiments.installation import cut_gateway
 from wasabilanding.experiments import launcher
 from wasabilanding.gateway import plain_wire
 from wasabilanding import model
@@ -141,6 +143,8 @@
     :param proxied_port: maps the name and port of a server to the port of a
         proxy in front of it, which can inject network faults; by default no
         proxies are used.
+    :param is_cuttable: whether the links of each gateway to the endpoints can
+        be cut, with :meth:`cut`.
     :param output_of: maps the name of a gateway to the file descriptor for
         its standard output, or None for its log file, the default.
     """
@@ -151,10 +155,12 @@
         folder: pathlib.Path,
         proxied_port: collections.abc.Callable[[str, int], int] | None = None,
         output_of: collections.abc.Callable[[str], int | None] | None = None,
+        is_cuttable: bool = False,
     ) -> None:
         self._plan = plan
         self._folder = folder
         self._proxied_port = proxied_port or (lambda name, port: port)
+        self._is_cuttable = is_cuttable
         self._output_of = output_of or (lambda name: None)
         self._processes = launcher.Processes(folder)
         self._ports = iter(launcher.free_ports(self._port_count()))
@@ -291,14 +297,39 @@
     def _spawn_gateway(
         self, name: str, path: pathlib.Path
     ) -> subprocess.Popen[bytes]:
+        command = [str(launcher.BIN / "wasabilanding-gateway")]
+        environment = {}
+        if self._is_cuttable:
+            command = [sys.executable, "-m", cut_gateway.__name__]
+            environment = {
+                cut_gateway.CUT_FILE: str(self._cut_file(name)),
+                cut_gateway.CUT_PORTS: ",".join(
+                    str(self._proxied_port(vm.endpoint_id, vm.port))
+                    for vm in self.vms
+                ),
+            }
         return self._processes.spawn(
             name,
-            str(launcher.BIN / "wasabilanding-gateway"),
+            *command,
             "--settings",
             str(path),
             output=self._output_of(name),
+            environment=environment,
         )
 
+    def _cut_file(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.cut"
+
+    def cut(self, gateway: Gateway, mode: str) -> None:
+        """Cut the links of a gateway to all endpoints, or end the cut.
+
+        :param gateway: the gateway.
+        :param mode: a mode of
+            :mod:`wasabilanding.experiments.installation.cut_gateway`; empty
+            for none.
+        """
+        self._cut_file(gateway.name).write_text(mode)
+
     def restart(self, gateway: Gateway) -> None:
         """Restart a gateway whose process has exited.
 
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/cut_gateways_steps.py
@@ -0,0 +1,232 @@
+"""Steps for gateways whose links to all endpoints are cut."""
+
+import collections
+import dataclasses
+import functools
+import itertools
+import pathlib
+import tempfile
+import time
+
+import behave
+import httpx
+import trio
+
+from wasabilanding.experiments.installation import launch
+
+PLAN = launch.Plan(pages_per_domain=3)
+KINDS = ("pages", "sheets", "drafts")
+CALLERS_PER_KIND = 2
+PAUSE_S = 0.15
+TIMEOUT_S = 4.0
+BEFORE_CUT_S = 4.0
+AFTER_CUT_S = 6.0
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class _Try:
+    """A request, tried once.
+
+    :param request_id: its identifier.
+    :param kind: its kind.
+    :param gateway: name of the gateway.
+    :param at: time of day in seconds.
+    :param took_s: seconds until it ended.
+    :param status: HTTP status; 0 for no whole answer.
+    """
+
+    request_id: str
+    kind: str
+    gateway: str
+    at: float
+    took_s: float
+    status: int
+
+
+class _Load:
+    """Requests of all kinds at all gateways."""
+
+    def __init__(self, installation):
+        self._installation = installation
+        self._numbers = itertools.count()
+        self.tries = []
+        self.cut_at = 0.0
+        self.ended_at = 0.0
+
+    async def _try(self, client, gateway, kind):
+        request_id = f"{kind}-{next(self._numbers)}"
+        headers = {
+            "host": launch.SITE,
+            "x-request": request_id,
+            "x-deadline-s": str(TIMEOUT_S),
+            "x-key": "key-1",
+            "x-model": launch.SMALL.name if kind == "drafts" else "",
+        }
+        at = time.time()
+        status = 0
+        try:
+            url = f"{gateway.callers_url}/{kind}/{request_id}"
+            answer = await client.post(url, headers=headers, content=b"body")
+            status = answer.status_code
+        except httpx.HTTPError as error:
+            print(request_id, gateway.name, repr(error))
+        took_s = time.time() - at
+        self.tries.append(
+            _Try(request_id, kind, gateway.name, at, took_s, status)
+        )
+
+    async def _keep_trying(self, client, gateway, kind):
+        while True:
+            await self._try(client, gateway, kind)
+            await trio.sleep(PAUSE_S)
+
+    async def _cut(self, gateways, mode, seconds):
+        await trio.sleep(BEFORE_CUT_S)
+        self.cut_at = time.time()
+        for gateway in gateways:
+            self._installation.cut(gateway, mode)
+        await trio.sleep(seconds)
+        for gateway in gateways:
+            self._installation.cut(gateway, "")
+        self.ended_at = time.time()
+        await trio.sleep(AFTER_CUT_S)
+
+    async def run(self, gateways, mode, seconds):
+        """Send requests before, during and after a cut."""
+        transport = httpx.AsyncHTTPTransport(verify=False)
+        async with httpx.AsyncClient(
+            transport=transport, timeout=TIMEOUT_S + 1
+        ) as client:
+            async with trio.open_nursery() as nursery:
+                for gateway in self._installation.gateways:
+                    for kind in KINDS * CALLERS_PER_KIND:
+                        nursery.start_soon(
+                            self._keep_trying, client, gateway, kind
+                        )
+                await self._cut(gateways, mode, seconds)
+                nursery.cancel_scope.cancel()
+
+
+@behave.given("an installation whose gateways can be cut from the endpoints")
+def given_installation(context):
+    """Start an installation; it ends with the scenario."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.installation = launch.Installation(
+        PLAN, pathlib.Path(folder.name), is_cuttable=True
+    )
+    context.installation.__enter__()
+    context.add_cleanup(
+        functools.partial(context.installation.__exit__, None, None, None)
+    )
+    context.installation.wait_until_serving()
+
+
+@behave.when(
+    "the links of {names} {mode:w} for {seconds:d} s beside requests of all "
+    "kinds at all gateways"
+)
+def cut(context, names, mode, seconds):
+    """Cut gateways while requests are sent."""
+    wanted = {
+        "-gateway-".join(name.strip().rsplit("-", 1))
+        for name in names.split(",")
+    }
+    chosen = [g for g in context.installation.gateways if g.name in wanted]
+    assert len(chosen) == len(wanted), wanted
+    context.cut = wanted
+    context.load = _Load(context.installation)
+    trio.run(context.load.run, chosen, mode, seconds)
+    context.runs = context.installation.runs()
+
+
+def _statuses(tries):
+    return collections.Counter((found.kind, found.status) for found in tries)
+
+
+def _check_share(tries, share):
+    assert tries, "no first try"
+    served = sum(found.status == HTTP_OK for found in tries)
+    assert served >= share * len(tries), (
+        f"{served} of {len(tries)} served: {_statuses(tries)}"
+    )
+
+
+def _tries_during_cut(context, bound_s):
+    load = context.load
+    since = load.cut_at + bound_s
+    return [t for t in load.tries if since < t.at < load.ended_at]
+
+
+@behave.then(
+    "from {bound:g} s after the cut at least {share:g} of the first tries at "
+    "the cut gateways are served"
+)
+def check_cut(context, bound, share):
+    """Compare the share that is served at the cut gateways."""
+    context.bound_s = bound
+    tries = _tries_during_cut(context, bound)
+    _check_share([t for t in tries if t.gateway in context.cut], share)
+
+
+@behave.then(
+    "at least {share:g} of the first tries at the other gateways are served"
+)
+def check_others(context, share):
+    """Compare the share that is served at the other gateways."""
+    tries = _tries_during_cut(context, context.bound_s)
+    _check_share([t for t in tries if t.gateway not in context.cut], share)
+
+
+@behave.then(
+    "from {bound:g} s after the cut each request is answered within {most:g} s"
+)
+def check_answered(context, bound, most):
+    """Compare how long callers wait for a rejection."""
+    since = context.load.cut_at + bound
+    until = context.load.ended_at
+    slow = [
+        t
+        for t in context.load.tries
+        if since < t.at < until and (t.took_s > most or not t.status)
+    ]
+    assert not slow, slow
+
+
+@behave.then(
+    "from {bound:g} s after the end of the cut at least {share:g} of the "
+    "first tries are served"
+)
+def check_recovery(context, bound, share):
+    """Compare the share that is served after the cut."""
+    since = context.load.ended_at + bound
+    _check_share([t for t in context.load.tries if t.at > since], share)
+
+
+def _runs_by_request(context):
+    return collections.Counter(run["request_id"] for run in context.runs)
+
+
+@behave.then("no request that must not be repeated runs twice")
+def check_once(context):
+    """Check the requests of the route that is not idempotent."""
+    twice = [
+        request_id
+        for request_id, count in _runs_by_request(context).items()
+        if count > 1 and request_id.startswith("sheets")
+    ]
+    assert not twice, twice
+
+
+@behave.then('no request that is told "not run" has run')
+def check_not_run(context):
+    """Check the requests that got 503."""
+    runs = _runs_by_request(context)
+    wrong = [
+        t
+        for t in context.load.tries
+        if t.status == HTTP_UNAVAILABLE and runs[t.request_id]
+    ]
+    assert not wrong, wrong
--- a/packages/experiments/wasabilanding/experiments/launcher.py
+++ b/packages/experiments/wasabilanding/experiments/launcher.py
@@ -8,6 +8,7 @@
 started is terminated by its own process id.
 """
 
+import collections.abc
 import dataclasses
 import fcntl
 import json
@@ -147,7 +148,11 @@
         self._started: list[subprocess.Popen[bytes]] = []
 
     def spawn(
-        self, name: str, *command: str, output: int | None = None
+        self,
+        name: str,
+        *command: str,
+        output: int | None = None,
+        environment: collections.abc.Mapping[str, str] | None = None,
     ) -> subprocess.Popen[bytes]:
         """Start a process.
 
@@ -155,10 +160,16 @@
         :param command: program and its arguments.
         :param output: file descriptor for its standard output instead of the
             log file.
+        :param environment: variables besides those of this process.
         """
         with (self._folder / f"{name}.log").open("ab") as log:
             stdout = log if output is None else output
-            process = subprocess.Popen(command, stdout=stdout, stderr=log)
+            process = subprocess.Popen(
+                command,
+                stdout=stdout,
+                stderr=log,
+                env={**os.environ, **(environment or {})},
+            )
         self._started.append(process)
         return process
 
