Let a node that knows of parts only turn requests away and tell others

Cause: a node that starts late hears of condemned parts, but of no whole request. What it tells the others asked whether any whole request is suspected, so it repeated nothing.

Change: both kinds are asked.

hints.feature, "Parts that end endpoints are known to all nodes": 3 of 3, also by a node that starts 8 s late; not shown failing first.

--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -70,7 +70,11 @@
         self._suspicions = poison.Suspicions()
         self._parts = part_guard.PartGuard(self._suspicions)
         self._evidence = crash_evidence.CrashEvidence(
-            view, tracker, is_reachable, self._record_crash, self._withdraw
+            view,
+            tracker,
+            is_reachable,
+            self._record_crash,
+            self._withdraw,
         )
 
     def report_through(self, report: crash_exchange.Report) -> None:
@@ -82,6 +86,11 @@
 
     # Decisions about a request.
 
+    @property
+    def _are_empty(self) -> bool:
+        """Whether nothing is suspected or was."""
+        return self._suspicions.are_empty and self._parts.notices.are_empty
+
     def _status(self, state: State) -> poison.SuspicionStatus:
         if self._suspicions.are_empty:
             return _NOT_SUSPECTED
@@ -105,12 +114,21 @@
         """
         return len(self._suspicions.suspected(now))
 
+    def quarantined_parts(self, now: float) -> tuple[str, ...]:
+        """Return the parts of prompts for which requests are turned away.
+
+        :param now: local monotonic time in seconds.
+        """
+        return self._parts.condemned(now)
+
     def check(self, state: State) -> None:
         """Reject a request that is quarantined.
 
         :param state: the request, which has not been sent.
         :raises wasabilanding.gateway.request_state.RequestRejected: if it is.
         """
+        if self._are_empty:
+            return
         now = trio.current_time()
         status = self._status(state)
         if status.quarantined:
@@ -282,7 +300,7 @@
         :param scope: the nodes.
         :param now: local monotonic time in seconds.
         """
-        if self._suspicions.are_empty:
+        if self._are_empty:
             return ()
         return self._exchange.due(scope, now, self._quarantine_notices)
 
--- a/packages/gateway/wasabilanding/gateway/part_guard.py
+++ b/packages/gateway/wasabilanding/gateway/part_guard.py
@@ -48,6 +48,13 @@
         ]
         return [pair for pair in found if pair[1].crashed]
 
+    def condemned(self, now: float) -> tuple[str, ...]:
+        """Return the parts for which requests are turned away.
+
+        :param now: local monotonic time in seconds.
+        """
+        return self._suspicions.condemned(now)
+
     def condemned_part(
         self, state: State, now: float
     ) -> tuple[str, poison.PartStatus] | None:
--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -273,6 +273,18 @@
       | n2   | 8  | 8.2     | n1 n2 n3 |
       | n3   | 8  | 8.5     | n1 n2 n3 |
 
+  Scenario Outline: Parts that end endpoints are known to all nodes
+    Given node <late> starts <at> s late
+    When 3 endpoints end one after the other under a part at node n1
+    And the nodes exchange hints for <seconds> s
+    Then the nodes that turn the part away are "n1 n2 n3"
+
+    Examples:
+      | late | at | seconds |
+      | n2   | 0  | 0.3     |
+      | n2   | 8  | 8.2     |
+      | n3   | 8  | 8.5     |
+
   Scenario Outline: A request that has completed is cleared everywhere
     When <count> endpoints end under a request at node n1
     And the nodes exchange hints for 0.3 s
--- a/packages/gateway/wasabilanding/gateway/tests/steps/crash_exchange_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/crash_exchange_steps.py
@@ -1,5 +1,7 @@
 """Steps for the exchange of reports on requests that end endpoints."""
 
+import dataclasses
+
 import behave
 import trio
 import trio.testing
@@ -8,6 +10,7 @@
 from wasabilanding import poison
 
 FINGERPRINT = "f"
+PART = "dead"
 
 
 def _report(fingerprint, endpoint, kind=poison.NoticeKind.CRASH):
@@ -43,6 +46,42 @@
     _tell(context, node, reports)
 
 
+@behave.when(
+    "{count:d} endpoints end one after the other under a part at node {node}"
+)
+def end_endpoints_under_part(context, count, node):
+    """Let a node find endpoints that have ended under a part."""
+    context.plan = []
+    reports = [
+        dataclasses.replace(
+            _report(PART, f"e{i}@1"),
+            feature=poison.Feature.PART,
+            age_s=float(count - i),
+            sent_before_s=0.5,
+            companions=(PART,),
+        )
+        for i in range(count)
+    ]
+    _tell(context, node, reports)
+
+
+@behave.then('the nodes that turn the part away are "{nodes}"')
+def check_part_nodes(context, nodes):
+    """Compare which nodes have quarantined the part."""
+
+    async def run():
+        await context.nodes.run(context.plan)
+        now = trio.current_time()
+        return [
+            name
+            for name, guard in context.nodes.guards.items()
+            if PART in guard.quarantined_parts(now)
+        ]
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    _check_nodes(trio.run(run, clock=clock), nodes)
+
+
 @behave.when(
     "{count:d} requests are in flight at an endpoint that ends at node {node}"
 )
