Hand requests to another node where this one reaches no endpoint

Cause: a node judged the endpoints by its own links and had no other road. So nodes that are partitioned from all endpoints served nothing, though other nodes reach both them and the endpoints.

Change: a node that reaches no endpoint (two fail or all are silent, then none of four accepts a connection) hands each request to a node of its failure domain, else of another one, that has not said that it is cut off too. That node treats it as a caller's request, never hands it on, and tells what has run. The same class elsewhere: such a node tells the others neither silences nor ends of endpoints, and gives up the lease to plan replicas.

Ruled out: readiness and "Connection: close" alone.

--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -16,6 +16,7 @@
 from wasabilanding.dispatch.holds import Ticket
 from wasabilanding.dispatch.named_limits import NamedLimit
 from wasabilanding.dispatch.named_limits import NamedLimits
+from wasabilanding.dispatch.reachability import ReachabilityMonitor
 from wasabilanding.dispatch.send_slots import MAX_WAIT_S
 from wasabilanding.dispatch.send_slots import SendSlots
 from wasabilanding.dispatch.send_slots import SHARES
@@ -36,6 +37,7 @@
     "Load",
     "NamedLimit",
     "NamedLimits",
+    "ReachabilityMonitor",
     "SendSlots",
     "SilenceMonitor",
     "Ticket",
--- a/packages/gateway/wasabilanding/gateway/__init__.py
+++ b/packages/gateway/wasabilanding/gateway/__init__.py
@@ -15,6 +15,7 @@
 """
 
 from wasabilanding.gateway.headers import end_to_end
+from wasabilanding.gateway.headers import replaced as replaced_headers
 from wasabilanding.gateway.messages import AttemptParameters
 from wasabilanding.gateway.messages import CallerRequest
 from wasabilanding.gateway.messages import EndpointNotice
@@ -47,5 +48,6 @@
     "end_to_end",
     "read_limit",
     "read_retry_after",
+    "replaced_headers",
     "run_process",
 ]
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -19,6 +19,8 @@
 from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import reachability as reachability_module
+from wasabilanding.gateway import relays
 from wasabilanding.gateway import reply_bounds
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import shared_answer
@@ -45,6 +47,8 @@
         may run again at another one.
     :param may_have_ended: returns whether an endpoint that has closed a
         connection may have ended.
+    :param reachability: whether this node reaches any endpoint.
+    :param relay_headers: returns what other nodes are told of a request.
     """
 
     wire: messages.WireFormat
@@ -56,6 +60,10 @@
     may_have_ended: collections.abc.Callable[
         [fleet.Endpoint], collections.abc.Awaitable[bool]
     ]
+    reachability: reachability_module.Reachability
+    relay_headers: collections.abc.Callable[
+        [request_state_module.RequestState], list[messages.Header]
+    ]
 
 
 class Attempt:
@@ -99,6 +107,11 @@
         """Identity of the endpoint."""
         return self._endpoint.endpoint_id
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether the request is sent to another node."""
+        return self._purpose is upstream_module.Purpose.RELAY
+
     @property
     def is_run_counted(self) -> bool:
         """Whether the attempt counts as a run of the request."""
@@ -130,21 +143,13 @@
 
         :returns: the outcome; None if another attempt has replaced this one.
         """
-        state = self._state
         now = trio.current_time()
         self.sent_at = now
-        parameters = messages.AttemptParameters(
-            endpoint=self._endpoint,
-            remaining_s=state.deadline_at - now,
-            customer=state.customer,
-            resumes_after=state.resumes_after,
-            priority=min(state.priority, MAX_PRIORITY),
-        )
-        headers = self._context.wire.request_headers(state.request, parameters)
+        headers = self._headers(now)
         self.silence.record_activity(now)
         self._tracker.begin(self.endpoint_id, now)
         try:
-            with self._scope:
+            with self._scope, self._waiting():
                 return await self._relay_catching_failure(headers)
         finally:
             self._tracker.end(self.endpoint_id)
@@ -152,6 +157,30 @@
             self._count_run()
         return None
 
+    def _headers(self, now: float) -> list[messages.Header]:
+        """Return the headers of the request, for an endpoint or a node."""
+        state = self._state
+        wire = self._context.wire
+        remaining_s = state.deadline_at - now
+        if self.is_relayed:
+            headers = wire.relay_headers(
+                state.head, remaining_s, state.resumes_after
+            )
+            return [*headers, *self._context.relay_headers(state)]
+        parameters = messages.AttemptParameters(
+            endpoint=self._endpoint,
+            remaining_s=remaining_s,
+            customer=state.customer,
+            resumes_after=state.resumes_after,
+            priority=min(state.priority, MAX_PRIORITY),
+        )
+        return wire.request_headers(state.request, parameters)
+
+    def _waiting(self) -> contextlib.AbstractContextManager[None]:
+        if self.is_relayed:
+            return contextlib.nullcontext()
+        return self._context.reachability.waiting()
+
     def _count_run(self) -> None:
         """Count a run of the request, at most once per attempt."""
         if not self._is_run_counted:
@@ -172,6 +201,8 @@
         now = trio.current_time()
         self.silence.record_activity(now)
         self._tracker.record_progress(self.endpoint_id, now)
+        if not self.is_relayed:
+            self._context.reachability.record_success(now)
 
     @contextlib.contextmanager
     def _waiting_for_caller(self) -> collections.abc.Iterator[None]:
@@ -197,8 +228,14 @@
         )
         async with sent as reply:
             self._record_progress()
+            if self.is_relayed:
+                refusal = self._read_relay_reply(reply)
+                if refusal is not None:
+                    return refusal
             head = self._context.wire.read_reply(
-                state.request, reply.status, reply.headers
+                state.request,
+                reply.status,
+                relays.without_own(reply.headers),
             )
             if head.kind is messages.ReplyKind.NOT_RUN:
                 return self._refusal_outcome(head)
@@ -214,6 +251,23 @@
                 return await self._relay_events(head, reply)
             return await self._relay_body(head, reply)
 
+    def _read_relay_reply(
+        self, reply: upstream_module.Reply
+    ) -> model.Outcome | None:
+        """Read what another node says; None if an endpoint has replied."""
+        told = relays.read_reply(reply.headers)
+        if told.runs:
+            # They include those of the other node.
+            self._state.runs = max(self._state.runs, told.runs)
+            self._is_run_counted = True
+        if not told.verdict:
+            return None
+        notice = self._context.wire.read_notice(reply.status, reply.headers)
+        self._state.is_rejected_elsewhere = told.verdict == relays.NOT_RUN
+        return relays.outcome_of(
+            told, self.endpoint_id, reply.status, notice.retry_after_s
+        )
+
     def _refusal_outcome(self, head: messages.ReplyHead) -> model.Outcome:
         if head.faulty_endpoint_id or head.is_misdirected:
             self._tracker.avoid(
@@ -284,7 +338,7 @@
 
         It looks the same if the endpoint ends meanwhile.
         """
-        if not reply.ends_with_connection:
+        if not reply.ends_with_connection or self.is_relayed:
             return
         if await self._context.may_have_ended(self._endpoint):
             raise upstream_module.AttemptFailed(
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -37,6 +37,11 @@
 # at this interval.
 RECHECK_INTERVAL_S = 0.25
 
+UNREACHABLE_REASONS = (
+    model.Reason.CONNECT_FAILED,
+    model.Reason.CONNECTION_LOST,
+)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -167,7 +172,11 @@
 
     async def _run_attempt(self, attempt: attempt_module.Attempt) -> None:
         outcome = await attempt.run()
-        if outcome is not None and _may_be_crash(outcome):
+        if (
+            outcome is not None
+            and _may_be_crash(outcome)
+            and not attempt.is_relayed
+        ):
             # The next attempt depends on what is found.
             await self._context.crash_guard.examine(
                 self._state, attempt.endpoint, attempt.sent_at
@@ -219,6 +228,10 @@
         self._context.metrics.count_attempt(
             self._state.service.name, ended.outcome
         )
+        if ended.attempt.is_relayed:
+            self._context.metrics.count_relay(
+                "sender", ended.outcome.verdict.value
+            )
         return ended.outcome.verdict is model.Verdict.COMPLETED
 
     def _may_follow(self, ended: _EndedAttempt) -> bool:
@@ -230,15 +243,19 @@
             # Nothing was sent, and the endpoint has not failed.
             self._state.tried_endpoint_ids.remove(ended.attempt.endpoint_id)
             return True
-        self._record_failure(ended.attempt.endpoint_id, ended.outcome)
+        self._record_failure(ended.attempt, ended.outcome)
         if ended.outcome.verdict is not model.Verdict.MAY_HAVE_RUN:
             return True
         self._state.may_have_run = True
         return self._state.route.is_idempotent
 
     def _record_failure(
-        self, endpoint_id: str, outcome: model.Outcome
+        self, attempt: attempt_module.Attempt, outcome: model.Outcome
     ) -> None:
+        endpoint_id = attempt.endpoint_id
+        if outcome.reason in UNREACHABLE_REASONS and not attempt.is_relayed:
+            self._state.connect_failures += 1
+            self._context.attempts.reachability.record_failure(endpoint_id)
         avoid_s = FAILED_AVOID_S
         if outcome.reason is model.Reason.REFUSED:
             avoid_s = REFUSED_AVOID_S
@@ -312,7 +329,9 @@
         self._context.tracker.avoid(
             endpoint_id, now, attempt_module.FAULTY_AVOID_S
         )
-        self._context.report_silent(endpoint_id)
+        if not attempt.is_relayed:
+            self._context.attempts.reachability.record_failure(endpoint_id)
+            self._context.report_silent(endpoint_id)
         self._context.metrics.count_silence(self._state.service.name)
         silent_s = now - attempt.silence.active_at
         _LOG.info(
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -32,6 +32,8 @@
 # Renewals are retried at this interval once a lease has expired locally.
 RETRY_RENEW_INTERVAL_S = 0.3
 MAX_PLAN_INTERVAL_S = 0.25
+# A node that was cut off looks for a free lease again after at most this time.
+MAX_WAIT_S = 1.0
 DEBOUNCE_S = 0.03
 LOCAL_ACQUIRE_DELAY_S = 0.2
 REMOTE_ACQUIRE_DELAY_S = 4.0
@@ -111,6 +113,9 @@
         # What the capacity was last computed from, and the result.
         self._capacity_inputs: tuple[object, int] = (None, -1)
         self._capacity: list[assembly.Capacity] = []
+        # Returns whether another node should plan, as this one reaches no
+        # endpoint.
+        self.should_step_down: collections.abc.Callable[[], bool] = bool
         self._scope = trio.CancelScope()
         self._started_at = trio.current_time()
 
@@ -175,7 +180,8 @@
         wait_s = LOCAL_ACQUIRE_DELAY_S if is_local else REMOTE_ACQUIRE_DELAY_S
         while True:
             while not self._may_acquire():
-                await self._view.wait_changed()
+                with trio.move_on_after(MAX_WAIT_S):
+                    await self._view.wait_changed()
             await trio.sleep(self._rng.uniform(wait_s / 2, wait_s))
             await trio.sleep(self._former_lease_left_s())
             if self._may_acquire() and self._former_lease_left_s() <= 0:
@@ -185,6 +191,8 @@
         """Return whether this node sees that no node holds the lease."""
         if not self._view.is_initialized or self._view.is_outdated:
             return False
+        if self.should_step_down():
+            return False
         return not self._is_lease_taken()
 
     def _former_lease_left_s(self) -> float:
@@ -216,7 +224,10 @@
             await trio.sleep(
                 RENEW_INTERVAL_S if held else RETRY_RENEW_INTERVAL_S
             )
-            if not self._lease.is_lost:
+            if self.should_step_down():
+                _LOG.info("%s: another node should plan", self._domain)
+                await self._lease.release()
+            elif not self._lease.is_lost:
                 await self._lease.renew()
         scope.cancel()
 
--- a/packages/gateway/wasabilanding/gateway/crash_evidence.py
+++ b/packages/gateway/wasabilanding/gateway/crash_evidence.py
@@ -27,6 +27,7 @@
 IsReachable = collections.abc.Callable[
     [fleet.Endpoint], collections.abc.Awaitable[bool]
 ]
+IsCutOff = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,6 +58,10 @@
     is_new: bool
 
 
+async def _is_never_cut_off() -> bool:
+    return False
+
+
 class CrashEvidence:
     """Broken connections, and the endpoints that have ended.
 
@@ -80,6 +85,9 @@
         self._is_reachable = is_reachable
         self._report_crash = report_crash
         self._report_survival = report_survival
+        # Returns whether this node reaches no endpoint, so that one that it
+        # does not reach need not have ended.
+        self.is_cut_off: IsCutOff = _is_never_cut_off
         self._broken = poison.BrokenConnections()
         self._endpoints: dict[fleet.Incarnation, fleet.Endpoint] = {}
         # Endpoints that are being connected to.
@@ -127,6 +135,8 @@
             with self._checking(incarnation):
                 if await self._is_reachable(endpoint):
                     return
+                if await self.is_cut_off():
+                    return
         self._record_end(incarnation)
 
     @contextlib.contextmanager
@@ -190,7 +200,7 @@
             self._record_end(incarnation)
         elif await self._is_reachable(endpoint):
             self._broken.take(incarnation)
-        else:
+        elif not await self.is_cut_off():
             self._record_end(incarnation)
 
     def _is_replaced(self, endpoint: fleet.Endpoint) -> bool:
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -84,6 +84,13 @@
         """
         self._exchange.report = report
 
+    def check_links(self, is_cut_off: crash_evidence.IsCutOff) -> None:
+        """Set what tells whether this node reaches no endpoint.
+
+        :param is_cut_off: connects to endpoints if need be.
+        """
+        self._evidence.is_cut_off = is_cut_off
+
     # Decisions about a request.
 
     @property
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -86,6 +86,10 @@
         :raises wasabilanding.gateway.upstream.AttemptFailed: if nothing may be
             sent to the endpoint now.
         """
+        if purpose is Purpose.RELAY:
+            # What a node says in its replies is not about itself.
+            yield upstream_module.Permit()
+            return
         holds = self._tracker.holds
         ticket = holds.admit(endpoint.endpoint_id, trio.current_time())
         if ticket is None:
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import dataclasses
 import logging
 import random
 import sys
@@ -24,6 +25,8 @@
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding.gateway import reachability as reachability_module
+from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
 from wasabilanding.gateway import send_grants
@@ -31,6 +34,10 @@
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import retries
 
+MAY_HAVE_RUN_STATUSES = (502, 504)
+NOT_RELAYED = answers.Answer(
+    403, "not_relayed", "only nodes send requests to this port"
+)
 _LOG = logging.getLogger(__name__)
 
 
@@ -47,6 +54,8 @@
         nodes.
     :param crash_guard: holds back requests that end endpoints.
     :param grants: grants requests to endpoints with limits.
+    :param reachability: whether this node reaches any endpoint.
+    :param relays: nodes that serve requests for this one.
     :param rng: random number generator.
     """
 
@@ -61,8 +70,11 @@
         report_silent: collections.abc.Callable[[str], None],
         crash_guard: crash_guard_module.CrashGuard,
         grants: send_grants.SendGrants,
+        reachability: reachability_module.Reachability,
+        relays: relays_module.Relays,
         rng: random.Random,
     ) -> None:
+        self._reachability = reachability
         self._settings = settings
         self._metrics = metrics
         self._crash_guard = crash_guard
@@ -78,6 +90,8 @@
             self._budget,
             crash_guard,
             grants,
+            reachability,
+            relays,
             rng,
         )
         self._attempts_context = attempt_set.AttemptSetContext(
@@ -87,6 +101,8 @@
                 tracker,
                 selector.may_repeat,
                 crash_guard.may_have_ended,
+                reachability,
+                self._relay_headers,
             ),
             selector,
             tracker,
@@ -118,17 +134,58 @@
         body: bytes,
         response: inbound.ResponseWriter,
     ) -> None:
-        """Answer a request.
+        """Answer a request of a caller.
 
         :param head: its head.
         :param body: its complete body.
         :param response: writes the answer.
         """
+        await self._handle(head, body, response, None)
+
+    async def handle_relayed(
+        self,
+        head: messages.RequestHead,
+        body: bytes,
+        response: inbound.ResponseWriter,
+    ) -> None:
+        """Answer a request of a caller that another node hands to this one.
+
+        :param head: its head, with what the other node says of it.
+        :param body: its complete body.
+        :param response: writes the answer.
+        """
+        relayed = relays_module.read_request(head.headers)
+        if relayed is None:
+            await response.answer(NOT_RELAYED, [])
+            return
+        head = dataclasses.replace(
+            head, headers=relays_module.without_own(head.headers)
+        )
+        await self._handle(head, body, response, relayed)
+
+    def _relay_headers(
+        self, state: request_state_module.RequestState
+    ) -> list[messages.Header]:
+        """Return what another node is told of a request."""
+        table = self._view.table
+        return relays_module.request_headers(
+            relays_module.RelayedRequest(
+                self._settings.node, table.version if table else 0, state.runs
+            )
+        )
+
+    async def _handle(
+        self,
+        head: messages.RequestHead,
+        body: bytes,
+        response: inbound.ResponseWriter,
+        relayed: relays_module.RelayedRequest | None,
+    ) -> None:
         self._open_requests[response] = request_state_module.OpenRequest(
             trio.current_time()
         )
         try:
-            await self._answer(head, body, response)
+            await self._answer(head, body, response, relayed)
         finally:
             del self._open_requests[response]
 
@@ -153,6 +210,7 @@
         head: messages.RequestHead,
         body: bytes,
         response: inbound.ResponseWriter,
+        relayed: relays_module.RelayedRequest | None,
     ) -> None:
         arrived_at = trio.current_time()
         try:
@@ -167,6 +225,8 @@
         try:
             state = self._admission.admit(head, body, request, arrived_at)
             self._open_requests[response].state = state
+            if relayed is not None:
+                self._accept_relayed(relayed, state, response)
             self._crash_guard.check(state)
             self._budget.deposit(state.service.name)
             with trio.move_on_at(state.deadline_at) as scope:
@@ -182,10 +242,42 @@
         except request_state_module.RequestRejected as rejection:
             reason = f"{rejection.answer.reason}: {rejection.answer.detail}"
             if not response.has_begun:
+                if relayed is not None:
+                    echoed.append(_relay_verdict(rejection))
                 await response.answer(rejection.answer, echoed)
         finally:
             self._record_end(request, state, response, arrived_at, reason)
 
+    def _accept_relayed(
+        self,
+        relayed: relays_module.RelayedRequest,
+        state: request_state_module.RequestState,
+        response: inbound.ResponseWriter,
+    ) -> None:
+        """Take over a request from another node.
+
+        :raises wasabilanding.gateway.request_state.RelayRefused: if a third
+            node should serve it.
+        """
+        state.is_relayed = True
+        state.runs = relayed.runs
+        response.added_headers = lambda: [
+            (relays_module.RUNS, str(state.runs).encode())
+        ]
+        table = self._view.table
+        obstacle = ""
+        if self._reachability.is_cut_off:
+            obstacle = "this node reaches no endpoint"
+        elif table is None or table.version < relayed.version:
+            obstacle = f"configuration {relayed.version} is not in force here"
+        self._metrics.count_relay("server", "refused" if obstacle else "taken")
+        if obstacle:
+            raise request_state_module.RelayRefused(
+                answers.not_run(
+                    "not_relayed", obstacle, request_state_module.RETRY_AFTER_S
+                )
+            )
+
     def _record_end(
         self,
         request: messages.CallerRequest,
@@ -225,6 +317,17 @@
         )
 
 
+def _relay_verdict(
+    rejection: request_state_module.RequestRejected,
+) -> messages.Header:
+    """Return what another node is told of a request that is rejected."""
+    if isinstance(rejection, request_state_module.RelayRefused):
+        return relays_module.VERDICT, relays_module.ELSEWHERE
+    if rejection.answer.status in MAY_HAVE_RUN_STATUSES:
+        return relays_module.VERDICT, relays_module.MAY_HAVE_RUN
+    return relays_module.VERDICT, relays_module.NOT_RUN
+
+
 def _end_reason(response: inbound.ResponseWriter) -> str:
     """Return why a request ended that the node did not reject."""
     if response.is_complete:
--- a/packages/gateway/wasabilanding/gateway/headers.py
+++ b/packages/gateway/wasabilanding/gateway/headers.py
@@ -22,6 +22,20 @@
 )
 
 
+def replaced(
+    headers: collections.abc.Iterable[messages.Header],
+    changed: collections.abc.Collection[messages.Header],
+) -> list[messages.Header]:
+    """Return the end-to-end headers of a request, some of them replaced.
+
+    :param headers: headers, names in lower case.
+    :param changed: the others.
+    """
+    names = {name for name, _ in changed}
+    kept = [pair for pair in end_to_end(headers) if pair[0] not in names]
+    return [*kept, *changed]
+
+
 def end_to_end(
     headers: collections.abc.Iterable[messages.Header],
 ) -> tuple[messages.Header, ...]:
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -38,6 +38,7 @@
     :param leaving: endpoints that have recently announced their shutdown.
     :param crashes: reports on requests under which endpoints have ended.
     :param limits: limits that endpoints have recently named, or ended.
+    :param is_cut_off: whether the node reaches no endpoint.
     """
 
     node: str
@@ -50,11 +51,14 @@
     leaving: tuple[LeavingEndpoint, ...] = ()
     crashes: tuple[crash_reports.CrashReport, ...] = ()
     limits: tuple[limit_messages.LimitNotice, ...] = ()
+    is_cut_off: bool = False
 
     @property
     def has_notices(self) -> bool:
         """Whether it says something besides load and progress."""
-        return bool(self.leaving or self.crashes or self.limits)
+        return bool(
+            self.leaving or self.crashes or self.limits or self.is_cut_off
+        )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -158,6 +158,12 @@
         self._remote_nodes: dict[str, dict[str, Address]] = {}
         self._remote_reports = remote_reports.RemoteReports()
         self._crash_questions = CRASH_QUESTIONS
+        # Returns whether this node reaches no endpoint.
+        self.is_cut_off: collections.abc.Callable[[], bool] = bool
+        # Receives the names of nodes that reach none.
+        self.report_cut_off: collections.abc.Callable[[str, float], None] = (
+            lambda node, now: None
+        )
         # Local monotonic times in seconds until which they are repeated.
         self._leaving: dict[hint_messages.LeavingEndpoint, float] = {}
         self._urgent_sender, self._urgent_receiver = trio.open_memory_channel[
@@ -239,6 +245,10 @@
         names = tuple(self._remote_nodes.get(failure_domain, ()))
         return send_grants.Owners(self._node, names or (self._node,))
 
+    def nodes(self) -> dict[str, dict[str, Address]]:
+        """Return the addresses of the other nodes, by failure domain."""
+        return {self._domain: self._peers, **self._remote_nodes}
+
     def ask_to_send(
         self, node: str, question: limit_messages.SendQuestion
     ) -> None:
@@ -379,6 +389,7 @@
             leaving=self._recently_leaving(now),
             crashes=self._crash_guard.due_reports(scope, now),
             limits=self._grants.due_notices(now),
+            is_cut_off=self.is_cut_off(),
         )
 
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
@@ -526,6 +537,8 @@
     def _apply_hint(self, hint: hint_messages.Hint, now: float) -> None:
         if hint.in_flight is not None:
             self._tracker.update_peer_load(hint.node, hint.in_flight, now)
+        if hint.is_cut_off:
+            self.report_cut_off(hint.node, now)
         for name, ago_s in hint.worked_ago_s.items():
             if self._view.registry.get(name) is not None:
                 self._tracker.record_progress(name, now - ago_s)
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -21,6 +21,7 @@
 Message = asgi.Message
 Receive = asgi.Receive
 Send = asgi.Send
+AddedHeaders = collections.abc.Callable[[], list[messages.Header]]
 
 
 class BodyTooLarge(Exception):
@@ -51,6 +52,8 @@
         self.begun_at: float | None = None
         self.is_complete = False
         self.caller_left = False
+        # Returns headers to add to the head of the answer.
+        self.added_headers: AddedHeaders = list
 
     @property
     def has_begun(self) -> bool:
@@ -72,6 +75,7 @@
         """
         if self._closes_connection():
             headers = [*headers, (b"connection", b"close")]
+        headers = [*headers, *self.added_headers()]
         self.status = status
         self.begun_at = trio.current_time()
         await self._send_uninterrupted(
@@ -167,6 +171,7 @@
     max_body_bytes: collections.abc.Callable[[], int],
     closes_connection: collections.abc.Callable[[], bool],
     accepts_requests: collections.abc.Callable[[], bool],
+    stopping_headers: collections.abc.Sequence[messages.Header] = (),
 ) -> collections.abc.Callable[..., collections.abc.Awaitable[None]]:
     """Return the ASGI application for callers.
 
@@ -177,6 +182,7 @@
         their answers.
     :param accepts_requests: returns whether to pass on a request that has
         just begun to arrive; if not, its connection is being closed.
+    :param stopping_headers: headers of the answer to such a request.
     """
 
     async def run(scope: Message, receive: Receive, send: Send) -> None:
@@ -194,7 +200,7 @@
             # If its connection is being closed, it is by then, and the caller
             # gets no part of an answer.
             await trio.sleep(CLOSE_TIME_S)
-            await response.answer(STOPPING, [])
+            await response.answer(STOPPING, list(stopping_headers))
             return
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
--- a/packages/gateway/wasabilanding/gateway/messages.py
+++ b/packages/gateway/wasabilanding/gateway/messages.py
@@ -160,6 +160,14 @@
     ) -> list[Header]:
         """Return the headers of a request to an endpoint."""
 
+    def relay_headers(
+        self, head: RequestHead, remaining_s: float, resumes_after: int | None
+    ) -> list[Header]:
+        """Return the headers of a caller's request that another node serves.
+
+        They are the caller's own but for the time left and where to resume.
+        """
+
     def read_reply(
         self, request: CallerRequest, status: int, headers: list[Header]
     ) -> ReplyHead:
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -85,6 +85,8 @@
         self.limited: dict[Labels, int] = {}
         self.crashes: CountsByLabels = collections.Counter()
         self.suspected: dict[Labels, int] = {}
+        self.relayed: CountsByLabels = collections.Counter()
+        self.is_cut_off = False
         self.loop_failures: CountsByLabels = collections.Counter()
         self.stranded: dict[Labels, int] = {}
         self.capacity: dict[Labels, int] = {}
@@ -196,6 +198,21 @@
         for state, count in counts.items():
             self.suspected[(("state", state),)] = count
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Set whether this node reaches no endpoint.
+
+        :param is_cut_off: whether it reaches none.
+        """
+        self.is_cut_off = is_cut_off
+
+    def count_relay(self, role: str, result: str) -> None:
+        """Count a request that one node hands to another.
+
+        :param role: "sender" or "server".
+        :param result: "taken" or "refused"; for a sender its outcome.
+        """
+        self.relayed[(("role", role), ("result", result))] += 1
+
     def set_held(self, counts: collections.abc.Mapping[str, int]) -> None:
         """Set the number of endpoints that receive no or few requests.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -127,6 +127,11 @@
             metrics.crashes,
             "Endpoints that ended under requests, and rejections",
         ),
+        (
+            "relayed_requests",
+            metrics.relayed,
+            "Requests that one node hands to another, by role and result",
+        ),
         (
             "loop_failures",
             metrics.loop_failures,
@@ -177,6 +182,11 @@
             metrics.suspected,
             "Requests under which endpoints have ended, by state",
         ),
+        (
+            "cut_off",
+            {(): int(metrics.is_cut_off)},
+            "Whether the node reaches no endpoint",
+        ),
         (
             "leaving_endpoints",
             metrics.leaving,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -23,6 +23,8 @@
 from wasabilanding.gateway import listeners
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding.gateway import reachability
+from wasabilanding.gateway import relays
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import status_apps
@@ -70,9 +72,14 @@
         self.metrics = metrics
         self.view = cluster_view_module.ClusterView(wire)
         self._tracker = dispatch.EndpointTracker()
+        self._reachability = reachability.Reachability(self.view, metrics, rng)
+        self._relays = relays.Relays(
+            settings.failure_domain, self._tracker, rng
+        )
         self._crash_guard = crash_guard.CrashGuard(
             self.view, self._tracker, metrics
         )
+        self._crash_guard.check_links(self._reachability.check)
         self._grants = send_grants.SendGrants(metrics, rng)
         self._nodes_prefix = directory.address_prefix(wire)
         self._hints = hints.HintExchange(
@@ -88,6 +95,9 @@
             self._hints.ask_to_send, self._hints.owners_of
         )
         self._crash_guard.report_through(self._hints.report_crashes)
+        self._hints.is_cut_off = lambda: self._reachability.is_cut_off
+        self._hints.report_cut_off = self._relays.record_cut_off
+        self._relays.nodes = self._hints.nodes
         self._guard = endpoint_guard.EndpointGuard(
             self.view,
             self._tracker,
@@ -105,31 +115,56 @@
             wire,
             metrics,
             self._tracker,
-            self._hints.report_silent,
+            self._report_silent,
             self._crash_guard,
             self._grants,
+            self._reachability,
+            self._relays,
             rng,
         )
         self.controllers = control.ControllerSet(
             self.view,
-            lambda domain: control.Controller(
-                settings,
-                self.view,
-                store,
-                upstream,
-                wire,
-                metrics,
-                self._tracker,
-                domain,
-                rng,
-            ),
+            lambda domain: self._controller(domain, store, wire, rng),
         )
 
+    def _controller(
+        self,
+        failure_domain: str,
+        store: messages.Store,
+        wire: messages.WireFormat,
+        rng: random.Random,
+    ) -> control.Controller:
+        """Return what plans the replicas of a failure domain."""
+        controller = control.Controller(
+            self._settings,
+            self.view,
+            store,
+            self._upstream,
+            wire,
+            self.metrics,
+            self._tracker,
+            failure_domain,
+            rng,
+        )
+        controller.should_step_down = self._is_cut_off_unlike_others
+        return controller
+
+    def _is_cut_off_unlike_others(self) -> bool:
+        """Whether this node reaches no endpoint, and another one may."""
+        if not self._reachability.is_cut_off:
+            return False
+        return self._relays.choose("", ()) is not None
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send requests to this node."""
         return self.view.is_initialized and not self._draining
 
+    def _report_silent(self, endpoint_id: str) -> None:
+        """Report a silent endpoint, unless all are silent to this node."""
+        if self._reachability.has_recent_success:
+            self._hints.report_silent(endpoint_id)
+
     @property
     def limits(self) -> routes.CallerLimits:
         """Limits on callers' requests."""
@@ -149,6 +184,19 @@
             lambda: not stopping.is_set(),
         )
 
+    def relays_app(self, stopping: trio.Event) -> asgi.App:
+        """Return the ASGI application for requests of other nodes' callers.
+
+        :param stopping: set when idle connections close.
+        """
+        return inbound.callers_app(
+            self.forwarder.handle_relayed,
+            lambda: self.limits.max_body_bytes,
+            lambda: self._draining,
+            lambda: not stopping.is_set(),
+            [(relays.VERDICT, relays.ELSEWHERE)],
+        )
+
     def start_loops(self, nursery: trio.Nursery) -> None:
         """Start the background loops.
 
@@ -158,6 +206,7 @@
             "store watch": self._follow_store,
             "planning": self.controllers.run,
             "clean-up": self._clean_up,
+            "reachability": self._reachability.keep_checking,
         }
         if self._settings.peer_port:
             loops["hints"] = self._exchange_hints
@@ -230,6 +279,8 @@
             self._guard.observe()
             await self._crash_guard.observe()
             for endpoint_id in self._upstream.endpoint_ids:
+                if relays.is_relay(endpoint_id):
+                    continue
                 endpoint = self.view.registry.get(endpoint_id)
                 is_departed = (
                     endpoint_id in self.view.registry.recently_removed
@@ -325,18 +376,31 @@
         node.start_loop(
             nursery, "limits", lambda: _apply_limits(node, callers)
         )
-        for listener in (callers, *_status_listeners(node, settings)):
+        requests = [callers, *_relay_listeners(node, settings, stopping)]
+        others = _status_listeners(node, settings)
+        for listener in (*requests, *others):
             nursery.start_soon(listener.serve, stopping)
         await stopping.wait()
         # Idle connections close now, so that no caller sends another request
         # that this node has no time left to answer.
         with trio.move_on_after(node.remaining_grace_s):
-            await callers.wait_closed()
+            for listener in requests:
+                await listener.wait_closed()
         node.log_open_requests()
         nursery.cancel_scope.cancel()
     _LOG.info("stopped")
 
 
+def _relay_listeners(
+    node: Node, settings: settings_module.Settings, stopping: trio.Event
+) -> list[listeners.Listener]:
+    """Return what takes requests that other nodes hand to this one."""
+    if not settings.peer_port:
+        return []
+    address = f"{settings.address}:{settings.peer_port}"
+    return [listeners.Listener(node.relays_app(stopping), address)]
+
+
 def _status_listeners(
     node: Node, settings: settings_module.Settings
 ) -> list[listeners.Listener]:
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -156,6 +156,22 @@
     return headers
 
 
+def relay_headers(
+    head: messages.RequestHead, remaining_s: float, resumes_after: int | None
+) -> list[messages.Header]:
+    """Return the headers of a caller's request that another node serves.
+
+    :param head: head of the request.
+    :param remaining_s: seconds left until the deadline.
+    :param resumes_after: number of the event after which to resume a stream;
+        None to start from the beginning.
+    """
+    changed = [(b"x-deadline-s", f"{remaining_s:.3f}".encode())]
+    if resumes_after is not None:
+        changed.append((b"x-resumes-after", str(resumes_after).encode()))
+    return headers_module.replaced(head.headers, changed)
+
+
 def read_reply(
     request: messages.CallerRequest,
     status: int,
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -0,0 +1,232 @@
+"""Requests that other nodes send to endpoints for this one.
+
+Explanation
+===========
+
+Load pattern: one node, all nodes of a failure domain, or most of all nodes
+are cut off from the endpoints for seconds, while callers and other nodes
+reach them. Such a node hands each request to a node that is not cut off, of
+its own failure domain first, which treats it as a caller's request and never
+hands it on. What ran and what did not is told in headers between the nodes:
+
+============================= ==============================================
+``wasabilanding-relayed-by``  name of the node that hands the request on
+``wasabilanding-version``     version of its configuration, which the other
+                              node must have reached
+``wasabilanding-runs``        runs of the request so far
+``wasabilanding-verdict``     in a reply that the other node generates itself:
+                              "not_run", "may_have_run", or "elsewhere" if it
+                              has not run and a third node may be asked
+============================= ==============================================
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+import trio
+
+from wasabilanding import dispatch
+from wasabilanding import fleet
+from wasabilanding.gateway import messages
+from wasabilanding import model
+
+RELAYED_BY = b"wasabilanding-relayed-by"
+VERSION = b"wasabilanding-version"
+RUNS = b"wasabilanding-runs"
+VERDICT = b"wasabilanding-verdict"
+OWN_HEADERS = frozenset((RELAYED_BY, VERSION, RUNS, VERDICT))
+NOT_RUN = b"not_run"
+MAY_HAVE_RUN = b"may_have_run"
+ELSEWHERE = b"elsewhere"
+# Precedes the name of a node where the identity of an endpoint is expected.
+MARK = "node:"
+# Time for which a node counts as cut off after it has said so.
+CUT_OFF_TTL_S = 1.5
+
+Address = tuple[str, int]
+Nodes = collections.abc.Mapping[str, Address]
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayedRequest:
+    """What another node says of a request that it hands on.
+
+    :param node: name of the node.
+    :param version: version of its configuration.
+    :param runs: runs of the request so far.
+    """
+
+    node: str
+    version: int
+    runs: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayReply:
+    """What a node says of a request that was handed to it.
+
+    :param verdict: its verdict; empty if an endpoint has replied.
+    :param runs: runs of the request in all.
+    """
+
+    verdict: bytes
+    runs: int
+
+
+def is_relay(endpoint_id: str) -> bool:
+    """Return whether an identity is that of a node, not of an endpoint.
+
+    :param endpoint_id: the identity.
+    """
+    return endpoint_id.startswith(MARK)
+
+
+def relay_endpoint(node: str, address: Address, service: str):
+    """Return a node in the form of an endpoint.
+
+    :param node: its name.
+    :param address: address at which it takes requests of other nodes.
+    :param service: service that the request is for.
+    """
+    return fleet.Endpoint(f"{MARK}{node}", service, *address, "")
+
+
+def _number(fields: dict[bytes, bytes], name: bytes) -> int:
+    text = fields.get(name, b"")
+    return int(text) if text.isdigit() and len(text) < 18 else 0
+
+
+def read_request(
+    headers: collections.abc.Iterable[messages.Header],
+) -> RelayedRequest | None:
+    """Decode what a node says of a request; None if it says nothing.
+
+    :param headers: headers of the request, names in lower case.
+    """
+    fields = dict(headers)
+    if RELAYED_BY not in fields:
+        return None
+    return RelayedRequest(
+        fields[RELAYED_BY].decode("latin-1"),
+        _number(fields, VERSION),
+        _number(fields, RUNS),
+    )
+
+
+def request_headers(request: RelayedRequest) -> list[messages.Header]:
+    """Encode what this node says of a request.
+
+    :param request: the request.
+    """
+    return [
+        (RELAYED_BY, request.node.encode()),
+        (VERSION, str(request.version).encode()),
+        (RUNS, str(request.runs).encode()),
+    ]
+
+
+def read_reply(
+    headers: collections.abc.Iterable[messages.Header],
+) -> RelayReply:
+    """Decode what a node says in its reply.
+
+    :param headers: headers of the reply, names in lower case.
+    """
+    fields = dict(headers)
+    return RelayReply(fields.get(VERDICT, b""), _number(fields, RUNS))
+
+
+def without_own(
+    headers: collections.abc.Iterable[messages.Header],
+) -> tuple[messages.Header, ...]:
+    """Return headers without those between nodes.
+
+    :param headers: headers, names in lower case.
+    """
+    return tuple(pair for pair in headers if pair[0] not in OWN_HEADERS)
+
+
+def outcome_of(
+    reply: RelayReply, node: str, status: int, retry_after_s: float | None
+) -> model.Outcome:
+    """Return the outcome of a request that a node did not have answered.
+
+    :param reply: what the node says.
+    :param node: name of the node.
+    :param status: HTTP status of its reply.
+    :param retry_after_s: seconds after which the caller may come back; None
+        if not given.
+    """
+    detail = f"{node} replied with {status}"
+    if reply.verdict == ELSEWHERE:
+        return model.not_run(model.Reason.CONNECT_FAILED, detail)
+    if reply.verdict == NOT_RUN:
+        return model.not_run(model.Reason.NO_REPLICA, detail, retry_after_s)
+    return model.may_have_run(model.Reason.CONNECTION_LOST, detail)
+
+
+class Relays:
+    """The nodes to which this one may hand requests.
+
+    :param failure_domain: failure domain of this node.
+    :param tracker: which nodes have failed lately.
+    :param rng: random number generator.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        tracker: dispatch.EndpointTracker,
+        rng: random.Random,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._tracker = tracker
+        self._rng = rng
+        # Names and addresses of the other nodes, by failure domain.
+        self.nodes: collections.abc.Callable[
+            [], collections.abc.Mapping[str, Nodes]
+        ] = dict
+        self._cut_off_until: dict[str, float] = {}
+
+    def record_cut_off(self, node: str, now: float) -> None:
+        """Record that a node says that it is cut off itself.
+
+        :param node: name of the node.
+        :param now: local monotonic time in seconds.
+        """
+        self._cut_off_until[node] = now + CUT_OFF_TTL_S
+
+    def choose(
+        self, service: str, tried: collections.abc.Container[str]
+    ) -> fleet.Endpoint | None:
+        """Return a node for a request, in the form of an endpoint.
+
+        :param service: service that the request is for.
+        :param tried: identities that the request was sent to.
+        :returns: a node of this failure domain if possible; None for none.
+        """
+        by_domain = self.nodes()
+        local = by_domain.get(self._failure_domain, {})
+        remote = {
+            name: address
+            for domain, nodes in by_domain.items()
+            if domain != self._failure_domain
+            for name, address in nodes.items()
+        }
+        for nodes in (local, remote):
+            names = [n for n in nodes if self._may_take(n, tried)]
+            if names:
+                name = self._rng.choice(names)
+                return relay_endpoint(name, nodes[name], service)
+        return None
+
+    def _may_take(
+        self, node: str, tried: collections.abc.Container[str]
+    ) -> bool:
+        now = trio.current_time()
+        if f"{MARK}{node}" in tried:
+            return False
+        if self._cut_off_until.get(node, now) > now:
+            return False
+        return self._tracker.record(f"{MARK}{node}").avoid_until <= now
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -40,6 +40,12 @@
     last_event: int | None = None
     # Identifies its content; empty until it is computed.
     fingerprint: str = ""
+    # Failed connections to endpoints.
+    connect_failures: int = 0
+    # Whether another node has handed it to this one.
+    is_relayed: bool = False
+    # Whether another node has rejected it, so that no third one is asked.
+    is_rejected_elsewhere: bool = False
     # Whether a stream can resume after the last delivered event.
     is_position_known: bool = True
     tried_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
@@ -83,6 +89,10 @@
         self.answer = answer
 
 
+class RelayRefused(RequestRejected):
+    """Another node's request is refused here; a third one may serve it."""
+
+
 def rejection(
     state: RequestState, outcome: model.Outcome, obstacle: str
 ) -> RequestRejected:
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -9,6 +9,8 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import crash_guard as crash_guard_module
+from wasabilanding.gateway import reachability as reachability_module
+from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import upstream as upstream_module
@@ -22,6 +24,8 @@
 MAX_RETRY_AFTER_S = 10.0
 NOT_SENT_REASONS = (model.Reason.CONNECT_FAILED, model.Reason.ENDPOINT_HELD)
 NO_OTHER_ENDPOINT = "no other endpoint"
+# From so many failed connections on, another node is asked.
+RELAY_AFTER_FAILURES = 2
 # Endpoints with limits that are asked for one after the other.
 MAX_LIMITED_ASKED = 3
 # Share of a route's latency goal for which a request waits for a grant.
@@ -49,6 +53,8 @@
     :param budget: this node's share of the retries.
     :param crash_guard: holds back requests that end endpoints.
     :param grants: grants requests to endpoints with limits.
+    :param reachability: whether this node reaches any endpoint.
+    :param relays: nodes that serve requests for this one.
     :param rng: random number generator.
     """
 
@@ -60,8 +66,12 @@
         budget: retries.RetryBudget,
         crash_guard: crash_guard_module.CrashGuard,
         grants: send_grants.SendGrants,
+        reachability: reachability_module.Reachability,
+        relays: relays_module.Relays,
         rng: random.Random,
     ) -> None:
+        self._reachability = reachability
+        self._relays = relays
         self._view = view
         self._tracker = tracker
         self._failure_domain = failure_domain
@@ -82,6 +92,8 @@
 
         :param state: the request.
         """
+        if self._needs_relay(state):
+            return self._pick_relay(state)
         limited, unlimited = self._candidates_by_limit(state)
         found = self._choose(unlimited)
         if limited and not self._has_free_slot(found):
@@ -98,9 +110,36 @@
 
         :param state: the request.
         """
+        if self._needs_relay(state):
+            return self._pick_relay(state)
         found = self._choose(self._candidates_by_limit(state)[1])
         return Selection(found.endpoint) if found is not None else None
 
+    def _needs_relay(self, state: request_state_module.RequestState) -> bool:
+        """Return whether another node must serve a request.
+
+        After some failures it need not, if there is none.
+        """
+        if state.is_relayed:
+            return False
+        if state.is_rejected_elsewhere or self._reachability.is_cut_off:
+            return True
+        if state.connect_failures < RELAY_AFTER_FAILURES:
+            return False
+        return self._pick_relay(state) is not None
+
+    def _pick_relay(
+        self, state: request_state_module.RequestState
+    ) -> Selection | None:
+        if state.is_rejected_elsewhere:
+            return None
+        found = self._relays.choose(
+            state.service.name, state.tried_endpoint_ids
+        )
+        if found is None:
+            return None
+        return Selection(found, upstream_module.Purpose.RELAY)
+
     def _candidates_by_limit(
         self, state: request_state_module.RequestState
     ) -> tuple[list[dispatch.Candidate], list[dispatch.Candidate]]:
@@ -198,6 +237,8 @@
             return False
         if self.limit_reached(state, state.runs):
             return False
+        if self._needs_relay(state):
+            return self._pick_relay(state) is not None
         return bool(self._untried(state))
 
     def retry_obstacle(
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -17,6 +17,8 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics
 from wasabilanding.gateway import plain_wire
+from wasabilanding.gateway import reachability
+from wasabilanding.gateway import relays
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
@@ -37,6 +39,12 @@
 EVENTS_BEFORE_PAUSE = 2
 # Longer than the silence after which another endpoint is tried.
 QUEUED_S = 2.2
+# Status and verdict of a node that does not have a request answered.
+RELAY_VERDICTS = {
+    "elsewhere": (503, relays.ELSEWHERE),
+    "rejected": (503, relays.NOT_RUN),
+    "perhaps": (502, relays.MAY_HAVE_RUN),
+}
 # Requests for this path are never answered.
 SLOW = b"/slow"
 # Requests for this path are answered after a while.
@@ -205,7 +213,7 @@
             await self._crash(name, request)
         if script == "clinging":
             await _end_late()
-        if script not in ("refuse", "foreign"):
+        if script not in ("refuse", "foreign", *RELAY_VERDICTS):
             self.runs[name] += 1
         if script == "dying":
             self.scripts[name] = "unreachable"
@@ -238,6 +246,12 @@
                 stream=_Body(_events(request, count), script, on_close),
             )
         headers["transfer-encoding"] = "chunked"
+        if script in RELAY_VERDICTS:
+            status, verdict = RELAY_VERDICTS[script]
+            headers[relays.VERDICT.decode()] = verdict.decode()
+            return httpx.Response(
+                status, headers=headers, stream=_Body([], "")
+            )
         if script == "answer":
             return httpx.Response(
                 200, headers=headers, stream=_Body([b"ok"], "")
@@ -371,6 +385,13 @@
             self.metrics,
             self.endpoints.is_reachable,
         )
+        self.reachability = reachability.Reachability(
+            self.view,
+            self.metrics,
+            random.Random(1),
+            self.endpoints.is_reachable,
+        )
+        self.relays = relays.Relays("z1", self.tracker, random.Random(1))
         for name in scripts:
             self.view.registry.put(self.endpoints.endpoint(name))
 
@@ -382,12 +403,15 @@
         found.require_permits(self.guard.admit)
         return found
 
-    async def ask(self, headers=(), target=b"/a", body=b"body"):
+    async def ask(
+        self, headers=(), target=b"/a", body=b"body", is_relayed=False
+    ):
         """Send a request and return the caller with its answer.
 
         :param headers: additional headers.
         :param target: path and query.
         :param body: body of the request.
+        :param is_relayed: whether another node hands it to this one.
         """
         caller = Caller(self.caller_read_s)
         path = target.decode().partition("?")[0]
@@ -405,9 +429,14 @@
                 self.reported.append,
                 self.crash_guard,
                 self.grants,
+                self.reachability,
+                self.relays,
                 _FirstRandom(1),
             )
-            await forwarder.handle(head, body, response)
+            handle = forwarder.handle
+            if is_relayed:
+                handle = forwarder.handle_relayed
+            await handle(head, body, response)
         caller.ended_at = trio.current_time()
         caller.took_s = caller.ended_at - begun_at
         return caller
--- a/packages/gateway/wasabilanding/gateway/tests/planning.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/planning.feature
@@ -26,6 +26,7 @@
       | stops              | 1.6     |
       | gives notice and answers on | 1.6 |
       | dies without a word | 4.6    |
+      | reaches no endpoint | 1.6     |
 
   Scenario Outline: The planner resumes soon after the store recovers
     Given 9 nodes of a failure domain that start at once
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/relays.feature
@@ -0,0 +1,64 @@
+Feature: Requests go through another node where this one reaches no endpoint
+
+  Scenario Outline: What another node says decides what the caller gets
+    Given <kind> requests of up to 2 attempts
+    And endpoints that "<scripts>"
+    And the nodes "n2 n3" as relays, in place of e1 and e2
+    And the node is cut off from the endpoints
+    When requests for "/a" are sent at 0 s
+    Then the request at 0 s gets <status>
+    And the endpoints reached are "<reached>"
+
+    Examples: It answers, or says that another node must be asked
+      | kind                | scripts                          | status | reached |
+      | safe                | answer, answer, answer           | 200    | e1      |
+      | unsafe              | answer, elsewhere, answer        | 200    | e1 e2   |
+      | unsafe              | answer, elsewhere, elsewhere     | 503    | e1 e2   |
+      | resumable streaming | answer, elsewhere, events 4      | 200    | e1 e2   |
+
+    Examples: It rejects, the request may have run, or its connection breaks
+      | kind                | scripts                     | status | reached |
+      | safe                | answer, rejected, answer    | 503    | e1      |
+      | unsafe              | answer, perhaps, answer     | 502    | e1      |
+      | safe                | answer, perhaps, answer     | 200    | e1 e2   |
+      | unsafe              | answer, foreign, answer     | 502    | e1      |
+      | resumable streaming | answer, reset 2, events 4   | 200    | e1 e2   |
+      | safe                | answer, unreachable, answer | 200    | e1 e2   |
+
+  Scenario Outline: A request that another node hands on goes no further
+    Given safe requests of up to 2 attempts
+    And endpoints that "answer, answer"
+    And the nodes "n2" as relays, in place of e1
+    And the node <state>
+    When another node with configuration <version> hands over a request at 0 s
+    Then the request at 0 s gets <status> with the verdict "<verdict>"
+    And the endpoints reached are "<reached>"
+
+    Examples:
+      | state                          | version | status | verdict   | reached |
+      | is cut off from the endpoints  | 1       | 503    | elsewhere |         |
+      | reaches the endpoints          | 1       | 200    |           | e0      |
+      | reaches the endpoints          | 2       | 503    | elsewhere |         |
+
+  Scenario: A node that reaches endpoints asks no other node
+    Given safe requests of up to 2 attempts
+    And endpoints that "answer, answer"
+    And the nodes "n2" as relays, in place of e1
+    When requests for "/a" are sent at 0 s
+    Then the request at 0 s gets 200
+    And the endpoints reached are "e0"
+
+  Scenario: Where new connections are refused, another node is asked after two
+    Given safe requests of up to 2 attempts
+    And endpoints that "unreachable, unreachable, unreachable, answer"
+    And the nodes "n2" as relays, in place of e3
+    When requests for "/a" are sent at 0 s
+    Then the request at 0 s gets 200
+    And the endpoints reached are "e0 e1 e3"
+
+  Scenario: A node that is cut off takes no endpoint for ended
+    Given unsafe requests of up to 1 attempts
+    And endpoints that "crash, unreachable"
+    And the node checks its links for 3 s
+    When requests for "/a" are sent at 0 s
+    Then 0 requests are suspected
--- a/packages/gateway/wasabilanding/gateway/tests/steps/planning_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/planning_steps.py
@@ -125,6 +125,9 @@
 
     async def step():
         context.before = context.simulation.planner()
+        if ends == "reaches no endpoint":
+            context.before.controller.should_step_down = lambda: True
+            return
         if ends != "dies without a word":
             await context.before.controller.release()
         if ends != "gives notice and answers on":
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -94,10 +94,12 @@
 
     A caller's request and an order that begins something are not sent to an
     endpoint that leaves; a report, or an order that ends its service, may be.
-    A caller's request to an endpoint with a limit needs a grant.
+    A caller's request to an endpoint with a limit needs a grant. One that is
+    relayed goes to another node instead of an endpoint.
     """
 
     CALLER = "caller"
+    RELAY = "relay"
     GRANTED = "granted"
     PLACEMENT = "placement"
     CONTROL = "control"
