--- a/packages/experiments/wasabilanding/experiments/installation/changes.py
+++ b/packages/experiments/wasabilanding/experiments/installation/changes.py
@@ -97,6 +97,7 @@
         return [
             self._of_gateway(self._gateways.kill),
             self._of_gateway(self._gateways.suspend),
+            self._of_gateway(self._gateways.cut_off),
             self._of_vm(self._engines.kill),
             self._of_vm(self._engines.pause),
             self._network.fail_link,
--- a/packages/experiments/wasabilanding/experiments/installation/cut_gateway.py
+++ b/packages/experiments/wasabilanding/experiments/installation/cut_gateway.py
@@ -15,8 +15,8 @@
 ``refuse``
     Open connections live on, and new ones are refused.
 
-Run as ``python -m wasabilanding.experiments.installation.cut_gateway`` with
-the options of the gateway; the environment names file and ports.
+:data:`PROGRAM` is run by Python with the options of the gateway, and blocks
+SIGHUP at first as the gateway does; the environment names file and ports.
 """
 
 import collections.abc
@@ -29,12 +29,16 @@
 
 from wasabilanding.gateway import main
 
+PROGRAM = (
+    f"from wasabilanding import gatewayd;gatewayd.start({__name__!r}, 'run')"
+)
 CUT_FILE = "WASABILANDING_CUT_FILE"
 CUT_PORTS = "WASABILANDING_CUT_PORTS"
 HANG = "hang"
 RESET = "reset"
 REFUSE = "refuse"
 NONE = ""
+MODES = (HANG, RESET, REFUSE)
 POLL_S = 0.05
 
 Socket = typing.Any
@@ -140,7 +144,8 @@
     kind.recv = lambda sock, *rest: cut.receive(receive, send, sock, *rest)
 
 
-if __name__ == "__main__":
+def run() -> None:
+    """Run a gateway that can be cut."""
     install(
         Cut(
             pathlib.Path(os.environ[CUT_FILE]),
--- a/packages/experiments/wasabilanding/experiments/installation/gateway_changes.py
+++ b/packages/experiments/wasabilanding/experiments/installation/gateway_changes.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from wasabilanding.experiments.installation import cut_gateway
 from wasabilanding.experiments.installation import durations
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation import record as record_module
@@ -100,6 +101,17 @@
         await durations.wait(self._rng, durations.FAULT_DURATION_RANGE_S)
         gateway.process.send_signal(signal.SIGCONT)
 
+    async def cut_off(self, gateway: launch.Gateway) -> None:
+        """Cut a gateway off from all endpoints for a while.
+
+        :param gateway: the gateway.
+        """
+        mode = self._rng.choice(cut_gateway.MODES)
+        self._record.add(f"{gateway.name} reaches no endpoint: {mode}")
+        self._installation.cut(gateway, mode)
+        await durations.wait(self._rng, durations.FAULT_DURATION_RANGE_S)
+        self._installation.cut(gateway, cut_gateway.NONE)
+
     def _terminate(self, gateway: launch.Gateway) -> None:
         self._record.add_termination(gateway.name)
         gateway.process.terminate()
--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -165,6 +165,8 @@
         self._processes = launcher.Processes(folder)
         self._ports = iter(launcher.free_ports(self._port_count()))
         self.vms: list[Vm] = []
+        # Ports at which endpoints are registered.
+        self._endpoint_ports: list[int] = []
         self.gateways: list[Gateway] = []
         self.control_urls: dict[str, str] = {}
         self.platform_url = ""
@@ -232,6 +234,11 @@
     def _start_fabric(self, domain: str) -> None:
         control_port = next(self._ports)
         vms = self._domain_vms(domain)
+        registered = {
+            vm.endpoint_id: self._proxied_port(vm.endpoint_id, vm.port)
+            for vm in vms
+        }
+        self._endpoint_ports += registered.values()
         settings = {
             "platform_url": self.platform_url,
             "failure_domain": domain,
@@ -241,9 +248,7 @@
                     "endpoint_id": vm.endpoint_id,
                     "service": vm.service,
                     "port": vm.port,
-                    "registered_port": self._proxied_port(
-                        vm.endpoint_id, vm.port
-                    ),
+                    "registered_port": registered[vm.endpoint_id],
                     "fabric_domain": vm.fabric_domain,
                 }
                 for vm in vms
@@ -300,12 +305,11 @@
         command = [str(launcher.BIN / "wasabilanding-gateway")]
         environment = {}
         if self._is_cuttable:
-            command = [sys.executable, "-m", cut_gateway.__name__]
+            command = [sys.executable, "-c", cut_gateway.PROGRAM]
             environment = {
                 cut_gateway.CUT_FILE: str(self._cut_file(name)),
                 cut_gateway.CUT_PORTS: ",".join(
-                    str(self._proxied_port(vm.endpoint_id, vm.port))
-                    for vm in self.vms
+                    str(port) for port in self._endpoint_ports
                 ),
             }
         return self._processes.spawn(
--- a/packages/experiments/wasabilanding/experiments/installation/soak.py
+++ b/packages/experiments/wasabilanding/experiments/installation/soak.py
@@ -79,7 +79,11 @@
         # Planned changes disturb no links.
         proxied_port = None if options.planned_only else self._start_proxy
         self._installation = launch.Installation(
-            plan, folder, proxied_port, self._output_of
+            plan,
+            folder,
+            proxied_port,
+            self._output_of,
+            is_cuttable=not options.planned_only,
         )
         self._changes = changes.ChangeInjector(
             self._installation, self._proxies, self._pipes, rng, options
