Move what a node knows of the others into a module; share checks of links

An endpoint counts as ended only after a new connection to another one, since a reply that came before may be older than the cut of this node's links; all who ask within 0.1 s share one check.

--- a/packages/decisions/wasabilanding/dispatch/reachability.py
+++ b/packages/decisions/wasabilanding/dispatch/reachability.py
@@ -85,6 +85,13 @@
         silent_since = max(self._waiting_since, self._succeeded_at)
         return self._waiting > 0 and now - silent_since > SUSPECT_SILENCE_S
 
+    def is_checked_since(self, at: float) -> bool:
+        """Return whether a check has begun after some time.
+
+        :param at: local monotonic time in seconds.
+        """
+        return self._checked_at > at
+
     def begin_check(self, now: float) -> None:
         """Record that a check begins.
 
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -63,26 +63,19 @@
 from wasabilanding.gateway import compression
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import crash_reports
-from wasabilanding.gateway import directory
 from wasabilanding.gateway import hint_messages
 from wasabilanding.gateway import limit_messages
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import peer_nodes
 from wasabilanding.gateway import remote_reports
 from wasabilanding.gateway import send_grants
 from wasabilanding import model
-from wasabilanding import poison
 
 MAX_DATAGRAM_BYTES = 65_535
 # Interval between load hints; it grows with the number of peers.
 MIN_LOAD_PERIOD_S = 0.05
 LOAD_PERIOD_PER_NODE_S = 0.008
 MAX_LOAD_PERIOD_S = 0.4
-# Up to this number of nodes send hints to each other, without a collector.
-MAX_MESH_NODES = 9
-# A collector that forwards nothing for the timeout is skipped until the
-# backoff, counted from the first hint sent to it, has passed.
-COLLECTOR_TIMEOUT_S = 1.0
-COLLECTOR_BACKOFF_S = 10.0
 # Each hint repeats some of the previous hint's progress, in case its datagram
 # was lost.
 PROGRESS_OVERLAP_S = 0.1
@@ -106,7 +99,7 @@
 REMOTE = crash_reports.Scope.REMOTE
 
 _LOG = logging.getLogger(__name__)
-Address = tuple[str, int]
+Address = peer_nodes.Address
 
 
 class Datagrams(typing.Protocol):
@@ -147,16 +140,11 @@
         self._tracker = tracker
         self._crash_guard = crash_guard
         self._grants = grants
-        self._prefix = directory.address_prefix(wire)
         self._collected: dict[str, hint_messages.Hint] = {}
         self._confirmations = changefeed.Confirmations(
             random.getrandbits(NUMBER_BITS)
         )
-        # Local monotonic times in seconds, by node.
-        self._sending_since: dict[str, float] = {}
-        self._received_at: dict[str, float] = {}
-        self._peers: dict[str, Address] = {}
-        self._remote_nodes: dict[str, dict[str, Address]] = {}
+        self.nodes = peer_nodes.PeerNodes(node, failure_domain, view, wire)
         self._remote_reports = remote_reports.RemoteReports()
         self._crash_questions = CRASH_QUESTIONS
         # Returns whether this node reaches no endpoint.
@@ -236,32 +224,6 @@
         else:
             _LOG.info("reporting to other nodes that %s", content)
 
-    def owners_of(self, failure_domain: str) -> send_grants.Owners:
-        """Return the nodes that may own the limits of some endpoints.
-
-        :param failure_domain: failure domain of the endpoints.
-        """
-        if failure_domain == self._domain:
-            return send_grants.Owners(self._node, (*self._peers, self._node))
-        names = tuple(self._remote_nodes.get(failure_domain, ()))
-        return send_grants.Owners(self._node, names or (self._node,))
-
-    def nodes(self) -> dict[str, dict[str, Address]]:
-        """Return the addresses of the other nodes, by failure domain."""
-        return {self._domain: self._peers, **self._remote_nodes}
-
-    def is_first_for(self, subject: str) -> bool:
-        """Return whether this node comes first for a subject.
-
-        All nodes that know the same nodes agree on it.
-
-        :param subject: what one node does for all.
-        """
-        names = [self._node]
-        for nodes in self.nodes().values():
-            names += nodes
-        return poison.trial_order(subject, names)[0] == self._node
-
     def ask_to_send(
         self, node: str, question: limit_messages.SendQuestion
     ) -> None:
@@ -270,12 +232,12 @@
         :param node: name of the node.
         :param question: the question.
         """
-        for nodes in (self._peers, *self._remote_nodes.values()):
-            if node in nodes:
-                batch = hint_messages.HintBatch(
-                    self._node, (), questions=(question,)
-                )
-                self._send_directly(batch, nodes[node])
+        address = self.nodes.address_of(node)
+        if address is not None:
+            batch = hint_messages.HintBatch(
+                self._node, (), questions=(question,)
+            )
+            self._send_directly(batch, address)
 
     def _send_directly(
         self, batch: hint_messages.HintBatch, address: Address
@@ -308,11 +270,14 @@
             if not self._view.asks_peers:
                 await self._view.wait_changed()
                 continue
-            self._refresh_peers()
-            nodes = list(self._peers.values())
-            for remote in self._remote_nodes.values():
-                nodes += remote.values()
-            asked = random.sample(nodes, min(ASKED_NODES, len(nodes)))
+            self.nodes.refresh()
+            addresses = [
+                address
+                for nodes in self.nodes.by_domain().values()
+                for address in nodes.values()
+            ]
+            count = min(ASKED_NODES, len(addresses))
+            asked = random.sample(addresses, count)
             await self._send(datagrams, batch, asked)
             await trio.sleep(ASK_INTERVAL_S)
 
@@ -341,23 +306,11 @@
             batch = hint_messages.HintBatch(self._node, (hint,))
             await self._send(datagrams, batch, [address])
 
-    def _refresh_peers(self) -> None:
-        nodes = directory.decode_addresses(
-            self._view.internal_items, self._prefix
-        )
-        by_domain: dict[str, dict[str, Address]] = {}
-        for node in nodes:
-            found = by_domain.setdefault(node.failure_domain, {})
-            found[node.node] = (node.host, node.port)
-        self._peers = by_domain.pop(self._domain, {})
-        self._peers.pop(self._node, None)
-        self._remote_nodes = by_domain
-
     async def _send_urgent(self, datagrams: Datagrams) -> None:
         async for hint in self._urgent_receiver:
-            self._refresh_peers()
+            self.nodes.refresh()
             batch = hint_messages.HintBatch(self._node, (hint,))
-            await self._send(datagrams, batch, self._peers.values())
+            await self._send(datagrams, batch, self.nodes.local.values())
 
     async def _send_load(self, datagrams: Datagrams) -> None:
         last_load: dict[str, int] = {}
@@ -366,21 +319,21 @@
             period_s = min(
                 max(
                     MIN_LOAD_PERIOD_S,
-                    len(self._peers) * LOAD_PERIOD_PER_NODE_S,
+                    len(self.nodes.local) * LOAD_PERIOD_PER_NODE_S,
                 ),
                 MAX_LOAD_PERIOD_S,
             )
             await trio.sleep(period_s)
             now = trio.current_time()
             if now - refreshed_at > PEER_REFRESH_INTERVAL_S:
-                self._refresh_peers()
+                self.nodes.refresh()
                 refreshed_at = now
-            if not self._uses_collector:
+            if not self.nodes.uses_collector:
                 self._view.feeds_peers = False
             load = self._tracker.local_load
             notices = self._due_notices(LOCAL, now)
             has_news = notices.has_notices or self._crash_questions > 0
-            if load or last_load or has_news or self._uses_collector:
+            if load or last_load or has_news or self.nodes.uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
                 )
@@ -407,13 +360,13 @@
 
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
         """Report load, shutdowns and crashes to other failure domains."""
-        if self._uses_collector and not self._view.feeds_peers:
+        if self.nodes.uses_collector and not self._view.feeds_peers:
             return
         if not self._remote_reports.is_due(now):
             return
         load = self._tracker.local_load
-        if self._uses_collector:
-            load = self._tracker.load_of_nodes(self._peers)
+        if self.nodes.uses_collector:
+            load = self._tracker.load_of_nodes(self.nodes.local)
         notices = self._due_notices(REMOTE, now)
         is_begun = self._remote_reports.try_begin(
             load, notices.has_notices, now
@@ -421,8 +374,8 @@
         if not is_begun:
             return
         hint = dataclasses.replace(notices, in_flight=load)
-        for domain, nodes in self._remote_nodes.items():
-            has_collector = _needs_collector(len(nodes))
+        for domain, nodes in self.nodes.remote.items():
+            has_collector = peer_nodes.needs_collector(len(nodes))
             batch = hint_messages.HintBatch(
                 self._node, (hint,), not has_collector, domain=self._domain
             )
@@ -432,19 +385,15 @@
                 addresses = [nodes[name]]
             await self._send(datagrams, batch, addresses)
 
-    @property
-    def _uses_collector(self) -> bool:
-        return _needs_collector(len(self._peers) + 1)
-
     async def _send_load_hint(
         self, datagrams: Datagrams, hint: hint_messages.Hint, now: float
     ) -> None:
         """Send to all peers or to the collector, which may be this node."""
-        if not self._uses_collector:
+        if not self.nodes.uses_collector:
             batch = hint_messages.HintBatch(self._node, (hint,))
-            await self._send(datagrams, batch, self._peers.values())
+            await self._send(datagrams, batch, self.nodes.local.values())
             return
-        collector = self._collector(now)
+        collector = self.nodes.collector(now)
         self._view.feeds_peers = collector == self._node
         if collector == self._node:
             self._collected[self._node] = hint
@@ -452,21 +401,7 @@
         number = self._confirmations.issue(self._view.clock_time())
         hint = dataclasses.replace(hint, number=number)
         batch = hint_messages.HintBatch(self._node, (hint,), is_for_all=False)
-        await self._send(datagrams, batch, (self._peers[collector],))
-
-    def _collector(self, now: float) -> str:
-        """Return the first node by name that forwards hints."""
-        for name in sorted((*self._peers, self._node)):
-            if name == self._node:
-                break
-            since = self._sending_since.get(name, now)
-            if now - since > COLLECTOR_BACKOFF_S:
-                since = now
-            self._sending_since[name] = since
-            received_at = self._received_at.get(name, since)
-            if now - max(since, received_at) < COLLECTOR_TIMEOUT_S:
-                return name
-        return self._node
+        await self._send(datagrams, batch, (self.nodes.local[collector],))
 
     async def _forward_collected(self, datagrams: Datagrams) -> None:
         batch = hint_messages.HintBatch(
@@ -475,7 +410,7 @@
             changes=self._view.cut_segment(),
         )
         self._collected.clear()
-        await self._send(datagrams, batch, self._peers.values())
+        await self._send(datagrams, batch, self.nodes.local.values())
 
     async def _send(
         self,
@@ -531,7 +466,7 @@
         if batch.domain:
             self._remote_reports.note_sender(batch.domain, batch.sender, now)
         elif batch.changes is not None:
-            self._received_at[batch.sender] = now
+            self.nodes.note_collector(batch.sender, now)
         repeated = 0
         for hint in batch.hints:
             if hint.node == self._node:
@@ -592,11 +527,6 @@
         )
 
 
-def _needs_collector(nodes: int) -> bool:
-    """Tell whether the nodes of a failure domain send to a collector."""
-    return nodes > MAX_MESH_NODES
-
-
 async def bind_socket(address: Address) -> trio.socket.SocketType:
     """Return a datagram socket, bound once the address is free.
 
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -92,13 +92,13 @@
             wire,
         )
         self._grants.exchange_through(
-            self._hints.ask_to_send, self._hints.owners_of
+            self._hints.ask_to_send, self._hints.nodes.owners_of
         )
         self._crash_guard.report_through(self._hints.report_crashes)
-        self._crash_guard.try_parts_at(self._hints.is_first_for)
+        self._crash_guard.try_parts_at(self._hints.nodes.is_first_for)
         self._hints.is_cut_off = lambda: self._reachability.is_cut_off
         self._hints.report_cut_off = self._relays.record_cut_off
-        self._relays.nodes = self._hints.nodes
+        self._relays.nodes = self._hints.nodes.by_domain
         self._guard = endpoint_guard.EndpointGuard(
             self.view,
             self._tracker,
--- a/packages/gateway/wasabilanding/gateway/reachability.py
+++ b/packages/gateway/wasabilanding/gateway/reachability.py
@@ -20,6 +20,8 @@
 LOOK_INTERVAL_S = 0.1
 # Endpoints that a check connects to.
 CHECKED_ENDPOINTS = 4
+# A check that began so long ago at most is not repeated.
+SHARED_CHECK_S = 0.1
 
 IsReachable = collections.abc.Callable[
     [fleet.Endpoint], collections.abc.Awaitable[bool]
@@ -47,6 +49,7 @@
         self._metrics = metrics
         self._rng = rng
         self._is_reachable = is_reachable
+        self._lock = trio.Lock()
         self.monitor = dispatch.ReachabilityMonitor()
         self.record_failure = self.monitor.record_failure
         self.record_success = self.monitor.record_success
@@ -81,11 +84,16 @@
     async def check(self) -> bool:
         """Connect to some endpoints; return whether none accepts.
 
-        An endpoint that has replied lately is evidence enough.
+        What was received before does not count: many connections may break at
+        the same moment. They share one check.
         """
-        now = trio.current_time()
-        if self.monitor.has_recent_success(now) and not self.is_cut_off:
-            return False
+        async with self._lock:
+            now = trio.current_time()
+            if not self.monitor.is_checked_since(now - SHARED_CHECK_S):
+                await self._check(now)
+        return self.is_cut_off
+
+    async def _check(self, now: float) -> None:
         self.monitor.begin_check(now)
         chosen = self._choose()
         # One that accepts is enough.
@@ -94,7 +102,6 @@
             accepted += await self._connect(chosen[1:])
         if self.monitor.record_check(sum(accepted), len(accepted)):
             self._report_change(chosen)
-        return self.is_cut_off
 
     async def _connect(self, endpoints: list[fleet.Endpoint]) -> list[bool]:
         """Return, for each endpoint, whether it accepts a connection."""
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -71,7 +71,7 @@
             )
             self.grants[entry.node].exchange_through(
                 self.hints[entry.node].ask_to_send,
-                self.hints[entry.node].owners_of,
+                self.hints[entry.node].nodes.owners_of,
             )
 
     def items(self, names, revision=1):
