--- a/packages/decisions/wasabilanding/poison/parts.py
+++ b/packages/decisions/wasabilanding/poison/parts.py
@@ -60,7 +60,8 @@
     :param crashed: replicas that crashed while requests with it ran.
     :param rounds: crashes that followed on one another.
     :param is_known_good: whether requests with it were answered before.
-    :param is_condemned: whether requests with it are to be refused.
+    :param is_condemned: whether requests with it are to be refused; the rest
+        is set only then.
     :param until: local monotonic time in seconds at which that ends.
     :param companions: parts that requests with it always had, itself
         included; only requests with all of them are refused.
@@ -140,14 +141,19 @@
         crashes = self.notices.valid_crashes(part, now)
         if not crashes:
             return CLEAN
-        return PartStatus(
+        suspected = PartStatus(
             tuple(crash.replica for crash in crashes),
             count_rounds(crashes),
             _is_known_good(crashes),
-            self._is_condemned(part, crashes, now),
-            crashes[-1].at + suspicions_module.NOTICE_RETENTION_S,
-            self._companions(part, crashes, now),
-            _trial_at(crashes),
+        )
+        if not self._is_condemned(part, crashes, now):
+            return suspected
+        return dataclasses.replace(
+            suspected,
+            is_condemned=True,
+            until=crashes[-1].at + suspicions_module.NOTICE_RETENTION_S,
+            companions=self._companions(part, crashes, now),
+            trial_at=_trial_at(crashes),
         )
 
     def _companions(
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -82,7 +82,9 @@
     return endpoint_id.startswith(MARK)
 
 
-def relay_endpoint(node: str, address: Address, service: str):
+def relay_endpoint(
+    node: str, address: Address, service: str
+) -> fleet.Endpoint:
     """Return a node in the form of an endpoint.
 
     :param node: its name.
