Let a third node be asked where the second one cannot connect

Cause: a node to which a request was handed may be cut off a second later and not know it yet. Its failure to connect was told as a final rejection, so the caller got 503 though other nodes reach the endpoints.

Change: it says that a third node may be asked. relays.feature, "What a node tells another one": 1 of 3 fails before, none after; 441 tests of the gateway pass.

--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -32,6 +32,7 @@
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import model
 from wasabilanding import retries
 
 MAY_HAVE_RUN_STATUSES = (502, 504)
@@ -321,10 +322,13 @@
     rejection: request_state_module.RequestRejected,
 ) -> messages.Header:
     """Return what another node is told of a request that is rejected."""
-    if isinstance(rejection, request_state_module.RelayRefused):
-        return relays_module.VERDICT, relays_module.ELSEWHERE
     if rejection.answer.status in MAY_HAVE_RUN_STATUSES:
         return relays_module.VERDICT, relays_module.MAY_HAVE_RUN
+    is_refused = isinstance(rejection, request_state_module.RelayRefused)
+    # A node that fails to connect may be cut off without knowing it yet.
+    has_no_way = rejection.answer.reason == model.Reason.CONNECT_FAILED.value
+    if is_refused or has_no_way:
+        return relays_module.VERDICT, relays_module.ELSEWHERE
     return relays_module.VERDICT, relays_module.NOT_RUN
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/relays.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/relays.feature
@@ -40,6 +40,19 @@
       | reaches the endpoints          | 1       | 200    |           | e0      |
       | reaches the endpoints          | 2       | 503    | elsewhere |         |
 
+  Scenario Outline: What a node tells another one of a request that it rejects
+    Given safe requests of up to 2 attempts
+    And endpoints that "<scripts>"
+    And the node reaches the endpoints
+    When another node with configuration 1 hands over a request at 0 s
+    Then the request at 0 s gets <status> with the verdict "<verdict>"
+
+    Examples: It may be cut off without knowing it yet, or others cannot either
+      | scripts                  | status | verdict      |
+      | unreachable, unreachable | 503    | elsewhere    |
+      | refuse, refuse           | 503    | not_run      |
+      | crash, crash             | 502    | may_have_run |
+
   Scenario: A node that reaches endpoints asks no other node
     Given safe requests of up to 2 attempts
     And endpoints that "answer, answer"
