Condemn a new part after five ends in two rounds

Cause: three rounds were asked for in any case. Where requests with a part come through all nodes at the same moment, seconds apart, seven ends can be two rounds; if the next requests find no endpoint, the ones after them run: four later than 3 s after the fifth end, where three are allowed.

Change: two rounds are enough for a new part with five ends. Such a part is tried again by one request, as a known one is.

Ruled out: two rounds for all new parts; a part of two requests in flight at two ends in series would do.

poison_parts.feature: 3 new examples, one fails before; 38 pass.

--- a/packages/decisions/wasabilanding/poison/parts.py
+++ b/packages/decisions/wasabilanding/poison/parts.py
@@ -16,6 +16,9 @@
 a request with the part was sent there after the crash of the round before, so
 a mass event is one round.
 
+*Many at once.* Five crashes of a new part in two rounds are enough: its
+requests may come through all nodes at the same moment, seconds apart.
+
 *Known parts.* A part with which requests were answered before needs more
 rounds than one that is new; it may have become bad only now.
 
@@ -39,6 +42,9 @@
 from wasabilanding.poison import suspicions as suspicions_module
 
 FRESH_ROUNDS = 3
+# After so many crashes, most of them at once, fewer rounds are enough.
+MANY_CRASHES = 5
+FRESH_ROUNDS_OF_MANY = 2
 KNOWN_ROUNDS = 5
 CONFINED_ROUNDS = 2
 # Requests on their way at the first crash are answered within it, so that
@@ -66,7 +72,7 @@
     :param companions: parts that requests with it always had, itself
         included; only requests with all of them are refused.
     :param trial_at: local monotonic time in seconds from which on one request
-        may try it nevertheless; infinite for a part that is new.
+        may try it nevertheless; infinite for a new part with many rounds.
     """
 
     crashed: tuple[str, ...] = ()
@@ -248,7 +254,8 @@
 
 
 def _trial_at(crashes: Crashes) -> float:
-    if not _is_known_good(crashes):
+    is_certain = count_rounds(crashes) >= FRESH_ROUNDS
+    if is_certain and not _is_known_good(crashes):
         return NEVER
     last = crashes[-1].at
     before = crashes[-2].at if len(crashes) > 1 else last
@@ -262,5 +269,12 @@
 def _is_enough(crashes: Crashes, now: float) -> bool:
     if not crashes or now - crashes[0].at < SETTLE_S:
         return False
-    needed = KNOWN_ROUNDS if _is_known_good(crashes) else FRESH_ROUNDS
-    return count_rounds(crashes) >= needed
+    return count_rounds(crashes) >= _needed_rounds(crashes)
+
+
+def _needed_rounds(crashes: Crashes) -> int:
+    if _is_known_good(crashes):
+        return KNOWN_ROUNDS
+    if len(crashes) >= MANY_CRASHES:
+        return FRESH_ROUNDS_OF_MANY
+    return FRESH_ROUNDS
--- a/packages/decisions/wasabilanding/poison/tests/poison_parts.feature
+++ b/packages/decisions/wasabilanding/poison/tests/poison_parts.feature
@@ -21,6 +21,9 @@
       | 0!ab#x 1!ab#x 2!ab#x        |       | 3   |         |
       | 0!ab#x 1!ab#x 2!ab#y        |       | 3   | ab      |
       | 0!a 0.1!a 0.2!a 0.3!a       |       | 3   |         |
+      | 0!a 0!a 0!a 0.5!a 0.5!a     |       | 4   | a       |
+      | 0!a 0!a 0!a 0.5!a           |       | 4   |         |
+      | 0!a 0!a 0!a 0.1!a 0.1!a     |       | 4   |         |
       | 0!ab 1!ac 2!ad              |       | 599 | a       |
       | 0!ab 1!ac 2!ad              |       | 601 |         |
 
