--- a/packages/experiments/wasabilanding/experiments/proofs/claims.py
+++ b/packages/experiments/wasabilanding/experiments/proofs/claims.py
@@ -63,6 +63,22 @@
         "while gateways start again",
         "up to 41 endpoints in 12 s",
     ),
+    proof.Proof(
+        (Subject.POISONOUS_REQUEST,),
+        f"{INSTALLATION}/crashing_parts.feature",
+        "Requests with it reach few endpoints once five have ended",
+        "one or two parts of prompts at each place but the last, in turn, in "
+        "bursts, and while gateways start again",
+        "up to 48 endpoints in 14 s",
+    ),
+    proof.Proof(
+        (Subject.PEERS_CUT,),
+        f"{INSTALLATION}/cut_gateways.feature",
+        "First tries at a cut gateway are served as elsewhere",
+        "one, two or three of four gateways reach no endpoint: connections "
+        "hang, are reset, or only new ones are refused",
+        "6 of 18 and 3 of 176 first tries were served",
+    ),
     proof.Proof(
         (Subject.POISONOUS_REQUEST, Subject.VM_DIES),
         f"{DECISIONS}/poison/tests/poison_rules.feature",
