Let suspicions know what kind of feature they are about

What the change for parts of prompts had put beside the shared mechanism is in it now: notices get their kind where they are made, so that parts use the same withdrawing and clearing as whole requests. The status of a request calls valid_crashes, which stood there a second time. Removed: known_good, one caller; SETTLE_S from the public list, no user. "Condemned" and "quarantined" named one state in modules that stand side by side; the code says quarantined. Whether a request may be repeated is told in three lines instead of a condition inside any().

--- a/packages/decisions/wasabilanding/poison/__init__.py
+++ b/packages/decisions/wasabilanding/poison/__init__.py
@@ -78,11 +78,9 @@
 from wasabilanding.poison.parts import count_rounds
 from wasabilanding.poison.parts import PartStatus
 from wasabilanding.poison.parts import PartSuspicions
-from wasabilanding.poison.parts import SETTLE_S
 from wasabilanding.poison.suspicions import exact_fingerprint
 from wasabilanding.poison.suspicions import Feature
 from wasabilanding.poison.suspicions import fingerprint
-from wasabilanding.poison.suspicions import known_good
 from wasabilanding.poison.suspicions import Notice
 from wasabilanding.poison.suspicions import NOTICE_RETENTION_S
 from wasabilanding.poison.suspicions import NoticeKind
@@ -102,14 +100,12 @@
     "HomeCandidates",
     "PartStatus",
     "PartSuspicions",
-    "SETTLE_S",
     "SuspicionStatus",
     "Suspicions",
     "count_rounds",
     "exact_fingerprint",
     "fingerprint",
     "home_names",
-    "known_good",
     "trial_names",
     "trial_order",
 ]
--- a/packages/decisions/wasabilanding/poison/parts.py
+++ b/packages/decisions/wasabilanding/poison/parts.py
@@ -22,12 +22,12 @@
 *Known parts.* A part with which requests were answered before needs more
 rounds than one that is new; it may have become bad only now.
 
-*Explanations.* A part is not condemned if one request, sent again and again,
+*Explanations.* A part is not quarantined if one request, sent again and again,
 was in flight at all of its crashes; nor if another one that is new was in
-flight at all of them and at others. A known part is not condemned for crashes
-that a new one explains.
+flight at all of them and at others. A known part is not quarantined for
+crashes that a new one explains.
 
-*Trials.* A part with which requests were answered before may be condemned
+*Trials.* A part with which requests were answered before may be quarantined
 wrongly, or its cause be mended. One request tries it again some time after the
 last crash, and the next one after several times as long.
 
@@ -66,7 +66,7 @@
     :param crashed: replicas that crashed while requests with it ran.
     :param rounds: crashes that followed on one another.
     :param is_known_good: whether requests with it were answered before.
-    :param is_condemned: whether requests with it are to be refused; the rest
+    :param is_quarantined: whether requests with it are to be refused; the rest
         is set only then.
     :param until: local monotonic time in seconds at which that ends.
     :param companions: parts that requests with it always had, itself
@@ -78,7 +78,7 @@
     crashed: tuple[str, ...] = ()
     rounds: int = 0
     is_known_good: bool = False
-    is_condemned: bool = False
+    is_quarantined: bool = False
     until: float = 0.0
     companions: frozenset[str] = frozenset()
     trial_at: float = NEVER
@@ -93,7 +93,7 @@
 
         :param parts: the parts of its prompt.
         """
-        return self.is_condemned and self.companions.issubset(parts)
+        return self.is_quarantined and self.companions.issubset(parts)
 
 
 CLEAN = PartStatus()
@@ -136,7 +136,9 @@
 
     def __init__(self, requests: suspicions_module.Suspicions) -> None:
         self._requests = requests
-        self.notices = suspicions_module.Suspicions()
+        self.notices = suspicions_module.Suspicions(
+            suspicions_module.Feature.PART
+        )
 
     def status(self, part: str, now: float) -> PartStatus:
         """Return the suspicion against a part.
@@ -152,11 +154,11 @@
             count_rounds(crashes),
             _is_known_good(crashes),
         )
-        if not self._is_condemned(part, crashes, now):
+        if not self._is_quarantined(part, crashes, now):
             return suspected
         return dataclasses.replace(
             suspected,
-            is_condemned=True,
+            is_quarantined=True,
             until=crashes[-1].at + suspicions_module.NOTICE_RETENTION_S,
             companions=self._companions(part, crashes, now),
             trial_at=_trial_at(crashes),
@@ -180,14 +182,7 @@
             crash.replica for crash in self.notices.valid_crashes(part, now)
         }
 
-    def suspected(self, now: float) -> tuple[str, ...]:
-        """Return the parts that are suspected.
-
-        :param now: local monotonic time in seconds.
-        """
-        return self.notices.suspected(now)
-
-    def condemned(self, now: float) -> tuple[str, ...]:
+    def quarantined(self, now: float) -> tuple[str, ...]:
         """Return the parts whose requests are to be refused.
 
         :param now: local monotonic time in seconds.
@@ -195,7 +190,7 @@
         return tuple(
             part
             for part in self.notices.fingerprints
-            if self.status(part, now).is_condemned
+            if self.status(part, now).is_quarantined
         )
 
     def evidence(self, part: str, now: float) -> Crashes:
@@ -206,7 +201,7 @@
         """
         return _first_of_rounds(self.notices.valid_crashes(part, now))
 
-    def _is_condemned(self, part: str, crashes: Crashes, now: float) -> bool:
+    def _is_quarantined(self, part: str, crashes: Crashes, now: float) -> bool:
         if not _is_enough(crashes, now):
             return False
         if self._is_one_request(crashes):
@@ -223,15 +218,17 @@
         }
         others = frozenset().union(*in_flight.values()) - {part}
         causes = {
-            other for other in others if self._is_new_and_condemned(other, now)
+            other
+            for other in others
+            if self._is_new_and_quarantined(other, now)
         }
         return [c for c in crashes if not in_flight[c.replica] & causes]
 
-    def _is_new_and_condemned(self, part: str, now: float) -> bool:
+    def _is_new_and_quarantined(self, part: str, now: float) -> bool:
         crashes = self.notices.valid_crashes(part, now)
         if not crashes or _is_known_good(crashes):
             return False
-        return self._is_condemned(part, crashes, now)
+        return self._is_quarantined(part, crashes, now)
 
     def _is_one_request(self, crashes: Crashes) -> bool:
         """Return whether one request was in flight at all crashes."""
--- a/packages/decisions/wasabilanding/poison/suspicions.py
+++ b/packages/decisions/wasabilanding/poison/suspicions.py
@@ -143,18 +143,14 @@
         )
 
 
-def known_good(notice: Notice) -> Notice:
-    """Return a notice on a feature with which requests were answered before.
+class Suspicions:
+    """Notices on one kind of feature that a node has created or received.
 
-    :param notice: the notice.
+    :param feature: the kind of feature.
     """
-    return dataclasses.replace(notice, is_known_good=True)
-
-
-class Suspicions:
-    """Notices on one kind of feature that a node has created or received."""
 
-    def __init__(self) -> None:
+    def __init__(self, feature: Feature = Feature.REQUEST) -> None:
+        self._feature = feature
         self._notices: dict[tuple[NoticeKind, str, str], Notice] = {}
         self._received_at: dict[tuple[NoticeKind, str, str], float] = {}
         self._crashes: dict[str, set[str]] = collections.defaultdict(set)
@@ -226,7 +222,9 @@
         :param in_flight: known requests in flight there.
         :returns: the notice.
         """
-        notice = Notice(NoticeKind.CRASH, request, replica, at, in_flight)
+        notice = Notice(
+            NoticeKind.CRASH, request, replica, at, in_flight, self._feature
+        )
         self.merge(notice, at)
         return notice
 
@@ -238,7 +236,9 @@
         :param at: local monotonic time in seconds.
         :returns: the notice.
         """
-        notice = Notice(NoticeKind.WITHDRAWN, request, replica, at)
+        notice = Notice(
+            NoticeKind.WITHDRAWN, request, replica, at, feature=self._feature
+        )
         self.merge(notice, at)
         return notice
 
@@ -249,7 +249,9 @@
         :param at: local monotonic time in seconds.
         :returns: the notice.
         """
-        notice = Notice(NoticeKind.CLEARED, request, "", at)
+        notice = Notice(
+            NoticeKind.CLEARED, request, "", at, feature=self._feature
+        )
         self.merge(notice, at)
         return notice
 
@@ -270,7 +272,7 @@
         )
 
     def _ends_suspicion(self, notice: Notice) -> bool:
-        """Return whether a crash counts that an answer speaks against."""
+        """Return whether a notice of an answer makes a crash not count."""
         return any(
             crash.at <= notice.at
             for crash in self.valid_crashes(notice.fingerprint, notice.at)
@@ -365,14 +367,10 @@
         :param request: fingerprint of the request.
         :param now: local monotonic time in seconds.
         """
-        replicas = self._crashes.get(request)
-        if not replicas:
-            return SuspicionStatus()
-        crashed = sorted(
-            r for r in replicas if self._is_valid_crash(request, r, now)
-        )
-        if not crashed:
+        crashes = self.valid_crashes(request, now)
+        if not crashes:
             return SuspicionStatus()
+        crashed = sorted(crash.replica for crash in crashes)
         weight = 0.0
         isolated = 0
         for replica in crashed:
@@ -381,13 +379,8 @@
             isolated += not is_mass_event
             causes = 1 + others if is_mass_event else 1
             weight += 1 / (self._suspect_count(replica, now) * causes)
-        last = max(
-            self._notices[(NoticeKind.CRASH, request, replica)].at
-            for replica in crashed
-        )
-        return SuspicionStatus(
-            tuple(crashed), weight, last + NOTICE_RETENTION_S, isolated
-        )
+        until = crashes[-1].at + NOTICE_RETENTION_S
+        return SuspicionStatus(tuple(crashed), weight, until, isolated)
 
     def _suspect_count(self, replica: str, now: float) -> int:
         """Return how many requests may have caused a crash."""
--- a/packages/decisions/wasabilanding/poison/tests/steps/poison_parts_steps.py
+++ b/packages/decisions/wasabilanding/poison/tests/steps/poison_parts_steps.py
@@ -115,7 +115,7 @@
 
 
 def _refused(context, now):
-    return "".join(sorted(context.parts.condemned(now)))
+    return "".join(sorted(context.parts.quarantined(now)))
 
 
 @behave.then('at {now:g} s the condemned parts are "{parts}"')
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -135,7 +135,7 @@
 
         :param now: local monotonic time in seconds.
         """
-        return self._parts.condemned(now)
+        return self._parts.quarantined(now)
 
     def check(self, state: State) -> None:
         """Reject a request that is quarantined.
@@ -150,7 +150,7 @@
         if status.quarantined:
             detail = f"{QUARANTINE_OBSTACLE}: {_summary(state, status)}"
             self._reject("rejection", detail, status.until - now)
-        found = self._parts.condemned_part(state, now)
+        found = self._parts.quarantined_part(state, now)
         if found is not None:
             part, part_status = found
             detail = f"{PART_OBSTACLE}: {_part_summary(part, part_status)}"
@@ -270,7 +270,7 @@
         _LOG.info("%s has not ended: it makes progress", name)
         withdrawn = [
             *self._suspicions.withdraw_all(name, now),
-            *self._parts.withdraw_all(name, now),
+            *self._parts.notices.withdraw_all(name, now),
         ]
         self._exchange.share(withdrawn, now)
 
--- a/packages/gateway/wasabilanding/gateway/part_guard.py
+++ b/packages/gateway/wasabilanding/gateway/part_guard.py
@@ -60,14 +60,14 @@
         ]
         return [pair for pair in found if pair[1].crashed]
 
-    def condemned(self, now: float) -> tuple[str, ...]:
+    def quarantined(self, now: float) -> tuple[str, ...]:
         """Return the parts for which requests are turned away.
 
         :param now: local monotonic time in seconds.
         """
-        return self._suspicions.condemned(now)
+        return self._suspicions.quarantined(now)
 
-    def condemned_part(
+    def quarantined_part(
         self, state: State, now: float
     ) -> tuple[str, poison.PartStatus] | None:
         """Return a part for which a request is turned away; None for none.
@@ -94,7 +94,7 @@
     def _begins_trial(
         self, part: str, status: poison.PartStatus, now: float
     ) -> bool:
-        """Return whether one request may try a condemned part again."""
+        """Return whether one request may try a quarantined part again."""
         if now < status.trial_at or now < self._trials.get(part, now):
             return False
         if not self.is_tried_here(part):
@@ -108,12 +108,11 @@
         :param state: the request.
         :param now: local monotonic time in seconds.
         """
-        return any(
-            status.is_confined or status.refuses(state.parts)
-            if state.runs
-            else status.refuses(state.parts) and not state.is_trial
-            for _, status in self._statuses(state, now)
-        )
+        statuses = [status for _, status in self._statuses(state, now)]
+        is_refused = any(status.refuses(state.parts) for status in statuses)
+        if not state.runs:
+            return is_refused and not state.is_trial
+        return is_refused or any(status.is_confined for status in statuses)
 
     def confine(
         self,
@@ -186,33 +185,11 @@
                 for crash in self.notices.valid_crashes(part, now)
             )
         ]
-        notices = [
-            poison.Notice(
-                poison.NoticeKind.CLEARED,
-                part,
-                "",
-                sent_at,
-                feature=poison.Feature.PART,
-            )
-            for part in cleared
-        ]
+        notices = [self.notices.clear(part, sent_at) for part in cleared]
         for notice in notices:
-            self.notices.merge(notice, now)
             self._log_cleared(notice, state.request.request_id, "this node")
         return notices
 
-    def withdraw_all(self, replica: str, now: float) -> list[poison.Notice]:
-        """Record that an endpoint, presumed to have ended, has not.
-
-        :param replica: its name.
-        :param now: local monotonic time in seconds.
-        :returns: the notices on it.
-        """
-        return [
-            dataclasses.replace(notice, feature=poison.Feature.PART)
-            for notice in self.notices.withdraw_all(replica, now)
-        ]
-
     def with_own_knowledge(
         self, notice: poison.Notice, now: float
     ) -> poison.Notice:
@@ -225,8 +202,10 @@
             return notice
         if notice.is_known_good:
             return notice
-        is_good = notice.fingerprint in self._answered.parts(now)
-        return poison.known_good(notice) if is_good else notice
+        return dataclasses.replace(
+            notice,
+            is_known_good=notice.fingerprint in self._answered.parts(now),
+        )
 
     def quarantine_notices(self, now: float) -> list[poison.Notice]:
         """Return what tells another node which parts end endpoints.
@@ -235,7 +214,7 @@
         """
         return [
             notice
-            for part in self._suspicions.condemned(now)
+            for part in self._suspicions.quarantined(now)
             for notice in self._suspicions.evidence(part, now)
         ]
 
@@ -245,8 +224,8 @@
         :param now: local monotonic time in seconds.
         """
         return {
-            "part_suspected": len(self._suspicions.suspected(now)),
-            "part_quarantined": len(self._suspicions.condemned(now)),
+            "part_suspected": len(self.notices.suspected(now)),
+            "part_quarantined": len(self._suspicions.quarantined(now)),
         }
 
     def log_received(
@@ -282,7 +261,7 @@
                 "crashes": len(status.crashed),
                 "rounds": status.rounds,
                 "known_good": status.is_known_good,
-                "quarantined": status.is_condemned,
+                "quarantined": status.is_quarantined,
                 "reporter": reporter,
             },
         )
