--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_parts_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_parts_steps.py
@@ -3,7 +3,6 @@
 import collections
 import itertools
 import random
-import signal
 import time
 
 import behave
@@ -11,6 +10,7 @@
 import trio
 
 from wasabilanding.experiments.installation import launch
+from wasabilanding.experiments.installation.tests import running
 from wasabilanding.gateway import plain_wire
 from wasabilanding.standins import registered_engine
 
@@ -97,24 +97,18 @@
                     INTERVALS_S.get(self._pattern, INTERVALS_S["in turn"])
                 )
 
-    async def _restart_gateways(self):
-        for gateway in self._installation.gateways:
-            await trio.sleep(RESTART_INTERVAL_S)
-            gateway.process.send_signal(signal.SIGKILL)
-            await trio.to_thread.run_sync(gateway.process.wait)
-            self._installation.restart(gateway)
-
     async def run(self):
         """Send requests for the given time."""
-        transport = httpx.AsyncHTTPTransport(verify=False)
-        async with httpx.AsyncClient(
-            transport=transport, timeout=TIMEOUT_S
-        ) as client:
+        async with running.open_client(TIMEOUT_S) as client:
             with trio.move_on_after(self._seconds):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._repeat, client)
                     if self._pattern == RESTARTS:
-                        nursery.start_soon(self._restart_gateways)
+                        nursery.start_soon(
+                            running.restart_in_series,
+                            self._installation,
+                            RESTART_INTERVAL_S,
+                        )
                     for number in range(SOUND_CALLERS):
                         rng = random.Random(number)
                         nursery.start_soon(self._send_sound, client, rng)
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
@@ -1,22 +1,17 @@
 """Steps for requests that end the endpoints that run them."""
 
 import collections
-import functools
 import itertools
-import pathlib
 import random
-import signal
-import tempfile
 
 import behave
 import httpx
 import trio
 
 from wasabilanding.experiments.installation import launch
+from wasabilanding.experiments.installation.tests import running
 from wasabilanding.standins import registered_engine
 
-CONTACT_S = 3.0
-ALLOWED_LATER = 3
 SEND_INTERVAL_S = 0.25
 BURST_INTERVAL_S = 2.0
 RESTART_INTERVAL_S = 2.0
@@ -98,24 +93,18 @@
                 self.innocent[status] += 1
             await trio.sleep(INNOCENT_PAUSE_S)
 
-    async def _restart_gateways(self):
-        for gateway in self._installation.gateways:
-            await trio.sleep(RESTART_INTERVAL_S)
-            gateway.process.send_signal(signal.SIGKILL)
-            await trio.to_thread.run_sync(gateway.process.wait)
-            self._installation.restart(gateway)
-
     async def run(self):
         """Send requests for the given time."""
-        transport = httpx.AsyncHTTPTransport(verify=False)
-        async with httpx.AsyncClient(
-            transport=transport, timeout=TIMEOUT_S
-        ) as client:
+        async with running.open_client(TIMEOUT_S) as client:
             with trio.move_on_after(self._seconds):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._repeat, client)
                     if self._pattern == "while gateways restart":
-                        nursery.start_soon(self._restart_gateways)
+                        nursery.start_soon(
+                            running.restart_in_series,
+                            self._installation,
+                            RESTART_INTERVAL_S,
+                        )
                     for number in range(INNOCENT_CALLERS):
                         rng = random.Random(number)
                         nursery.start_soon(self._send_innocent, client, rng)
@@ -124,15 +113,7 @@
 @behave.given("an installation with three plain endpoints a failure domain")
 def given_installation(context):
     """Start an installation; it ends with the scenario."""
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    context.folder = pathlib.Path(folder.name)
-    context.installation = launch.Installation(PLAN, context.folder)
-    context.installation.__enter__()
-    context.add_cleanup(
-        functools.partial(context.installation.__exit__, None, None, None)
-    )
-    context.installation.wait_until_serving()
+    running.start(context, PLAN)
 
 
 @behave.when(
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/cut_gateways_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/cut_gateways_steps.py
@@ -2,10 +2,7 @@
 
 import collections
 import dataclasses
-import functools
 import itertools
-import pathlib
-import tempfile
 import time
 
 import behave
@@ -13,6 +10,7 @@
 import trio
 
 from wasabilanding.experiments.installation import launch
+from wasabilanding.experiments.installation.tests import running
 
 PLAN = launch.Plan(pages_per_domain=3)
 KINDS = ("pages", "sheets", "drafts")
@@ -95,10 +93,7 @@
 
     async def run(self, gateways, mode, seconds):
         """Send requests before, during and after a cut."""
-        transport = httpx.AsyncHTTPTransport(verify=False)
-        async with httpx.AsyncClient(
-            transport=transport, timeout=TIMEOUT_S + 1
-        ) as client:
+        async with running.open_client(TIMEOUT_S + 1) as client:
             async with trio.open_nursery() as nursery:
                 for gateway in self._installation.gateways:
                     for kind in KINDS * CALLERS_PER_KIND:
@@ -112,16 +107,7 @@
 @behave.given("an installation whose gateways can be cut from the endpoints")
 def given_installation(context):
     """Start an installation; it ends with the scenario."""
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    context.installation = launch.Installation(
-        PLAN, pathlib.Path(folder.name), is_cuttable=True
-    )
-    context.installation.__enter__()
-    context.add_cleanup(
-        functools.partial(context.installation.__exit__, None, None, None)
-    )
-    context.installation.wait_until_serving()
+    running.start(context, PLAN, is_cuttable=True)
 
 
 @behave.when(
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/limits_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/limits_steps.py
@@ -1,17 +1,14 @@
 """Steps for limits that endpoints name."""
 
 import collections
-import functools
 import itertools
-import pathlib
-import signal
-import tempfile
 
 import behave
 import httpx
 import trio
 
 from wasabilanding.experiments.installation import launch
+from wasabilanding.experiments.installation.tests import running
 
 WINDOW_S = 4.0
 TIMEOUT_S = 4.0
@@ -58,9 +55,7 @@
     async def _restart(self):
         await trio.sleep(RESTART_AT_S)
         gateway = self._installation.gateways[0]
-        gateway.process.send_signal(signal.SIGKILL)
-        await trio.to_thread.run_sync(gateway.process.wait)
-        self._installation.restart(gateway)
+        await running.kill_and_restart(self._installation, gateway)
 
     async def _name_limits(self, named, limit):
         await trio.sleep(NAMED_AT_S)
@@ -71,9 +66,8 @@
 
     async def run(self, named, limit):
         """Send the requests; some endpoints name a limit meanwhile."""
-        transport = httpx.AsyncHTTPTransport(verify=False)
         async with (
-            httpx.AsyncClient(transport=transport, timeout=TIMEOUT_S) as c,
+            running.open_client(TIMEOUT_S) as c,
             trio.open_nursery() as nursery,
         ):
             nursery.start_soon(self._name_limits, named, limit)
@@ -93,15 +87,7 @@
 )
 def given_installation(context, nodes):
     """Start an installation; it ends with the scenario."""
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    plan = launch.Plan(nodes_per_domain=nodes // 2)
-    context.installation = launch.Installation(plan, pathlib.Path(folder.name))
-    context.installation.__enter__()
-    context.add_cleanup(
-        functools.partial(context.installation.__exit__, None, None, None)
-    )
-    context.installation.wait_until_serving()
+    running.start(context, launch.Plan(nodes_per_domain=nodes // 2))
 
 
 @behave.when("{count:d} endpoints name {limit} requests a second at 1 s")
--- a/packages/gateway/wasabilanding/gateway/answered_prompts.py
+++ b/packages/gateway/wasabilanding/gateway/answered_prompts.py
@@ -10,7 +10,7 @@
 
 MAX_PROMPTS = 1024
 MAX_TEXT_CHARACTERS = 512
-# The parts are read again this long after the last time.
+# Least time between two readings of the texts.
 READ_INTERVAL_S = 0.5
 
 
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -202,7 +202,7 @@
         self.silence.record_activity(now)
         self._tracker.record_progress(self.endpoint_id, now)
         if not self.is_relayed:
-            self._context.reachability.record_success(now)
+            self._context.reachability.monitor.record_success(now)
 
     @contextlib.contextmanager
     def _waiting_for_caller(self) -> collections.abc.Iterator[None]:
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -255,7 +255,7 @@
         endpoint_id = attempt.endpoint_id
         if outcome.reason in UNREACHABLE_REASONS and not attempt.is_relayed:
             self._state.connect_failures += 1
-            self._context.attempts.reachability.record_failure(endpoint_id)
+            self._record_unreachable(endpoint_id)
         avoid_s = FAILED_AVOID_S
         if outcome.reason is model.Reason.REFUSED:
             avoid_s = REFUSED_AVOID_S
@@ -272,6 +272,10 @@
             },
         )
 
+    def _record_unreachable(self, endpoint_id: str) -> None:
+        reachability = self._context.attempts.reachability
+        reachability.monitor.record_failure(endpoint_id)
+
     def _log_fields(self, endpoint_id: str) -> dict[str, object]:
         return {
             "request": self._state.request.request_id,
@@ -330,7 +334,7 @@
             endpoint_id, now, attempt_module.FAULTY_AVOID_S
         )
         if not attempt.is_relayed:
-            self._context.attempts.reachability.record_failure(endpoint_id)
+            self._record_unreachable(endpoint_id)
             self._context.report_silent(endpoint_id)
         self._context.metrics.count_silence(self._state.service.name)
         silent_s = now - attempt.silence.active_at
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -115,7 +115,9 @@
         self._capacity: list[assembly.Capacity] = []
         # Returns whether another node should plan, as this one reaches no
         # endpoint.
-        self.should_step_down: collections.abc.Callable[[], bool] = bool
+        self.should_step_down: collections.abc.Callable[[], bool] = lambda: (
+            False
+        )
         self._scope = trio.CancelScope()
         self._started_at = trio.current_time()
 
--- a/packages/gateway/wasabilanding/gateway/crash_evidence.py
+++ b/packages/gateway/wasabilanding/gateway/crash_evidence.py
@@ -19,14 +19,12 @@
 from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import poison
 
 # Progress of an endpoint so long after its presumed crash shows that it lives.
 SURVIVAL_S = 0.5
 
-IsReachable = collections.abc.Callable[
-    [fleet.Endpoint], collections.abc.Awaitable[bool]
-]
 IsCutOff = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
@@ -76,7 +74,7 @@
         self,
         view: cluster_view_module.ClusterView,
         tracker: dispatch.EndpointTracker,
-        is_reachable: IsReachable,
+        is_reachable: upstream_module.IsReachable,
         report_crash: collections.abc.Callable[[Crash], None],
         report_survival: collections.abc.Callable[[fleet.Incarnation], None],
     ) -> None:
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -26,6 +26,7 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import cluster_view as cluster_view_module
+from wasabilanding.gateway import confinement
 from wasabilanding.gateway import crash_evidence
 from wasabilanding.gateway import crash_exchange
 from wasabilanding.gateway import crash_reports
@@ -61,7 +62,7 @@
         view: cluster_view_module.ClusterView,
         tracker: dispatch.EndpointTracker,
         metrics: metrics_module.Metrics,
-        is_reachable: crash_evidence.IsReachable = (
+        is_reachable: upstream_module.IsReachable = (
             upstream_module.is_reachable
         ),
     ) -> None:
@@ -148,12 +149,14 @@
         now = trio.current_time()
         status = self._status(state)
         if status.quarantined:
-            detail = f"{QUARANTINE_OBSTACLE}: {_summary(state, status)}"
+            summary = _summary(state.fingerprint, status.crashed)
+            detail = f"{QUARANTINE_OBSTACLE}: {summary}"
             self._reject("rejection", detail, status.until - now)
         found = self._parts.quarantined_part(state, now)
         if found is not None:
             part, part_status = found
-            detail = f"{PART_OBSTACLE}: {_part_summary(part, part_status)}"
+            summary = _summary(part, part_status.crashed)
+            detail = f"{PART_OBSTACLE}: {summary}"
             self._reject("part_rejection", detail, part_status.until - now)
 
     def _reject(
@@ -188,20 +191,18 @@
         status = self._status(state)
         if status.weight < CONFINED_WEIGHT:
             return self._parts.confine(state, candidates, trio.current_time())
-        by_name = {
-            _name_of(c.endpoint): c
-            for c in candidates
-            if _name_of(c.endpoint) not in status.crashed
-        }
-        order = poison.trial_order(state.fingerprint, by_name)[:1]
-        for name in order:
-            _LOG.info(
-                "suspected request is held to %s: %s",
-                name,
-                _summary(state, status),
-                extra=_log_fields(state),
-            )
-        return [by_name[name] for name in order]
+        found = confinement.first_candidate(
+            state.fingerprint, candidates, status.crashed
+        )
+        if found is None:
+            return []
+        _LOG.info(
+            "suspected request is held to %s: %s",
+            confinement.name_of(found),
+            _summary(state.fingerprint, status.crashed),
+            extra=_log_fields(state),
+        )
+        return [found]
 
     def record_completed(self, state: State) -> None:
         """Clear a request that an endpoint has answered, and its parts.
@@ -391,18 +392,9 @@
     return max(different, known - copies)
 
 
-def _name_of(endpoint: fleet.Endpoint) -> str:
-    return fleet.incarnation_name(fleet.incarnation_of(endpoint))
-
-
-def _summary(state: State, status: poison.SuspicionStatus) -> str:
-    names = ", ".join(status.crashed)
-    return f"{state.fingerprint} after {len(status.crashed)} crashes: {names}"
-
-
-def _part_summary(part: str, status: poison.PartStatus) -> str:
-    names = ", ".join(status.crashed)
-    return f"{part} after {len(status.crashed)} crashes: {names}"
+def _summary(subject: str, crashed: tuple[str, ...]) -> str:
+    """Return what is held against a request or a part of prompts."""
+    return f"{subject} after {len(crashed)} crashes: {', '.join(crashed)}"
 
 
 def _log_fields(state: State) -> dict[str, object]:
--- a/packages/gateway/wasabilanding/gateway/crash_reports.py
+++ b/packages/gateway/wasabilanding/gateway/crash_reports.py
@@ -42,10 +42,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class CrashReport:
-    """A notice about a request, as nodes send it.
+    """A notice about a request or a part of prompts, as nodes send it.
 
     :param kind: kind of the notice.
-    :param fingerprint: fingerprint of the request.
+    :param fingerprint: fingerprint of the request, or the part.
     :param endpoint: the crashed endpoint and its start; empty for a request
         that has completed.
     :param age_s: seconds since the event.
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -37,6 +37,9 @@
 load. A node asks another one directly before it sends a request to such an
 endpoint (:mod:`wasabilanding.gateway.send_grants`).
 
+Links: a node that reaches no endpoint says so in its hints on load, so that
+no other one hands requests to it (:mod:`wasabilanding.gateway.relays`).
+
 Datagrams may be lost. Hints are advisory: they move requests to other
 endpoints, make the planner query the replica's members, and make it replace
 the replica of an endpoint that announced its shutdown, but trigger no other
@@ -148,7 +151,7 @@
         self._remote_reports = remote_reports.RemoteReports()
         self._crash_questions = CRASH_QUESTIONS
         # Returns whether this node reaches no endpoint.
-        self.is_cut_off: collections.abc.Callable[[], bool] = bool
+        self.is_cut_off: collections.abc.Callable[[], bool] = lambda: False
         # Receives the names of nodes that reach none.
         self.report_cut_off: collections.abc.Callable[[str, float], None] = (
             lambda node, now: None
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -53,7 +53,7 @@
         self.is_complete = False
         self.caller_left = False
         # Returns headers to add to the head of the answer.
-        self.added_headers: AddedHeaders = list
+        self.added_headers: AddedHeaders = lambda: []
 
     @property
     def has_begun(self) -> bool:
@@ -159,7 +159,7 @@
         message = await receive()
         if message["type"] != "http.disconnect":
             continue
-        # The server reports the end of each request so.
+        # The server also says so after the end of an answer.
         if not response.is_complete:
             response.caller_left = True
             scope.cancel()
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -185,15 +185,16 @@
     def count_crash(self, kind: str) -> None:
         """Count an endpoint that ended under requests, or a rejection.
 
-        :param kind: "crash" that this node found, or "rejection" of a request
-            that is suspected of causing crashes.
+        :param kind: "crash" that this node found; "rejection" of a request
+            that is suspected of causing crashes, or "part_rejection" for a
+            part of its prompt.
         """
         self.crashes[(("kind", kind),)] += 1
 
     def set_suspected(self, counts: collections.abc.Mapping[str, int]) -> None:
         """Set the number of requests under which endpoints have ended.
 
-        :param counts: number of requests, by state.
+        :param counts: number of requests and of parts of prompts, by state.
         """
         for state, count in counts.items():
             self.suspected[(("state", state),)] = count
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -154,7 +154,7 @@
         """Whether this node reaches no endpoint, and another one may."""
         if not self._reachability.is_cut_off:
             return False
-        return self._relays.choose("", ()) is not None
+        return bool(self._relays.available())
 
     @property
     def is_ready(self) -> bool:
@@ -178,24 +178,31 @@
 
         :param stopping: set when idle connections close.
         """
-        return inbound.callers_app(
-            self.forwarder.handle,
-            lambda: self.limits.max_body_bytes,
-            lambda: self._draining,
-            lambda: not stopping.is_set(),
-        )
+        return self._requests_app(self.forwarder.handle, stopping, ())
 
     def relays_app(self, stopping: trio.Event) -> asgi.App:
         """Return the ASGI application for requests of other nodes' callers.
 
         :param stopping: set when idle connections close.
         """
-        return inbound.callers_app(
+        return self._requests_app(
             self.forwarder.handle_relayed,
+            stopping,
+            ((relays.VERDICT, relays.ELSEWHERE),),
+        )
+
+    def _requests_app(
+        self,
+        handle: inbound.Handler,
+        stopping: trio.Event,
+        stopping_headers: tuple[messages.Header, ...],
+    ) -> asgi.App:
+        return inbound.callers_app(
+            handle,
             lambda: self.limits.max_body_bytes,
             lambda: self._draining,
             lambda: not stopping.is_set(),
-            [(relays.VERDICT, relays.ELSEWHERE)],
+            stopping_headers,
         )
 
     def start_loops(self, nursery: trio.Nursery) -> None:
--- a/packages/gateway/wasabilanding/gateway/part_guard.py
+++ b/packages/gateway/wasabilanding/gateway/part_guard.py
@@ -18,6 +18,7 @@
 from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import answered_prompts
+from wasabilanding.gateway import confinement
 from wasabilanding.gateway import crash_evidence
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding import poison
@@ -285,20 +286,17 @@
     part: str,
     status: poison.PartStatus,
 ) -> list[dispatch.Candidate]:
-    by_name = {
-        fleet.incarnation_name(fleet.incarnation_of(c.endpoint)): c
-        for c in candidates
-    }
-    left = [name for name in by_name if name not in status.crashed]
-    order = poison.trial_order(part, left)[:1]
-    for name in order:
-        _LOG.info(
-            "request with a suspected part is held to %s",
-            name,
-            extra={
-                "request": state.request.request_id,
-                "part": part,
-                "endpoint": name,
-            },
-        )
-    return [by_name[name] for name in order]
+    found = confinement.first_candidate(part, candidates, status.crashed)
+    if found is None:
+        return []
+    name = confinement.name_of(found)
+    _LOG.info(
+        "request with a suspected part is held to %s",
+        name,
+        extra={
+            "request": state.request.request_id,
+            "part": part,
+            "endpoint": name,
+        },
+    )
+    return [found]
--- a/packages/gateway/wasabilanding/gateway/peer_nodes.py
+++ b/packages/gateway/wasabilanding/gateway/peer_nodes.py
@@ -12,7 +12,7 @@
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import send_grants
-from wasabilanding import poison
+from wasabilanding import membership
 
 # Up to this number of nodes send hints to each other, without a collector.
 MAX_MESH_NODES = 9
@@ -108,7 +108,7 @@
         names = [self._node]
         for nodes in self.by_domain().values():
             names += nodes
-        return poison.trial_order(subject, names)[0] == self._node
+        return membership.owner_of(subject, names) == self._node
 
     @property
     def uses_collector(self) -> bool:
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -143,16 +143,22 @@
     :param request: the caller's request.
     :param parameters: parameters of the attempt.
     """
-    headers = [
+    return [
         *request.headers,
         *answer_headers(request),
-        (b"x-deadline-s", f"{parameters.remaining_s:.3f}".encode()),
         (b"x-endpoint", parameters.endpoint.endpoint_id.encode()),
         (b"x-customer", parameters.customer.encode()),
+        *_progress_headers(parameters.remaining_s, parameters.resumes_after),
     ]
-    if parameters.resumes_after is not None:
-        after = str(parameters.resumes_after).encode()
-        headers.append((b"x-resumes-after", after))
+
+
+def _progress_headers(
+    remaining_s: float, resumes_after: int | None
+) -> list[messages.Header]:
+    """Return the headers that change between the attempts of a request."""
+    headers = [(b"x-deadline-s", f"{remaining_s:.3f}".encode())]
+    if resumes_after is not None:
+        headers.append((b"x-resumes-after", str(resumes_after).encode()))
     return headers
 
 
@@ -166,9 +172,7 @@
     :param resumes_after: number of the event after which to resume a stream;
         None to start from the beginning.
     """
-    changed = [(b"x-deadline-s", f"{remaining_s:.3f}".encode())]
-    if resumes_after is not None:
-        changed.append((b"x-resumes-after", str(resumes_after).encode()))
+    changed = _progress_headers(remaining_s, resumes_after)
     return headers_module.replaced(head.headers, changed)
 
 
--- a/packages/gateway/wasabilanding/gateway/reachability.py
+++ b/packages/gateway/wasabilanding/gateway/reachability.py
@@ -23,9 +23,6 @@
 # A check that began so long ago at most is not repeated.
 SHARED_CHECK_S = 0.1
 
-IsReachable = collections.abc.Callable[
-    [fleet.Endpoint], collections.abc.Awaitable[bool]
-]
 _LOG = logging.getLogger(__name__)
 
 
@@ -36,6 +33,8 @@
     :param metrics: tells whether the node is cut off.
     :param rng: random number generator.
     :param is_reachable: returns whether an endpoint accepts connections.
+
+    ``monitor`` receives what the node's requests show.
     """
 
     def __init__(
@@ -43,7 +42,9 @@
         view: cluster_view_module.ClusterView,
         metrics: metrics_module.Metrics,
         rng: random.Random,
-        is_reachable: IsReachable = upstream_module.is_reachable,
+        is_reachable: upstream_module.IsReachable = (
+            upstream_module.is_reachable
+        ),
     ) -> None:
         self._view = view
         self._metrics = metrics
@@ -51,8 +52,6 @@
         self._is_reachable = is_reachable
         self._lock = trio.Lock()
         self.monitor = dispatch.ReachabilityMonitor()
-        self.record_failure = self.monitor.record_failure
-        self.record_success = self.monitor.record_success
 
     @property
     def is_cut_off(self) -> bool:
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -43,6 +43,8 @@
 MARK = "node:"
 # Time for which a node counts as cut off after it has said so.
 CUT_OFF_TTL_S = 1.5
+# Longer numbers count as not given.
+MAX_DIGITS = 17
 
 Address = tuple[str, int]
 Nodes = collections.abc.Mapping[str, Address]
@@ -91,12 +93,17 @@
     :param address: address at which it takes requests of other nodes.
     :param service: service that the request is for.
     """
-    return fleet.Endpoint(f"{MARK}{node}", service, *address, "")
+    return fleet.Endpoint(_identity(node), service, *address, "")
+
+
+def _identity(node: str) -> str:
+    """Return the identity of a node where that of an endpoint is expected."""
+    return f"{MARK}{node}"
 
 
 def _number(fields: dict[bytes, bytes], name: bytes) -> int:
     text = fields.get(name, b"")
-    return int(text) if text.isdigit() and len(text) < 18 else 0
+    return int(text) if text.isdigit() and len(text) <= MAX_DIGITS else 0
 
 
 def read_request(
@@ -188,7 +195,7 @@
         # Names and addresses of the other nodes, by failure domain.
         self.nodes: collections.abc.Callable[
             [], collections.abc.Mapping[str, Nodes]
-        ] = dict
+        ] = lambda: {}
         self._cut_off_until: dict[str, float] = {}
 
     def record_cut_off(self, node: str, now: float) -> None:
@@ -206,7 +213,19 @@
 
         :param service: service that the request is for.
         :param tried: identities that the request was sent to.
-        :returns: a node of this failure domain if possible; None for none.
+        :returns: one of the available nodes; None for none.
+        """
+        nodes = self.available(tried)
+        if not nodes:
+            return None
+        name = self._rng.choice(list(nodes))
+        return relay_endpoint(name, nodes[name], service)
+
+    def available(self, tried: collections.abc.Container[str] = ()) -> Nodes:
+        """Return the nodes that may take a request.
+
+        :param tried: identities that the request was sent to.
+        :returns: nodes of this failure domain, else those of the others.
         """
         by_domain = self.nodes()
         local = by_domain.get(self._failure_domain, {})
@@ -217,18 +236,22 @@
             for name, address in nodes.items()
         }
         for nodes in (local, remote):
-            names = [n for n in nodes if self._may_take(n, tried)]
-            if names:
-                name = self._rng.choice(names)
-                return relay_endpoint(name, nodes[name], service)
-        return None
+            found = {
+                name: address
+                for name, address in nodes.items()
+                if self._may_take(name, tried)
+            }
+            if found:
+                return found
+        return {}
 
     def _may_take(
         self, node: str, tried: collections.abc.Container[str]
     ) -> bool:
         now = trio.current_time()
-        if f"{MARK}{node}" in tried:
+        identity = _identity(node)
+        if identity in tried:
             return False
         if self._cut_off_until.get(node, now) > now:
             return False
-        return self._tracker.record(f"{MARK}{node}").avoid_until <= now
+        return self._tracker.record(identity).avoid_until <= now
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -126,7 +126,13 @@
             return True
         if state.connect_failures < RELAY_AFTER_FAILURES:
             return False
-        return self._pick_relay(state) is not None
+        return self._has_relay(state)
+
+    def _has_relay(self, state: request_state_module.RequestState) -> bool:
+        """Return whether there is another node for a request."""
+        if state.is_rejected_elsewhere:
+            return False
+        return bool(self._relays.available(state.tried_endpoint_ids))
 
     def _pick_relay(
         self, state: request_state_module.RequestState
@@ -238,7 +244,7 @@
         if self.limit_reached(state, state.runs):
             return False
         if self._needs_relay(state):
-            return self._pick_relay(state) is not None
+            return self._has_relay(state)
         return bool(self._untried(state))
 
     def retry_obstacle(
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -456,6 +456,11 @@
         )
 
 
+IsReachable = collections.abc.Callable[
+    [fleet.Endpoint], collections.abc.Awaitable[bool]
+]
+
+
 async def is_reachable(endpoint: fleet.Endpoint) -> bool:
     """Return whether an endpoint's address accepts a new connection.
 
