Report only the progress of endpoints that a node has seen itself

Cause: a node told others the last progress of an endpoint that it knew, also where it had it from them, and a collector sent ages on that were as old as its period. Each hop dated the progress some tenths of a second later, so that nodes with a collector kept an endpoint that stands still alive among themselves: a request waited for the longest silence, 1.6 s, before another endpoint was tried, and more were sent there meanwhile.

Change: the tracker keeps its own progress apart, hints state that alone, and a collector adds the time for which it held a hint.

Measured: hints.feature, the new row fails through a collector before.

--- a/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
+++ b/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
@@ -121,7 +121,7 @@
 @behave.given("another node reports progress of near at {at:g} s")
 def given_progress_elsewhere(context, at):
     """Process a progress report of another node."""
-    context.tracker.record_progress("near", at)
+    context.tracker.record_peer_progress("near", at)
 
 
 @behave.when("another node reports at {at:g} s that near is silent")
--- a/packages/decisions/wasabilanding/dispatch/tracker.py
+++ b/packages/decisions/wasabilanding/dispatch/tracker.py
@@ -31,7 +31,9 @@
 
     :param in_flight: this node's requests in flight to it.
     :param waiting: those that wait for it, not for their callers.
-    :param progress_at: local monotonic time in seconds of its last progress.
+    :param progress_at: local monotonic time in seconds of its last progress,
+        seen by any node.
+    :param own_progress_at: the same, seen by this node.
     :param waiting_since: local monotonic time in seconds since which
         requests have waited for progress.
     :param avoid_until: local monotonic time in seconds until which it is
@@ -44,6 +46,7 @@
     in_flight: int = 0
     waiting: int = 0
     progress_at: float = NEVER
+    own_progress_at: float = NEVER
     waiting_since: float = NEVER
     avoid_until: float = NEVER
     updated_at: float = NEVER
@@ -182,29 +185,42 @@
         record.waiting += 1
 
     def record_progress(self, endpoint_id: str, now: float) -> None:
-        """Record progress of an endpoint, seen by this or another node.
+        """Record progress of an endpoint that this node has seen.
+
+        :param endpoint_id: its identity.
+        :param now: local monotonic time in seconds of the progress.
+        """
+        record = self._records[endpoint_id]
+        record.own_progress_at = max(record.own_progress_at, now)
+        self.record_peer_progress(endpoint_id, now)
+
+    def record_peer_progress(self, endpoint_id: str, at: float) -> None:
+        """Record progress of an endpoint that another node has seen.
 
         On a replica with a long queue, the requests of this node may wait
         without progress while those of other nodes advance.
 
         :param endpoint_id: its identity.
-        :param now: local monotonic time in seconds of the progress.
+        :param at: local monotonic time in seconds of the progress.
         """
         record = self._records[endpoint_id]
-        record.progress_at = max(record.progress_at, now)
-        record.waiting_since = max(record.waiting_since, now)
+        record.progress_at = max(record.progress_at, at)
+        record.waiting_since = max(record.waiting_since, at)
 
     def worked_ago_s(self, now: float, within_s: float) -> dict[str, float]:
-        """Return the time since the last progress of active endpoints.
+        """Return the time since this node saw progress of active endpoints.
+
+        What other nodes have seen is left out: the nodes would repeat it to
+        each other, each time a little later, long after the last progress.
 
         :param now: local monotonic time in seconds.
         :param within_s: maximum time since the last progress in seconds.
         :returns: seconds since the last progress, by endpoint.
         """
         return {
-            name: round(now - record.progress_at, AGE_DIGITS)
+            name: round(now - record.own_progress_at, AGE_DIGITS)
             for name, record in self._records.items()
-            if now - record.progress_at < within_s
+            if now - record.own_progress_at < within_s
         }
 
     def avoid(self, endpoint_id: str, now: float, for_s: float) -> None:
@@ -239,7 +255,11 @@
         :param endpoint_id: its identity.
         :param now: local monotonic time in seconds.
         """
-        progressing = self.worked_ago_s(now, PROGRESS_TIMEOUT_S)
+        progressing = {
+            name
+            for name, record in self._records.items()
+            if now - record.progress_at < PROGRESS_TIMEOUT_S
+        }
         return bool(progressing) and endpoint_id not in progressing
 
     def record_silence(self, endpoint_id: str, now: float) -> bool:
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -10,6 +10,9 @@
 from wasabilanding.gateway import limit_messages
 from wasabilanding import model
 
+# Digits of the seconds since an endpoint's last progress.
+AGE_DIGITS = 3
+
 
 @dataclasses.dataclass(frozen=True)
 class LeavingEndpoint:
@@ -61,6 +64,34 @@
         )
 
 
+def aged(hint: Hint, held_s: float) -> Hint:
+    """Return a hint that was held for a while before it is sent on.
+
+    Otherwise an endpoint that has stopped would seem to have progressed
+    later than it did.
+
+    :param hint: the hint.
+    :param held_s: seconds for which it was held.
+
+    Examples
+    ========
+
+    >>> from wasabilanding.gateway import hint_messages
+    >>> hint = hint_messages.Hint("n1", worked_ago_s={"e1": 0.1})
+    >>> hint_messages.aged(hint, 0.25).worked_ago_s
+    {'e1': 0.35}
+    """
+    if not hint.worked_ago_s:
+        return hint
+    return dataclasses.replace(
+        hint,
+        worked_ago_s={
+            name: round(ago_s + held_s, AGE_DIGITS)
+            for name, ago_s in hint.worked_ago_s.items()
+        },
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class HintBatch:
     """Content of one datagram.
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -143,7 +143,9 @@
         self._tracker = tracker
         self._crash_guard = crash_guard
         self._grants = grants
-        self._collected: dict[str, hint_messages.Hint] = {}
+        # Hints to forward, with the local monotonic time in seconds at which
+        # each was received.
+        self._collected: dict[str, tuple[hint_messages.Hint, float]] = {}
         self._confirmations = changefeed.Confirmations(
             random.getrandbits(NUMBER_BITS)
         )
@@ -345,7 +347,7 @@
                 )
                 await self._send_load_hint(datagrams, hint, now)
             if self._collected:
-                await self._forward_collected(datagrams)
+                await self._forward_collected(datagrams, now)
             await self._send_remote(datagrams, now)
             last_load = load
 
@@ -399,17 +401,22 @@
         collector = self.nodes.collector(now)
         self._view.feeds_peers = collector == self._node
         if collector == self._node:
-            self._collected[self._node] = hint
+            self._collected[self._node] = (hint, now)
             return
         number = self._confirmations.issue(self._view.clock_time())
         hint = dataclasses.replace(hint, number=number)
         batch = hint_messages.HintBatch(self._node, (hint,), is_for_all=False)
         await self._send(datagrams, batch, (self.nodes.local[collector],))
 
-    async def _forward_collected(self, datagrams: Datagrams) -> None:
+    async def _forward_collected(
+        self, datagrams: Datagrams, now: float
+    ) -> None:
         batch = hint_messages.HintBatch(
             self._node,
-            tuple(self._collected.values()),
+            tuple(
+                hint_messages.aged(hint, now - received_at)
+                for hint, received_at in self._collected.values()
+            ),
             changes=self._view.cut_segment(),
         )
         self._collected.clear()
@@ -477,7 +484,7 @@
                 continue
             self._apply_hint(hint, now)
             if not batch.is_for_all:
-                self._collected[hint.node] = hint
+                self._collected[hint.node] = (hint, now)
         if batch.changes is not None:
             as_of = self._confirmations.current_as_of(
                 repeated, batch.changes.age_s
@@ -492,7 +499,7 @@
             self.report_cut_off(hint.node, now)
         for name, ago_s in hint.worked_ago_s.items():
             if self._view.registry.get(name) is not None:
-                self._tracker.record_progress(name, now - ago_s)
+                self._tracker.record_peer_progress(name, now - ago_s)
         if self._view.registry.get(hint.silent) is not None:
             self._apply_silent(hint, now)
         for leaving in hint.leaving:
--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -62,6 +62,20 @@
       | 50    | 1    | 3.0     |
       | 50    | 3    | 6.0     |
 
+  # Nodes that repeated what others had told kept a stopped endpoint alive: each
+  # new datagram dated its last progress a little later.
+  Scenario Outline: No node dates the last progress of an endpoint later than it was
+    Given <count> nodes of one failure domain, each with a request in flight
+    And node n001 saw progress of endpoint e1 0 s ago
+    When they exchange hints for 3 s
+    Then each node knows the last progress of e1 to <error> s
+
+    Examples: Direct exchange, and through a collector
+      | count | error |
+      | 3     | 0.05  |
+      | 29    | 0.05  |
+      | 50    | 0.05  |
+
   Scenario Outline: The number of datagrams grows linearly with the number of nodes
     Given <count> nodes of one failure domain, each with a request in flight
     When they exchange hints for 2 s
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -130,8 +130,9 @@
     """Record progress of an endpoint."""
 
     def note_work(network):
-        now = trio.current_time()
-        context.nodes.trackers[node].record_progress(endpoint, now - ago)
+        context.progress_at = trio.current_time() - ago
+        tracker = context.nodes.trackers[node]
+        tracker.record_progress(endpoint, context.progress_at)
 
     context.plan.append(note_work)
 
@@ -346,6 +347,16 @@
     assert {tracker.load("e1") for tracker in trackers} == {len(trackers)}
 
 
+@behave.then("each node knows the last progress of e1 to {error:g} s")
+def check_progress(context, error):
+    """Compare when the nodes believe that an endpoint last progressed."""
+    errors_s = [
+        tracker.record("e1").progress_at - context.progress_at
+        for tracker in context.nodes.trackers.values()
+    ]
+    assert -error <= min(errors_s) and max(errors_s) <= error, errors_s
+
+
 @behave.then("at most {most:d} datagrams were sent")
 def check_datagrams(context, most):
     """Compare the number of datagrams."""
