Let the planner's shares of VMs follow the demand for each model

Cause: planners share VMs among models by the configured shares. Where one model's callers ask for more, or its replicas are slower, its requests queue while the other model's slots are free.

Change: assembly/demand.py estimates the VMs that each model keeps busy from the requests in flight of all nodes (Little's law), smoothed over 8 s; the shares in force change when one is wrong by a quarter, and none falls below half of its configuration. gateway/model_demand.py observes once a second.

--- a/packages/decisions/wasabilanding/assembly/__init__.py
+++ b/packages/decisions/wasabilanding/assembly/__init__.py
@@ -26,6 +26,9 @@
 from wasabilanding.assembly.choice import plan_replicas
 from wasabilanding.assembly.choice import Preemption
 from wasabilanding.assembly.choice import ReplicaPlan
+from wasabilanding.assembly.demand import busy_vms
+from wasabilanding.assembly.demand import demanded_shares
+from wasabilanding.assembly.demand import DemandEstimate
 from wasabilanding.assembly.orders import Close
 from wasabilanding.assembly.orders import Join
 from wasabilanding.assembly.orders import Leave
@@ -51,6 +54,7 @@
     "ProbeAnswer",
     "ProbeResult",
     "Close",
+    "DemandEstimate",
     "EPOCHS_PER_ERA",
     "Preemption",
     "ReplicaPlan",
@@ -63,9 +67,11 @@
     "PlannerInput",
     "Stage",
     "apportion",
+    "busy_vms",
     "capacity_of",
     "choose_preemption",
     "choose_spare_loads",
+    "demanded_shares",
     "first_epoch",
     "plan_replicas",
     "choose_loads_to_stage",
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -21,6 +21,7 @@
 from wasabilanding.gateway import lease
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding.gateway import model_demand
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import supervision
 from wasabilanding.gateway import upstream as upstream_module
@@ -109,6 +110,7 @@
             self._key, settings.node, store, view.eras
         )
         self._planners: dict[str, assembly.Planner] = {}
+        self._demand = model_demand.ModelDemand(view, tracker, failure_domain)
         self._capacity_log = capacity_log.CapacityLog(failure_domain, metrics)
         # What the capacity was last computed from, and the result.
         self._capacity_inputs: tuple[object, int] = (None, -1)
@@ -157,6 +159,7 @@
     async def _plan_while_held(self) -> None:
         """Plan until the lease is lost."""
         self._planners.clear()
+        self._demand.clear()
         self._view.active_planners += 1
         try:
             async with trio.open_nursery() as nursery:
@@ -303,7 +306,7 @@
         since_start_s = now - self._started_at
         return assembly.PlannerInput(
             service=service,
-            spec=spec,
+            spec=self._demand.spec_of(service, spec, now),
             endpoints=tuple(
                 endpoint
                 for endpoint in registry.endpoints
