Count progress told through a collector as later by the excess of two periods

Cause: with honest ages, the next report about a busy endpoint may come two periods later (0.62 s with 39 nodes in a failure domain), beyond the 0.6 s after which an endpoint counts as silent.

Change: progress that another node has told counts as later by what two periods exceed 0.3 s, but is not told on.

--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -82,6 +82,9 @@
 # Each hint repeats some of the previous hint's progress, in case its datagram
 # was lost.
 PROGRESS_OVERLAP_S = 0.1
+# Progress of an endpoint that still counts when the next report is due: an
+# older one would make a busy endpoint seem silent between two reports.
+MAX_REPORT_AGE_S = 0.3
 PEER_REFRESH_INTERVAL_S = 0.5
 BIND_RETRY_INTERVAL_S = 2.0
 # The first number of a process differs from those of its earlier runs.
@@ -317,17 +320,17 @@
             batch = hint_messages.HintBatch(self._node, (hint,))
             await self._send(datagrams, batch, self.nodes.local.values())
 
+    @property
+    def _load_period_s(self) -> float:
+        """Interval between load hints in seconds."""
+        period_s = len(self.nodes.local) * LOAD_PERIOD_PER_NODE_S
+        return min(max(MIN_LOAD_PERIOD_S, period_s), MAX_LOAD_PERIOD_S)
+
     async def _send_load(self, datagrams: Datagrams) -> None:
         last_load: dict[str, int] = {}
         refreshed_at = float("-inf")
         while True:
-            period_s = min(
-                max(
-                    MIN_LOAD_PERIOD_S,
-                    len(self.nodes.local) * LOAD_PERIOD_PER_NODE_S,
-                ),
-                MAX_LOAD_PERIOD_S,
-            )
+            period_s = self._load_period_s
             await trio.sleep(period_s)
             now = trio.current_time()
             if now - refreshed_at > PEER_REFRESH_INTERVAL_S:
@@ -497,9 +500,7 @@
             self._tracker.update_peer_load(hint.node, hint.in_flight, now)
         if hint.is_cut_off:
             self.report_cut_off(hint.node, now)
-        for name, ago_s in hint.worked_ago_s.items():
-            if self._view.registry.get(name) is not None:
-                self._tracker.record_peer_progress(name, now - ago_s)
+        self._apply_progress(hint, now)
         if self._view.registry.get(hint.silent) is not None:
             self._apply_silent(hint, now)
         for leaving in hint.leaving:
@@ -509,6 +510,18 @@
         for notice in hint.limits:
             self._grants.apply_notice(notice, now)
 
+    def _apply_progress(self, hint: hint_messages.Hint, now: float) -> None:
+        """Record the progress that another node has seen.
+
+        Through a collector, the next report follows after up to two periods.
+        Progress counts as later by what they exceed the allowed age.
+        """
+        excess_s = max(2 * self._load_period_s - MAX_REPORT_AGE_S, 0.0)
+        for name, ago_s in hint.worked_ago_s.items():
+            if self._view.registry.get(name) is not None:
+                at = now - max(ago_s - excess_s, 0.0)
+                self._tracker.record_peer_progress(name, at)
+
     def _apply_silent(self, hint: hint_messages.Hint, now: float) -> None:
         if self._tracker.record_silence(hint.silent, now):
             _LOG.info(
