--- a/packages/decisions/wasabilanding/assembly/load_scheduler.py
+++ b/packages/decisions/wasabilanding/assembly/load_scheduler.py
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         self._rate_limiter = rate_limiter.LoadRateLimiter()
         self._load_ends: list[float] = []
-        self._ordered_at: dict[tuple[str, str], float] = {}
+        self._ordered_at: dict[tuple[fleet.Incarnation, str], float] = {}
         self._next_extra_load_at = NEVER
 
     def stage(
@@ -39,13 +39,18 @@
         """
         if endpoint.endpoint_id in inputs.held_endpoints:
             return []
-        key = (endpoint.endpoint_id, spec.name)
+        key = (fleet.incarnation_of(endpoint), spec.name)
         if now - self._ordered_at.get(key, NEVER) < LOAD_RETRY_S:
             return []
         if not inputs.loads_are_unlimited:
             if not self._has_room(inputs, now):
                 return []
             self._load_ends.append(now + spec.load_s)
+        self._ordered_at = {
+            ordered: at
+            for ordered, at in self._ordered_at.items()
+            if now - at < LOAD_RETRY_S
+        }
         self._ordered_at[key] = now
         return [orders.Stage(endpoint, spec.name)]
 
--- a/packages/decisions/wasabilanding/assembly/orders.py
+++ b/packages/decisions/wasabilanding/assembly/orders.py
@@ -96,8 +96,8 @@
     :param loads_are_unlimited: whether any number of loads may start now.
     :param loading: known running loads from the weight store, over all
         endpoints.
-    :param silent_endpoints: heads on which this node's requests make no
-        progress.
+    :param silent_endpoints: starts of heads on which this node's requests
+        make no progress.
     :param held_endpoints: endpoints that want no requests for a time; they
         keep their replicas, but join no other one.
     :param pending_epochs: highest epoch of the joins that any planner has
@@ -111,7 +111,7 @@
     revision: model_module.StoreRevision
     loads_are_unlimited: bool
     loading: int = 0
-    silent_endpoints: frozenset[str] = frozenset()
+    silent_endpoints: frozenset[fleet.Incarnation] = frozenset()
     held_endpoints: frozenset[str] = frozenset()
     pending_epochs: collections.abc.Mapping[str, int] = dataclasses.field(
         default_factory=dict
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -72,14 +72,14 @@
         self._load_scheduler = load_scheduler.LoadScheduler()
 
     def record_probe_result(
-        self, endpoint_id: str, result: upkeep.ProbeResult
+        self, endpoint: fleet.Incarnation, result: upkeep.ProbeResult
     ) -> None:
         """Record the result of a probe that the planner has ordered.
 
-        :param endpoint_id: identity of the probed endpoint.
+        :param endpoint: the probed endpoint.
         :param result: the result.
         """
-        self._upkeep.record_probe_result(endpoint_id, result)
+        self._upkeep.record_probe_result(endpoint, result)
 
     def plan(
         self, inputs: orders.PlannerInput, now: float
@@ -150,14 +150,14 @@
         inputs: orders.PlannerInput,
         now: float,
     ) -> None:
-        registered_ids = {
-            endpoint.endpoint_id
+        registered = {
+            fleet.incarnation_of(endpoint)
             for endpoint in inputs.endpoints
             if not endpoint.draining
         }
         for replica_key, forming in list(self._forming.items()):
-            ids = {endpoint.endpoint_id for endpoint in forming.members}
-            if now >= forming.expires_at or not ids <= registered_ids:
+            starts = set(map(fleet.incarnation_of, forming.members))
+            if now >= forming.expires_at or not starts <= registered:
                 del self._forming[replica_key]
         self._upkeep.drop_outdated(replicas)
 
@@ -385,8 +385,9 @@
             return "close", order.head.membership.replica_key, order.at_once
         case orders.Leave():
             member = order.endpoint
-            return "leave", member.endpoint_id, member.membership.replica_key
+            start = fleet.incarnation_of(member)
+            return "leave", start, member.membership.replica_key
         case orders.Probe():
-            return "probe", order.endpoint.endpoint_id
+            return "probe", fleet.incarnation_of(order.endpoint)
         case orders.Stage():
-            return "stage", order.endpoint.endpoint_id, order.model
+            return "stage", fleet.incarnation_of(order.endpoint), order.model
--- a/packages/decisions/wasabilanding/assembly/preemption.py
+++ b/packages/decisions/wasabilanding/assembly/preemption.py
@@ -19,7 +19,7 @@
 @dataclasses.dataclass(frozen=True)
 class _ActivePreemption:
     model: routes.ModelSpec
-    members: tuple[str, ...]
+    members: frozenset[fleet.Incarnation]
     victims: tuple[fleet.ReplicaKey, ...]
     expires_at: float
 
@@ -94,8 +94,8 @@
             self._active_by_domain[found.victims[0].head.fabric_domain] = (
                 _ActivePreemption(
                     model=found.model,
-                    members=tuple(
-                        endpoint.endpoint_id for endpoint in found.members
+                    members=frozenset(
+                        map(fleet.incarnation_of, found.members)
                     ),
                     victims=tuple(
                         victim.replica_key for victim in found.victims
@@ -132,7 +132,7 @@
             members = [
                 endpoint
                 for endpoint in inputs.endpoints
-                if endpoint.endpoint_id in preemption.members
+                if fleet.incarnation_of(endpoint) in preemption.members
                 and not endpoint.draining
             ]
             if len(members) < len(preemption.members):
--- a/packages/decisions/wasabilanding/assembly/tests/assembly.feature
+++ b/packages/decisions/wasabilanding/assembly/tests/assembly.feature
@@ -170,3 +170,18 @@
       | 2   | 12     | 0         | 200000040 | 0         | 200000041 |
       | 2   | 12     | 0         | 0         | 200000050 | 200000051 |
       | 2   | 12     | 300000000 | 0         | 0         | 300000001 |
+
+  Scenario Outline: What a planner knows of an endpoint ends with its start
+    Given a planner at revision 34 of era 0
+    And four free endpoints of which one <was>
+    When that one <change>
+    Then the planner <orders>
+
+    Examples: A dead endpoint joins no replica; the same load is ordered once
+      | was                 | change       | orders                      |
+      | failed a probe      | goes on      | orders nothing              |
+      | failed a probe      | starts again | orders a join               |
+      | was ordered to load | goes on      | orders nothing              |
+      | was ordered to load | starts again | orders a load               |
+      | was ordered to join | goes on      | repeats a join              |
+      | was ordered to join | starts again | orders a join               |
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -249,16 +249,16 @@
         for order in self.planner.plan(inputs, self.now):
             self._send(order)
 
-    def _silent(self) -> frozenset[str]:
+    def _silent(self) -> frozenset[fleet.Incarnation]:
         """Return heads that make no progress because a member is down."""
         silent = set()
         for endpoint in self.registry.endpoints:
             engine = self.engines[endpoint.endpoint_id]
             members = list(map(self.engines.get, engine.members))
             if not engine.alive or not all(one.alive for one in members):
-                silent.add(endpoint.endpoint_id)
+                silent.add(fleet.incarnation_of(endpoint))
             elif any(map(self._is_paused, (engine, *members))):
-                silent.add(endpoint.endpoint_id)
+                silent.add(fleet.incarnation_of(endpoint))
         return frozenset(silent)
 
     def _is_paused(self, engine: Engine) -> bool:
@@ -328,7 +328,7 @@
         self, order: assembly.Probe, planner: assembly.Planner
     ) -> None:
         planner.record_probe_result(
-            order.endpoint.endpoint_id,
+            fleet.incarnation_of(order.endpoint),
             assembly.ProbeResult(
                 self.now,
                 assembly.ProbeAnswer.NONE,
@@ -439,7 +439,7 @@
             STATES.CLOSING,
         )
         planner.record_probe_result(
-            seen.endpoint_id,
+            fleet.incarnation_of(seen),
             assembly.ProbeResult(
                 self.now,
                 assembly.ProbeAnswer.MEMBER
--- a/packages/decisions/wasabilanding/assembly/tests/steps/assembly_steps.py
+++ b/packages/decisions/wasabilanding/assembly/tests/steps/assembly_steps.py
@@ -5,9 +5,11 @@
 import behave
 
 from wasabilanding import assembly
+from wasabilanding.assembly import load_scheduler
 from wasabilanding.assembly.tests import fake_engines
 from wasabilanding import fleet
 from wasabilanding import model
+from wasabilanding import routes
 
 # VMs of each model in all fabric domains.
 TOTAL_VMS = {"large": 30, "small": 30}
@@ -218,3 +220,80 @@
 def check_epoch(context, epoch):
     """Compare the epoch of the first replica."""
     assert context.joins[0].epoch == epoch, context.joins[0].epoch
+
+
+def _inputs(context, first):
+    """Return a situation in which four endpoints can form one replica."""
+    others = [_spare(number, "large") for number in range(1, 4)]
+    return assembly.PlannerInput(
+        service="writer",
+        spec=routes.EngineSpec(9, (fake_engines.LARGE,), 5.0),
+        endpoints=(first, *others),
+        recently_removed={},
+        revision=context.revision,
+        loads_are_unlimited=True,
+    )
+
+
+def _plan(planner, inputs, from_s):
+    """Return the replicas to join, once free endpoints have settled."""
+    planned = planner.plan(inputs, from_s) + planner.plan(inputs, from_s + 1.0)
+    return [o.replica for o in planned if isinstance(o, assembly.Join)]
+
+
+def _after_probe(context):
+    planner = assembly.Planner("p")
+    planner.record_probe_result(
+        fleet.incarnation_of(context.before),
+        assembly.ProbeResult(0.0, assembly.ProbeAnswer.GONE),
+    )
+    joins = _plan(planner, _inputs(context, context.after), 0.0)
+    return "orders a join" if joins else "orders nothing"
+
+
+def _after_load(context):
+    scheduler = load_scheduler.LoadScheduler()
+    inputs = _inputs(context, context.after)
+    scheduler.stage(context.before, fake_engines.LARGE, inputs, 0.0)
+    orders = scheduler.stage(context.after, fake_engines.LARGE, inputs, 1.0)
+    return "orders a load" if orders else "orders nothing"
+
+
+def _after_join(context):
+    planner = assembly.Planner("p")
+    first = _plan(planner, _inputs(context, context.before), 0.0)
+    second = _plan(planner, _inputs(context, context.after), 2.0)
+    return "repeats a join" if first[0] in second else "orders a join"
+
+
+ORDERS_AFTER = {
+    "failed a probe": _after_probe,
+    "was ordered to load": _after_load,
+    "was ordered to join": _after_join,
+}
+
+
+@behave.given("four free endpoints of which one {was}")
+def given_known(context, was):
+    """Set what the planner knows of one endpoint."""
+    context.before = _spare(0, "large")
+    context.orders_after = ORDERS_AFTER[was]
+
+
+@behave.when("that one goes on")
+def go_on(context):
+    """Keep the registration."""
+    context.after = context.before
+
+
+@behave.when("that one starts again")
+def start_again(context):
+    """Register another start."""
+    context.after = dataclasses.replace(context.before, started_at_ms=1)
+
+
+@behave.then("the planner {orders}")
+def check_orders(context, orders):
+    """Compare what the planner orders."""
+    found = context.orders_after(context)
+    assert found == orders, found
--- a/packages/decisions/wasabilanding/assembly/upkeep.py
+++ b/packages/decisions/wasabilanding/assembly/upkeep.py
@@ -95,20 +95,25 @@
         ] = {}
         self._closing: set[fleet.ReplicaKey] = set()
         self._heads_leaving: set[fleet.ReplicaKey] = set()
-        self._probe_results: dict[str, ProbeResult] = {}
+        self._probe_results: dict[fleet.Incarnation, ProbeResult] = {}
 
     def record_probe_result(
-        self, endpoint_id: str, result: ProbeResult
+        self, endpoint: fleet.Incarnation, result: ProbeResult
     ) -> None:
         """Record the result of a probe.
 
-        :param endpoint_id: identity of the probed endpoint.
+        :param endpoint: the probed endpoint.
         :param result: the result.
         """
-        before = self._recent_probe_result(endpoint_id, result.at)
+        before = self._recent_probe_result(endpoint, result.at)
         if before is not None and result.answer is ProbeAnswer.NONE:
             result = result.following(before)
-        self._probe_results[endpoint_id] = result
+        self._probe_results = {
+            start: known
+            for start, known in self._probe_results.items()
+            if result.at - known.at <= PROBE_RESULT_TTL_S
+        }
+        self._probe_results[endpoint] = result
 
     def drop_outdated(
         self,
@@ -220,31 +225,30 @@
         and after :data:`UNANSWERED_TIMEOUT_S` if one does not answer. Sooner,
         the requests of a replica that only pauses would be cut.
         """
-        if replica.head.endpoint_id not in inputs.silent_endpoints:
+        starts = {fleet.incarnation_of(m): m for m in replica.members}
+        head = fleet.incarnation_of(replica.head)
+        if head not in inputs.silent_endpoints:
             return []
         results = {
-            endpoint.endpoint_id: self._recent_probe_result(
-                endpoint.endpoint_id, now
-            )
-            for endpoint in replica.members
+            start: self._recent_probe_result(start, now) for start in starts
         }
         probes: list[orders.Order] = [
             orders.Probe(endpoint)
-            for endpoint in replica.members
-            if _is_inconclusive(results[endpoint.endpoint_id])
+            for start, endpoint in starts.items()
+            if _is_inconclusive(results[start])
         ]
         dead = [
-            name
-            for name, result in results.items()
+            start
+            for start, result in results.items()
             if result is not None and result.is_lost
         ]
         if probes or not dead:
             return probes
-        if replica.head.endpoint_id in dead:
+        if head in dead:
             return [
                 orders.Leave(endpoint)
-                for endpoint in replica.members
-                if endpoint.endpoint_id not in dead
+                for start, endpoint in starts.items()
+                if start not in dead
             ]
         self._closing.add(replica.replica_key)
         return [orders.Close(replica.head, at_once=True)]
@@ -255,7 +259,7 @@
         :param endpoint: the endpoint.
         :param now: local monotonic time in seconds.
         """
-        result = self._recent_probe_result(endpoint.endpoint_id, now)
+        result = self._recent_probe_result(fleet.incarnation_of(endpoint), now)
         return result is not None and not result.is_alive
 
     def _step_partial(
@@ -303,7 +307,7 @@
             and removed.endpoint.membership.replica_key == replica.replica_key
         ]
         results = [
-            self._recent_probe_result(endpoint.endpoint_id, now)
+            self._recent_probe_result(fleet.incarnation_of(endpoint), now)
             for endpoint in lost
         ]
         probes: list[orders.Order] = [
@@ -320,9 +324,9 @@
         return [orders.Close(replica.head, at_once=True)]
 
     def _recent_probe_result(
-        self, endpoint_id: str, now: float
+        self, endpoint: fleet.Incarnation, now: float
     ) -> ProbeResult | None:
-        result = self._probe_results.get(endpoint_id)
+        result = self._probe_results.get(endpoint)
         if result is None or now - result.at > PROBE_RESULT_TTL_S:
             return None
         return result
@@ -348,7 +352,9 @@
                 replica.replica_key, replica, now
             )
             return False, self._leave_all(replica) if unchanged_s else []
-        result = self._recent_probe_result(head.endpoint.endpoint_id, now)
+        result = self._recent_probe_result(
+            fleet.incarnation_of(head.endpoint), now
+        )
         if result is None:
             return False, [orders.Probe(head.endpoint)]
         if result.is_open:
--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -159,7 +159,7 @@
 def _is_avoided(
     candidate: Candidate, tracker: tracker_module.EndpointTracker, now: float
 ) -> bool:
-    record = tracker.record(candidate.endpoint.endpoint_id)
+    record = tracker.record(fleet.incarnation_of(candidate.endpoint))
     unproven = (
         candidate.is_incomplete
         and now - record.progress_at > RECENT_PROGRESS_S
@@ -177,7 +177,11 @@
     is_remote: bool,
 ) -> list[_Option]:
     return [
-        _Option(c, is_remote, c.slots - tracker.load(c.endpoint.endpoint_id))
+        _Option(
+            c,
+            is_remote,
+            c.slots - tracker.load(fleet.incarnation_of(c.endpoint)),
+        )
         for c in candidates
     ]
 
--- a/packages/decisions/wasabilanding/dispatch/holds.py
+++ b/packages/decisions/wasabilanding/dispatch/holds.py
@@ -13,6 +13,11 @@
 A request takes a :class:`Ticket` before it is sent. The ticket says whether
 the request was admitted before or after the latest hold, as replies to older
 requests tell nothing about the endpoint after the hold.
+
+An endpoint that starts again knows nothing of the hold, which ends with its
+previous start. A hold that was asked for shortly before the next start was
+seen stays in force: requests reach the next start before its registration is
+seen, so that this start may be the one that asked.
 """
 
 import collections.abc
@@ -23,6 +28,8 @@
 # A returning endpoint that receives no request is treated normally after this.
 UNUSED_TTL_S = 30.0
 NO_HOLD = 0
+# Time in which the registration of a start is seen, and then some.
+UNSEEN_START_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,12 +51,17 @@
 
     :param number: number of the hold.
     :param until: local monotonic time in seconds at which the hold ends.
+    :param started_at_ms: Unix time in milliseconds of the endpoint's start.
+    :param asked_at: local monotonic time in seconds at which the endpoint
+        last asked for it.
     :param window: requests that may wait for a reply after the hold.
     :param unanswered: requests that wait for a reply.
     """
 
     number: int
     until: float
+    started_at_ms: int
+    asked_at: float
     window: int = 1
     unanswered: int = 0
 
@@ -68,12 +80,20 @@
         self._holds: dict[str, _Hold] = {}
         self._last_number = NO_HOLD
 
-    def hold(self, endpoint_id: str, now: float, for_s: float) -> bool:
+    def hold(
+        self,
+        endpoint_id: str,
+        now: float,
+        for_s: float,
+        started_at_ms: int = 0,
+    ) -> bool:
         """Send nothing to an endpoint for a time; never shorten a hold.
 
         :param endpoint_id: its identity.
         :param now: local monotonic time in seconds.
         :param for_s: duration in seconds.
+        :param started_at_ms: Unix time in milliseconds of its start, as far as
+            it is known.
         :returns: whether it was not held before.
         """
         until = now + for_s
@@ -82,7 +102,9 @@
         if before is not None:
             until = max(until, before.until)
         self._last_number += 1
-        self._holds[endpoint_id] = _Hold(self._last_number, until)
+        self._holds[endpoint_id] = _Hold(
+            self._last_number, until, started_at_ms, now
+        )
         return is_new
 
     def closed(self, now: float) -> frozenset[str]:
@@ -168,6 +190,26 @@
             return None
         return min(max(hold.until - now, 0.0) for hold in found)
 
+    def end_with_starts(
+        self,
+        start_of: collections.abc.Callable[[str], int | None],
+        now: float,
+    ) -> None:
+        """End the holds of endpoints that have started again.
+
+        :param start_of: returns the Unix time in milliseconds of the start of
+            a registered endpoint; None if it is not registered.
+        :param now: local monotonic time in seconds.
+        """
+        for name, hold in list(self._holds.items()):
+            started_at_ms = start_of(name)
+            if started_at_ms is None or started_at_ms == hold.started_at_ms:
+                continue
+            if now - hold.asked_at < UNSEEN_START_S:
+                hold.started_at_ms = started_at_ms
+            else:
+                del self._holds[name]
+
     def drop_expired(self, now: float) -> None:
         """Drop returning endpoints that receive no requests.
 
--- a/packages/decisions/wasabilanding/dispatch/named_limits.py
+++ b/packages/decisions/wasabilanding/dispatch/named_limits.py
@@ -76,14 +76,17 @@
         ========
 
         >>> from wasabilanding import dispatch
+        >>> from wasabilanding import fleet
+        >>> first = fleet.Incarnation("e1", 7)
+        >>> second = fleet.Incarnation("e1", 8)
         >>> limits = dispatch.NamedLimits()
-        >>> limits.note(("e1", 7), 1.5, at=2.0)
+        >>> limits.note(first, 1.5, at=2.0)
         True
-        >>> limits.rate(("e1", 7)), limits.rate(("e1", 8))
+        >>> limits.rate(first), limits.rate(second)
         (1.5, None)
-        >>> limits.note(("e1", 7), None, at=1.0), limits.rate(("e1", 7))
+        >>> limits.note(first, None, at=1.0), limits.rate(first)
         (False, 1.5)
-        >>> limits.note(("e1", 7), None, at=3.0), limits.rate(("e1", 7))
+        >>> limits.note(first, None, at=3.0), limits.rate(first)
         (True, None)
         """
         known = self._known.get(endpoint)
--- a/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
+++ b/packages/decisions/wasabilanding/dispatch/tests/dispatch.feature
@@ -112,3 +112,25 @@
       | 98     | far    | yes    |
       | 99.55  | far    | no     |
       | 99.8   | near   | no     |
+
+  Scenario Outline: The next start of an endpoint begins anew
+    Given endpoints near with <near> and far with 1 requests in flight
+    And near <trouble>
+    When near starts again
+    And a request is sent at 100 s
+    Then it goes to near
+    And near counts as silent: no
+
+    Examples: Requests to the previous start may still hang
+      | near | trouble                     |
+      | 1    | is avoided until 100.1 s    |
+      | 1    | has been silent since 99 s  |
+      | 9    | last made progress at 99 s  |
+
+  Scenario: Progress of the next start does not excuse the previous one
+    Given endpoints near with 1 and far with 1 requests in flight
+    And near has been silent since 99 s
+    When near starts again
+    And near makes progress at 99.9 s
+    Then the previous start of near counts as silent: yes
+    And near counts as silent: no
--- a/packages/decisions/wasabilanding/dispatch/tests/holds.feature
+++ b/packages/decisions/wasabilanding/dispatch/tests/holds.feature
@@ -68,6 +68,26 @@
     When a request is sent at 100 s
     Then near receives 50 more requests at once
 
+  # The next start may have asked before its registration was seen.
+  Scenario Outline: A hold ends with the start that asked for it
+    Given endpoints near with 0 and far with 0 requests in flight
+    And near is held at <at> s for 60 s
+    When another start of near is seen at <seen> s
+    Then a request is admitted to near at 100 s: <expected>
+
+    Examples:
+      | at | seen | expected |
+      | 90 | 99   | yes      |
+      | 95 | 99   | no       |
+
+  Scenario: A hold lasts while its endpoint goes on or is not registered
+    Given endpoints near with 0 and far with 0 requests in flight
+    And near is held at 50 s for 60 s
+    When the same start of near is seen at 99 s
+    Then a request is admitted to near at 100 s: no
+    When no start of near is seen at 99 s
+    Then a request is admitted to near at 100 s: no
+
   Scenario Outline: Nothing arrives during a hold, and one request returns first
     When requests and holds come in any order to a node <kind>
     Then the violation found is <violation>
--- a/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
+++ b/packages/decisions/wasabilanding/dispatch/tests/steps/dispatch_steps.py
@@ -12,6 +12,11 @@
 RECENT_S = 99.95
 
 
+def start_of(context, name):
+    """Return the start of an endpoint that is registered now."""
+    return fleet.incarnation_of(context.candidates[name].endpoint)
+
+
 def _candidate(name):
     endpoint = fleet.Endpoint(name, "writer", "10.0.0.1", 80, name)
     return dispatch.Candidate(endpoint, slots=9)
@@ -26,8 +31,8 @@
     context.candidates = {n: _candidate(n) for n in ("near", "far")}
     for name, count in (("near", near), ("far", far)):
         for _ in range(count):
-            context.tracker.begin(name, RECENT_S)
-        context.tracker.record_progress(name, RECENT_S)
+            context.tracker.begin(start_of(context, name), RECENT_S)
+        context.tracker.record_progress(start_of(context, name), RECENT_S)
 
 
 @behave.given(
@@ -54,8 +59,8 @@
         )
         context.candidates[name] = dispatch.Candidate(endpoint, slots=9)
         for _ in range(count):
-            context.tracker.begin(name, RECENT_S)
-        context.tracker.record_progress(name, RECENT_S)
+            context.tracker.begin(start_of(context, name), RECENT_S)
+        context.tracker.record_progress(start_of(context, name), RECENT_S)
 
 
 @behave.when(
@@ -93,13 +98,13 @@
 @behave.given("near is avoided until {until:g} s")
 def given_avoided(context, until):
     """Avoid an endpoint after a failure."""
-    context.tracker.avoid("near", until - 1.0, 1.0)
+    context.tracker.avoid(start_of(context, "near"), until - 1.0, 1.0)
 
 
 @behave.given("near has been silent since {since:g} s")
 def given_silent(context, since):
     """Set the time of the last progress."""
-    record = context.tracker.record("near")
+    record = context.tracker.record(start_of(context, "near"))
     record.progress_at = record.waiting_since = since
 
 
@@ -108,26 +113,29 @@
     """Mark the replica as incomplete, without requests in flight."""
     near = context.candidates["near"]
     context.candidates["near"] = dataclasses.replace(near, is_incomplete=True)
-    context.tracker.end("near")
-    context.tracker.record("near").progress_at = at
+    context.tracker.end(start_of(context, "near"))
+    context.tracker.record(start_of(context, "near")).progress_at = at
 
 
 @behave.given("{name} last made progress at {at:g} s")
 def given_progress(context, name, at):
     """Set the time of the last progress."""
-    context.tracker.record(name).progress_at = at
+    context.tracker.record(start_of(context, name)).progress_at = at
 
 
 @behave.given("another node reports progress of near at {at:g} s")
+@behave.when("near makes progress at {at:g} s")
 def given_progress_elsewhere(context, at):
-    """Process a progress report of another node."""
-    context.tracker.record_progress("near", at)
+    """Record progress, as another node reports it."""
+    context.tracker.record_progress(start_of(context, "near"), at)
 
 
 @behave.when("another node reports at {at:g} s that near is silent")
 def report_silent(context, at):
     """Process a silence report of another node."""
-    context.is_new = context.tracker.record_silence("near", at)
+    context.is_new = context.tracker.record_silence(
+        start_of(context, "near"), at
+    )
 
 
 @behave.when("a request is sent at {now:g} s")
@@ -152,16 +160,35 @@
 @behave.then("near counts as silent: {expected}")
 def check_silent(context, expected):
     """Check whether a planner would probe the endpoint."""
-    is_silent = "near" in context.tracker.silent_endpoints(100.0, 0.5)
+    silent = context.tracker.silent_endpoints(100.0, 0.5)
+    is_silent = start_of(context, "near") in silent
     assert is_silent is (expected == "yes")
 
 
+@behave.when("near starts again")
+def start_again(context):
+    """Register the next start of the endpoint."""
+    near = context.candidates["near"]
+    context.previous = start_of(context, "near")
+    endpoint = dataclasses.replace(near.endpoint, started_at_ms=1)
+    context.candidates["near"] = dataclasses.replace(near, endpoint=endpoint)
+
+
+@behave.then("the previous start of near counts as silent: {expected}")
+def check_previous_silent(context, expected):
+    """Check whether requests to the previous start wait for nothing."""
+    silent = context.tracker.silent_endpoints(100.0, 0.5)
+    assert (context.previous in silent) is (expected == "yes")
+
+
 @behave.then(
     "at {now:g} s near is silent while another makes progress: {expected}"
 )
 def check_only_silent(context, now, expected):
     """Check whether the endpoint alone is silent."""
-    is_silent = context.tracker.is_silent_unlike_others("near", now)
+    is_silent = context.tracker.is_silent_unlike_others(
+        start_of(context, "near"), now
+    )
     assert is_silent is (expected == "yes")
 
 
--- a/packages/decisions/wasabilanding/dispatch/tests/steps/holds_steps.py
+++ b/packages/decisions/wasabilanding/dispatch/tests/steps/holds_steps.py
@@ -29,6 +29,13 @@
         holds.settle(ticket, ACCEPTED[word])
 
 
+@behave.when("{which} start of near is seen at {at:g} s")
+def see_start(context, which, at):
+    """Look at the registered start, as a node does each second."""
+    started_at_ms = {"the same": 0, "another": 1, "no": None}[which]
+    context.tracker.holds.end_with_starts(lambda name: started_at_ms, at)
+
+
 @behave.when('near returns at 100 s and its requests are ""')
 def reply_nothing(context):
     """Send no requests."""
--- a/packages/decisions/wasabilanding/dispatch/tracker.py
+++ b/packages/decisions/wasabilanding/dispatch/tracker.py
@@ -1,10 +1,21 @@
-"""Observations of one node about the endpoints that it uses."""
+"""Observations of one node about the endpoints that it uses.
+
+Explanation
+===========
+
+An endpoint that starts again under its identity knows nothing of the requests
+before, so its observations begin anew: progress of the next start must not
+excuse the silence of the previous one, whose requests wait for nothing. Load
+that other nodes report is by identity alone. It is replaced several times a
+second, so that it soon leaves out what has ended with a start.
+"""
 
 import collections
 import collections.abc
 import dataclasses
 
 from wasabilanding.dispatch import holds as holds_module
+from wasabilanding import fleet
 
 NEVER = float("-inf")
 RECORD_TTL_S = 30.0
@@ -21,13 +32,13 @@
 # nodes share a datagram.
 AGE_DIGITS = 3
 
-# Requests in flight, by endpoint.
+# Requests in flight, by identity of the endpoint.
 Load = dict[str, int]
 
 
 @dataclasses.dataclass
 class EndpointObservations:
-    """Observations of one endpoint.
+    """Observations of one start of an endpoint.
 
     :param in_flight: this node's requests in flight to it.
     :param waiting: those that wait for it, not for their callers.
@@ -62,7 +73,7 @@
 class PeerLoad:
     """Load reported by another node.
 
-    :param in_flight: its requests in flight, by endpoint.
+    :param in_flight: its requests in flight, by identity of the endpoint.
     :param at: local monotonic time in seconds of the report.
     """
 
@@ -71,39 +82,39 @@
 
 
 class EndpointTracker:
-    """Observations of all endpoints, by identity."""
+    """Observations of all endpoints, by identity and start."""
 
     def __init__(self) -> None:
         self.holds = holds_module.EndpointHolds()
-        self._records: dict[str, EndpointObservations] = (
+        self._records: dict[fleet.Incarnation, EndpointObservations] = (
             collections.defaultdict(EndpointObservations)
         )
         self._load_by_peer: dict[str, PeerLoad] = {}
-        # Requests in flight from all other nodes, by endpoint.
+        # Requests in flight from all other nodes, by identity.
         self._peer_load: collections.Counter[str] = collections.Counter()
 
     @property
     def local_load(self) -> dict[str, int]:
-        """This node's requests in flight, by endpoint, without zeros."""
-        return {
-            name: record.in_flight
-            for name, record in self._records.items()
-            if record.in_flight
-        }
-
-    def load(self, endpoint_id: str) -> int:
+        """This node's requests in flight, by identity, without zeros."""
+        load: collections.Counter[str] = collections.Counter()
+        for endpoint, record in self._records.items():
+            if record.in_flight:
+                load[endpoint.endpoint_id] += record.in_flight
+        return dict(load)
+
+    def load(self, endpoint: fleet.Incarnation) -> int:
         """Return the known requests in flight to an endpoint.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         """
-        local = self._records[endpoint_id].in_flight
-        return local + self._peer_load[endpoint_id]
+        local = self._records[endpoint].in_flight
+        return local + self._peer_load[endpoint.endpoint_id]
 
     def load_of_nodes(self, nodes: collections.abc.Iterable[str]) -> Load:
         """Return the requests in flight from this node and some others.
 
         :param nodes: names of the other nodes.
-        :returns: requests in flight, by endpoint, without zeros.
+        :returns: requests in flight, by identity, without zeros.
         """
         total = collections.Counter(self.local_load)
         for node in nodes:
@@ -121,7 +132,7 @@
         spread the load no better than random choice.
 
         :param node: name of the node.
-        :param load: all its requests in flight, by endpoint.
+        :param load: all its requests in flight, by identity.
         :param now: local monotonic time in seconds.
         """
         self._drop_load(node)
@@ -137,60 +148,60 @@
             if not self._peer_load[name]:
                 del self._peer_load[name]
 
-    def record(self, endpoint_id: str) -> EndpointObservations:
+    def record(self, endpoint: fleet.Incarnation) -> EndpointObservations:
         """Return the observations of an endpoint.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         """
-        return self._records[endpoint_id]
+        return self._records[endpoint]
 
-    def begin(self, endpoint_id: str, now: float) -> None:
+    def begin(self, endpoint: fleet.Incarnation, now: float) -> None:
         """Count a request that is sent to an endpoint.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         :param now: local monotonic time in seconds.
         """
-        record = self._records[endpoint_id]
+        record = self._records[endpoint]
         record.in_flight += 1
         record.updated_at = now
-        self.resume(endpoint_id, now)
+        self.resume(endpoint, now)
 
-    def end(self, endpoint_id: str) -> None:
+    def end(self, endpoint: fleet.Incarnation) -> None:
         """Remove a finished request from the count.
 
-        :param endpoint_id: identity of the endpoint.
+        :param endpoint: the endpoint.
         """
-        self._records[endpoint_id].in_flight -= 1
-        self.suspend(endpoint_id)
+        self._records[endpoint].in_flight -= 1
+        self.suspend(endpoint)
 
-    def suspend(self, endpoint_id: str) -> None:
+    def suspend(self, endpoint: fleet.Incarnation) -> None:
         """Record that a request waits for its caller, not for the endpoint.
 
-        :param endpoint_id: identity of the endpoint.
+        :param endpoint: the endpoint.
         """
-        self._records[endpoint_id].waiting -= 1
+        self._records[endpoint].waiting -= 1
 
-    def resume(self, endpoint_id: str, now: float) -> None:
+    def resume(self, endpoint: fleet.Incarnation, now: float) -> None:
         """Record that a request waits for the endpoint.
 
-        :param endpoint_id: identity of the endpoint.
+        :param endpoint: the endpoint.
         :param now: local monotonic time in seconds.
         """
-        record = self._records[endpoint_id]
+        record = self._records[endpoint]
         if not record.waiting:
             record.waiting_since = now
         record.waiting += 1
 
-    def record_progress(self, endpoint_id: str, now: float) -> None:
+    def record_progress(self, endpoint: fleet.Incarnation, now: float) -> None:
         """Record progress of an endpoint, seen by this or another node.
 
         On a replica with a long queue, the requests of this node may wait
         without progress while those of other nodes advance.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         :param now: local monotonic time in seconds of the progress.
         """
-        record = self._records[endpoint_id]
+        record = self._records[endpoint]
         record.progress_at = max(record.progress_at, now)
         record.waiting_since = max(record.waiting_since, now)
 
@@ -199,66 +210,80 @@
 
         :param now: local monotonic time in seconds.
         :param within_s: maximum time since the last progress in seconds.
-        :returns: seconds since the last progress, by endpoint.
+        :returns: seconds since the last progress, by identity; of several
+            starts, the shortest.
         """
-        return {
-            name: round(now - record.progress_at, AGE_DIGITS)
-            for name, record in self._records.items()
-            if now - record.progress_at < within_s
-        }
-
-    def avoid(self, endpoint_id: str, now: float, for_s: float) -> None:
+        ages_s: dict[str, float] = {}
+        for endpoint, record in self._records.items():
+            age_s = now - record.progress_at
+            if age_s < within_s:
+                name = endpoint.endpoint_id
+                rounded_s = round(age_s, AGE_DIGITS)
+                ages_s[name] = min(rounded_s, ages_s.get(name, rounded_s))
+        return ages_s
+
+    def avoid(
+        self, endpoint: fleet.Incarnation, now: float, for_s: float
+    ) -> None:
         """Prefer other endpoints for a time.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         :param now: local monotonic time in seconds.
         :param for_s: duration in seconds.
         """
-        record = self._records[endpoint_id]
+        record = self._records[endpoint]
         record.avoid_until = max(record.avoid_until, now + for_s)
         record.updated_at = now
 
-    def silent_endpoints(self, now: float, bound_s: float) -> frozenset[str]:
+    def silent_endpoints(
+        self, now: float, bound_s: float
+    ) -> frozenset[fleet.Incarnation]:
         """Return the endpoints whose requests make no progress.
 
         :param now: local monotonic time in seconds.
         :param bound_s: longest usual wait in seconds.
         """
         return frozenset(
-            name
-            for name, record in self._records.items()
+            endpoint
+            for endpoint, record in self._records.items()
             if record.is_silent(now, bound_s)
             or now - record.silence_reported_at < SILENCE_REPORT_TTL_S
         )
 
-    def is_silent_unlike_others(self, endpoint_id: str, now: float) -> bool:
+    def is_silent_unlike_others(
+        self, endpoint: fleet.Incarnation, now: float
+    ) -> bool:
         """Tell whether an endpoint is silent while another makes progress.
 
         If none makes progress, this node's own network may be at fault.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         :param now: local monotonic time in seconds.
         """
-        progressing = self.worked_ago_s(now, PROGRESS_TIMEOUT_S)
-        return bool(progressing) and endpoint_id not in progressing
+        progressing = {
+            other
+            for other, record in self._records.items()
+            if now - record.progress_at < PROGRESS_TIMEOUT_S
+        }
+        return bool(progressing) and endpoint not in progressing
 
-    def record_silence(self, endpoint_id: str, now: float) -> bool:
+    def record_silence(self, endpoint: fleet.Incarnation, now: float) -> bool:
         """Record that this or another node reports an endpoint as silent.
 
         Without such reports, each of many nodes would lose a request to a
         dead endpoint before it avoids the endpoint.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         :param now: local monotonic time in seconds.
         :returns: whether the report is new; false if the endpoint just made
             progress here, or was reported as silent a short time ago.
         """
-        record = self._records[endpoint_id]
+        record = self._records[endpoint]
         if now - record.progress_at < PROGRESS_TIMEOUT_S:
             return False
         is_new = now - record.silence_reported_at >= SILENCE_REPORT_TTL_S
         record.silence_reported_at = now
-        self.avoid(endpoint_id, now, SILENT_AVOID_S)
+        self.avoid(endpoint, now, SILENT_AVOID_S)
         return is_new
 
     def drop_expired(self, now: float) -> None:
@@ -275,9 +300,9 @@
         for node in outdated:
             self._drop_load(node)
         unused = [
-            name
-            for name, record in self._records.items()
+            endpoint
+            for endpoint, record in self._records.items()
             if not record.in_flight and now - record.updated_at > RECORD_TTL_S
         ]
-        for name in unused:
-            del self._records[name]
+        for endpoint in unused:
+            del self._records[endpoint]
--- a/packages/decisions/wasabilanding/fleet/registry.py
+++ b/packages/decisions/wasabilanding/fleet/registry.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from wasabilanding.fleet import endpoint as endpoint_module
 from wasabilanding.fleet import restored
@@ -15,16 +16,27 @@
 # Announcements of shutdowns that are remembered; the oldest are dropped.
 MAX_ANNOUNCED = 4096
 
-# Identity and start of an endpoint: one incarnation of it.
-Incarnation = tuple[str, int]
+
+class Incarnation(typing.NamedTuple):
+    """One start of an endpoint.
+
+    An endpoint that starts again under its identity knows nothing of the time
+    before, so that what is known of one start does not apply to the next.
+
+    :param endpoint_id: identity of the endpoint.
+    :param started_at_ms: Unix time in milliseconds of its start.
+    """
+
+    endpoint_id: str
+    started_at_ms: int
 
 
 def incarnation_of(endpoint: Endpoint) -> Incarnation:
-    """Return the identity and start of an endpoint.
+    """Return the start of an endpoint that a registration describes.
 
-    :param endpoint: the endpoint.
+    :param endpoint: the registration.
     """
-    return endpoint.endpoint_id, endpoint.started_at_ms
+    return Incarnation(endpoint.endpoint_id, endpoint.started_at_ms)
 
 
 def incarnation_name(incarnation: Incarnation) -> str:
@@ -36,10 +48,10 @@
     ========
 
     >>> from wasabilanding import fleet
-    >>> fleet.incarnation_name(("e1", 7))
+    >>> fleet.incarnation_name(fleet.Incarnation("e1", 7))
     'e1@7'
     """
-    return f"{incarnation[0]}@{incarnation[1]}"
+    return f"{incarnation.endpoint_id}@{incarnation.started_at_ms}"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,11 +110,33 @@
 
         :param incarnation: identity and start of the endpoint.
         """
-        found = self._endpoints.get(incarnation[0])
+        found = self._endpoints.get(incarnation.endpoint_id)
         if found is None or incarnation_of(found) != incarnation:
             return None
         return found
 
+    def start_of(self, endpoint_id: str) -> int | None:
+        """Return the start of a registered endpoint.
+
+        :param endpoint_id: its identity.
+        :returns: Unix time in milliseconds; None if it is not registered.
+        """
+        found = self._endpoints.get(endpoint_id)
+        return found.started_at_ms if found is not None else None
+
+    def is_known(self, incarnation: Incarnation) -> bool:
+        """Tell whether a start is registered or was so recently.
+
+        :param incarnation: identity and start of the endpoint.
+        """
+        if self.get_start(incarnation) is not None:
+            return True
+        removed = self._recently_removed.get(incarnation.endpoint_id)
+        return (
+            removed is not None
+            and incarnation_of(removed.endpoint) == incarnation
+        )
+
     def announce_shutdown(
         self, endpoint_id: str, started_at_ms: int, now: float
     ) -> bool:
@@ -115,7 +149,7 @@
         :param now: local monotonic time in seconds.
         :returns: whether this was not known.
         """
-        incarnation = (endpoint_id, started_at_ms)
+        incarnation = Incarnation(endpoint_id, started_at_ms)
         if incarnation in self._announced:
             return False
         if len(self._announced) >= MAX_ANNOUNCED:
@@ -139,7 +173,7 @@
         :returns: local monotonic time in seconds, by identity.
         """
         return {
-            incarnation[0]: at
+            incarnation.endpoint_id: at
             for incarnation, at in self._announced.items()
             if self.get_start(incarnation) is not None
         }
@@ -172,7 +206,7 @@
         resident = endpoint.model
         before = self._endpoints.get(endpoint.endpoint_id)
         if before is not None and not resident:
-            if before.started_at_ms == endpoint.started_at_ms:
+            if incarnation_of(before) == incarnation_of(endpoint):
                 resident = before.resident
         return dataclasses.replace(endpoint, resident=resident)
 
--- a/packages/decisions/wasabilanding/fleet/tests/fleet.feature
+++ b/packages/decisions/wasabilanding/fleet/tests/fleet.feature
@@ -38,6 +38,19 @@
       | 1         | 1     | ready    | yes    |
       | 1         | 2     | draining | yes    |
 
+  Scenario Outline: A start is known while it is registered and shortly afterwards
+    Given an endpoint registered as ready
+    When <change>
+    And the time is <now> s
+    Then its start 0 is known: <known>
+
+    Examples:
+      | change                                       | now | known |
+      | the time is 1 s                              | 99  | yes   |
+      | its registration is missing at 11 s          | 12  | yes   |
+      | its registration is missing at 11 s          | 80  | no    |
+      | it is registered again as start 1 and ready  | 12  | no    |
+
   Scenario: An announced shutdown is in force at once, and new only once
     Given an endpoint registered as ready
     When start 0 of it announces its shutdown at 10 s
--- a/packages/decisions/wasabilanding/fleet/tests/steps/fleet_steps.py
+++ b/packages/decisions/wasabilanding/fleet/tests/steps/fleet_steps.py
@@ -116,6 +116,13 @@
     )
 
 
+@behave.then("its start {start:d} is known: {expected}")
+def check_known(context, start, expected):
+    """Check whether connections to a start are kept."""
+    is_known = context.registry.is_known(fleet.Incarnation("e", start))
+    assert is_known is (expected == "yes")
+
+
 @behave.then("it drains: {expected}")
 def check_drains(context, expected):
     """Compare the registered endpoint."""
--- a/packages/decisions/wasabilanding/poison/__init__.py
+++ b/packages/decisions/wasabilanding/poison/__init__.py
@@ -78,6 +78,7 @@
 from wasabilanding.poison.parts import count_rounds
 from wasabilanding.poison.parts import PartStatus
 from wasabilanding.poison.parts import PartSuspicions
+from wasabilanding.poison.presumed_ends import PresumedEnds
 from wasabilanding.poison.suspicions import exact_fingerprint
 from wasabilanding.poison.suspicions import Feature
 from wasabilanding.poison.suspicions import fingerprint
@@ -100,6 +101,7 @@
     "HomeCandidates",
     "PartStatus",
     "PartSuspicions",
+    "PresumedEnds",
     "SuspicionStatus",
     "Suspicions",
     "count_rounds",
--- a/packages/decisions/wasabilanding/poison/evidence.py
+++ b/packages/decisions/wasabilanding/poison/evidence.py
@@ -99,13 +99,15 @@
         Examples
         ========
 
+        >>> from wasabilanding import fleet
         >>> from wasabilanding import poison
+        >>> start = fleet.Incarnation("e1", 7)
         >>> broken = poison.BrokenConnections()
-        >>> broken.add(poison.BrokenConnection("f", ("e1", 7), 1.0, 1))
+        >>> broken.add(poison.BrokenConnection("f", start, 1.0, 1))
         >>> broken.decide(lambda e: poison.EndpointState.REGISTERED, 2.0)
         ()
-        >>> broken.decide(lambda e: poison.EndpointState.GONE, 3.0)
-        (('e1', 7),)
+        >>> broken.decide(lambda e: poison.EndpointState.GONE, 3.0) == (start,)
+        True
         >>> broken.decide(lambda e: poison.EndpointState.REGISTERED, 9.0)
         ()
         >>> broken.are_empty
--- a/packages/experiments/wasabilanding/experiments/placing/policies.py
+++ b/packages/experiments/wasabilanding/experiments/placing/policies.py
@@ -4,6 +4,7 @@
 import random
 
 from wasabilanding import dispatch
+from wasabilanding import fleet
 
 Policy = collections.abc.Callable[
     [
@@ -30,7 +31,8 @@
     """
 
     def cost(candidate: dispatch.Candidate) -> tuple[float, float]:
-        load = tracker.load(candidate.endpoint.endpoint_id) / candidate.slots
+        endpoint = fleet.incarnation_of(candidate.endpoint)
+        load = tracker.load(endpoint) / candidate.slots
         is_remote = candidate.endpoint.failure_domain != failure_domain
         return load + is_remote, rng.random()
 
--- a/packages/experiments/wasabilanding/experiments/placing/simulation.py
+++ b/packages/experiments/wasabilanding/experiments/placing/simulation.py
@@ -129,16 +129,16 @@
         found = self._policy(
             self._candidates, tracker, self._domain(node), self._now, self._rng
         )
-        name = found.endpoint.endpoint_id
+        endpoint = fleet.incarnation_of(found.endpoint)
         self.remote += found.endpoint.failure_domain != self._domain(node)
-        replica = self._replicas[name]
+        replica = self._replicas[endpoint.endpoint_id]
         service_s = self._rng.expovariate(1 / self._pattern.mean_service_s)
         request = _Request(node, self._now, service_s)
         if replica.running < self._pattern.slots:
-            tracker.begin(name, self._now)
+            tracker.begin(endpoint, self._now)
             self._start(replica, request)
         elif len(replica.queue) < self._pattern.queue:
-            tracker.begin(name, self._now)
+            tracker.begin(endpoint, self._now)
             replica.queue.append(request)
         else:
             self.refused += 1
@@ -146,15 +146,15 @@
     def _start(self, replica: _Replica, request: _Request) -> None:
         replica.running += 1
         self.waits_s.append(self._now - request.arrived_at)
-        name = replica.candidate.endpoint.endpoint_id
-        self._trackers[request.node].record_progress(name, self._now)
+        endpoint = fleet.incarnation_of(replica.candidate.endpoint)
+        self._trackers[request.node].record_progress(endpoint, self._now)
         ends_at = self._now + request.service_s * replica.factor
         self._at(ends_at, self._end, replica, request)
 
     def _end(self, replica: _Replica, request: _Request) -> None:
         replica.running -= 1
-        name = replica.candidate.endpoint.endpoint_id
-        self._trackers[request.node].end(name)
+        endpoint = fleet.incarnation_of(replica.candidate.endpoint)
+        self._trackers[request.node].end(endpoint)
         if replica.queue:
             self._start(replica, replica.queue.popleft())
 
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -47,6 +47,8 @@
         may run again at another one.
     :param may_have_ended: returns whether an endpoint that has closed a
         connection may have ended.
+    :param record_progress: receives endpoints that make progress, with the
+        local monotonic time in seconds at which the request was sent.
     :param reachability: whether this node reaches any endpoint.
     :param relay_headers: returns what other nodes are told of a request.
     """
@@ -60,6 +62,7 @@
     may_have_ended: collections.abc.Callable[
         [fleet.Endpoint], collections.abc.Awaitable[bool]
     ]
+    record_progress: collections.abc.Callable[[fleet.Incarnation, float], None]
     reachability: reachability_module.Reachability
     relay_headers: collections.abc.Callable[
         [request_state_module.RequestState], list[messages.Header]
@@ -90,11 +93,14 @@
         self._bounds = context.upstream.bounds
         self._state = state
         self._endpoint = endpoint
+        self.incarnation = fleet.incarnation_of(endpoint)
         self._answer = answer
         self._scope = trio.CancelScope()
         self._is_run_counted = False
-        # Local monotonic time in seconds.
+        # Local monotonic times in seconds: when the attempt began, and from
+        # when on its connection was established.
         self.sent_at = NEVER
+        self._connected_at = NEVER
         self.silence = dispatch.SilenceMonitor(trio.current_time())
 
     @property
@@ -122,7 +128,7 @@
         """Local time in seconds from which on the endpoint is silent."""
         if self._state.route.kind is not routes.RequestKind.STREAMING:
             return NEVER
-        record = self._tracker.record(self.endpoint_id)
+        record = self._tracker.record(self.incarnation)
         return self.silence.silent_at(record.progress_at)
 
     @property
@@ -131,7 +137,7 @@
 
         The request may wait in its queue, or have run and its reply be lost.
         """
-        record = self._tracker.record(self.endpoint_id)
+        record = self._tracker.record(self.incarnation)
         return record.progress_at > self.silence.active_at
 
     def cancel(self) -> None:
@@ -147,12 +153,12 @@
         self.sent_at = now
         headers = self._headers(now)
         self.silence.record_activity(now)
-        self._tracker.begin(self.endpoint_id, now)
+        self._tracker.begin(self.incarnation, now)
         try:
             with self._scope, self._waiting():
                 return await self._relay_catching_failure(headers)
         finally:
-            self._tracker.end(self.endpoint_id)
+            self._tracker.end(self.incarnation)
         if self.endpoint_makes_progress:
             self._count_run()
         return None
@@ -200,20 +206,21 @@
     def _record_progress(self) -> None:
         now = trio.current_time()
         self.silence.record_activity(now)
-        self._tracker.record_progress(self.endpoint_id, now)
+        self._tracker.record_progress(self.incarnation, now)
         if not self.is_relayed:
+            self._context.record_progress(self.incarnation, self._connected_at)
             self._context.reachability.monitor.record_success(now)
 
     @contextlib.contextmanager
     def _waiting_for_caller(self) -> collections.abc.Iterator[None]:
         """Do not count the time of a write as silence of the endpoint."""
         self.silence.suspend()
-        self._tracker.suspend(self.endpoint_id)
+        self._tracker.suspend(self.incarnation)
         try:
             yield
         finally:
             now = trio.current_time()
-            self._tracker.resume(self.endpoint_id, now)
+            self._tracker.resume(self.incarnation, now)
             self.silence.resume(now)
 
     async def _relay(self, headers: list[messages.Header]) -> model.Outcome:
@@ -227,6 +234,7 @@
             purpose=self._purpose,
         )
         async with sent as reply:
+            self._connected_at = reply.sent_at
             self._record_progress()
             if self.is_relayed:
                 refusal = self._read_relay_reply(reply)
@@ -271,7 +279,7 @@
     def _refusal_outcome(self, head: messages.ReplyHead) -> model.Outcome:
         if head.faulty_endpoint_id or head.is_misdirected:
             self._tracker.avoid(
-                self.endpoint_id,
+                self.incarnation,
                 trio.current_time(),
                 FAULTY_AVOID_S,
             )
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -21,6 +21,7 @@
 import trio
 
 from wasabilanding import dispatch
+from wasabilanding import fleet
 from wasabilanding.gateway import attempt as attempt_module
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import hedging
@@ -61,7 +62,7 @@
     selector: selection.EndpointSelector
     tracker: dispatch.EndpointTracker
     metrics: metrics_module.Metrics
-    report_silent: collections.abc.Callable[[str], None]
+    report_silent: collections.abc.Callable[[fleet.Incarnation], None]
     crash_guard: crash_guard_module.CrashGuard
 
 
@@ -261,7 +262,9 @@
             avoid_s = REFUSED_AVOID_S
         elif outcome.reason is model.Reason.ENDPOINT_ERROR:
             avoid_s = 0.0
-        self._context.tracker.avoid(endpoint_id, trio.current_time(), avoid_s)
+        self._context.tracker.avoid(
+            attempt.incarnation, trio.current_time(), avoid_s
+        )
         _LOG.info(
             "attempt failed: %s",
             outcome.detail,
@@ -331,11 +334,11 @@
     ) -> None:
         endpoint_id = attempt.endpoint_id
         self._context.tracker.avoid(
-            endpoint_id, now, attempt_module.FAULTY_AVOID_S
+            attempt.incarnation, now, attempt_module.FAULTY_AVOID_S
         )
         if not attempt.is_relayed:
             self._record_unreachable(endpoint_id)
-            self._context.report_silent(endpoint_id)
+            self._context.report_silent(attempt.incarnation)
         self._context.metrics.count_silence(self._state.service.name)
         silent_s = now - attempt.silence.active_at
         _LOG.info(
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -397,7 +397,7 @@
             # The node itself stood still.
             return
         planner.record_probe_result(
-            endpoint.endpoint_id,
+            fleet.incarnation_of(endpoint),
             assembly.ProbeResult(now, answer, is_open, now - sent_at),
         )
         _LOG.info(
--- a/packages/gateway/wasabilanding/gateway/crash_evidence.py
+++ b/packages/gateway/wasabilanding/gateway/crash_evidence.py
@@ -7,7 +7,9 @@
 accepts, the endpoint has ended. If it accepts, and its registration is removed
 or replaced within some seconds, it has ended too, unless it still accepts
 connections at an address that no other has. An endpoint that was leaving has
-not crashed, and one that makes progress afterwards has not ended.
+not crashed. One that goes on with a request that it had before has not ended;
+progress of later requests tells nothing, as the next start of the endpoint may
+serve them (:class:`wasabilanding.poison.PresumedEnds`).
 """
 
 import collections.abc
@@ -22,9 +24,6 @@
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import poison
 
-# Progress of an endpoint so long after its presumed crash shows that it lives.
-SURVIVAL_S = 0.5
-
 IsCutOff = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
@@ -90,8 +89,7 @@
         self._endpoints: dict[fleet.Incarnation, fleet.Endpoint] = {}
         # Endpoints that are being connected to.
         self._checks: dict[fleet.Incarnation, trio.Event] = {}
-        # Local monotonic times in seconds of the ends.
-        self._ended_at: dict[fleet.Incarnation, float] = {}
+        self._ends = poison.PresumedEnds()
 
     async def may_have_ended(self, endpoint: fleet.Endpoint) -> bool:
         """Return whether an endpoint that closed a connection may have ended.
@@ -116,20 +114,23 @@
         incarnation = fleet.incarnation_of(endpoint)
         if self._state_of(incarnation) is poison.EndpointState.LEAVING:
             return
+        if self._ends.is_later(incarnation, request.sent_at):
+            if await self._is_reachable(endpoint):
+                return
         self._endpoints[incarnation] = endpoint
         self._broken.add(
             poison.BrokenConnection(
                 request.fingerprint,
                 incarnation,
                 trio.current_time(),
-                self._tracker.load(endpoint.endpoint_id) + 1,
+                self._tracker.load(incarnation) + 1,
                 request.parts,
                 request.sent_at,
             )
         )
         while incarnation in self._checks:
             await self._checks[incarnation].wait()
-        if incarnation not in self._ended_at:
+        if incarnation not in self._ends:
             with self._checking(incarnation):
                 if await self._is_reachable(endpoint):
                     return
@@ -156,7 +157,7 @@
         if found is not None and not found.draining:
             return poison.EndpointState.REGISTERED
         if found is None:
-            removed = registry.recently_removed.get(incarnation[0])
+            removed = registry.recently_removed.get(incarnation.endpoint_id)
             found = removed.endpoint if removed is not None else None
         if (
             found is not None
@@ -170,8 +171,8 @@
         broken = self._broken.take(incarnation)
         if not broken:
             return
-        is_new = incarnation not in self._ended_at
-        self._ended_at[incarnation] = trio.current_time()
+        broken_at = min(connection.at for connection in broken)
+        is_new = self._ends.add(incarnation, broken_at, trio.current_time())
         self._report_crash(Crash(incarnation, broken, is_new))
 
     async def observe(self) -> None:
@@ -180,11 +181,8 @@
         async with trio.open_nursery() as nursery:
             for incarnation in self._broken.decide(self._state_of, now):
                 nursery.start_soon(self._examine_gone, incarnation)
-        self._find_survivors()
-        for incarnation, at in list(self._ended_at.items()):
-            if now - at > poison.NOTICE_RETENTION_S:
-                del self._ended_at[incarnation]
-        kept = self._ended_at.keys() | self._broken.endpoints
+        self._ends.forget(now)
+        kept = self._ends.endpoints | self._broken.endpoints
         for incarnation in self._endpoints.keys() - kept:
             del self._endpoints[incarnation]
 
@@ -209,13 +207,18 @@
             for found in self._view.registry.endpoints
         )
 
-    def _find_survivors(self) -> None:
-        """Report endpoints that make progress after their presumed end."""
-        for incarnation, at in list(self._ended_at.items()):
-            if self._state_of(incarnation) is poison.EndpointState.GONE:
-                continue
-            progress_at = self._tracker.record(incarnation[0]).progress_at
-            if progress_at < at + SURVIVAL_S:
-                continue
-            del self._ended_at[incarnation]
-            self._report_survival(incarnation)
+    def record_progress(
+        self, endpoint: fleet.Incarnation, sent_at: float
+    ) -> None:
+        """Withdraw the presumed end of an endpoint if progress refutes it.
+
+        :param endpoint: the endpoint that makes progress.
+        :param sent_at: local monotonic time in seconds at which its request
+            was sent, on an established connection.
+        """
+        now = trio.current_time()
+        if not self._ends.is_refuted(endpoint, sent_at, now):
+            return
+        if self._state_of(endpoint) is not poison.EndpointState.GONE:
+            self._ends.remove(endpoint)
+            self._report_survival(endpoint)
--- a/packages/gateway/wasabilanding/gateway/crash_guard.py
+++ b/packages/gateway/wasabilanding/gateway/crash_guard.py
@@ -244,6 +244,17 @@
         """
         return await self._evidence.may_have_ended(endpoint)
 
+    def record_progress(
+        self, endpoint: fleet.Incarnation, sent_at: float
+    ) -> None:
+        """Note progress of an endpoint, which may refute that it has ended.
+
+        :param endpoint: the endpoint.
+        :param sent_at: local monotonic time in seconds at which its request
+            was sent, on an established connection.
+        """
+        self._evidence.record_progress(endpoint, sent_at)
+
     def _record_crash(self, crash: crash_evidence.Crash) -> None:
         """Record that an endpoint has ended under the requests it had."""
         now = trio.current_time()
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -206,7 +206,10 @@
             0, min(RETURN_SPREAD_S, notice.retry_after_s)
         )
         is_new = self._tracker.holds.hold(
-            endpoint.endpoint_id, now, notice.retry_after_s + spread_s
+            endpoint.endpoint_id,
+            now,
+            notice.retry_after_s + spread_s,
+            endpoint.started_at_ms,
         )
         if not is_new:
             return
@@ -225,6 +228,7 @@
         """Log which endpoints have left or returned, and set the metrics."""
         now = trio.current_time()
         holds = self._tracker.holds
+        holds.end_with_starts(self._view.registry.start_of, now)
         held = holds.held(now)
         returning = holds.returning(now)
         for name in self._held - held - returning:
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -102,6 +102,7 @@
                 tracker,
                 selector.may_repeat,
                 crash_guard.may_have_ended,
+                crash_guard.record_progress,
                 reachability,
                 self._relay_headers,
             ),
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -39,6 +39,8 @@
     :param crashes: reports on requests under which endpoints have ended.
     :param limits: limits that endpoints have recently named, or ended.
     :param is_cut_off: whether the node reaches no endpoint.
+    :param silent_started_at_ms: Unix time in milliseconds of the start of the
+        silent endpoint; None if unknown, as from a node of an earlier build.
     """
 
     node: str
@@ -52,6 +54,7 @@
     crashes: tuple[crash_reports.CrashReport, ...] = ()
     limits: tuple[limit_messages.LimitNotice, ...] = ()
     is_cut_off: bool = False
+    silent_started_at_ms: model.Count | None = None
 
     @property
     def has_notices(self) -> bool:
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -165,22 +165,26 @@
             tuple[hint_messages.HintBatch, Address]
         ](MAX_QUEUED_DATAGRAMS)
 
-    def report_silent(self, endpoint_id: str) -> None:
+    def report_silent(self, endpoint: fleet.Incarnation) -> None:
         """Report a silent endpoint to the other nodes.
 
         Nothing is reported unless another endpoint shows progress: otherwise
         the cause may be this node's own network.
 
-        :param endpoint_id: identity of the endpoint.
+        :param endpoint: the endpoint.
         """
         now = trio.current_time()
-        if not self._tracker.is_silent_unlike_others(endpoint_id, now):
+        if not self._tracker.is_silent_unlike_others(endpoint, now):
             return
-        if not self._tracker.record_silence(endpoint_id, now):
+        if not self._tracker.record_silence(endpoint, now):
             return
         self._queue(
-            hint_messages.Hint(self._node, endpoint_id),
-            f"{endpoint_id} is silent",
+            hint_messages.Hint(
+                self._node,
+                endpoint.endpoint_id,
+                silent_started_at_ms=endpoint.started_at_ms,
+            ),
+            f"{endpoint.endpoint_id} is silent",
         )
 
     def report_leaving(self, incarnation: fleet.Incarnation) -> None:
@@ -491,10 +495,13 @@
         if hint.is_cut_off:
             self.report_cut_off(hint.node, now)
         for name, ago_s in hint.worked_ago_s.items():
-            if self._view.registry.get(name) is not None:
-                self._tracker.record_progress(name, now - ago_s)
-        if self._view.registry.get(hint.silent) is not None:
-            self._apply_silent(hint, now)
+            found = self._view.registry.get(name)
+            if found is not None:
+                start = fleet.incarnation_of(found)
+                self._tracker.record_progress(start, now - ago_s)
+        silent = self._view.registry.get(hint.silent)
+        if silent is not None:
+            self._apply_silent(hint, silent, now)
         for leaving in hint.leaving:
             self._apply_leaving(hint, leaving, now)
         for report in hint.crashes:
@@ -502,8 +509,13 @@
         for notice in hint.limits:
             self._grants.apply_notice(notice, now)
 
-    def _apply_silent(self, hint: hint_messages.Hint, now: float) -> None:
-        if self._tracker.record_silence(hint.silent, now):
+    def _apply_silent(
+        self, hint: hint_messages.Hint, found: fleet.Endpoint, now: float
+    ) -> None:
+        start = fleet.incarnation_of(found)
+        if hint.silent_started_at_ms is not None:
+            start = start._replace(started_at_ms=hint.silent_started_at_ms)
+        if self._tracker.record_silence(start, now):
             _LOG.info(
                 "%s reports that %s is silent",
                 hint.node,
@@ -517,7 +529,9 @@
         leaving: hint_messages.LeavingEndpoint,
         now: float,
     ) -> None:
-        incarnation = (leaving.endpoint_id, leaving.started_at_ms)
+        incarnation = fleet.Incarnation(
+            leaving.endpoint_id, leaving.started_at_ms
+        )
         if not self._view.announce_shutdown(incarnation, now):
             return
         # A collector repeats it to the other failure domains.
--- a/packages/gateway/wasabilanding/gateway/limit_messages.py
+++ b/packages/gateway/wasabilanding/gateway/limit_messages.py
@@ -34,7 +34,7 @@
     @property
     def incarnation(self) -> fleet.Incarnation:
         """The endpoint and its start."""
-        return self.endpoint_id, self.started_at_ms
+        return fleet.Incarnation(self.endpoint_id, self.started_at_ms)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -11,6 +11,7 @@
 import trio
 
 from wasabilanding import dispatch
+from wasabilanding import fleet
 from wasabilanding.gateway import asgi
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import control
@@ -161,10 +162,10 @@
         """Whether the load balancer may send requests to this node."""
         return self.view.is_initialized and not self._draining
 
-    def _report_silent(self, endpoint_id: str) -> None:
+    def _report_silent(self, endpoint: fleet.Incarnation) -> None:
         """Report a silent endpoint, unless all are silent to this node."""
         if self._reachability.has_recent_success:
-            self._hints.report_silent(endpoint_id)
+            self._hints.report_silent(endpoint)
 
     @property
     def limits(self) -> routes.CallerLimits:
@@ -286,15 +287,11 @@
             self._tracker.drop_expired(trio.current_time())
             self._guard.observe()
             await self._crash_guard.observe()
-            for endpoint_id in self._upstream.endpoint_ids:
-                if relays.is_relay(endpoint_id):
+            for endpoint in self._upstream.endpoints:
+                if relays.is_relay(endpoint.endpoint_id):
                     continue
-                endpoint = self.view.registry.get(endpoint_id)
-                is_departed = (
-                    endpoint_id in self.view.registry.recently_removed
-                )
-                if endpoint is None and not is_departed:
-                    await self._upstream.close_pool(endpoint_id)
+                if not self.view.registry.is_known(endpoint):
+                    await self._upstream.close_pool(endpoint)
 
     async def announce_shutdown(self) -> None:
         """Start draining; wait until the balancer and callers notice.
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -254,4 +254,6 @@
             return False
         if self._cut_off_until.get(node, now) > now:
             return False
-        return self._tracker.record(identity).avoid_until <= now
+        # A node is not registered, so that its start is not known.
+        node_start = fleet.Incarnation(identity, 0)
+        return self._tracker.record(node_start).avoid_until <= now
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -174,8 +174,8 @@
     def _has_free_slot(self, candidate: dispatch.Candidate | None) -> bool:
         if candidate is None:
             return False
-        endpoint_id = candidate.endpoint.endpoint_id
-        return self._tracker.load(endpoint_id) < candidate.slots
+        endpoint = fleet.incarnation_of(candidate.endpoint)
+        return self._tracker.load(endpoint) < candidate.slots
 
     async def _pick_limited(
         self, candidates: list[dispatch.Candidate], max_wait_s: float
--- a/packages/gateway/wasabilanding/gateway/tests/crash_guard.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/crash_guard.feature
@@ -81,13 +81,53 @@
     When requests for "/crash" are sent at 0 1 2 610 s
     Then 3 endpoints have ended under "/crash" with body "body"
 
-  Scenario: An endpoint that was unreachable but makes progress has not ended
+  # The connection to e0 breaks 0.05 s after the request for "/crash" was sent.
+  # Progress of the next start once withdrew the end of the previous one, and a
+  # part of a prompt ended five endpoints more.
+  Scenario Outline: Only a request from before its presumed end shows that an endpoint goes on
     Given unsafe requests of up to 1 attempts
-    And endpoints that "crash, answer"
-    And e0 makes progress at 2 s
-    And the node looks after broken connections for 3 s
-    When requests for "/a" are sent at 0 s
-    Then 0 requests are suspected
+    And endpoints that "pause 4"
+    And requests for "/crash" end endpoints
+    And a connection takes <connect> s
+    And e0 <change>
+    And a request for "/a" with body "body" is sent at <sent> s
+    And the node looks after broken connections for 5 s
+    When requests for "/crash" are sent at 1 s
+    Then <count> requests are suspected
+
+    Examples: It was unreachable for a moment
+      | sent | connect | change                            | count |
+      | 0    | 0       | turns pause 4 at 1.1 s            | 0     |
+      | 0    | 0       | turns pause 4 at 8 s              | 0     |
+
+    Examples: Its registration is removed or replaced before the progress
+      | sent | connect | change                            | count |
+      | 0    | 0       | is removed, and is dead at 1.2 s  | 1     |
+      | 0    | 0       | starts again at 1.2 s             | 1     |
+
+    Examples: The next start accepts a connection before it is registered
+      | sent | connect | change                            | count |
+      | 1.2  | 0       | turns pause 4 at 1.1 s            | 1     |
+      | 1.2  | 0.4     | turns pause 4 at 1.5 s            | 1     |
+
+    Examples: Another node reports progress, of whichever start
+      | sent | connect | change                            | count |
+      | 9    | 0       | makes progress at 2 s             | 1     |
+
+  Scenario Outline: A request to the next start is suspected only if this one ends too
+    Given unsafe requests of up to 1 attempts
+    And endpoints that "answer"
+    And requests for "/crash" end endpoints
+    And e0 turns <script> at 1.1 s
+    And a request for "/a" with body "body" is sent at 1.2 s
+    And the node looks after broken connections for 5 s
+    When requests for "/crash" are sent at 1 s
+    Then <count> requests are suspected
+
+    Examples:
+      | script  | count |
+      | foreign | 1     |
+      | crash   | 2     |
 
   Scenario Outline: Requests with a part that ends endpoints are turned away
     Given <kind> requests of up to <attempts> attempts
--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -13,6 +13,24 @@
       | 0.1    | n1 n2 |
       | 0.9    |       |
 
+  Scenario: A report on the previous start of an endpoint does not concern the next
+    Given node n1 saw progress of endpoint e2 0.1 s ago
+    And node n2 has seen e1 start again
+    When node n1 reports e1 as silent
+    Then the nodes that consider e1 silent are "n1"
+
+  Scenario Outline: A node of the previous build reports no start
+    Given node n2 has seen e1 start again
+    And node n2 receives the datagram {"sender": "n9", "hints": [{"node": "n9", "silent": "e1"<start>}]}
+    When the nodes exchange hints for 0.1 s
+    Then the nodes that consider e1 silent are "<nodes>"
+
+    Examples:
+      | start                       | nodes |
+      |                             | n2    |
+      | , "silent_started_at_ms": 7 | n2    |
+      | , "silent_started_at_ms": 6 |       |
+
   Scenario: A node that saw recent progress itself ignores the report
     Given node n1 saw progress of endpoint e2 0.1 s ago
     And node n2 saw progress of endpoint e1 0.1 s ago
--- a/packages/gateway/wasabilanding/gateway/tests/notices.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/notices.feature
@@ -108,6 +108,21 @@
       | unsafe | announces its shutdown |
       | unsafe | is held for 5 s       |
 
+  # It was left out for up to an hour after its start.
+  Scenario Outline: A hold is forgotten once its endpoint has started again
+    Given safe requests of up to 1 attempts
+    And endpoints that "busy 60 refuse"
+    And e0 turns answer at 1 s
+    And e0 <change> at 7 s
+    And the node observes its endpoints at 7.5 s
+    When requests are sent at 0 8 s
+    Then e0 receives requests at <received> s
+
+    Examples:
+      | change       | received |
+      | does nothing | 0        |
+      | starts again | 0 8      |
+
   Scenario Outline: Orders and requests for a report obey it too
     Given safe requests of up to 1 attempts
     And endpoints that "answer"
--- a/packages/gateway/wasabilanding/gateway/tests/steps/crash_guard_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/crash_guard_steps.py
@@ -7,6 +7,7 @@
 import behave
 import trio
 
+from wasabilanding import fleet
 from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway.tests.steps import notices_steps
 
@@ -28,7 +29,8 @@
     """Let another node report progress of the endpoint."""
 
     async def progress():
-        context.system.tracker.record_progress("e0", trio.current_time())
+        endpoint = fleet.Incarnation("e0", 0)
+        context.system.tracker.record_progress(endpoint, trio.current_time())
 
     notices_steps.timeline_of(context).add(at, progress)
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from wasabilanding import fleet
 from wasabilanding.gateway.tests import fakes
 from wasabilanding import routes
 
@@ -115,7 +116,8 @@
     """Record progress of the first endpoint periodically."""
     while True:
         await trio.sleep(period_s)
-        tracker.record_progress("e0", trio.current_time())
+        endpoint = fleet.Incarnation("e0", 0)
+        tracker.record_progress(endpoint, trio.current_time())
 
 
 @behave.given(
@@ -257,7 +259,8 @@
 @behave.then('the endpoints reported to other nodes are "{names}"')
 def check_reported(context, names):
     """Compare the endpoints reported as silent."""
-    assert context.system.reported == names.split(), context.system.reported
+    found = [endpoint.endpoint_id for endpoint in context.system.reported]
+    assert found == names.split(), found
 
 
 @behave.then('the endpoints reported to other nodes are ""')
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -1,12 +1,14 @@
 """Steps for the exchange of hints between nodes."""
 
 import codecs
+import dataclasses
 
 import behave
 import trio
 import trio.testing
 
 from wasabilanding import dispatch
+from wasabilanding import fleet
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import directory
@@ -22,6 +24,7 @@
 
 PREFIX = directory.address_prefix(plain_wire)
 SENDER = ("10.0.0.99", 1)
+E1 = fleet.Incarnation("e1", 0)
 OWN = directory.NodeAddress("n1", "z1", "10.0.0.1", 1)
 
 
@@ -89,6 +92,11 @@
         found = next(entry for entry in self.addresses if entry.node == node)
         return found.host, found.port
 
+    def _start(self, node, endpoint):
+        """Return the start of an endpoint that a node has registered."""
+        started_at_ms = self.views[node].registry.start_of(endpoint) or 0
+        return fleet.Incarnation(endpoint, started_at_ms)
+
     async def _run_late(self, name, exchange):
         await trio.sleep(self.late_s[name])
         await exchange.run(self.network.socket(self.address(name)))
@@ -114,7 +122,8 @@
         return [
             name
             for name, tracker in self.trackers.items()
-            if "e1" in tracker.silent_endpoints(trio.current_time(), 9.0)
+            if self._start(name, "e1")
+            in tracker.silent_endpoints(trio.current_time(), 9.0)
         ]
 
 
@@ -131,7 +140,9 @@
 
     def note_work(network):
         now = trio.current_time()
-        context.nodes.trackers[node].record_progress(endpoint, now - ago)
+        context.nodes.trackers[node].record_progress(
+            fleet.Incarnation(endpoint, 0), now - ago
+        )
 
     context.plan.append(note_work)
 
@@ -158,10 +169,19 @@
 def report_silent(context, node, endpoint):
     """Let a node report an endpoint as silent."""
     context.plan.append(
-        lambda network: context.nodes.hints[node].report_silent(endpoint)
+        lambda network: context.nodes.hints[node].report_silent(
+            fleet.Incarnation(endpoint, 0)
+        )
     )
 
 
+@behave.given("node {node} has seen e1 start again")
+def given_start_seen(context, node):
+    """Register another start of the endpoint at one node."""
+    registry = context.nodes.views[node].registry
+    registry.put(dataclasses.replace(registry.get("e1"), started_at_ms=7))
+
+
 @behave.then('the nodes that consider e1 silent are "{nodes}"')
 def check_silent(context, nodes):
     """Run the nodes and compare which consider e1 silent."""
@@ -185,7 +205,7 @@
     """Let an endpoint announce its shutdown to a node."""
 
     def hear(network):
-        incarnation = ("e1", start)
+        incarnation = fleet.Incarnation("e1", start)
         view = context.nodes.views[node]
         view.announce_shutdown(incarnation, trio.current_time())
         context.nodes.hints[node].report_leaving(incarnation)
@@ -253,7 +273,9 @@
 
     def send(network):
         for _ in range(count):
-            context.nodes.trackers[node].begin(endpoint, trio.current_time())
+            context.nodes.trackers[node].begin(
+                fleet.Incarnation(endpoint, 0), trio.current_time()
+            )
 
     context.plan.append(send)
 
@@ -265,7 +287,7 @@
     def answer(network):
         tracker = context.nodes.trackers[node]
         while tracker.local_load.get(endpoint):
-            tracker.end(endpoint)
+            tracker.end(fleet.Incarnation(endpoint, 0))
 
     context.plan.append(answer)
 
@@ -281,7 +303,7 @@
     """Run the nodes and compare the load known to each."""
     _run_nodes(context)
     found = " ".join(
-        f"{name} {tracker.load('e1')}"
+        f"{name} {tracker.load(E1)}"
         for name, tracker in context.nodes.trackers.items()
     )
     assert found == known, found
@@ -294,7 +316,7 @@
     """Make many nodes."""
     context.nodes = Nodes({f"n{i:03}": "z1" for i in range(count)})
     for tracker in context.nodes.trackers.values():
-        tracker.begin("e1", 0.0)
+        tracker.begin(E1, 0.0)
 
 
 @behave.given(
@@ -311,7 +333,7 @@
         }
     )
     for tracker in context.nodes.trackers.values():
-        tracker.begin("e1", 0.0)
+        tracker.begin(E1, 0.0)
 
 
 @behave.given("the first {count:d} nodes of each failure domain are dead")
@@ -343,7 +365,7 @@
 def check_all_loads(context):
     """Compare the load."""
     trackers = context.nodes.trackers.values()
-    assert {tracker.load("e1") for tracker in trackers} == {len(trackers)}
+    assert {tracker.load(E1) for tracker in trackers} == {len(trackers)}
 
 
 @behave.then("at most {most:d} datagrams were sent")
--- a/packages/gateway/wasabilanding/gateway/tests/steps/limits_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/limits_steps.py
@@ -208,7 +208,7 @@
 
     async def learn():
         context.system.grants.record_limit(
-            ("e0", 0), limit, trio.current_time()
+            fleet.Incarnation("e0", 0), limit, trio.current_time()
         )
 
     notices_steps.timeline_of(context).add(at, learn)
--- a/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
@@ -158,7 +158,9 @@
     """Let the node learn of the shutdown."""
 
     async def announce():
-        context.system.view.announce_shutdown(("e0", 0), trio.current_time())
+        context.system.view.announce_shutdown(
+            fleet.Incarnation("e0", 0), trio.current_time()
+        )
 
     timeline_of(context).add(at, announce)
 
@@ -174,6 +176,16 @@
     timeline_of(context).add(at, hold)
 
 
+@behave.given("the node observes its endpoints at {at:g} s")
+def given_observation(context, at):
+    """Let the node observe, as its clean-up does."""
+
+    async def observe():
+        context.system.guard.observe()
+
+    timeline_of(context).add(at, observe)
+
+
 @behave.when("requests are sent at {times} s")
 def send(context, times):
     """Send requests and run the timeline."""
--- a/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
@@ -44,7 +44,7 @@
         async with sent as reply:
             chunks = reply.chunks()
             context.answer = await anext(chunks)
-            await upstream.close_pool("e1")
+            await upstream.close_pool(fleet.incarnation_of(endpoint))
             await trio.sleep(delay_s)
             context.ended_early = server.ended.is_set()
             server.goes_on.set()
@@ -60,6 +60,54 @@
         nursery.cancel_scope.cancel()
 
 
+class _KeepAlive:
+    """Answers requests; keeps the connection open."""
+
+    def __init__(self):
+        self.connections = 0
+
+    async def serve(self, stream):
+        """Answer each request."""
+        self.connections += 1
+        while await stream.receive_some():
+            await stream.send_all(HEAD + b"firstother")
+
+
+async def _send_to_starts(context, starts):
+    server = _KeepAlive()
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, server.serve, [listener])
+        port = listener.socket.getsockname()[1]
+        async with upstream_module.Upstream() as upstream:
+            for start in starts:
+                endpoint = fleet.Endpoint(
+                    "e1",
+                    "service",
+                    "127.0.0.1",
+                    port,
+                    "z1",
+                    started_at_ms=start,
+                )
+                sent = upstream.send(endpoint, "GET", b"/a", [], b"")
+                async with sent as reply:
+                    await reply.read("reply", MAX_REPLY_BYTES)
+        nursery.cancel_scope.cancel()
+    context.connections = server.connections
+
+
+@behave.when('requests are sent to its starts "{starts}"')
+def send_to_starts(context, starts):
+    """Send a request to an endpoint at one address, start by start."""
+    trio.run(_send_to_starts, context, [int(s) for s in starts.split()])
+
+
+@behave.then("it has accepted {count:d} connections")
+def check_connections(context, count):
+    """Compare the number of connections."""
+    assert context.connections == count, context.connections
+
+
 @behave.when(
     "the connections of an endpoint are closed {delay:g} s before the second "
     "half of its answer"
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -161,10 +161,18 @@
 
     :param response: the HTTP response.
     :param permit: permit of the request; records the reply's head.
+    :param sent_at: local monotonic time in seconds from which the request
+        was sent, on a connection that was established; infinite if unknown.
     """
 
-    def __init__(self, response: httpx.Response, permit: Permit) -> None:
+    def __init__(
+        self,
+        response: httpx.Response,
+        permit: Permit,
+        sent_at: float = float("inf"),
+    ) -> None:
         self._response = response
+        self.sent_at = sent_at
         self.status = response.status_code
         self.headers = [
             (name.lower(), value) for name, value in response.headers.raw
@@ -216,7 +224,7 @@
 
 
 class _Pool:
-    """Connections to one endpoint and the number of requests on them.
+    """Connections to one start of an endpoint, and their requests.
 
     :param transport: the connections.
     """
@@ -262,19 +270,28 @@
     )
 
 
-def _check_before_sending(
-    permit: Permit,
-) -> collections.abc.Callable[..., collections.abc.Awaitable[None]]:
-    """Return a callback that checks a permit once a connection is ready.
+class _SendTrace:
+    """Checks a permit once a connection is ready; records when it was.
 
     :param permit: permit of the request.
     """
 
-    async def trace(event: str, details: dict[str, typing.Any]) -> None:
-        if event == SENDING:
-            permit.check()
+    def __init__(self, permit: Permit) -> None:
+        self._permit = permit
+        # Local monotonic time in seconds.
+        self.sent_at = float("inf")
 
-    return trace
+    async def __call__(
+        self, event: str, details: dict[str, typing.Any]
+    ) -> None:
+        """Receive an event of the connection.
+
+        :param event: name of the event.
+        :param details: objects that it concerns.
+        """
+        if event == SENDING:
+            self._permit.check()
+            self.sent_at = trio.current_time()
 
 
 class Upstream:
@@ -295,7 +312,8 @@
         self.bounds = bounds
         self._ssl = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self._make_pool = make_transport or self._make_transport
-        self._pools: dict[str, _Pool] = {}
+        # Connections to an earlier start may be dead without a reset.
+        self._pools: dict[fleet.Incarnation, _Pool] = {}
         self._idle_timeout_s: dict[str, float] = {}
         self._admit: Admit = admit_all
 
@@ -310,8 +328,8 @@
         return self
 
     async def __aexit__(self, *error: typing.Any) -> None:
-        for endpoint_id in list(self._pools):
-            await self.close_pool(endpoint_id)
+        for endpoint in list(self._pools):
+            await self.close_pool(endpoint)
 
     def _make_transport(
         self, idle_timeout_s: float
@@ -328,29 +346,30 @@
         )
 
     @property
-    def endpoint_ids(self) -> collections.abc.Iterable[str]:
-        """Identities of the endpoints that have a pool."""
+    def endpoints(self) -> collections.abc.Iterable[fleet.Incarnation]:
+        """Endpoints that have a pool."""
         return tuple(self._pools)
 
-    async def close_pool(self, endpoint_id: str) -> None:
+    async def close_pool(self, endpoint: fleet.Incarnation) -> None:
         """Close an endpoint's connection pool once it is unused.
 
         Requests in flight go on to their end; later ones use a new pool.
 
-        :param endpoint_id: its identity.
+        :param endpoint: the endpoint.
         """
-        pool = self._pools.pop(endpoint_id, None)
+        pool = self._pools.pop(endpoint, None)
         if pool is not None:
             await pool.retire()
 
     def _pool(self, endpoint: fleet.Endpoint) -> _Pool:
-        pool = self._pools.get(endpoint.endpoint_id)
+        incarnation = fleet.incarnation_of(endpoint)
+        pool = self._pools.get(incarnation)
         if pool is None:
             idle_timeout_s = self._idle_timeout_s.get(
                 endpoint.service, DEFAULT_IDLE_TIMEOUT_S
             )
             pool = _Pool(self._make_pool(idle_timeout_s))
-            self._pools[endpoint.endpoint_id] = pool
+            self._pools[incarnation] = pool
         return pool
 
     def _record_idle_timeout(
@@ -384,6 +403,7 @@
             sent to the endpoint now.
         """
         with self._admit(endpoint, purpose) as permit:
+            trace = _SendTrace(permit)
             request = httpx.Request(
                 method,
                 endpoint.base_url,
@@ -392,11 +412,11 @@
                 extensions={
                     "target": target,
                     "timeout": timeout,
-                    "trace": _check_before_sending(permit),
+                    "trace": trace,
                 },
             )
             async with self._replied(endpoint, request) as response:
-                yield Reply(response, permit)
+                yield Reply(response, permit, trace.sent_at)
 
     @contextlib.asynccontextmanager
     async def _replied(
