--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -170,22 +170,26 @@
             tuple[hint_messages.HintBatch, Address]
         ](MAX_QUEUED_DATAGRAMS)
 
-    def report_silent(self, endpoint_id: str) -> None:
+    def report_silent(self, endpoint: fleet.Incarnation) -> None:
         """Report a silent endpoint to the other nodes.
 
         Nothing is reported unless another endpoint shows progress: otherwise
         the cause may be this node's own network.
 
-        :param endpoint_id: identity of the endpoint.
+        :param endpoint: the endpoint.
         """
         now = trio.current_time()
-        if not self._tracker.is_silent_unlike_others(endpoint_id, now):
+        if not self._tracker.is_silent_unlike_others(endpoint, now):
             return
-        if not self._tracker.record_silence(endpoint_id, now):
+        if not self._tracker.record_silence(endpoint, now):
             return
         self._queue(
-            hint_messages.Hint(self._node, endpoint_id),
-            f"{endpoint_id} is silent",
+            hint_messages.Hint(
+                self._node,
+                endpoint.endpoint_id,
+                silent_started_at_ms=endpoint.started_at_ms,
+            ),
+            f"{endpoint.endpoint_id} is silent",
         )
 
     def report_leaving(self, incarnation: fleet.Incarnation) -> None:
@@ -501,8 +505,9 @@
         if hint.is_cut_off:
             self.report_cut_off(hint.node, now)
         self._apply_progress(hint, now)
-        if self._view.registry.get(hint.silent) is not None:
-            self._apply_silent(hint, now)
+        silent = self._view.registry.get(hint.silent)
+        if silent is not None:
+            self._apply_silent(hint, silent, now)
         for leaving in hint.leaving:
             self._apply_leaving(hint, leaving, now)
         for report in hint.crashes:
@@ -518,12 +523,19 @@
         """
         excess_s = max(2 * self._load_period_s - MAX_REPORT_AGE_S, 0.0)
         for name, ago_s in hint.worked_ago_s.items():
-            if self._view.registry.get(name) is not None:
+            found = self._view.registry.get(name)
+            if found is not None:
+                start = fleet.incarnation_of(found)
                 at = now - max(ago_s - excess_s, 0.0)
-                self._tracker.record_peer_progress(name, at)
+                self._tracker.record_peer_progress(start, at)
 
-    def _apply_silent(self, hint: hint_messages.Hint, now: float) -> None:
-        if self._tracker.record_silence(hint.silent, now):
+    def _apply_silent(
+        self, hint: hint_messages.Hint, found: fleet.Endpoint, now: float
+    ) -> None:
+        start = fleet.incarnation_of(found)
+        if hint.silent_started_at_ms is not None:
+            start = start._replace(started_at_ms=hint.silent_started_at_ms)
+        if self._tracker.record_silence(start, now):
             _LOG.info(
                 "%s reports that %s is silent",
                 hint.node,
@@ -537,7 +549,9 @@
         leaving: hint_messages.LeavingEndpoint,
         now: float,
     ) -> None:
-        incarnation = (leaving.endpoint_id, leaving.started_at_ms)
+        incarnation = fleet.Incarnation(
+            leaving.endpoint_id, leaving.started_at_ms
+        )
         if not self._view.announce_shutdown(incarnation, now):
             return
         # A collector repeats it to the other failure domains.
--- a/packages/gateway/wasabilanding/gateway/model_demand.py
+++ b/packages/gateway/wasabilanding/gateway/model_demand.py
@@ -72,7 +72,7 @@
         requests: collections.Counter[str] = collections.Counter()
         for replica in fleet.replicas_of(own).values():
             if replica.is_open:
-                load = self._tracker.load(replica.head.endpoint_id)
+                load = self._tracker.load(fleet.incarnation_of(replica.head))
                 requests[replica.model] += load
         if not estimate.update(requests, len(own), now):
             return
