Let requests wait at the gateway while all slots are in use

Cause: a gateway sends each request to some endpoint at once. When all slots are in use, requests wait in queues of endpoints, from which they cannot be moved, and are refused after four refusals with seconds left. One large customer takes the slots of small ones.

Change: limits.PoolQueue and pool_share decide which waiting requests a node may send: the pool is refilled at the rate of its completions, corrected by its load, divided max-min fairly among customers and in proportion among nodes. gateway/waiting.py lets requests wait, attempt_set uses it before first attempts and after refused sends. Hints report waiting requests and slot times. New setting 'admission', false by default.

--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -12,6 +12,7 @@
 from wasabilanding.dispatch.choice import Candidate
 from wasabilanding.dispatch.choice import candidates_of
 from wasabilanding.dispatch.choice import choose
+from wasabilanding.dispatch.choice import usable
 from wasabilanding.dispatch.holds import EndpointHolds
 from wasabilanding.dispatch.holds import Ticket
 from wasabilanding.dispatch.named_limits import NamedLimit
@@ -25,9 +26,11 @@
 from wasabilanding.dispatch.tracker import EndpointObservations
 from wasabilanding.dispatch.tracker import EndpointTracker
 from wasabilanding.dispatch.tracker import Load
+from wasabilanding.dispatch.tracker import NEVER
 
 __all__ = [
     "MAX_WAIT_S",
+    "NEVER",
     "SHARES",
     "WAITS_FOR_CALLER",
     "EndpointTracker",
@@ -43,4 +46,5 @@
     "Ticket",
     "candidates_of",
     "choose",
+    "usable",
 ]
--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -132,9 +132,9 @@
             continue
         is_local = candidate.endpoint.failure_domain == failure_domain
         (local if is_local else remote).append(candidate)
-    options = _options(_usable(local, tracker, now), tracker, False)
+    options = _options(_not_avoided(local, tracker, now), tracker, False)
     if not _has_enough_slots(options):
-        options += _options(_usable(remote, tracker, now), tracker, True)
+        options += _options(_not_avoided(remote, tracker, now), tracker, True)
     if not options:
         options = _options(local, tracker, False)
         if not _has_enough_slots(options):
@@ -148,7 +148,25 @@
     return rng.choices(free, weights)[0].candidate
 
 
-def _usable(
+def usable(
+    candidates: collections.abc.Iterable[Candidate],
+    tracker: tracker_module.EndpointTracker,
+    now: float,
+) -> list[Candidate]:
+    """Return the candidates among which :func:`choose` chooses.
+
+    Those that are avoided are used only if there are no others.
+
+    :param candidates: endpoints that may receive requests.
+    :param tracker: this node's observations of them.
+    :param now: local monotonic time in seconds.
+    """
+    closed = tracker.holds.closed(now)
+    open_now = [c for c in candidates if c.endpoint.endpoint_id not in closed]
+    return _not_avoided(open_now, tracker, now) or open_now
+
+
+def _not_avoided(
     candidates: collections.abc.Iterable[Candidate],
     tracker: tracker_module.EndpointTracker,
     now: float,
--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -57,10 +57,21 @@
 from wasabilanding.limits.admission import Shed
 from wasabilanding.limits.admission_request import AdmissionRequest
 from wasabilanding.limits.admission_request import estimated_tokens
+from wasabilanding.limits.customer_queue import Kind
 from wasabilanding.limits.fair_queue import FairQueue
+from wasabilanding.limits.pool_queue import PoolQueue
+from wasabilanding.limits.pool_queue import PoolRequest
+from wasabilanding.limits.pool_share import allot
+from wasabilanding.limits.pool_share import backlog_slots
+from wasabilanding.limits.pool_share import max_min
+from wasabilanding.limits.pool_share import PoolState
+from wasabilanding.limits.return_schedule import ReturnSchedule
+from wasabilanding.limits.run_time import RunTime
 from wasabilanding.limits.share import concurrency_limit
 from wasabilanding.limits.share import engine_priority
 from wasabilanding.limits.slot_time import SlotTime
+from wasabilanding.limits.waiting_reports import bounded
+from wasabilanding.limits.waiting_reports import WaitingReports
 
 __all__ = [
     "Admission",
@@ -69,9 +80,20 @@
     "Decision",
     "Decisions",
     "FairQueue",
+    "Kind",
+    "PoolQueue",
+    "PoolRequest",
+    "PoolState",
+    "ReturnSchedule",
+    "RunTime",
     "Shed",
     "SlotTime",
+    "WaitingReports",
+    "allot",
+    "backlog_slots",
+    "bounded",
     "concurrency_limit",
     "engine_priority",
     "estimated_tokens",
+    "max_min",
 ]
--- a/packages/decisions/wasabilanding/limits/wait_correction.py
+++ b/packages/decisions/wasabilanding/limits/wait_correction.py
@@ -64,6 +64,19 @@
         current = self._ratios.get(key, observed)
         self._ratios[key] = current + LEARNING_RATE * (observed - current)
 
+    def relax(self, customer: str, priority: int, share: float) -> None:
+        """Move a ratio towards 1.
+
+        A ratio above 1 that causes refusals is not observed any more.
+
+        :param customer: the customer.
+        :param priority: priority of the requests.
+        :param share: part of the difference that is removed.
+        """
+        ratio = self._ratios.get((customer, priority), 1.0)
+        if ratio > 1.0:
+            self._ratios[customer, priority] = ratio + share * (1.0 - ratio)
+
     def sweep(self, customers: collections.abc.Container[str]) -> None:
         """Discard the ratios of customers without requests.
 
--- a/packages/decisions/wasabilanding/retries/budget.py
+++ b/packages/decisions/wasabilanding/retries/budget.py
@@ -95,6 +95,13 @@
         tokens = self._tokens[service] + self._parameters.deposit
         self._tokens[service] = min(tokens, self._parameters.capacity)
 
+    def available(self, service: str) -> int:
+        """Return the number of retries that may be made now.
+
+        :param service: name of the service.
+        """
+        return int(self._tokens[service])
+
     def spend(self, service: str) -> bool:
         """Take a token for a retry.
 
--- a/packages/experiments/wasabilanding/experiments/placing/simulation.py
+++ b/packages/experiments/wasabilanding/experiments/placing/simulation.py
@@ -53,7 +53,14 @@
     service_s: float
 
 
-class _Simulation:
+class Simulation:
+    """Model of one load pattern.
+
+    :param pattern: the pattern.
+    :param policy: chooses the endpoint of each request.
+    :param rng: source of randomness.
+    """
+
     def __init__(
         self,
         pattern: patterns.LoadPattern,
@@ -100,6 +107,9 @@
             self._at(self._next_arrival_s(node), self._arrive, node)
             period_s = self._pattern.report_period_s
             self._at(self._rng.uniform(0, period_s), self._report, node)
+        self._run_events()
+
+    def _run_events(self) -> None:
         while self._events:
             self._now, _, action, arguments = heapq.heappop(self._events)
             action(*arguments)
@@ -173,7 +183,12 @@
                 tracker.update_peer_load(str(node), load, self._now)
 
 
-def _quantile(values: list[float], share: float) -> float:
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile of sorted values.
+
+    :param values: the values, sorted.
+    :param share: share of the values below it.
+    """
     return values[min(int(share * len(values)), len(values) - 1)]
 
 
@@ -186,7 +201,7 @@
     :param policy: chooses the endpoint of each request.
     :param seed: seed of the random number generator.
     """
-    simulation = _Simulation(pattern, policy, random.Random(seed))
+    simulation = Simulation(pattern, policy, random.Random(seed))
     simulation.run()
     waits_s = sorted(simulation.waits_s)
     late = sum(wait > START_GOAL_S for wait in waits_s)
@@ -194,7 +209,7 @@
         requests=simulation.requests,
         refused=simulation.refused / simulation.requests,
         late=late / simulation.requests,
-        median_wait_s=_quantile(waits_s, 0.5),
-        p99_wait_s=_quantile(waits_s, 0.99),
+        median_wait_s=quantile(waits_s, 0.5),
+        p99_wait_s=quantile(waits_s, 0.99),
         remote=simulation.remote / simulation.requests,
     )
--- a/packages/gateway/wasabilanding/gateway/admission.py
+++ b/packages/gateway/wasabilanding/gateway/admission.py
@@ -92,6 +92,7 @@
             customer=holder.customer if holder else "",
             priority=priority,
             deadline_at=arrived_at + timeout_s,
+            arrived_at=arrived_at,
         )
 
     def _authenticate(
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -93,6 +93,7 @@
         self._answer = answer
         self._scope = trio.CancelScope()
         self._is_run_counted = False
+        self._is_counted = False
         # Local monotonic time in seconds.
         self.sent_at = NEVER
         self.silence = dispatch.SilenceMonitor(trio.current_time())
@@ -138,6 +139,18 @@
         """End the attempt because another one replaces it."""
         self._scope.cancel()
 
+    def count_in_flight(self, now: float) -> None:
+        """Count the request as in flight to the endpoint, once.
+
+        It is counted before it is sent where other requests that are sent at
+        the same moment must know of it. :meth:`run` must follow.
+
+        :param now: local monotonic time in seconds.
+        """
+        if not self._is_counted:
+            self._is_counted = True
+            self._tracker.begin(self.endpoint_id, now)
+
     async def run(self) -> model.Outcome | None:
         """Send the request and relay the reply.
 
@@ -147,7 +160,7 @@
         self.sent_at = now
         headers = self._headers(now)
         self.silence.record_activity(now)
-        self._tracker.begin(self.endpoint_id, now)
+        self.count_in_flight(now)
         try:
             with self._scope, self._waiting():
                 return await self._relay_catching_failure(headers)
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -29,6 +29,7 @@
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
 from wasabilanding.gateway import shared_answer
+from wasabilanding.gateway import waiting
 from wasabilanding import model
 
 REFUSED_AVOID_S = 0.15
@@ -37,6 +38,9 @@
 # at this interval.
 RECHECK_INTERVAL_S = 0.25
 
+# Why a request that waits for a slot ends without an attempt.
+NOT_SENT = "it is not sent"
+
 UNREACHABLE_REASONS = (
     model.Reason.CONNECT_FAILED,
     model.Reason.CONNECTION_LOST,
@@ -55,6 +59,7 @@
     :param metrics: counts attempts.
     :param report_silent: reports a silent endpoint to other nodes.
     :param crash_guard: examines endpoints that break connections.
+    :param waiting_room: where requests wait; None if they do not.
     """
 
     attempts: attempt_module.AttemptContext
@@ -63,6 +68,7 @@
     metrics: metrics_module.Metrics
     report_silent: collections.abc.Callable[[str], None]
     crash_guard: crash_guard_module.CrashGuard
+    waiting_room: waiting.WaitingRoom | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -144,6 +150,48 @@
 
     async def _start_next(self, nursery: trio.Nursery) -> str:
         """Start the next attempt; return why not if there is none."""
+        while True:
+            refusal = await self._wait_for_turn()
+            if refusal is not None:
+                self._last_outcome = refusal
+                return NOT_SENT
+            room = self._context.waiting_room
+            if room is None:
+                return await self._start_selected(nursery)
+            obstacle = selection.NO_OTHER_ENDPOINT
+            try:
+                obstacle = await self._start_selected(nursery)
+            finally:
+                if obstacle:
+                    room.record_departure(self._state)
+            if obstacle != selection.BUDGET_SPENT or self._answer.has_begun:
+                return obstacle
+            # Another request has taken from the budget meanwhile.
+
+    async def _wait_for_turn(self) -> model.Outcome | None:
+        """Wait until the next attempt may be made.
+
+        An answer that has begun is resumed without waiting.
+
+        :returns: why it is refused; None if it may be made.
+        """
+        room = self._context.waiting_room
+        state = self._state
+        if room is None or self._answer.has_begun:
+            return None
+        selector = self._context.selector
+        if selector.needs_relay(state):
+            return None
+        if not state.tried_endpoint_ids:
+            return await room.enter(state, None)
+        if selector.limit_reached(state, state.runs):
+            return None
+        if not selector.has_untried(state):
+            return None
+        return await room.enter(state, self._last_outcome)
+
+    async def _start_selected(self, nursery: trio.Nursery) -> str:
+        """Select an endpoint and start an attempt; return why not if none."""
         selected = await self._context.selector.pick(self._state)
         if selected is None:
             held = self._context.selector.held_outcome(self._state)
@@ -168,10 +216,13 @@
         )
         self._state.tried_endpoint_ids.append(attempt.endpoint_id)
         self._open.append(attempt)
+        if self._context.waiting_room is not None:
+            attempt.count_in_flight(trio.current_time())
+            self._context.waiting_room.record_departure(self._state)
         nursery.start_soon(self._run_attempt, attempt)
 
     async def _run_attempt(self, attempt: attempt_module.Attempt) -> None:
-        outcome = await attempt.run()
+        outcome = await self._run_recorded(attempt)
         if (
             outcome is not None
             and _may_be_crash(outcome)
@@ -186,6 +237,24 @@
         self._ended.append(_EndedAttempt(attempt, outcome))
         self._changed.set()
 
+    async def _run_recorded(
+        self, attempt: attempt_module.Attempt
+    ) -> model.Outcome | None:
+        """Run an attempt and record how long it held a slot."""
+        room = self._context.waiting_room
+        if room is None or attempt.is_relayed:
+            return await attempt.run()
+        load = self._context.tracker.load(attempt.endpoint_id)
+        outcome = None
+        try:
+            outcome = await attempt.run()
+        finally:
+            held_s = trio.current_time() - attempt.sent_at
+            room.record_end(
+                self._state, attempt.endpoint, held_s, load, outcome
+            )
+        return outcome
+
     def _cancel_others(self, owner: attempt_module.Attempt) -> None:
         """Cancel all attempts but the one that owns the answer now."""
         for attempt in list(self._open):
@@ -244,11 +313,24 @@
             self._state.tried_endpoint_ids.remove(ended.attempt.endpoint_id)
             return True
         self._record_failure(ended.attempt, ended.outcome)
+        if self._may_send_again(ended):
+            self._state.refused_endpoint_ids.append(ended.attempt.endpoint_id)
         if ended.outcome.verdict is not model.Verdict.MAY_HAVE_RUN:
             return True
         self._state.may_have_run = True
         return self._state.route.is_idempotent
 
+    def _may_send_again(self, ended: _EndedAttempt) -> bool:
+        """Return whether the same endpoint may be tried again later.
+
+        Without a waiting room a request is sent to each endpoint once.
+        """
+        return (
+            self._context.waiting_room is not None
+            and not ended.attempt.is_relayed
+            and ended.outcome.reason is model.Reason.REFUSED
+        )
+
     def _record_failure(
         self, attempt: attempt_module.Attempt, outcome: model.Outcome
     ) -> None:
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -32,6 +32,8 @@
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding.gateway import waiting
+from wasabilanding import limits
 from wasabilanding import model
 from wasabilanding import retries
 
@@ -58,6 +60,7 @@
     :param reachability: whether this node reaches any endpoint.
     :param relays: nodes that serve requests for this one.
     :param rng: random number generator.
+    :param waiting_reports: waiting requests of other nodes.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         reachability: reachability_module.Reachability,
         relays: relays_module.Relays,
         rng: random.Random,
+        waiting_reports: limits.WaitingReports | None = None,
     ) -> None:
         self._reachability = reachability
         self._settings = settings
@@ -95,6 +99,15 @@
             relays,
             rng,
         )
+        self.waiting_room: waiting.WaitingRoom | None = None
+        if settings.admission:
+            self.waiting_room = waiting.WaitingRoom(
+                selector,
+                tracker,
+                waiting_reports or limits.WaitingReports(),
+                metrics,
+                rng,
+            )
         self._attempts_context = attempt_set.AttemptSetContext(
             attempt_module.AttemptContext(
                 wire,
@@ -110,6 +123,7 @@
             metrics,
             report_silent,
             crash_guard,
+            self.waiting_room,
         )
         self._open_requests: dict[
             inbound.ResponseWriter, request_state_module.OpenRequest
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -39,6 +39,10 @@
     :param crashes: reports on requests under which endpoints have ended.
     :param limits: limits that endpoints have recently named, or ended.
     :param is_cut_off: whether the node reaches no endpoint.
+    :param waiting: the node's waiting requests, by customer, by pool; as
+        current as ``in_flight``, and used only with it.
+    :param slot_times_s: mean times in seconds for which requests hold slots,
+        by pool, as the node observes them; sent while requests wait.
     """
 
     node: str
@@ -52,6 +56,17 @@
     crashes: tuple[crash_reports.CrashReport, ...] = ()
     limits: tuple[limit_messages.LimitNotice, ...] = ()
     is_cut_off: bool = False
+    waiting: dict[str, dict[str, model.Count]] = dataclasses.field(
+        default_factory=dict
+    )
+    slot_times_s: dict[str, model.Quantity] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether requests wait at the node."""
+        return bool(self.waiting)
 
     @property
     def has_notices(self) -> bool:
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -37,6 +37,11 @@
 load. A node asks another one directly before it sends a request to such an
 endpoint (:mod:`wasabilanding.gateway.send_grants`).
 
+Waiting requests: where a service has admission control, a node sends its
+waiting requests by pool and customer with its load. While some wait anywhere,
+each node reports its load, so that a node that hears nothing knows that it is
+cut off from the others.
+
 Links: a node that reaches no endpoint says so in its hints on load, so that
 no other one hands requests to it (:mod:`wasabilanding.gateway.relays`).
 
@@ -72,6 +77,7 @@
 from wasabilanding.gateway import peer_nodes
 from wasabilanding.gateway import remote_reports
 from wasabilanding.gateway import send_grants
+from wasabilanding import limits
 from wasabilanding import model
 
 MAX_DATAGRAM_BYTES = 65_535
@@ -125,6 +131,7 @@
     :param crash_guard: gives and receives reports of crashes.
     :param grants: asks, and answers, for endpoints with limits.
     :param wire: defines the store's key prefixes.
+    :param waiting_reports: receives other nodes' waiting requests.
     """
 
     def __init__(
@@ -136,7 +143,9 @@
         crash_guard: crash_guard_module.CrashGuard,
         grants: send_grants.SendGrants,
         wire: messages.WireFormat,
+        waiting_reports: limits.WaitingReports | None = None,
     ) -> None:
+        self._waiting_reports = waiting_reports or limits.WaitingReports()
         self._node = node
         self._domain = failure_domain
         self._view = view
@@ -148,6 +157,8 @@
             random.getrandbits(NUMBER_BITS)
         )
         self.nodes = peer_nodes.PeerNodes(node, failure_domain, view, wire)
+        # Last waiting requests that were reported to other failure domains.
+        self._remote_waiting: dict[str, dict[str, int]] = {}
         self._remote_reports = remote_reports.RemoteReports()
         self._crash_questions = CRASH_QUESTIONS
         # Returns whether this node reaches no endpoint.
@@ -156,6 +167,16 @@
         self.report_cut_off: collections.abc.Callable[[str, float], None] = (
             lambda node, now: None
         )
+        # Returns this node's waiting requests, by customer, by pool.
+        self.waiting: collections.abc.Callable[
+            [], dict[str, dict[str, int]]
+        ] = lambda: {}
+        # Returns the slot times in seconds that this node observes, by pool.
+        self.slot_times_s: collections.abc.Callable[[], dict[str, float]] = (
+            lambda: {}
+        )
+        # Called when other nodes have reported their load.
+        self.note_load: collections.abc.Callable[[], None] = lambda: None
         # Local monotonic times in seconds until which they are repeated.
         self._leaving: dict[hint_messages.LeavingEndpoint, float] = {}
         self._urgent_sender, self._urgent_receiver = trio.open_memory_channel[
@@ -315,17 +336,38 @@
             batch = hint_messages.HintBatch(self._node, (hint,))
             await self._send(datagrams, batch, self.nodes.local.values())
 
+    @property
+    def _load_period_s(self) -> float:
+        """Seconds between two hints on load."""
+        period_s = len(self.nodes.local) * LOAD_PERIOD_PER_NODE_S
+        return min(max(MIN_LOAD_PERIOD_S, period_s), MAX_LOAD_PERIOD_S)
+
+    @property
+    def report_age_s(self) -> float:
+        """Usual age in seconds of what other nodes report on their load."""
+        age_s = self._load_period_s
+        if self.nodes.uses_collector:
+            age_s *= 2
+        if self.nodes.remote:
+            age_s += remote_reports.PERIOD_S / 2
+        return age_s
+
+    def _waiting_hint(self, now: float) -> hint_messages.Hint:
+        """Return a hint on this node's waiting requests."""
+        waiting = limits.bounded(self.waiting())
+        times_s: dict[str, float] = {}
+        if waiting or self._waiting_reports.has_any(now):
+            times_s = self.slot_times_s()
+        return hint_messages.Hint(
+            self._node, waiting=waiting, slot_times_s=times_s
+        )
+
     async def _send_load(self, datagrams: Datagrams) -> None:
         last_load: dict[str, int] = {}
+        was_waiting = False
         refreshed_at = float("-inf")
         while True:
-            period_s = min(
-                max(
-                    MIN_LOAD_PERIOD_S,
-                    len(self.nodes.local) * LOAD_PERIOD_PER_NODE_S,
-                ),
-                MAX_LOAD_PERIOD_S,
-            )
+            period_s = self._load_period_s
             await trio.sleep(period_s)
             now = trio.current_time()
             if now - refreshed_at > PEER_REFRESH_INTERVAL_S:
@@ -335,19 +377,27 @@
                 self._view.feeds_peers = False
             load = self._tracker.local_load
             notices = self._due_notices(LOCAL, now)
+            waiting = self._waiting_hint(now)
             has_news = notices.has_notices or self._crash_questions > 0
+            has_news |= waiting.has_waiting or was_waiting
+            has_news |= self._waiting_reports.has_any(now)
             if load or last_load or has_news or self.nodes.uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
                 )
                 hint = dataclasses.replace(
-                    notices, in_flight=load, worked_ago_s=worked
+                    notices,
+                    in_flight=load,
+                    worked_ago_s=worked,
+                    waiting=waiting.waiting,
+                    slot_times_s=waiting.slot_times_s,
                 )
                 await self._send_load_hint(datagrams, hint, now)
             if self._collected:
                 await self._forward_collected(datagrams)
             await self._send_remote(datagrams, now)
             last_load = load
+            was_waiting = waiting.has_waiting
 
     def _due_notices(
         self, scope: crash_reports.Scope, now: float
@@ -368,15 +418,29 @@
         if not self._remote_reports.is_due(now):
             return
         load = self._tracker.local_load
+        waiting = self.waiting()
         if self.nodes.uses_collector:
             load = self._tracker.load_of_nodes(self.nodes.local)
+            waiting = self._waiting_reports.of_nodes(
+                self.nodes.local, waiting, now
+            )
         notices = self._due_notices(REMOTE, now)
+        waiting = limits.bounded(waiting)
+        has_news = notices.has_notices or self._waiting_reports.has_any(now)
+        # The end of all waiting is reported once.
+        has_waited = bool(self._remote_waiting)
         is_begun = self._remote_reports.try_begin(
-            load, notices.has_notices, now
+            load, has_news or bool(waiting) or has_waited, now
         )
         if not is_begun:
             return
-        hint = dataclasses.replace(notices, in_flight=load)
+        self._remote_waiting = waiting
+        hint = dataclasses.replace(
+            notices,
+            in_flight=load,
+            waiting=waiting,
+            slot_times_s=self._waiting_hint(now).slot_times_s,
+        )
         for domain, nodes in self.nodes.remote.items():
             has_collector = peer_nodes.needs_collector(len(nodes))
             batch = hint_messages.HintBatch(
@@ -478,6 +542,8 @@
             self._apply_hint(hint, now)
             if not batch.is_for_all:
                 self._collected[hint.node] = hint
+        if batch.hints:
+            self.note_load()
         if batch.changes is not None:
             as_of = self._confirmations.current_as_of(
                 repeated, batch.changes.age_s
@@ -488,6 +554,9 @@
     def _apply_hint(self, hint: hint_messages.Hint, now: float) -> None:
         if hint.in_flight is not None:
             self._tracker.update_peer_load(hint.node, hint.in_flight, now)
+            self._waiting_reports.update(
+                hint.node, hint.waiting, hint.slot_times_s, now
+            )
         if hint.is_cut_off:
             self.report_cut_off(hint.node, now)
         for name, ago_s in hint.worked_ago_s.items():
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -31,6 +31,7 @@
 )
 FIRST_EVENT_METRIC = "wasabilanding_first_event_seconds"
 ANSWER_METRIC = "wasabilanding_answer_seconds"
+WAIT_METRIC = "wasabilanding_wait_seconds"
 EXPORT_MODULE = "wasabilanding.gateway.metrics_export"
 
 # Names and values of labels, in a fixed order.
@@ -87,6 +88,8 @@
         self.suspected: dict[Labels, int] = {}
         self.relayed: CountsByLabels = collections.Counter()
         self.is_cut_off = False
+        self.refusals: CountsByLabels = collections.Counter()
+        self.waiting: dict[Labels, int] = {}
         self.loop_failures: CountsByLabels = collections.Counter()
         self.stranded: dict[Labels, int] = {}
         self.capacity: dict[Labels, int] = {}
@@ -101,6 +104,9 @@
         self.answer: dict[Labels, Histogram] = collections.defaultdict(
             Histogram
         )
+        self.waits: dict[Labels, Histogram] = collections.defaultdict(
+            Histogram
+        )
         self._export: collections.abc.Callable[[], bytes] | None = None
 
     def count_request(
@@ -214,6 +220,31 @@
         """
         self.relayed[(("role", role), ("result", result))] += 1
 
+    def set_waiting(self, counts: collections.abc.Mapping[str, int]) -> None:
+        """Set the number of requests that wait at this node.
+
+        :param counts: number of requests, by pool.
+        """
+        for pool, count in counts.items():
+            self.waiting[(("pool", pool),)] = count
+
+    def count_wait(self, service: str, waited_s: float) -> None:
+        """Count a wait that has ended.
+
+        :param service: service of the request.
+        :param waited_s: seconds for which it waited.
+        """
+        self.waits[(("service", service),)].record(waited_s)
+
+    def count_refusal(self, service: str, cause: str) -> None:
+        """Count a request that is refused because slots are in use.
+
+        :param service: its service.
+        :param cause: "forecast" on arrival, "late" after waiting, or
+            "stopping".
+        """
+        self.refusals[(("service", service), ("cause", cause))] += 1
+
     def set_held(self, counts: collections.abc.Mapping[str, int]) -> None:
         """Set the number of endpoints that receive no or few requests.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -35,6 +35,7 @@
         for name, histograms in (
             (metrics_module.FIRST_EVENT_METRIC, self._metrics.first_event),
             (metrics_module.ANSWER_METRIC, self._metrics.answer),
+            (metrics_module.WAIT_METRIC, self._metrics.waits),
         ):
             family = prometheus_client.core.HistogramMetricFamily(
                 name, name, labels=["service"]
@@ -132,6 +133,11 @@
             metrics.relayed,
             "Requests that one node hands to another, by role and result",
         ),
+        (
+            "overload_refusals",
+            metrics.refusals,
+            "Requests refused as slots are in use, by service and cause",
+        ),
         (
             "loop_failures",
             metrics.loop_failures,
@@ -177,6 +183,11 @@
             metrics.limited,
             "Endpoints that name a limit in their replies",
         ),
+        (
+            "waiting_requests",
+            metrics.waiting,
+            "Requests that wait at this node, by pool",
+        ),
         (
             "suspected_requests",
             metrics.suspected,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -31,6 +31,7 @@
 from wasabilanding.gateway import store_watch
 from wasabilanding.gateway import supervision
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import limits
 from wasabilanding import model
 from wasabilanding import routes
 
@@ -82,6 +83,7 @@
         self._crash_guard.check_links(self._reachability.check)
         self._grants = send_grants.SendGrants(metrics, rng)
         self._nodes_prefix = directory.address_prefix(wire)
+        self._waiting_reports = limits.WaitingReports()
         self._hints = hints.HintExchange(
             settings.node,
             settings.failure_domain,
@@ -90,6 +92,7 @@
             self._crash_guard,
             self._grants,
             wire,
+            self._waiting_reports,
         )
         self._grants.exchange_through(
             self._hints.ask_to_send, self._hints.nodes.owners_of
@@ -122,12 +125,25 @@
             self._reachability,
             self._relays,
             rng,
+            self._waiting_reports,
         )
+        self._connect_waiting_room()
         self.controllers = control.ControllerSet(
             self.view,
             lambda domain: self._controller(domain, store, wire, rng),
         )
 
+    def _connect_waiting_room(self) -> None:
+        """Let the waiting room report to other nodes, and hear from them."""
+        room = self.forwarder.waiting_room
+        if room is None:
+            return
+        room.report_age_s = lambda: self._hints.report_age_s
+        room.known_nodes = lambda: self._hints.nodes.count
+        self._hints.waiting = lambda: room.waiting
+        self._hints.slot_times_s = lambda: room.slot_times_s
+        self._hints.note_load = room.wake
+
     def _controller(
         self,
         failure_domain: str,
@@ -218,6 +234,8 @@
         }
         if self._settings.peer_port:
             loops["hints"] = self._exchange_hints
+        if self.forwarder.waiting_room is not None:
+            loops["waiting requests"] = self.forwarder.waiting_room.run
         for name, loop in loops.items():
             self.start_loop(nursery, name, loop)
 
@@ -303,6 +321,8 @@
         """
         _LOG.info("drains", extra={"in_flight": self.forwarder.in_flight})
         self._draining = True
+        if self.forwarder.waiting_room is not None:
+            self.forwarder.waiting_room.close()
         with trio.move_on_after(SHUTDOWN_NOTICE_S):
             await self.controllers.release()
             await trio.sleep(SHUTDOWN_NOTICE_S)
--- a/packages/gateway/wasabilanding/gateway/peer_nodes.py
+++ b/packages/gateway/wasabilanding/gateway/peer_nodes.py
@@ -88,6 +88,11 @@
                 return nodes[node]
         return None
 
+    @property
+    def count(self) -> int:
+        """Number of known nodes, with this one."""
+        return 1 + sum(len(nodes) for nodes in self.by_domain().values())
+
     def owners_of(self, failure_domain: str) -> send_grants.Owners:
         """Return the nodes that may own the limits of some endpoints.
 
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -1,5 +1,6 @@
 """State of a request, and the final answer after all its attempts."""
 
+import collections
 import dataclasses
 import functools
 
@@ -35,6 +36,8 @@
     customer: str
     priority: int
     deadline_at: float
+    # Local monotonic time in seconds.
+    arrived_at: float = 0.0
     runs: int = 0
     may_have_run: bool = False
     last_event: int | None = None
@@ -51,6 +54,10 @@
     # Whether a stream can resume after the last delivered event.
     is_position_known: bool = True
     tried_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
+    # Whether it may be sent, and is not in flight yet.
+    is_departing: bool = False
+    # Endpoints that refused it and may be tried again, once for each refusal.
+    refused_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
     # Local monotonic time in seconds at which the attempt was sent that an
     # endpoint has answered; None for none.
     answered_sent_at: float | None = None
@@ -60,6 +67,15 @@
         """Parts of its prompt that other requests may share."""
         return prompt_parts.shared_parts(self.request.prompt_parts)
 
+    @property
+    def spent_endpoint_ids(self) -> list[str]:
+        """Endpoints that it was sent to and must not be sent to again."""
+        if not self.refused_endpoint_ids:
+            return self.tried_endpoint_ids
+        spent = collections.Counter(self.tried_endpoint_ids)
+        spent.subtract(self.refused_endpoint_ids)
+        return list(spent.elements())
+
     @property
     def resumes_after(self) -> int | None:
         """Number of the event after which the next attempt resumes."""
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -16,6 +16,7 @@
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 from wasabilanding import retries
+from wasabilanding import routes
 
 # Limit on attempts, including those that did not run.
 MAX_ATTEMPTS_SENT = 4
@@ -24,10 +25,14 @@
 MAX_RETRY_AFTER_S = 10.0
 NOT_SENT_REASONS = (model.Reason.CONNECT_FAILED, model.Reason.ENDPOINT_HELD)
 NO_OTHER_ENDPOINT = "no other endpoint"
+BUDGET_SPENT = "the retry budget is spent"
 # From so many failed connections on, another node is asked.
 RELAY_AFTER_FAILURES = 2
 # Endpoints with limits that are asked for one after the other.
 MAX_LIMITED_ASKED = 3
+# An endpoint from which a grant is farther is no capacity for waiting
+# requests.
+MAX_POOL_GRANT_WAIT_S = 0.05
 # Share of a route's latency goal for which a request waits for a grant.
 GRANT_WAIT_SHARE = 0.25
 
@@ -92,7 +97,7 @@
 
         :param state: the request.
         """
-        if self._needs_relay(state):
+        if self.needs_relay(state):
             return self._pick_relay(state)
         limited, unlimited = self._candidates_by_limit(state)
         found = self._choose(unlimited)
@@ -110,15 +115,17 @@
 
         :param state: the request.
         """
-        if self._needs_relay(state):
+        if self.needs_relay(state):
             return self._pick_relay(state)
         found = self._choose(self._candidates_by_limit(state)[1])
         return Selection(found.endpoint) if found is not None else None
 
-    def _needs_relay(self, state: request_state_module.RequestState) -> bool:
+    def needs_relay(self, state: request_state_module.RequestState) -> bool:
         """Return whether another node must serve a request.
 
         After some failures it need not, if there is none.
+
+        :param state: the request.
         """
         if state.is_relayed:
             return False
@@ -243,10 +250,17 @@
             return False
         if self.limit_reached(state, state.runs):
             return False
-        if self._needs_relay(state):
+        if self.needs_relay(state):
             return self._has_relay(state)
         return bool(self._untried(state))
 
+    def has_untried(self, state: request_state_module.RequestState) -> bool:
+        """Return whether there is another endpoint for a request.
+
+        :param state: the request.
+        """
+        return bool(self._untried(state))
+
     def retry_obstacle(
         self,
         state: request_state_module.RequestState,
@@ -296,7 +310,7 @@
         :param state: the request.
         :param runs: its runs, or those that it may have.
         """
-        if len(state.tried_endpoint_ids) >= MAX_ATTEMPTS_SENT:
+        if len(state.spent_endpoint_ids) >= MAX_ATTEMPTS_SENT:
             return f"sent {MAX_ATTEMPTS_SENT} times"
         if runs >= state.route.max_attempts:
             return f"run {runs} times"
@@ -309,13 +323,13 @@
     ) -> str:
         if self._budget.spend(state.service.name):
             return ""
-        return "the retry budget is spent"
+        return BUDGET_SPENT
 
     def _untried(
         self, state: request_state_module.RequestState
     ) -> list[dispatch.Candidate]:
         closed = self._tracker.holds.closed(trio.current_time())
-        excluded = closed.union(state.tried_endpoint_ids)
+        excluded = closed.union(state.spent_endpoint_ids)
         return [
             candidate
             for candidate in self._candidates_for(state)
@@ -324,15 +338,45 @@
 
     def _candidates_for(
         self, state: request_state_module.RequestState
+    ) -> list[dispatch.Candidate]:
+        wanted = state.request.model if state.service.engine else ""
+        return self._candidates_of(state.service, wanted)
+
+    def _candidates_of(
+        self, service: routes.RoutedService, model_name: str
     ) -> list[dispatch.Candidate]:
         version = (self._view.table, self._view.registry.version)
         if version != self._candidates_version:
             self._candidates = {}
             self._candidates_version = version
-        name = state.service.name
+        name = service.name
         if name not in self._candidates:
             self._candidates[name] = dispatch.candidates_of(
-                self._view.registry.endpoints, state.service
+                self._view.registry.endpoints, service
             )
-        wanted = state.request.model if state.service.engine else ""
-        return self._candidates[name].get(wanted, [])
+        return self._candidates[name].get(model_name, [])
+
+    def pool_candidates(
+        self, service: routes.RoutedService, model_name: str
+    ) -> list[dispatch.Candidate]:
+        """Return the endpoints that can take some request of a pool now.
+
+        :param service: the service.
+        :param model_name: name of the model; empty for a plain service.
+        """
+        now = trio.current_time()
+        candidates = self._candidates_of(service, model_name)
+        if self._grants.has_limits:
+            candidates = [c for c in candidates if self._may_grant(c, now)]
+        return dispatch.usable(candidates, self._tracker, now)
+
+    def _may_grant(self, candidate: dispatch.Candidate, now: float) -> bool:
+        wait_s = self._grants.wait_s(candidate.endpoint, now)
+        return wait_s is None or wait_s <= MAX_POOL_GRANT_WAIT_S
+
+    def retries_left(self, service: routes.RoutedService) -> int:
+        """Return how many retries the budget allows now.
+
+        :param service: service of the requests.
+        """
+        return self._budget.available(service.name)
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -46,6 +46,8 @@
     :param max_event_bytes: largest event of a stream.
     :param max_failure_bytes: largest body of an endpoint's failure or of its
         reply to a call.
+    :param admission: whether requests wait at the node while all slots are
+        in use, and are refused early if they cannot be served in time.
     :param log_level: lowest level that is logged.
     """
 
@@ -65,6 +67,7 @@
     max_answer_bytes: Size = reply_bounds.DEFAULT.answer_bytes
     max_event_bytes: Size = reply_bounds.DEFAULT.event_bytes
     max_failure_bytes: Size = reply_bounds.DEFAULT.failure_bytes
+    admission: bool = False
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
     @property
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -1,6 +1,7 @@
 """In-memory endpoints, caller and system for tests."""
 
 import collections
+import contextlib
 import random
 
 import httpx
@@ -22,6 +23,7 @@
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import limits
 from wasabilanding import model
 from wasabilanding import routes
 
@@ -150,6 +152,13 @@
 
     def __init__(self, scripts):
         self.scripts = scripts
+        # Requests that an endpoint runs concurrently, as it registers them.
+        self.slots = 9
+        # Requests at an endpoint now, and the most so far.
+        self.present = collections.Counter()
+        self.most_present = 0
+        # Refusals by each endpoint before it follows its script.
+        self.refusals = collections.Counter()
         # Time in seconds until a connection is established.
         self.connect_s = 0.0
         self.runs = collections.Counter()
@@ -170,7 +179,7 @@
         """
         number = list(self.scripts).index(name) + 1
         return fleet.Endpoint(
-            name, "service", f"10.0.0.{number}", 80, "z1", slots=9
+            name, "service", f"10.0.0.{number}", 80, "z1", slots=self.slots
         )
 
     async def is_reachable(self, endpoint):
@@ -188,7 +197,18 @@
         """
         number = int(request.url.host.rpartition(".")[2]) - 1
         name = list(self.scripts)[number]
+        self.present[name] += 1
+        self.most_present = max(self.most_present, self.present[name])
+        try:
+            return await self._handle(name, request)
+        finally:
+            self.present[name] -= 1
+
+    async def _handle(self, name, request):
         notice, script = _split_notice(self.scripts[name])
+        if self.refusals[name]:
+            self.refusals[name] -= 1
+            script = "refuse"
         script, _, count = script.partition(" ")
         if self.connect_s:
             await trio.sleep(self.connect_s)
@@ -199,7 +219,7 @@
             raise httpx.ConnectError("refused")
         if script == "mute" or request.extensions["target"] == SLOW:
             await trio.sleep_forever()
-        if request.extensions["target"] == LATE:
+        if request.extensions["target"] == LATE and script != "refuse":
             await trio.sleep(LATE_S)
         if script == "queued":
             await trio.sleep(QUEUED_S)
@@ -358,6 +378,8 @@
 
     def __init__(self, scripts, found, settings=SETTINGS):
         self.settings = settings
+        self.waiting_reports = limits.WaitingReports()
+        self._forwarder = None
         self.caller_read_s = 0.0
         self.endpoints = FakeEndpoints(scripts)
         self.view = cluster_view_module.ClusterView(
@@ -403,6 +425,33 @@
         found.require_permits(self.guard.admit)
         return found
 
+    @contextlib.asynccontextmanager
+    async def forwarder(self):
+        """Yield the forwarder; all requests inside the context share it."""
+        if self._forwarder is not None:
+            yield self._forwarder
+            return
+        async with self.upstream() as upstream:
+            self._forwarder = forwarding.Forwarder(
+                self.settings,
+                self.view,
+                upstream,
+                plain_wire,
+                self.metrics,
+                self.tracker,
+                self.reported.append,
+                self.crash_guard,
+                self.grants,
+                self.reachability,
+                self.relays,
+                _FirstRandom(1),
+                self.waiting_reports,
+            )
+            try:
+                yield self._forwarder
+            finally:
+                self._forwarder = None
+
     async def ask(
         self, headers=(), target=b"/a", body=b"body", is_relayed=False
     ):
@@ -418,21 +467,7 @@
         head = messages.RequestHead("POST", target, path, (*HEADERS, *headers))
         response = inbound.ResponseWriter(caller.send, lambda: False)
         begun_at = trio.current_time()
-        async with self.upstream() as upstream:
-            forwarder = forwarding.Forwarder(
-                self.settings,
-                self.view,
-                upstream,
-                plain_wire,
-                self.metrics,
-                self.tracker,
-                self.reported.append,
-                self.crash_guard,
-                self.grants,
-                self.reachability,
-                self.relays,
-                _FirstRandom(1),
-            )
+        async with self.forwarder() as forwarder:
             handle = forwarder.handle
             if is_relayed:
                 handle = forwarder.handle_relayed
