--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -97,6 +97,7 @@
         self._answer = answer
         self._scope = trio.CancelScope()
         self._is_run_counted = False
+        self._is_counted = False
         # Local monotonic times in seconds: when the attempt began, and from
         # when on its connection was established.
         self.sent_at = NEVER
@@ -144,6 +145,18 @@
         """End the attempt because another one replaces it."""
         self._scope.cancel()
 
+    def count_in_flight(self, now: float) -> None:
+        """Count the request as in flight to the endpoint, once.
+
+        It is counted before it is sent where other requests that are sent at
+        the same moment must know of it. :meth:`run` must follow.
+
+        :param now: local monotonic time in seconds.
+        """
+        if not self._is_counted:
+            self._is_counted = True
+            self._tracker.begin(self.incarnation, now)
+
     async def run(self) -> model.Outcome | None:
         """Send the request and relay the reply.
 
@@ -153,7 +166,7 @@
         self.sent_at = now
         headers = self._headers(now)
         self.silence.record_activity(now)
-        self._tracker.begin(self.incarnation, now)
+        self.count_in_flight(now)
         try:
             with self._scope, self._waiting():
                 return await self._relay_catching_failure(headers)
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -44,6 +44,10 @@
     :param is_cut_off: whether the node reaches no endpoint.
     :param silent_started_at_ms: Unix time in milliseconds of the start of the
         silent endpoint; None if unknown, as from a node of an earlier build.
+    :param waiting: the node's waiting requests, by customer, by pool; as
+        current as ``in_flight``, and used only with it.
+    :param slot_times_s: mean times in seconds for which requests hold slots,
+        by pool, as the node observes them; sent while requests wait.
     """
 
     node: str
@@ -58,6 +62,17 @@
     limits: tuple[limit_messages.LimitNotice, ...] = ()
     is_cut_off: bool = False
     silent_started_at_ms: model.Count | None = None
+    waiting: dict[str, dict[str, model.Count]] = dataclasses.field(
+        default_factory=dict
+    )
+    slot_times_s: dict[str, model.Quantity] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether requests wait at the node."""
+        return bool(self.waiting)
 
     @property
     def has_notices(self) -> bool:
