--- a/packages/experiments/wasabilanding/experiments/placing/admission.py
+++ b/packages/experiments/wasabilanding/experiments/placing/admission.py
@@ -12,6 +12,7 @@
 from wasabilanding import dispatch
 from wasabilanding.experiments.placing import patterns
 from wasabilanding.experiments.placing import simulation
+from wasabilanding import fleet
 from wasabilanding import limits
 from wasabilanding import model
 
@@ -191,7 +192,10 @@
         candidates = self._usable(node)
         return limits.PoolState(
             tuple(c.slots for c in candidates),
-            sum(tracker.load(fleet.incarnation_of(c.endpoint)) for c in candidates),
+            sum(
+                tracker.load(fleet.incarnation_of(c.endpoint))
+                for c in candidates
+            ),
             self._pattern.report_age_s,
             self._peers(node),
             self._reported[node].slot_times_s(POOL),
--- a/packages/gateway/wasabilanding/gateway/waiting.py
+++ b/packages/gateway/wasabilanding/gateway/waiting.py
@@ -255,16 +255,17 @@
         if is_retry and not self._selector.retries_left(pool.service):
             return False
         free = sum(
-            max(0, c.slots - self._tracker.load(fleet.incarnation_of(c.endpoint)))
+            max(
+                0,
+                c.slots - self._tracker.load(fleet.incarnation_of(c.endpoint)),
+            )
             for c in self._selector.pool_candidates(pool.service, pool.model)
             if not (is_retry and self._is_avoided(c, now))
         )
         return free > pool.departing
 
     def _is_avoided(self, candidate: dispatch.Candidate, now: float) -> bool:
-        record = self._tracker.record(
-            fleet.incarnation_of(candidate.endpoint)
-        )
+        record = self._tracker.record(fleet.incarnation_of(candidate.endpoint))
         return now < record.avoid_until
 
     async def _wait(
