--- a/packages/experiments/wasabilanding/experiments/placing/admission.py
+++ b/packages/experiments/wasabilanding/experiments/placing/admission.py
@@ -283,8 +283,8 @@
     def _end(self, replica, sent) -> None:
         replica.running -= 1
         request = sent.request
-        name = replica.candidate.endpoint.endpoint_id
-        self._trackers[request.node].end(name)
+        endpoint = fleet.incarnation_of(replica.candidate.endpoint)
+        self._trackers[request.node].end(endpoint)
         queue = self._queues[request.node]
         queue.record_run(
             KIND, self._now - sent.at, self._pattern.slots, sent.load
