--- a/packages/experiments/wasabilanding/experiments/placing/admission.py
+++ b/packages/experiments/wasabilanding/experiments/placing/admission.py
@@ -98,7 +98,6 @@
 class _Sent:
     request: _Request
     at: float
-    load: int
 
 
 class _Overload(simulation.Simulation):
@@ -248,7 +247,7 @@
         )
         endpoint = fleet.incarnation_of(found.endpoint)
         replica = self._replicas[endpoint.endpoint_id]
-        sent = _Sent(request, self._now, tracker.load(endpoint) + 1)
+        sent = _Sent(request, self._now)
         if replica.running < self._pattern.slots:
             tracker.begin(endpoint, self._now)
             self._start(replica, sent)
@@ -286,9 +285,8 @@
         endpoint = fleet.incarnation_of(replica.candidate.endpoint)
         self._trackers[request.node].end(endpoint)
         queue = self._queues[request.node]
-        queue.record_run(
-            KIND, self._now - sent.at, self._pattern.slots, sent.load
-        )
+        state = self._state(request.node)
+        queue.record_run(KIND, self._now - sent.at, state)
         self._end_request(request, "served")
         if replica.queue:
             self._start(replica, replica.queue.popleft())
