Send no requests to evacuated failure domains

Cause: operators could not take a failure domain out of service. Its endpoints were used as long as they were registered.

Change: a key under the wire format's evacuation prefix evacuates the failure domain that it names. The view follows the keys, a collector feeds them to its peers, and all datagrams state known evacuations and recent ends with the revision of the store as of which they are known; of two statements the one of the higher revision counts (dispatch/evacuations.py). Selection excludes the endpoints there, the guard holds back what was chosen before, and orders are still sent. Where no endpoint is left, requests get 503 "evacuated" at once. Nodes of evacuated failure domains come last as relays.

--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -12,6 +12,10 @@
 from wasabilanding.dispatch.choice import Candidate
 from wasabilanding.dispatch.choice import candidates_of
 from wasabilanding.dispatch.choice import choose
+from wasabilanding.dispatch.evacuations import CandidatesByModel
+from wasabilanding.dispatch.evacuations import Evacuations
+from wasabilanding.dispatch.evacuations import EvacuationStatement
+from wasabilanding.dispatch.evacuations import split_evacuated
 from wasabilanding.dispatch.holds import EndpointHolds
 from wasabilanding.dispatch.holds import Ticket
 from wasabilanding.dispatch.named_limits import NamedLimit
@@ -32,8 +36,11 @@
     "WAITS_FOR_CALLER",
     "EndpointTracker",
     "Candidate",
+    "CandidatesByModel",
     "EndpointHolds",
     "EndpointObservations",
+    "EvacuationStatement",
+    "Evacuations",
     "Load",
     "NamedLimit",
     "NamedLimits",
@@ -43,4 +50,5 @@
     "Ticket",
     "candidates_of",
     "choose",
+    "split_evacuated",
 ]
--- a/packages/decisions/wasabilanding/model/outcomes.py
+++ b/packages/decisions/wasabilanding/model/outcomes.py
@@ -33,6 +33,7 @@
     DEADLINE = "deadline"
     REFUSED = "refused"
     ENDPOINT_HELD = "endpoint_held"
+    EVACUATED = "evacuated"
     CONNECT_FAILED = "connect_failed"
     CONNECTION_LOST = "connection_lost"
     STALLED = "stalled"
--- a/packages/experiments/wasabilanding/experiments/installation/tests/running.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/running.py
@@ -1,16 +1,24 @@
 """Running installations and their callers, for the steps of this folder."""
 
 import contextlib
+import dataclasses
 import functools
+import itertools
 import pathlib
 import signal
 import tempfile
+import time
 
 import httpx
 import trio
 
 from wasabilanding.experiments.installation import launch
 
+KINDS = ("pages", "sheets", "drafts")
+CALLERS_PER_KIND = 2
+PAUSE_S = 0.15
+TIMEOUT_S = 4.0
+
 
 def start(context, plan, is_cuttable=False):
     """Start the installation of a scenario; it ends with the scenario.
@@ -64,3 +72,78 @@
     for gateway in installation.gateways:
         await trio.sleep(interval_s)
         await kill_and_restart(installation, gateway)
+
+
+@dataclasses.dataclass(frozen=True)
+class Try:
+    """A request, tried once.
+
+    :param request_id: its identifier.
+    :param kind: its kind.
+    :param gateway: name of the gateway.
+    :param at: time of day in seconds.
+    :param took_s: seconds until it ended.
+    :param status: HTTP status; 0 for no whole answer.
+    """
+
+    request_id: str
+    kind: str
+    gateway: str
+    at: float
+    took_s: float
+    status: int
+
+
+class Load:
+    """Requests of all kinds at all gateways.
+
+    :param installation: running installation.
+    :param headers: additional headers of the requests.
+    """
+
+    def __init__(self, installation, headers=()):
+        self.installation = installation
+        self._headers = dict(headers)
+        self._numbers = itertools.count()
+        self.tries = []
+
+    async def _try(self, client, gateway, kind):
+        request_id = f"{kind}-{next(self._numbers)}"
+        headers = {
+            "host": launch.SITE,
+            "x-request": request_id,
+            "x-deadline-s": str(TIMEOUT_S),
+            "x-key": "key-1",
+            "x-model": launch.SMALL.name if kind == "drafts" else "",
+            **self._headers,
+        }
+        at = time.time()
+        status = 0
+        try:
+            url = f"{gateway.callers_url}/{kind}/{request_id}"
+            answer = await client.post(url, headers=headers, content=b"body")
+            status = answer.status_code
+        except httpx.HTTPError as error:
+            print(request_id, gateway.name, repr(error))
+        took_s = time.time() - at
+        self.tries.append(
+            Try(request_id, kind, gateway.name, at, took_s, status)
+        )
+
+    async def _keep_trying(self, client, gateway, kind):
+        while True:
+            await self._try(client, gateway, kind)
+            await trio.sleep(PAUSE_S)
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Send requests until the end of the block."""
+        async with open_client(TIMEOUT_S + 1) as client:
+            async with trio.open_nursery() as nursery:
+                for gateway in self.installation.gateways:
+                    for kind in KINDS * CALLERS_PER_KIND:
+                        nursery.start_soon(
+                            self._keep_trying, client, gateway, kind
+                        )
+                yield
+                nursery.cancel_scope.cancel()
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/cut_gateways_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/cut_gateways_steps.py
@@ -1,107 +1,41 @@
 """Steps for gateways whose links to all endpoints are cut."""
 
 import collections
-import dataclasses
-import itertools
 import time
 
 import behave
-import httpx
 import trio
 
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation.tests import running
 
 PLAN = launch.Plan(pages_per_domain=3)
-KINDS = ("pages", "sheets", "drafts")
-CALLERS_PER_KIND = 2
-PAUSE_S = 0.15
-TIMEOUT_S = 4.0
 BEFORE_CUT_S = 4.0
 AFTER_CUT_S = 6.0
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 
 
-@dataclasses.dataclass(frozen=True)
-class _Try:
-    """A request, tried once.
-
-    :param request_id: its identifier.
-    :param kind: its kind.
-    :param gateway: name of the gateway.
-    :param at: time of day in seconds.
-    :param took_s: seconds until it ended.
-    :param status: HTTP status; 0 for no whole answer.
-    """
-
-    request_id: str
-    kind: str
-    gateway: str
-    at: float
-    took_s: float
-    status: int
-
-
-class _Load:
-    """Requests of all kinds at all gateways."""
+class _Load(running.Load):
+    """Requests of all kinds at all gateways, some of which are cut."""
 
     def __init__(self, installation):
-        self._installation = installation
-        self._numbers = itertools.count()
-        self.tries = []
+        super().__init__(installation)
         self.cut_at = 0.0
         self.ended_at = 0.0
 
-    async def _try(self, client, gateway, kind):
-        request_id = f"{kind}-{next(self._numbers)}"
-        headers = {
-            "host": launch.SITE,
-            "x-request": request_id,
-            "x-deadline-s": str(TIMEOUT_S),
-            "x-key": "key-1",
-            "x-model": launch.SMALL.name if kind == "drafts" else "",
-        }
-        at = time.time()
-        status = 0
-        try:
-            url = f"{gateway.callers_url}/{kind}/{request_id}"
-            answer = await client.post(url, headers=headers, content=b"body")
-            status = answer.status_code
-        except httpx.HTTPError as error:
-            print(request_id, gateway.name, repr(error))
-        took_s = time.time() - at
-        self.tries.append(
-            _Try(request_id, kind, gateway.name, at, took_s, status)
-        )
-
-    async def _keep_trying(self, client, gateway, kind):
-        while True:
-            await self._try(client, gateway, kind)
-            await trio.sleep(PAUSE_S)
-
-    async def _cut(self, gateways, mode, seconds):
-        await trio.sleep(BEFORE_CUT_S)
-        self.cut_at = time.time()
-        for gateway in gateways:
-            self._installation.cut(gateway, mode)
-        await trio.sleep(seconds)
-        for gateway in gateways:
-            self._installation.cut(gateway, "")
-        self.ended_at = time.time()
-        await trio.sleep(AFTER_CUT_S)
-
-    async def run(self, gateways, mode, seconds):
+    async def cut(self, gateways, mode, seconds):
         """Send requests before, during and after a cut."""
-        async with running.open_client(TIMEOUT_S + 1) as client:
-            async with trio.open_nursery() as nursery:
-                for gateway in self._installation.gateways:
-                    for kind in KINDS * CALLERS_PER_KIND:
-                        nursery.start_soon(
-                            self._keep_trying, client, gateway, kind
-                        )
-                await self._cut(gateways, mode, seconds)
-                nursery.cancel_scope.cancel()
+        async with self.running():
+            await trio.sleep(BEFORE_CUT_S)
+            self.cut_at = time.time()
+            for gateway in gateways:
+                self.installation.cut(gateway, mode)
+            await trio.sleep(seconds)
+            for gateway in gateways:
+                self.installation.cut(gateway, "")
+            self.ended_at = time.time()
+            await trio.sleep(AFTER_CUT_S)
 
 
 @behave.given("an installation whose gateways can be cut from the endpoints")
@@ -124,7 +58,7 @@
     assert len(chosen) == len(wanted), wanted
     context.cut = wanted
     context.load = _Load(context.installation)
-    trio.run(context.load.run, chosen, mode, seconds)
+    trio.run(context.load.cut, chosen, mode, seconds)
     context.runs = context.installation.runs()
 
 
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -25,6 +25,7 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import clocks
 from wasabilanding.gateway import directory
+from wasabilanding.gateway import evacuated_domains
 from wasabilanding.gateway import lease as lease_module
 from wasabilanding.gateway import messages
 from wasabilanding import metadata
@@ -64,6 +65,9 @@
         self._table_revision = model.StoreRevision()
         self.table: routes.RoutingTable | None = None
         self.registry = fleet.Registry()
+        self.evacuations = evacuated_domains.EvacuatedDomains(
+            wire.evacuation_prefix, self.registry
+        )
         self.internal_items: dict[str, metadata.Item] = {}
         # Local monotonic times in seconds at which lost items expire, by key.
         self._lost_items: dict[str, float] = {}
@@ -189,6 +193,13 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether no requests may reach a failure domain.
+
+        :param failure_domain: its name.
+        """
+        return failure_domain in self.evacuations.names
+
     def announce_shutdown(
         self, incarnation: fleet.Incarnation, now: float
     ) -> bool:
@@ -232,7 +243,8 @@
                 self._apply_table(item, listing.era)
             elif item.key.startswith(self._wire.internal_prefix):
                 internal_items[item.key] = item
-        if is_restored and was_read:
+        is_kept = is_restored and was_read
+        if is_kept:
             self._begin_era(listing, internal_items, now)
             self.registry.restore(endpoints, now)
             endpoints = list(filter(self._is_in_use, endpoints))
@@ -241,6 +253,8 @@
                 self._ask_peers(True)
             self.registry.replace(endpoints, now)
             self._lost_items.clear()
+        lost_ttl_s = LOST_ITEM_TTL_S if is_kept else 0.0
+        self.evacuations.apply_listing(listing, lost_ttl_s, now)
         self.internal_items = internal_items
         self.revision = listing.store_revision
         self._change_log.replace(endpoints, self.revision)
@@ -313,6 +327,7 @@
 
     def _expire(self, now: float) -> None:
         self.registry.expire(now)
+        self.evacuations.expire(now)
         for key, expires_at in list(self._lost_items.items()):
             if now >= expires_at:
                 del self._lost_items[key]
@@ -351,11 +366,19 @@
             self._put_endpoint(endpoint, revision)
         for name in segment.removed_endpoints:
             self._remove_endpoint(name, revision, now)
+        source = evacuated_domains.COLLECTOR
         for key, value in segment.items.items():
             item = metadata.Item(key, value.encode(), revision.number)
-            self._put_internal(item, revision)
+            if self.evacuations.has_key(key):
+                self._apply_evacuation(item, revision, source, now)
+            else:
+                self._put_internal(item, revision)
         for key in segment.removed_items:
-            self._remove_internal(key, revision)
+            if self.evacuations.has_key(key):
+                removal = metadata.Removal(key, revision.number)
+                self._apply_evacuation(removal, revision, source, now)
+            else:
+                self._remove_internal(key, revision)
         self.revision = revision
         self._change_log.advance(revision)
         self._notify()
@@ -385,6 +408,28 @@
                 self._put_internal(event, revision)
             else:
                 self._remove_internal(key, revision)
+        elif self.evacuations.has_key(key):
+            source = evacuated_domains.STORE
+            self._apply_evacuation(event, revision, source, now)
+
+    def _apply_evacuation(
+        self,
+        event: metadata.Item | metadata.Removal,
+        revision: model.StoreRevision,
+        source: str,
+        now: float,
+    ) -> None:
+        """Apply the state of an operators' key; feed it to other nodes.
+
+        Its value has no meaning.
+        """
+        is_present = isinstance(event, metadata.Item)
+        self.evacuations.apply_key(
+            event.key, is_present, revision, source, now
+        )
+        self._change_log.record_item(
+            event.key, "" if is_present else None, revision
+        )
 
     def _put_internal(
         self, item: metadata.Item, revision: model.StoreRevision
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -8,7 +8,8 @@
 reply is read here, whatever becomes of the reply, and nothing reaches an
 endpoint that has announced its shutdown or wants nothing for a time. Where it
 names a limit, a caller's request needs a grant
-(:mod:`wasabilanding.gateway.send_grants`).
+(:mod:`wasabilanding.gateway.send_grants`). No caller's request reaches an
+evacuated failure domain, but orders do, since its replicas are kept.
 
 An admitted request is checked again after its connection is established, as
 that takes time.
@@ -118,6 +119,10 @@
             raise _held_back(endpoint, "asked to receive nothing")
         if purpose is Purpose.CONTROL:
             return
+        is_callers = purpose in CALLERS_PURPOSES
+        if is_callers and self._view.is_evacuated(endpoint.failure_domain):
+            self._metrics.count_evacuation("held_back")
+            raise _held_back(endpoint, "is in an evacuated failure domain")
         if self._view.registry.has_announced_shutdown(endpoint):
             raise _held_back(endpoint, "announced its shutdown")
         if purpose is Purpose.CALLER and self._grants.is_limited(endpoint):
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -93,6 +93,7 @@
             grants,
             reachability,
             relays,
+            metrics,
             rng,
         )
         self._attempts_context = attempt_set.AttemptSetContext(
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -4,12 +4,23 @@
 """
 
 import dataclasses
+import operator
+import typing
+
+import pydantic
 
 from wasabilanding import changefeed
 from wasabilanding.gateway import crash_reports
+from wasabilanding.gateway import evacuation_messages
 from wasabilanding.gateway import limit_messages
 from wasabilanding import model
 
+# Absent where there are none, so that they cost nothing.
+EvacuationNotices = typing.Annotated[
+    tuple[evacuation_messages.EvacuationNotice, ...],
+    pydantic.Field(exclude_if=operator.not_),
+]
+
 
 @dataclasses.dataclass(frozen=True)
 class LeavingEndpoint:
@@ -79,6 +90,8 @@
         crashes.
     :param questions: questions of the sender about endpoints with limits.
     :param replies: replies to such questions of the receiver.
+    :param evacuations: failure domains whose evacuation the sender knows of,
+        or its end.
     """
 
     sender: str
@@ -91,3 +104,4 @@
     asks_crashes: bool = False
     questions: tuple[limit_messages.SendQuestion, ...] = ()
     replies: tuple[limit_messages.SendReply, ...] = ()
+    evacuations: EvacuationNotices = ()
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -40,6 +40,10 @@
 Links: a node that reaches no endpoint says so in its hints on load, so that
 no other one hands requests to it (:mod:`wasabilanding.gateway.relays`).
 
+Evacuations: all datagrams state which failure domains the sender knows to be
+evacuated, and recent ends, with the revisions of the store as of which it
+knows, so that a node without the store learns of them.
+
 Datagrams may be lost. Hints are advisory: they move requests to other
 endpoints, make the planner query the replica's members, and make it replace
 the replica of an endpoint that announced its shutdown, but trigger no other
@@ -336,6 +340,7 @@
             load = self._tracker.local_load
             notices = self._due_notices(LOCAL, now)
             has_news = notices.has_notices or self._crash_questions > 0
+            has_news = has_news or self._has_evacuations(now)
             if load or last_load or has_news or self.nodes.uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
@@ -361,6 +366,9 @@
             is_cut_off=self.is_cut_off(),
         )
 
+    def _has_evacuations(self, now: float) -> bool:
+        return bool(self._view.evacuations.due_notices(now))
+
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
         """Report load, shutdowns and crashes to other failure domains."""
         if self.nodes.uses_collector and not self._view.feeds_peers:
@@ -371,9 +379,8 @@
         if self.nodes.uses_collector:
             load = self._tracker.load_of_nodes(self.nodes.local)
         notices = self._due_notices(REMOTE, now)
-        is_begun = self._remote_reports.try_begin(
-            load, notices.has_notices, now
-        )
+        has_news = notices.has_notices or self._has_evacuations(now)
+        is_begun = self._remote_reports.try_begin(load, has_news, now)
         if not is_begun:
             return
         hint = dataclasses.replace(notices, in_flight=load)
@@ -427,6 +434,9 @@
         table = self._view.table
         if table is not None:
             batch = dataclasses.replace(batch, version=table.version)
+        evacuations = self._view.evacuations.due_notices(trio.current_time())
+        if evacuations:
+            batch = dataclasses.replace(batch, evacuations=evacuations)
         if self._crash_questions:
             self._crash_questions -= 1
             batch = dataclasses.replace(batch, asks_crashes=True)
@@ -464,6 +474,9 @@
             return None
         now = trio.current_time()
         self._view.note_peer_version(batch.version)
+        for notice in batch.evacuations:
+            self._view.note_era(notice.store_revision.era)
+            self._view.evacuations.apply_notice(notice, batch.sender, now)
         for reply in batch.replies:
             self._grants.apply_reply(reply)
         if batch.domain:
--- a/packages/gateway/wasabilanding/gateway/messages.py
+++ b/packages/gateway/wasabilanding/gateway/messages.py
@@ -145,6 +145,8 @@
     configuration_key: str
     registrations_prefix: str
     internal_prefix: str
+    # Followed by the name of a failure domain that is evacuated.
+    evacuation_prefix: str
 
     def read_request(self, head: RequestHead) -> CallerRequest:
         """Decode the head of a caller's request.
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -87,6 +87,8 @@
         self.suspected: dict[Labels, int] = {}
         self.relayed: CountsByLabels = collections.Counter()
         self.is_cut_off = False
+        self.evacuated: dict[Labels, int] = {}
+        self.evacuation_refusals: CountsByLabels = collections.Counter()
         self.loop_failures: CountsByLabels = collections.Counter()
         self.stranded: dict[Labels, int] = {}
         self.capacity: dict[Labels, int] = {}
@@ -199,6 +201,21 @@
         for state, count in counts.items():
             self.suspected[(("state", state),)] = count
 
+    def set_evacuated(self, count: int) -> None:
+        """Set the number of evacuated failure domains.
+
+        :param count: the number.
+        """
+        self.evacuated[()] = count
+
+    def count_evacuation(self, kind: str) -> None:
+        """Count a request that an evacuation has kept from an endpoint.
+
+        :param kind: "held_back" if its endpoint was chosen before,
+            "rejected" if no other endpoint could serve it.
+        """
+        self.evacuation_refusals[(("kind", kind),)] += 1
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Set whether this node reaches no endpoint.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -132,6 +132,11 @@
             metrics.relayed,
             "Requests that one node hands to another, by role and result",
         ),
+        (
+            "evacuation_refusals",
+            metrics.evacuation_refusals,
+            "Requests kept from evacuated failure domains, by kind",
+        ),
         (
             "loop_failures",
             metrics.loop_failures,
@@ -177,6 +182,11 @@
             metrics.limited,
             "Endpoints that name a limit in their replies",
         ),
+        (
+            "evacuated_failure_domains",
+            metrics.evacuated,
+            "Failure domains to which no requests are sent",
+        ),
         (
             "suspected_requests",
             metrics.suspected,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -17,6 +17,7 @@
 from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import endpoint_guard
+from wasabilanding.gateway import evacuation_monitor
 from wasabilanding.gateway import forwarding
 from wasabilanding.gateway import hints
 from wasabilanding.gateway import inbound
@@ -76,6 +77,10 @@
         self._relays = relays.Relays(
             settings.failure_domain, self._tracker, rng
         )
+        self._relays.is_evacuated = self.view.is_evacuated
+        self._evacuation_monitor = evacuation_monitor.EvacuationMonitor(
+            self.view, metrics
+        )
         self._crash_guard = crash_guard.CrashGuard(
             self.view, self._tracker, metrics
         )
@@ -285,6 +290,7 @@
             self.forwarder.update_retry_budget(nodes)
             self._tracker.drop_expired(trio.current_time())
             self._guard.observe()
+            self._evacuation_monitor.observe()
             await self._crash_guard.observe()
             for endpoint_id in self._upstream.endpoint_ids:
                 if relays.is_relay(endpoint_id):
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -37,6 +37,7 @@
 configuration_key = "configuration"
 registrations_prefix = "endpoints/"
 internal_prefix = "own/"
+evacuation_prefix = "evacuations/"
 
 HTTP_ERROR = 400
 HTTP_MISDIRECTED = 421
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -7,7 +7,9 @@
 are cut off from the endpoints for seconds, while callers and other nodes
 reach them. Such a node hands each request to a node that is not cut off, of
 its own failure domain first, which treats it as a caller's request and never
-hands it on. What ran and what did not is told in headers between the nodes:
+hands it on. Nodes of evacuated failure domains come last: if their failure
+domain is cut off, they reach only endpoints that they must not use. What ran
+and what did not is told in headers between the nodes:
 
 ============================= ==============================================
 ``wasabilanding-relayed-by``  name of the node that hands the request on
@@ -196,6 +198,10 @@
         self.nodes: collections.abc.Callable[
             [], collections.abc.Mapping[str, Nodes]
         ] = lambda: {}
+        # Returns whether a failure domain is evacuated.
+        self.is_evacuated: collections.abc.Callable[[str], bool] = (
+            lambda failure_domain: False
+        )
         self._cut_off_until: dict[str, float] = {}
 
     def record_cut_off(self, node: str, now: float) -> None:
@@ -225,25 +231,17 @@
         """Return the nodes that may take a request.
 
         :param tried: identities that the request was sent to.
-        :returns: nodes of this failure domain, else those of the others.
+        :returns: nodes of this failure domain, else those of the others;
+            those of evacuated ones last.
         """
-        by_domain = self.nodes()
-        local = by_domain.get(self._failure_domain, {})
-        remote = {
-            name: address
-            for domain, nodes in by_domain.items()
-            if domain != self._failure_domain
-            for name, address in nodes.items()
-        }
-        for nodes in (local, remote):
-            found = {
-                name: address
-                for name, address in nodes.items()
-                if self._may_take(name, tried)
-            }
-            if found:
-                return found
-        return {}
+        found: dict[tuple[bool, bool], dict[str, Address]] = {}
+        for domain, nodes in self.nodes().items():
+            order = self.is_evacuated(domain), domain != self._failure_domain
+            group = found.setdefault(order, {})
+            for name, address in nodes.items():
+                if self._may_take(name, tried):
+                    group[name] = address
+        return next((found[o] for o in sorted(found) if found[o]), {})
 
     def _may_take(
         self, node: str, tried: collections.abc.Container[str]
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -9,6 +9,7 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import crash_guard as crash_guard_module
+from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import reachability as reachability_module
 from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
@@ -22,6 +23,9 @@
 # Callers are told to return this long after the first endpoint does.
 CALLER_RETURN_SPREAD_S = (0.1, 0.6)
 MAX_RETRY_AFTER_S = 10.0
+# Callers whose service is evacuated everywhere return within this time, of
+# which no endpoint can tell.
+EVACUATED_RETURN_S = (2.0, 5.0)
 NOT_SENT_REASONS = (model.Reason.CONNECT_FAILED, model.Reason.ENDPOINT_HELD)
 NO_OTHER_ENDPOINT = "no other endpoint"
 # From so many failed connections on, another node is asked.
@@ -31,6 +35,8 @@
 # Share of a route's latency goal for which a request waits for a grant.
 GRANT_WAIT_SHARE = 0.25
 
+_CandidatesByModel = dispatch.CandidatesByModel
+
 
 @dataclasses.dataclass(frozen=True)
 class Selection:
@@ -55,6 +61,7 @@
     :param grants: grants requests to endpoints with limits.
     :param reachability: whether this node reaches any endpoint.
     :param relays: nodes that serve requests for this one.
+    :param metrics: counts requests that cannot be served.
     :param rng: random number generator.
     """
 
@@ -68,8 +75,10 @@
         grants: send_grants.SendGrants,
         reachability: reachability_module.Reachability,
         relays: relays_module.Relays,
+        metrics: metrics_module.Metrics,
         rng: random.Random,
     ) -> None:
+        self._metrics = metrics
         self._reachability = reachability
         self._relays = relays
         self._view = view
@@ -79,8 +88,12 @@
         self._crash_guard = crash_guard
         self._grants = grants
         self._rng = rng
-        self._candidates: dict[str, dict[str, list[dispatch.Candidate]]] = {}
-        self._candidates_version: tuple[object, int] = (None, -1)
+        # Candidates by service and model: those that may receive requests,
+        # and those in evacuated failure domains.
+        self._candidates: dict[
+            str, tuple[_CandidatesByModel, _CandidatesByModel]
+        ] = {}
+        self._candidates_version: tuple[object, ...] = ()
 
     async def pick(
         self, state: request_state_module.RequestState
@@ -207,10 +220,14 @@
     ) -> model.Outcome | None:
         """Return why no endpoint is left, if all want no requests now.
 
-        Callers return at random times after the first endpoint.
+        Callers return at random times after the first endpoint, or if all
+        endpoints are in evacuated failure domains, soon.
 
         :param state: the request.
         """
+        evacuated = self._evacuated_outcome(state)
+        if evacuated is not None:
+            return evacuated
         waits_s = [
             self._wait_s(candidate.endpoint)
             for candidate in self._candidates_for(state)
@@ -225,6 +242,22 @@
             min(wait_s, MAX_RETRY_AFTER_S),
         )
 
+    def _evacuated_outcome(
+        self, state: request_state_module.RequestState
+    ) -> model.Outcome | None:
+        """Return the outcome if all endpoints are evacuated."""
+        usable, excluded = self._split_candidates(state)
+        if usable or not excluded:
+            return None
+        self._metrics.count_evacuation("rejected")
+        names = sorted({c.endpoint.failure_domain for c in excluded})
+        return model.not_run(
+            model.Reason.EVACUATED,
+            f"all endpoints of {state.service.name} are in evacuated failure "
+            f"domains: {', '.join(names)}",
+            self._rng.uniform(*EVACUATED_RETURN_S),
+        )
+
     def _wait_s(self, endpoint: fleet.Endpoint) -> float | None:
         """Return the time until an endpoint wants a request again."""
         now = trio.current_time()
@@ -325,14 +358,27 @@
     def _candidates_for(
         self, state: request_state_module.RequestState
     ) -> list[dispatch.Candidate]:
-        version = (self._view.table, self._view.registry.version)
+        return self._split_candidates(state)[0]
+
+    def _split_candidates(
+        self, state: request_state_module.RequestState
+    ) -> tuple[list[dispatch.Candidate], list[dispatch.Candidate]]:
+        """Return the candidates, and those in evacuated failure domains."""
+        view = self._view
+        version = (
+            view.table,
+            view.registry.version,
+            view.evacuations.version,
+        )
         if version != self._candidates_version:
             self._candidates = {}
             self._candidates_version = version
         name = state.service.name
         if name not in self._candidates:
-            self._candidates[name] = dispatch.candidates_of(
-                self._view.registry.endpoints, state.service
+            self._candidates[name] = dispatch.split_evacuated(
+                dispatch.candidates_of(view.registry.endpoints, state.service),
+                view.evacuations.names,
             )
         wanted = state.request.model if state.service.engine else ""
-        return self._candidates[name].get(wanted, [])
+        usable, excluded = self._candidates[name]
+        return usable.get(wanted, []), excluded.get(wanted, [])
