--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -13,6 +13,10 @@
 from wasabilanding.dispatch.choice import candidates_of
 from wasabilanding.dispatch.choice import choose
 from wasabilanding.dispatch.choice import usable
+from wasabilanding.dispatch.evacuations import CandidatesByModel
+from wasabilanding.dispatch.evacuations import Evacuations
+from wasabilanding.dispatch.evacuations import EvacuationStatement
+from wasabilanding.dispatch.evacuations import split_evacuated
 from wasabilanding.dispatch.holds import EndpointHolds
 from wasabilanding.dispatch.holds import Ticket
 from wasabilanding.dispatch.named_limits import NamedLimit
@@ -35,8 +39,11 @@
     "WAITS_FOR_CALLER",
     "EndpointTracker",
     "Candidate",
+    "CandidatesByModel",
     "EndpointHolds",
     "EndpointObservations",
+    "EvacuationStatement",
+    "Evacuations",
     "Load",
     "NamedLimit",
     "NamedLimits",
@@ -47,4 +54,5 @@
     "candidates_of",
     "choose",
     "usable",
+    "split_evacuated",
 ]
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -97,6 +97,7 @@
             grants,
             reachability,
             relays,
+            metrics,
             rng,
         )
         self.waiting_room: waiting.WaitingRoom | None = None
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -4,14 +4,24 @@
 """
 
 import dataclasses
+import operator
+import typing
+
+import pydantic
 
 from wasabilanding import changefeed
 from wasabilanding.gateway import crash_reports
+from wasabilanding.gateway import evacuation_messages
 from wasabilanding.gateway import limit_messages
 from wasabilanding import model
 
 # Digits of the seconds since an endpoint's last progress.
 AGE_DIGITS = 3
+# Absent where there are none, so that they cost nothing.
+EvacuationNotices = typing.Annotated[
+    tuple[evacuation_messages.EvacuationNotice, ...],
+    pydantic.Field(exclude_if=operator.not_),
+]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,6 +138,8 @@
         crashes.
     :param questions: questions of the sender about endpoints with limits.
     :param replies: replies to such questions of the receiver.
+    :param evacuations: failure domains whose evacuation the sender knows of,
+        or its end.
     """
 
     sender: str
@@ -140,3 +152,4 @@
     asks_crashes: bool = False
     questions: tuple[limit_messages.SendQuestion, ...] = ()
     replies: tuple[limit_messages.SendReply, ...] = ()
+    evacuations: EvacuationNotices = ()
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -45,6 +45,10 @@
 Links: a node that reaches no endpoint says so in its hints on load, so that
 no other one hands requests to it (:mod:`wasabilanding.gateway.relays`).
 
+Evacuations: all datagrams state which failure domains the sender knows to be
+evacuated, and recent ends, with the revisions of the store as of which it
+knows, so that a node without the store learns of them.
+
 Datagrams may be lost. Hints are advisory: they move requests to other
 endpoints, make the planner query the replica's members, and make it replace
 the replica of an endpoint that announced its shutdown, but trigger no other
@@ -390,6 +394,7 @@
             has_news = notices.has_notices or self._crash_questions > 0
             has_news |= waiting.has_waiting or was_waiting
             has_news |= self._waiting_reports.has_any(now)
+            has_news |= self._has_evacuations(now)
             if load or last_load or has_news or self.nodes.uses_collector:
                 worked = self._tracker.worked_ago_s(
                     now, period_s + PROGRESS_OVERLAP_S
@@ -420,6 +425,9 @@
             is_cut_off=self.is_cut_off(),
         )
 
+    def _has_evacuations(self, now: float) -> bool:
+        return bool(self._view.evacuations.due_notices(now))
+
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
         """Report load, shutdowns and crashes to other failure domains."""
         if self.nodes.uses_collector and not self._view.feeds_peers:
@@ -435,7 +443,8 @@
             )
         notices = self._due_notices(REMOTE, now)
         waiting = limits.bounded(waiting)
-        has_news = notices.has_notices or self._waiting_reports.has_any(now)
+        has_news = notices.has_notices or self._has_evacuations(now)
+        has_news |= self._waiting_reports.has_any(now)
         # The end of all waiting is reported once.
         has_waited = bool(self._remote_waiting)
         is_begun = self._remote_reports.try_begin(
@@ -505,6 +514,9 @@
         table = self._view.table
         if table is not None:
             batch = dataclasses.replace(batch, version=table.version)
+        evacuations = self._view.evacuations.due_notices(trio.current_time())
+        if evacuations:
+            batch = dataclasses.replace(batch, evacuations=evacuations)
         if self._crash_questions:
             self._crash_questions -= 1
             batch = dataclasses.replace(batch, asks_crashes=True)
@@ -542,6 +554,9 @@
             return None
         now = trio.current_time()
         self._view.note_peer_version(batch.version)
+        for notice in batch.evacuations:
+            self._view.note_era(notice.store_revision.era)
+            self._view.evacuations.apply_notice(notice, batch.sender, now)
         for reply in batch.replies:
             self._grants.apply_reply(reply)
         if batch.domain:
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -138,6 +138,11 @@
             metrics.refusals,
             "Requests refused as slots are in use, by service and cause",
         ),
+        (
+            "evacuation_refusals",
+            metrics.evacuation_refusals,
+            "Requests kept from evacuated failure domains, by kind",
+        ),
         (
             "loop_failures",
             metrics.loop_failures,
@@ -188,6 +193,11 @@
             metrics.waiting,
             "Requests that wait at this node, by pool",
         ),
+        (
+            "evacuated_failure_domains",
+            metrics.evacuated,
+            "Failure domains to which no requests are sent",
+        ),
         (
             "suspected_requests",
             metrics.suspected,
