Send cold endpoints no more requests than they take

Cause: an endpoint that has just started, or has become cold, crashes above a configured number of requests a second from all nodes together, and no node knew of cold endpoints.

Change: registrations and replies state for how long an endpoint stays cold. Each request to a cold endpoint needs a grant of the node that owns its limit, as for limits that endpoints name. An endpoint whose connections fail counts as cold for the time after a start, as it may have started again before its registration is read. Services without a rate have no cold endpoints.

Send times belong to an endpoint, not to one start of it. If a failure domain has no nodes, all nodes agree on one owner instead of each being its own.

--- a/packages/decisions/wasabilanding/changefeed/change_log.py
+++ b/packages/decisions/wasabilanding/changefeed/change_log.py
@@ -71,8 +71,9 @@
     """Recent changes of the store, as one node has seen them.
 
     A registration that is written again unchanged, as by a heartbeat, is no
-    change. The changes of an older era are forgotten with the first listing
-    of a newer one.
+    change, unless the time for which its endpoint stays cold differs. The
+    changes of an older era are forgotten with the first listing of a newer
+    one.
     """
 
     def __init__(self) -> None:
@@ -131,7 +132,7 @@
         """
         if state is None:
             self._known.pop(endpoint_id, None)
-        elif self._known.get(endpoint_id) == state:
+        elif _is_same(self._known.get(endpoint_id), state):
             return
         else:
             self._known[endpoint_id] = state
@@ -179,6 +180,10 @@
         )
 
 
+def _is_same(before: fleet.Endpoint | None, state: fleet.Endpoint) -> bool:
+    return before == state and before.cold_left_s == state.cold_left_s
+
+
 def _changes_after(
     changes: dict[str, _Change], revision: model.StoreRevision
 ) -> dict[str, _Change]:
--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -12,11 +12,21 @@
 from wasabilanding.dispatch.choice import Candidate
 from wasabilanding.dispatch.choice import candidates_of
 from wasabilanding.dispatch.choice import choose
+from wasabilanding.dispatch.cold import COLD_BURST_S
+from wasabilanding.dispatch.cold import ColdEndpoints
+from wasabilanding.dispatch.cold import ColdPhase
+from wasabilanding.dispatch.cold import effective_rate
+from wasabilanding.dispatch.cold import from_registration
+from wasabilanding.dispatch.cold import from_reply
+from wasabilanding.dispatch.cold import MAX_CONNECT_DELAY_S
+from wasabilanding.dispatch.cold import MAX_REPLY_DELAY_S
+from wasabilanding.dispatch.cold import send_rate
 from wasabilanding.dispatch.holds import EndpointHolds
 from wasabilanding.dispatch.holds import Ticket
 from wasabilanding.dispatch.named_limits import NamedLimit
 from wasabilanding.dispatch.named_limits import NamedLimits
 from wasabilanding.dispatch.reachability import ReachabilityMonitor
+from wasabilanding.dispatch.send_slots import BURST_S
 from wasabilanding.dispatch.send_slots import MAX_WAIT_S
 from wasabilanding.dispatch.send_slots import SendSlots
 from wasabilanding.dispatch.send_slots import SHARES
@@ -27,11 +37,17 @@
 from wasabilanding.dispatch.tracker import Load
 
 __all__ = [
+    "BURST_S",
+    "COLD_BURST_S",
+    "MAX_CONNECT_DELAY_S",
+    "MAX_REPLY_DELAY_S",
     "MAX_WAIT_S",
     "SHARES",
     "WAITS_FOR_CALLER",
     "EndpointTracker",
     "Candidate",
+    "ColdEndpoints",
+    "ColdPhase",
     "EndpointHolds",
     "EndpointObservations",
     "Load",
@@ -43,4 +59,8 @@
     "Ticket",
     "candidates_of",
     "choose",
+    "effective_rate",
+    "from_registration",
+    "from_reply",
+    "send_rate",
 ]
--- a/packages/decisions/wasabilanding/dispatch/send_slots.py
+++ b/packages/decisions/wasabilanding/dispatch/send_slots.py
@@ -19,6 +19,9 @@
 half of the limit, so that both together stay below one and a half times the
 limit while some nodes still reach the first one.
 
+The times belong to the endpoint and not to one of its starts: nodes learn of
+a new start at different moments, and all their requests reach the new one.
+
 References
 ==========
 
@@ -57,7 +60,8 @@
     """Times at which requests may be sent, kept by one node."""
 
     def __init__(self) -> None:
-        self._schedules: dict[tuple[fleet.Incarnation, int], _Schedule] = {}
+        # By identity of the endpoint and place in the order of the nodes.
+        self._schedules: dict[tuple[str, int], _Schedule] = {}
 
     def reserve(
         self,
@@ -66,6 +70,7 @@
         rate_per_s: float,
         max_wait_s: float,
         now: float,
+        burst_s: float = BURST_S,
     ) -> tuple[bool, float]:
         """Reserve a time for one request, if it is soon enough.
 
@@ -75,6 +80,7 @@
         :param max_wait_s: longest time that the request may wait, in seconds,
             at most :data:`MAX_WAIT_S`.
         :param now: local monotonic time in seconds.
+        :param burst_s: seconds for which unused times are kept.
         :returns: whether a time is reserved, and the seconds until then.
 
         Examples
@@ -92,14 +98,15 @@
         (False, 0.6)
         """
         interval_s = 1.0 / (rate_per_s * SHARES[rank])
-        schedule = self._schedules.get((endpoint, rank))
+        key = endpoint[0], rank
+        schedule = self._schedules.get(key)
         if schedule is None:
             schedule = _Schedule(now, now)
-            self._schedules[endpoint, rank] = schedule
+            self._schedules[key] = schedule
         schedule.used_at = now
         # A limit that has risen brings the next time forward.
         next_at = min(schedule.next_at, now + interval_s + MAX_WAIT_S)
-        next_at = max(next_at, now - BURST_S)
+        next_at = max(next_at, now - burst_s)
         wait_s = round(max(next_at - now, 0.0), 6)
         if wait_s > max_wait_s:
             return False, wait_s
--- a/packages/decisions/wasabilanding/fleet/endpoint.py
+++ b/packages/decisions/wasabilanding/fleet/endpoint.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from wasabilanding import model as model_module
+
 
 class MemberState(enum.Enum):
     """State of a member in its replica."""
@@ -58,6 +60,9 @@
         empty if unknown.
     :param staged: models whose weights are stored on its host.
     :param membership: membership in a replica; None for none.
+    :param cold_left_s: seconds for which it stays cold, from when the
+        registration is read. It differs with each heartbeat, so it is no
+        part of what makes two registrations equal.
     """
 
     endpoint_id: str
@@ -73,6 +78,9 @@
     resident: str = ""
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
+    cold_left_s: model_module.Quantity = dataclasses.field(
+        default=0.0, compare=False
+    )
 
     def has_weights(self, model: str) -> bool:
         """Tell whether it can join a replica of a model without a load.
--- a/packages/decisions/wasabilanding/routes/table.py
+++ b/packages/decisions/wasabilanding/routes/table.py
@@ -126,11 +126,16 @@
     :param name: name of the service.
     :param max_connections: maximum connections to one endpoint in total.
     :param engine: its model engines; None for a plain service.
+    :param cold_rate_per_s: requests a second that an endpoint takes from all
+        nodes together while it is cold; 0 if no endpoint is ever cold.
+    :param cold_s: seconds for which an endpoint is cold after its start.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    cold_rate_per_s: float = 0.0
+    cold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -197,6 +202,15 @@
     def _by_service(self) -> dict[str, RoutedService]:
         return {service.name: service for service in self.services}
 
+    @functools.cached_property
+    def cold_rates(self) -> dict[str, float]:
+        """Requests a second to a cold endpoint, by services that have some."""
+        return {
+            service.name: service.cold_rate_per_s
+            for service in self.services
+            if service.cold_rate_per_s > 0
+        }
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path.
 
--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -40,6 +40,10 @@
     :param fabrics_per_domain: fabric domains in each failure domain.
     :param vms_per_fabric: engines in each fabric domain.
     :param pages_per_domain: plain endpoints in each failure domain.
+    :param cold_per_s: requests a second that a cold plain endpoint takes; 0
+        if none is ever cold.
+    :param cold_s: seconds for which they are cold after they have started
+        again.
     """
 
     failure_domains: tuple[str, ...] = ("prov", "maipu")
@@ -47,6 +51,8 @@
     fabrics_per_domain: int = 2
     vms_per_fabric: int = 5
     pages_per_domain: int = 2
+    cold_per_s: float = 0.0
+    cold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,12 +114,16 @@
     version: int,
     keys: tuple[str, ...],
     timeout_s: float = ROUTE_TIMEOUT_S,
+    cold_per_s: float = 0.0,
+    cold_s: float = 0.0,
 ) -> routes.RoutingTable:
     """Return the routing table of the installation.
 
     :param version: version of the table.
     :param keys: API keys of the customer "salon".
     :param timeout_s: request timeout of all routes in seconds.
+    :param cold_per_s: requests a second that a cold plain endpoint takes.
+    :param cold_s: seconds for which it is cold after its start.
     """
     table_routes = (
         _route("drafts", "/drafts/", "streaming", WRITER),
@@ -128,7 +138,7 @@
         ),
         (
             routes.RoutedService(WRITER, 100, engine),
-            routes.RoutedService(PAGES, 100, None),
+            routes.RoutedService(PAGES, 100, None, cold_per_s, cold_s),
         ),
         routes.CallerLimits(),
         (routes.KeyHolder("salon", frozenset(keys)),),
@@ -185,7 +195,14 @@
             self.platform_url = self._processes.start_platform(
                 self._platform_port
             )
-            self.configure(routing_table(1, ("key-1", "key-2")))
+            self.configure(
+                routing_table(
+                    1,
+                    ("key-1", "key-2"),
+                    cold_per_s=self._plan.cold_per_s,
+                    cold_s=self._plan.cold_s,
+                )
+            )
             for domain in self._plan.failure_domains:
                 self._start_fabric(domain)
             self._start_gateways()
@@ -253,6 +270,10 @@
                 }
                 for vm in vms
             ],
+            "behaviour": {
+                "cold_per_s": self._plan.cold_per_s,
+                "cold_s": self._plan.cold_s,
+            },
         }
         path = self._folder / f"fabric-{domain}.json"
         path.write_text(json.dumps(settings))
@@ -367,6 +388,18 @@
             f"{url}/standin/{vm.endpoint_id}/limit", params={"limit": limit}
         ).raise_for_status()
 
+    def make_cold(self, vm: Vm, seconds: float) -> None:
+        """Let the stand-in of an engine become cold.
+
+        :param vm: the engine.
+        :param seconds: seconds for which it is cold.
+        """
+        url = self.control_urls[vm.failure_domain]
+        httpx.post(
+            f"{url}/standin/{vm.endpoint_id}/cold",
+            params={"seconds": seconds},
+        ).raise_for_status()
+
     def arrivals(self) -> list[dict]:
         """Return what reached the engines, with its age in seconds."""
         return [
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/limits_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/limits_steps.py
@@ -57,20 +57,13 @@
         gateway = self._installation.gateways[0]
         await running.kill_and_restart(self._installation, gateway)
 
-    async def _name_limits(self, named, limit):
-        await trio.sleep(NAMED_AT_S)
-        for vm in named:
-            await trio.to_thread.run_sync(
-                self._installation.set_limit, vm, limit
-            )
-
-    async def run(self, named, limit):
-        """Send the requests; some endpoints name a limit meanwhile."""
+    async def run(self, disturb):
+        """Send the requests; endpoints are changed meanwhile."""
         async with (
             running.open_client(TIMEOUT_S) as c,
             trio.open_nursery() as nursery,
         ):
-            nursery.start_soon(self._name_limits, named, limit)
+            nursery.start_soon(disturb)
             if self._how == "while a gateway restarts":
                 nursery.start_soon(self._restart)
             ends_at = trio.current_time() + self._seconds
@@ -99,7 +92,15 @@
     # The first ones are of different failure domains.
     pages.sort(key=lambda vm: vm.endpoint_id.rpartition("-")[2])
     context.named = pages[:count]
-    context.limit = limit
+
+    async def name_limits():
+        await trio.sleep(NAMED_AT_S)
+        for vm in context.named:
+            await trio.to_thread.run_sync(
+                context.installation.set_limit, vm, limit
+            )
+
+    context.disturb = name_limits
 
 
 @behave.when(
@@ -108,7 +109,7 @@
 def send(context, rate, kind, seconds, how):
     """Send requests and read what reached the endpoints."""
     context.load = _Load(context.installation, kind, rate, seconds, how)
-    trio.run(context.load.run, context.named, context.limit)
+    trio.run(context.load.run, context.disturb)
     context.arrivals = context.installation.arrivals()
 
 
--- a/packages/gateway/wasabilanding/gateway/__init__.py
+++ b/packages/gateway/wasabilanding/gateway/__init__.py
@@ -14,6 +14,7 @@
 and :class:`~wasabilanding.gateway.messages.Store`.
 """
 
+from wasabilanding.gateway.cold_left import read_cold_left
 from wasabilanding.gateway.headers import end_to_end
 from wasabilanding.gateway.headers import replaced as replaced_headers
 from wasabilanding.gateway.messages import AttemptParameters
@@ -46,6 +47,7 @@
     "TCP_KEEPALIVE",
     "WireFormat",
     "end_to_end",
+    "read_cold_left",
     "read_limit",
     "read_retry_after",
     "replaced_headers",
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -88,6 +88,11 @@
         self.feeds_peers = False
         self._change_log = changefeed.ChangeLog()
         self._rejected_keys: set[str] = set()
+        # Receives each registration as it is read, and the local monotonic
+        # time in seconds.
+        self.on_registration: collections.abc.Callable[
+            [fleet.Endpoint, float], None
+        ] = lambda endpoint, now: None
 
     @property
     def is_initialized(self) -> bool:
@@ -242,6 +247,11 @@
             self.registry.replace(endpoints, now)
             self._lost_items.clear()
         self.internal_items = internal_items
+        for endpoint in endpoints:
+            # The copy of a restored store may be too old to say that an
+            # endpoint is not cold.
+            if endpoint.cold_left_s or not is_restored:
+                self.on_registration(endpoint, now)
         self.revision = listing.store_revision
         self._change_log.replace(endpoints, self.revision)
         self._notify()
@@ -348,7 +358,7 @@
     def _apply_states(self, segment: changefeed.Segment, now: float) -> None:
         revision = segment.store_revision
         for endpoint in segment.endpoints:
-            self._put_endpoint(endpoint, revision)
+            self._put_endpoint(endpoint, revision, now)
         for name in segment.removed_endpoints:
             self._remove_endpoint(name, revision, now)
         for key, value in segment.items.items():
@@ -412,15 +422,19 @@
         if isinstance(event, metadata.Item):
             endpoint = self._decode_registration(event)
         if endpoint is not None:
-            self._put_endpoint(endpoint, revision)
+            self._put_endpoint(endpoint, revision, now)
             return
         name = event.key.removeprefix(self._wire.registrations_prefix)
         self._remove_endpoint(name, revision, now)
 
     def _put_endpoint(
-        self, endpoint: fleet.Endpoint, revision: model.StoreRevision
+        self,
+        endpoint: fleet.Endpoint,
+        revision: model.StoreRevision,
+        now: float,
     ) -> None:
         self.registry.put(endpoint)
+        self.on_registration(endpoint, now)
         self._change_log.record_endpoint(
             endpoint.endpoint_id, endpoint, revision
         )
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -7,11 +7,11 @@
 retries, resumptions, orders and requests for a report. So the head of each
 reply is read here, whatever becomes of the reply, and nothing reaches an
 endpoint that has announced its shutdown or wants nothing for a time. Where it
-names a limit, a caller's request needs a grant
+names a limit or is cold, a caller's request needs a grant
 (:mod:`wasabilanding.gateway.send_grants`).
 
 An admitted request is checked again after its connection is established, as
-that takes time.
+that takes time. A grant for a cold endpoint lapses if it takes too long.
 """
 
 import collections.abc
@@ -35,6 +35,13 @@
 RETURN_SPREAD_S = 0.3
 # Statuses by which an endpoint states that it does not accept a request.
 REFUSAL_STATUSES = (421, 429, 503)
+# Another endpoint than the intended one may give such a reply.
+MISDIRECTED = 421
+# After such a failure the endpoint may have started again.
+UNREACHABLE_REASONS = (
+    model.Reason.CONNECT_FAILED,
+    model.Reason.CONNECTION_LOST,
+)
 Purpose = upstream_module.Purpose
 CALLERS_PURPOSES = (Purpose.CALLER, Purpose.GRANTED)
 
@@ -98,6 +105,10 @@
         try:
             permit.check()
             yield permit
+        except upstream_module.AttemptFailed as failure:
+            if failure.outcome.reason in UNREACHABLE_REASONS:
+                self._grants.cold.record_failure(endpoint, trio.current_time())
+            raise
         finally:
             permit.settle(None)
 
@@ -106,12 +117,14 @@
         endpoint: fleet.Endpoint,
         purpose: upstream_module.Purpose,
         ticket: dispatch.Ticket,
+        admitted_at: float,
     ) -> None:
         """Check that an admitted request may still be sent.
 
         :param endpoint: the endpoint.
         :param purpose: what the request is for.
         :param ticket: its ticket.
+        :param admitted_at: local monotonic time in seconds of its admission.
         :raises wasabilanding.gateway.upstream.AttemptFailed: if not.
         """
         if not self._tracker.holds.is_valid(ticket):
@@ -121,7 +134,12 @@
         if self._view.registry.has_announced_shutdown(endpoint):
             raise _held_back(endpoint, "announced its shutdown")
         if purpose is Purpose.CALLER and self._grants.is_limited(endpoint):
-            raise _held_back(endpoint, "has named a limit")
+            raise _held_back(endpoint, "has a limit")
+        if purpose is Purpose.GRANTED and self._grants.is_cold(endpoint):
+            delay_s = trio.current_time() - admitted_at
+            if delay_s > dispatch.MAX_CONNECT_DELAY_S:
+                self._grants.record_lapsed(endpoint)
+                raise _held_back(endpoint, "is cold, and its grant has lapsed")
 
     def settle(
         self, ticket: dispatch.Ticket, is_accepted: bool | None
@@ -158,8 +176,30 @@
         may_end_limit = is_accepted and purpose in CALLERS_PURPOSES
         if notice.limit_per_s is not None or may_end_limit:
             self._record_limit(endpoint, notice, now)
+        self._record_cold(endpoint, status, notice, now)
         return notice
 
+    def _record_cold(
+        self,
+        endpoint: fleet.Endpoint,
+        status: int,
+        notice: messages.EndpointNotice,
+        now: float,
+    ) -> None:
+        """Record for how long an endpoint stays cold, if it says that."""
+        if notice.invalid_cold_left is not None:
+            _LOG.info(
+                "%s is cold for a time that is no number: %r",
+                endpoint.endpoint_id,
+                notice.invalid_cold_left,
+                extra={"endpoint": endpoint.endpoint_id},
+            )
+        left_s = notice.cold_left_s
+        if left_s is None or (not left_s and status == MISDIRECTED):
+            return
+        incarnation = fleet.incarnation_of(endpoint)
+        self._grants.cold.record_reply(incarnation, left_s, now)
+
     def _record_limit(
         self,
         endpoint: fleet.Endpoint,
@@ -262,11 +302,14 @@
         self._endpoint = endpoint
         self._purpose = purpose
         self._ticket = ticket
+        self._admitted_at = trio.current_time()
         self._is_settled = False
 
     def check(self) -> None:
         """Check that the request may still be sent."""
-        self._guard.check(self._endpoint, self._purpose, self._ticket)
+        self._guard.check(
+            self._endpoint, self._purpose, self._ticket, self._admitted_at
+        )
 
     def record_reply(
         self, status: int, headers: list[messages.Header]
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -38,6 +38,8 @@
     :param leaving: endpoints that have recently announced their shutdown.
     :param crashes: reports on requests under which endpoints have ended.
     :param limits: limits that endpoints have recently named, or ended.
+    :param cold: endpoints whose replies have recently said that they are
+        cold, or not any more.
     :param is_cut_off: whether the node reaches no endpoint.
     """
 
@@ -52,12 +54,17 @@
     crashes: tuple[crash_reports.CrashReport, ...] = ()
     limits: tuple[limit_messages.LimitNotice, ...] = ()
     is_cut_off: bool = False
+    cold: tuple[limit_messages.ColdNotice, ...] = ()
 
     @property
     def has_notices(self) -> bool:
         """Whether it says something besides load and progress."""
         return bool(
-            self.leaving or self.crashes or self.limits or self.is_cut_off
+            self.leaving
+            or self.crashes
+            or self.limits
+            or self.is_cut_off
+            or self.cold
         )
 
 
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -34,8 +34,10 @@
 ask for them.
 
 Limits: limits that endpoints name are told to all nodes with the hints on
-load. A node asks another one directly before it sends a request to such an
-endpoint (:mod:`wasabilanding.gateway.send_grants`).
+load, and so is what replies say about how long endpoints stay cold; that an
+endpoint is cold is also told at once. A node asks another one directly before
+it sends a request to such an endpoint
+(:mod:`wasabilanding.gateway.send_grants`).
 
 Links: a node that reaches no endpoint says so in its hints on load, so that
 no other one hands requests to it (:mod:`wasabilanding.gateway.relays`).
@@ -195,6 +197,16 @@
             f"{leaving.endpoint_id} announces its shutdown",
         )
 
+    def report_cold(self, notice: limit_messages.ColdNotice) -> None:
+        """Report that an endpoint is cold to the other nodes.
+
+        :param notice: the endpoint, and for how long it stays cold.
+        """
+        self._queue(
+            hint_messages.Hint(self._node, cold=(notice,)),
+            f"{notice.endpoint_id} is cold",
+        )
+
     def report_crashes(
         self,
         reports: collections.abc.Collection[crash_reports.CrashReport],
@@ -359,6 +371,7 @@
             crashes=self._crash_guard.due_reports(scope, now),
             limits=self._grants.due_notices(now),
             is_cut_off=self.is_cut_off(),
+            cold=self._grants.cold.due_notices(now),
         )
 
     async def _send_remote(self, datagrams: Datagrams, now: float) -> None:
@@ -501,6 +514,8 @@
             self._crash_guard.apply_report(hint.node, report, now)
         for notice in hint.limits:
             self._grants.apply_notice(notice, now)
+        for cold_notice in hint.cold:
+            self._grants.cold.apply_notice(cold_notice, now)
 
     def _apply_silent(self, hint: hint_messages.Hint, now: float) -> None:
         if self._tracker.record_silence(hint.silent, now):
--- a/packages/gateway/wasabilanding/gateway/messages.py
+++ b/packages/gateway/wasabilanding/gateway/messages.py
@@ -126,6 +126,9 @@
     :param limit_per_s: requests a second that the endpoint takes from all
         nodes together; None if it names no limit.
     :param invalid_limit: a value that is no valid limit; None for none.
+    :param cold_left_s: seconds for which the endpoint stays cold, 0 if it is
+        not; None if it does not say.
+    :param invalid_cold_left: a value that is no such time; None for none.
     """
 
     is_leaving: bool = False
@@ -133,6 +136,8 @@
     invalid_retry_after: str | None = None
     limit_per_s: float | None = None
     invalid_limit: str | None = None
+    cold_left_s: float | None = None
+    invalid_cold_left: str | None = None
 
 
 class InvalidHead(ValueError):
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -83,6 +83,7 @@
         self.notices: CountsByLabels = collections.Counter()
         self.grants: CountsByLabels = collections.Counter()
         self.limited: dict[Labels, int] = {}
+        self.cold: dict[Labels, int] = {}
         self.crashes: CountsByLabels = collections.Counter()
         self.suspected: dict[Labels, int] = {}
         self.relayed: CountsByLabels = collections.Counter()
@@ -170,8 +171,8 @@
     def count_grant(self, result: str) -> None:
         """Count a question for the permission to send a request.
 
-        :param result: "granted", "refused" or "unanswered"; the last one
-            counts as refused as well.
+        :param result: "granted"; "refused"; "unanswered", which counts as
+            refused; or "late", a grant that lapsed.
         """
         self.grants[(("result", result),)] += 1
 
@@ -182,6 +183,13 @@
         """
         self.limited[()] = count
 
+    def set_cold(self, count: int) -> None:
+        """Set the number of endpoints that are cold.
+
+        :param count: the number.
+        """
+        self.cold[()] = count
+
     def count_crash(self, kind: str) -> None:
         """Count an endpoint that ended under requests, or a rejection.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -177,6 +177,11 @@
             metrics.limited,
             "Endpoints that name a limit in their replies",
         ),
+        (
+            "cold_endpoints",
+            metrics.cold,
+            "Endpoints that are cold",
+        ),
         (
             "suspected_requests",
             metrics.suspected,
--- a/packages/gateway/wasabilanding/gateway/peer_nodes.py
+++ b/packages/gateway/wasabilanding/gateway/peer_nodes.py
@@ -91,12 +91,22 @@
     def owners_of(self, failure_domain: str) -> send_grants.Owners:
         """Return the nodes that may own the limits of some endpoints.
 
+        They are those of the failure domain. If it has none, as before its
+        nodes have started, they are all nodes, so that all agree on one.
+
         :param failure_domain: failure domain of the endpoints.
         """
         if failure_domain == self._domain:
             return send_grants.Owners(self._node, (*self.local, self._node))
         names = tuple(self.remote.get(failure_domain, ()))
-        return send_grants.Owners(self._node, names or (self._node,))
+        return send_grants.Owners(self._node, names or self._all_names())
+
+    def _all_names(self) -> tuple[str, ...]:
+        """Return the names of all known nodes."""
+        names = [self._node]
+        for nodes in self.by_domain().values():
+            names += nodes
+        return tuple(names)
 
     def is_first_for(self, subject: str) -> bool:
         """Return whether this node comes first for a subject.
@@ -105,10 +115,7 @@
 
         :param subject: what one node does for all.
         """
-        names = [self._node]
-        for nodes in self.by_domain().values():
-            names += nodes
-        return membership.owner_of(subject, names) == self._node
+        return membership.owner_of(subject, self._all_names()) == self._node
 
     @property
     def uses_collector(self) -> bool:
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -20,13 +20,15 @@
 Any reply, also to orders, may have ``x-leaving: 1``, which announces the
 endpoint's shutdown, and with status 503 ``retry-after``: the endpoint wants no
 other request from this node for so many seconds. ``x-limit`` names the
-requests a second that the endpoint takes from all nodes together.
+requests a second that the endpoint takes from all nodes together, and
+``x-cold-s`` the seconds for which it stays cold, 0 if it is not.
 """
 
 import dataclasses
 
 from wasabilanding import assembly
 from wasabilanding import fleet
+from wasabilanding.gateway import cold_left
 from wasabilanding.gateway import headers as headers_module
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import named_limit
@@ -43,9 +45,10 @@
 LEAVING = b"x-leaving"
 LEAVING_YES = b"1"
 LIMIT = b"x-limit"
+COLD = b"x-cold-s"
 PARTS = b"x-prompt-parts"
 # What replies say about their endpoint is not forwarded.
-NOTICES = (LEAVING, LIMIT)
+NOTICES = (LEAVING, LIMIT, COLD)
 # Headers that the node sets or removes, so the caller's are not forwarded.
 OWN_HEADERS = frozenset(
     (
@@ -224,6 +227,7 @@
         retry_after_s,
         invalid_retry_after,
         *named_limit.read_limit(LIMIT, headers),
+        *cold_left.read_cold_left(COLD, headers),
     )
 
 
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -188,7 +188,8 @@
         likely = [
             candidate
             for candidate in candidates
-            if self._grants.wait_s(candidate.endpoint, now) <= max_wait_s
+            if (self._grants.wait_s(candidate.endpoint, now) or 0.0)
+            <= max_wait_s
         ]
         self._rng.shuffle(likely)
         likely.sort(key=self._is_remote)
--- a/packages/gateway/wasabilanding/gateway/send_grants.py
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -1,17 +1,24 @@
-"""Keeps the limits that endpoints name, together with the other nodes.
+"""Keeps the limits of endpoints, together with the other nodes.
 
 Explanation
 ===========
 
-One node, the owner of an endpoint's limit, keeps the times at which requests
-may be sent to it (:mod:`wasabilanding.dispatch.send_slots`). The others ask
-the owner by a datagram for each request. A question that is not answered is
+An endpoint has a limit while it names one in its replies or is cold
+(:mod:`wasabilanding.gateway.cold_monitor`). One node, the owner of an
+endpoint's limit, keeps the times at which requests may be sent to it
+(:mod:`wasabilanding.dispatch.send_slots`). The others ask the owner by a
+datagram for each request. A question that is not answered is
 repeated under its number, for which the same reply is given again; if there is
 none at all, the request is not sent. An owner that leaves several questions in
 a row without a reply is replaced by the next node in the order for a while.
 
 A refused node remembers when the next request may be sent, and does not ask
 before.
+
+The bound on a cold endpoint holds for each single second, so a grant for it
+lapses soon after its time (:mod:`wasabilanding.dispatch.cold`). A node that is
+cut off from the store may go on as the owner while the others have chosen
+another one, so it gives out half of the rate.
 """
 
 import collections
@@ -25,6 +32,7 @@
 
 from wasabilanding import dispatch
 from wasabilanding import fleet
+from wasabilanding.gateway import cold_monitor
 from wasabilanding.gateway import limit_messages
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding import membership
@@ -79,6 +87,8 @@
 
     :param metrics: counts the permissions.
     :param rng: draws numbers.
+
+    ``cold`` knows which endpoints are cold.
     """
 
     def __init__(
@@ -87,6 +97,7 @@
         rng: random.Random,
     ) -> None:
         self._limits = dispatch.NamedLimits()
+        self.cold = cold_monitor.ColdMonitor(metrics)
         self._metrics = metrics
         self._rng = rng
         self._slots = dispatch.SendSlots()
@@ -114,15 +125,24 @@
 
     @property
     def has_limits(self) -> bool:
-        """Whether any endpoint has named a limit recently."""
-        return self._limits.has_any
+        """Whether any endpoint may have a limit."""
+        return self._limits.has_any or self.cold.has_any
 
     def is_limited(self, endpoint: fleet.Endpoint) -> bool:
-        """Return whether an endpoint has named a limit.
+        """Return whether an endpoint has named a limit or is cold.
+
+        :param endpoint: the endpoint.
+        """
+        if self._limits.rate(fleet.incarnation_of(endpoint)) is not None:
+            return True
+        return self.is_cold(endpoint)
+
+    def is_cold(self, endpoint: fleet.Endpoint) -> bool:
+        """Return whether an endpoint is cold.
 
         :param endpoint: the endpoint.
         """
-        return self._limits.rate(fleet.incarnation_of(endpoint)) is not None
+        return self.cold.rate(endpoint, trio.current_time()) is not None
 
     def wait_s(self, endpoint: fleet.Endpoint, now: float) -> float | None:
         """Return the known time until a request may be sent to an endpoint.
@@ -146,16 +166,14 @@
         :returns: whether the request may be sent now.
         """
         incarnation = fleet.incarnation_of(endpoint)
-        known = self._limits.limit_of(incarnation)
-        now = trio.current_time()
-        if known is None:
+        asked_at = trio.current_time()
+        if not self.is_limited(endpoint):
             return True
         max_wait_s = min(max_wait_s, dispatch.MAX_WAIT_S)
         earliest_at = self._refused_until.get(incarnation, NEVER)
-        if earliest_at - now > max_wait_s:
+        if earliest_at - asked_at > max_wait_s:
             return False
-        notice = limit_messages.notice_of(incarnation, known, now)
-        reply = await self._ask(endpoint.failure_domain, notice, max_wait_s)
+        reply = await self._ask(endpoint, max_wait_s)
         if reply is None:
             self._metrics.count_grant("unanswered")
             reply = limit_messages.SendReply(0, False, UNANSWERED_WAIT_S)
@@ -165,34 +183,61 @@
                 trio.current_time() + reply.wait_s
             )
             return False
-        self._metrics.count_grant("granted")
         await trio.sleep(reply.wait_s)
+        # The reserved time is this one or a later one.
+        delay_s = trio.current_time() - asked_at - reply.wait_s
+        if delay_s > dispatch.MAX_REPLY_DELAY_S and self.is_cold(endpoint):
+            self._metrics.count_grant("late")
+            return False
+        self._metrics.count_grant("granted")
         return True
 
+    def record_lapsed(self, endpoint: fleet.Endpoint) -> None:
+        """Record that a grant lapsed before a connection was established.
+
+        The endpoint is not asked for again for some time, as the next
+        connection may take as long.
+
+        :param endpoint: the endpoint.
+        """
+        self._metrics.count_grant("late")
+        until = trio.current_time() + UNANSWERED_WAIT_S
+        self._refused_until[fleet.incarnation_of(endpoint)] = until
+
     async def _ask(
-        self,
-        failure_domain: str,
-        notice: limit_messages.LimitNotice,
-        max_wait_s: float,
+        self, endpoint: fleet.Endpoint, max_wait_s: float
     ) -> limit_messages.SendReply | None:
         """Ask the owner of a limit; return its reply, if any."""
-        owners = self._owners_of(failure_domain)
-        rank, node = self._owner(notice, owners)
-        question = limit_messages.SendQuestion(
-            self._rng.getrandbits(NUMBER_BITS), notice, rank, max_wait_s
-        )
+        owners = self._owners_of(endpoint.failure_domain)
+        rank, node = self._owner(endpoint.endpoint_id, owners)
+        question = self._question(endpoint, rank, max_wait_s)
         if node == owners.own:
             return self.answer(question, trio.current_time())
         reply = await self._exchange(node, question)
         self._record_reply(node, reply is not None)
         return reply
 
-    def _owner(
-        self, notice: limit_messages.LimitNotice, owners: Owners
-    ) -> tuple[int, str]:
+    def _question(
+        self, endpoint: fleet.Endpoint, rank: int, max_wait_s: float
+    ) -> limit_messages.SendQuestion:
+        incarnation = fleet.incarnation_of(endpoint)
+        now = trio.current_time()
+        known = self._limits.limit_of(incarnation)
+        notice = None
+        if known is not None:
+            notice = limit_messages.notice_of(incarnation, known, now)
+        return limit_messages.SendQuestion(
+            self._rng.getrandbits(NUMBER_BITS),
+            notice,
+            rank,
+            max_wait_s,
+            self.cold.notice_of(incarnation, now),
+        )
+
+    def _owner(self, endpoint_id: str, owners: Owners) -> tuple[int, str]:
         """Return the rank and name of the node that owns a limit now."""
         order = membership.owners_of(
-            notice.endpoint_id, owners.names, len(dispatch.SHARES)
+            endpoint_id, owners.names, len(dispatch.SHARES)
         )
         now = trio.current_time()
         for rank, node in enumerate(order):
@@ -247,27 +292,43 @@
         kept = self._kept.get(question.number)
         if kept is not None:
             return kept
-        self.apply_notice(question.notice, now)
-        rate = self._limits.rate(question.notice.incarnation)
-        if rate is None:
-            # It has ended, which the asking node does not know yet.
-            reply = limit_messages.SendReply(question.number, True, 0.0)
-        else:
-            reply = limit_messages.SendReply(
-                question.number,
-                *self._slots.reserve(
-                    question.notice.incarnation,
-                    question.rank,
-                    rate,
-                    question.max_wait_s,
-                    now,
-                ),
-            )
+        if question.notice is not None:
+            self.apply_notice(question.notice, now)
+        self.cold.apply_question(question, now)
+        reply = limit_messages.SendReply(
+            question.number, *self._reserve(question, now)
+        )
         self._kept[question.number] = reply
         if len(self._kept) > MAX_KEPT_REPLIES:
             self._kept.popitem(last=False)
         return reply
 
+    def _reserve(
+        self, question: limit_messages.SendQuestion, now: float
+    ) -> tuple[bool, float]:
+        """Reserve a time; return whether there is one, and when it is."""
+        incarnation = question.incarnation
+        cold_per_s = self.cold.rate_of_question(question, now)
+        rate = dispatch.effective_rate(
+            self._limits.rate(incarnation), cold_per_s
+        )
+        if rate is None:
+            # It has ended, which the asking node does not know yet.
+            return True, 0.0
+        burst_s = dispatch.BURST_S
+        if cold_per_s is not None:
+            burst_s = dispatch.COLD_BURST_S
+            if question.rank == 0 and self.cold.is_view_old:
+                rate *= dispatch.SHARES[-1]
+        return self._slots.reserve(
+            incarnation,
+            question.rank,
+            rate,
+            question.max_wait_s,
+            now,
+            burst_s,
+        )
+
     def apply_notice(
         self, notice: limit_messages.LimitNotice, now: float
     ) -> None:
@@ -326,3 +387,4 @@
             if now >= until:
                 del self._refused_until[incarnation]
         self._metrics.set_limited(self._limits.limited_count)
+        self.cold.observe(now)
--- a/packages/standins/wasabilanding/standins/fabric_server.py
+++ b/packages/standins/wasabilanding/standins/fabric_server.py
@@ -202,6 +202,13 @@
         fabric.engines[vm].limit = quart.request.args["limit"]
         return {}
 
+    @application.post("/standin/<vm>/cold")
+    async def cold(vm: str) -> quart.ResponseReturnValue:
+        seconds = float(quart.request.args["seconds"])
+        fabric.engines[vm].cold.begin(trio.current_time(), seconds)
+        fabric.engines[vm].notify()
+        return {}
+
     @application.get("/standin/arrivals")
     async def arrivals() -> quart.ResponseReturnValue:
         now = trio.current_time()
--- a/packages/standins/wasabilanding/standins/registered_engine.py
+++ b/packages/standins/wasabilanding/standins/registered_engine.py
@@ -18,6 +18,7 @@
 import trio
 
 from wasabilanding import fleet
+from wasabilanding.standins import cold_phase
 
 STATES = fleet.MemberState
 HTTP_OK = 200
@@ -53,6 +54,12 @@
         :data:`CRASH_MARKER`, or an answer on a part whose identity begins
         with :data:`CRASH_PART_PREFIX`, ends the engine.
     :param restart_after_s: seconds until such an engine starts again.
+    :param cold_s: seconds for which an engine is cold after it has started
+        again.
+    :param cold_per_s: requests a second that a cold engine takes; 0 if it
+        takes any number.
+    :param cold_overshoot: multiple of that number above which it ends.
+    :param cold_slack: requests beyond that in one second above which it ends.
     """
 
     slots: int = 4
@@ -67,6 +74,10 @@
     drain_s: float = 2.0
     crash_after_s: float = 0.1
     restart_after_s: float = 1.5
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
 
 
 class RunEnd(enum.StrEnum):
@@ -172,6 +183,10 @@
         self.in_flight = 0
         self.changed = trio.Event()
         self.staged = ""
+        settings = fabric.settings
+        self.cold = cold_phase.ColdPhase(
+            settings.cold_per_s, settings.cold_overshoot, settings.cold_slack
+        )
         self._reset()
 
     def _reset(self) -> None:
@@ -204,6 +219,7 @@
 
     def restart(self) -> None:
         """Start again with the same ID; staged weights are kept."""
+        self.cold.begin(trio.current_time(), self._fabric.settings.cold_s)
         self.life += 1
         self.alive = True
         self.paused = False
@@ -232,6 +248,7 @@
             model=self.model,
             staged=(self.staged,) if self.staged else (),
             membership=self.membership,
+            cold_left_s=self.cold.left_s(trio.current_time()),
         )
 
     @property
--- a/packages/standins/wasabilanding/standins/registered_engine_http.py
+++ b/packages/standins/wasabilanding/standins/registered_engine_http.py
@@ -9,6 +9,7 @@
 import quart_trio
 import trio
 
+from wasabilanding import fleet
 from wasabilanding.gateway import plain_wire
 from wasabilanding import metadata
 from wasabilanding import model
@@ -169,6 +170,9 @@
             response.headers["x-leaving"] = "1"
         if engine.limit:
             response.headers["x-limit"] = engine.limit
+        cold_left_s = engine.cold.left_s(trio.current_time())
+        if cold_left_s:
+            response.headers["x-cold-s"] = f"{cold_left_s:.3f}"
         return response
 
     @app.post("/v1/orders")
@@ -192,6 +196,8 @@
         refusal_status = _refusal_status(
             engine, request.headers, fabric.settings.slots
         )
+        if refusal_status != HTTP_MISDIRECTED:
+            _check_cold(engine, fabric, crash)
         if refusal_status is not None:
             return (
                 {"error": "not run"},
@@ -216,6 +222,25 @@
     return app
 
 
+def _check_cold(
+    engine: registered_engine.Engine,
+    fabric: registered_engine.Fabric,
+    crash: collections.abc.Callable[[str], None],
+) -> None:
+    """End an engine that gets too many requests while it is cold.
+
+    :raises ConnectionDropped: if so.
+    """
+    if not engine.cold.is_overloaded_by_one(trio.current_time()):
+        return
+    fabric.violations.append(
+        f"{engine.endpoint_id} ends, as it is cold and gets "
+        f"{engine.cold.largest} requests in a second"
+    )
+    crash(engine.endpoint_id)
+    raise ConnectionDropped(f"{engine.endpoint_id} stopped")
+
+
 def _run_entry(
     engine: registered_engine.Engine,
     fabric: registered_engine.Fabric,
@@ -315,7 +340,7 @@
             if isinstance(renewed, metadata.Missing):
                 lease = None
                 continue
-        if lease is not None and registration != written:
+        if lease is not None and not _is_written(registration, written):
             written = await _write(engine, store, registration, lease)
             # A failed write may mean that the lease expired: get a new one.
             lease = lease if written else None
@@ -325,6 +350,15 @@
             await changed.wait()
 
 
+def _is_written(
+    registration: fleet.Endpoint, written: fleet.Endpoint | None
+) -> bool:
+    """Return whether the store has a registration, and its remaining time."""
+    if registration != written:
+        return False
+    return registration.cold_left_s == written.cold_left_s
+
+
 async def _write(
     engine: registered_engine.Engine,
     store: metadata.ItemStore,
