--- a/packages/gateway/wasabilanding/gateway/tests/cold.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/cold.feature
@@ -96,12 +96,26 @@
       | cold 3 answer | 0.6 0.65       | 0 0.6       | 503    | 0.01   |
       | cold 3 answer | 0.6 1.2        | 0 0.6 1.2   | 200    | 0.06   |
 
+  Scenario Outline: Requests are spread over cold endpoints
+    Given safe requests of up to 1 attempts
+    And cold endpoints that take 2 requests a second
+    And endpoints that "answer, answer, answer"
+    And endpoints e0, e1, e2 are read to be cold at 0 s
+    When requests are sent at <times> s
+    Then e0 receives requests at <received> s
+    And the last request gets <status> within <within> s
+
+    Examples:
+      | times                | received | status | within |
+      | 0.1 0.1 0.1          | 0.1      | 200    | 0.06   |
+      | 0.1 0.1 0.1 0.2      | 0.1      | 503    | 0.01   |
+
   Scenario: A request that is not sent yet is sent elsewhere
     Given safe requests of up to 1 attempts
     And cold endpoints that take 2 requests a second
     And endpoints that "answer, answer"
     And a connection takes 0.3 s
-    And e0 is read to be cold at 0.1 s
+    And endpoints e0 are read to be cold at 0.1 s
     When requests are sent at 0 s
     Then e0 receives requests at - s
     And the last request gets 200 within 0.66 s
@@ -111,7 +125,7 @@
     And cold endpoints that take 2 requests a second
     And endpoints that "answer"
     And a connection takes 0.3 s
-    And e0 is read to be cold at 0 s
+    And endpoints e0 are read to be cold at 0 s
     When requests are sent at 0.1 s
     Then e0 receives requests at - s
     And the last request gets 503 within 0.31 s
--- a/packages/gateway/wasabilanding/gateway/tests/steps/cold_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/cold_steps.py
@@ -152,9 +152,7 @@
             view.on_registration(self.endpoint, trio.current_time())
             if self._rate:
                 interval_s = len(self.names) / self._rate
-                self._nursery.start_soon(
-                    self._want, name, interval_s, network
-                )
+                self._nursery.start_soon(self._want, name, interval_s, network)
         self._nursery.start_soon(self._keep_current)
         self._nursery.start_soon(self._fail, network)
 
@@ -332,15 +330,16 @@
     )
 
 
-@behave.given("e0 is read to be cold at {at:g} s")
-def given_cold(context, at):
-    """Let the node read a registration."""
+@behave.given("endpoints {names} are read to be cold at {at:g} s")
+def given_cold(context, names, at):
+    """Let the node read registrations."""
     system = context.system
-    endpoint = dataclasses.replace(
-        system.endpoints.endpoint("e0"), cold_left_s=COLD_AFTER_START_S
-    )
 
     async def read():
-        system.view.on_registration(endpoint, trio.current_time())
+        for name in names.split(", "):
+            endpoint = dataclasses.replace(
+                system.endpoints.endpoint(name), cold_left_s=COLD_AFTER_START_S
+            )
+            system.view.on_registration(endpoint, trio.current_time())
 
     notices_steps.timeline_of(context).add(at, read)
