--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -13,6 +13,15 @@
 from wasabilanding.dispatch.choice import candidates_of
 from wasabilanding.dispatch.choice import choose
 from wasabilanding.dispatch.choice import usable
+from wasabilanding.dispatch.cold import COLD_BURST_S
+from wasabilanding.dispatch.cold import ColdEndpoints
+from wasabilanding.dispatch.cold import ColdPhase
+from wasabilanding.dispatch.cold import effective_rate
+from wasabilanding.dispatch.cold import from_registration
+from wasabilanding.dispatch.cold import from_reply
+from wasabilanding.dispatch.cold import MAX_CONNECT_DELAY_S
+from wasabilanding.dispatch.cold import MAX_REPLY_DELAY_S
+from wasabilanding.dispatch.cold import send_rate
 from wasabilanding.dispatch.evacuations import CandidatesByModel
 from wasabilanding.dispatch.evacuations import Evacuations
 from wasabilanding.dispatch.evacuations import EvacuationStatement
@@ -22,6 +31,7 @@
 from wasabilanding.dispatch.named_limits import NamedLimit
 from wasabilanding.dispatch.named_limits import NamedLimits
 from wasabilanding.dispatch.reachability import ReachabilityMonitor
+from wasabilanding.dispatch.send_slots import BURST_S
 from wasabilanding.dispatch.send_slots import MAX_WAIT_S
 from wasabilanding.dispatch.send_slots import SendSlots
 from wasabilanding.dispatch.send_slots import SHARES
@@ -33,6 +43,10 @@
 from wasabilanding.dispatch.tracker import NEVER
 
 __all__ = [
+    "BURST_S",
+    "COLD_BURST_S",
+    "MAX_CONNECT_DELAY_S",
+    "MAX_REPLY_DELAY_S",
     "MAX_WAIT_S",
     "NEVER",
     "SHARES",
@@ -40,6 +54,8 @@
     "EndpointTracker",
     "Candidate",
     "CandidatesByModel",
+    "ColdEndpoints",
+    "ColdPhase",
     "EndpointHolds",
     "EndpointObservations",
     "EvacuationStatement",
@@ -55,4 +71,8 @@
     "choose",
     "usable",
     "split_evacuated",
+    "effective_rate",
+    "from_registration",
+    "from_reply",
+    "send_rate",
 ]
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -51,6 +51,8 @@
     :param leaving: endpoints that have recently announced their shutdown.
     :param crashes: reports on requests under which endpoints have ended.
     :param limits: limits that endpoints have recently named, or ended.
+    :param cold: endpoints whose replies have recently said that they are
+        cold, or not any more.
     :param is_cut_off: whether the node reaches no endpoint.
     :param silent_started_at_ms: Unix time in milliseconds of the start of the
         silent endpoint; None if unknown, as from a node of an earlier build.
@@ -78,6 +80,7 @@
     slot_times_s: dict[str, model.Quantity] = dataclasses.field(
         default_factory=dict
     )
+    cold: tuple[limit_messages.ColdNotice, ...] = ()
 
     @property
     def has_waiting(self) -> bool:
@@ -88,7 +91,11 @@
     def has_notices(self) -> bool:
         """Whether it says something besides load and progress."""
         return bool(
-            self.leaving or self.crashes or self.limits or self.is_cut_off
+            self.leaving
+            or self.crashes
+            or self.limits
+            or self.is_cut_off
+            or self.cold
         )
 
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -198,6 +198,11 @@
             metrics.evacuated,
             "Failure domains to which no requests are sent",
         ),
+        (
+            "cold_endpoints",
+            metrics.cold,
+            "Endpoints that are cold",
+        ),
         (
             "suspected_requests",
             metrics.suspected,
