Let an entry by another writer cost nothing but its own endpoint

Cause: a registration may come from another writer. A value that is not Base64 made a whole listing or watch unavailable, and one that is no ASCII ended the watch of the store. An entry of 2.7 MB with items of a wrong type took 8 s of the processor for a message of 54 MB. A number of 1e300 slots, an epoch beyond all bounds, a key with a slash and a service that is not configured named an endpoint like any other. Each invalid entry had its own log line, once, also after it had been removed, and each heartbeat of one was a change of the feed, so that 300 of them made all nodes read the store.

Change: gateway/registrations.py holds what ClusterView did with registrations. An entry that names no endpoint removes what its key named and is not fed again; all of them share a log line in 5 s and a gauge. Endpoints of services that are not configured are kept aside, as a later configuration may name the service. Registrations have a size (64 KiB) and bounds of numbers, and a list is checked up to its first mistake. Planners follow no epoch above 1e15.

Decided: born and slots are quantities as before: a fraction is rounded down, a string makes the entry invalid. After an outage of the store the endpoint of an invalid entry stays for the grace period of 2.3 s, as with a lapse.

--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -26,6 +26,9 @@
 # Epochs of an era of the store begin above those of the one before, as long
 # as its revisions are fewer; beyond, above those that the planner knows.
 EPOCHS_PER_ERA = 100_000_000
+# A larger epoch is not counted: no planner gives it, so that another writer
+# has. Counted, it would be given to all replicas that are formed later.
+MAX_EPOCH = 10**15
 
 
 def first_epoch(revision: model_module.StoreRevision) -> int:
@@ -346,7 +349,8 @@
         ]
         epochs += inputs.pending_epochs.values()
         lowest = first_epoch(inputs.revision)
-        epoch = max(self._last_epoch, lowest, *epochs) + 1
+        known = [epoch for epoch in epochs if epoch <= MAX_EPOCH]
+        epoch = max(self._last_epoch, lowest, *known) + 1
         self._last_epoch = epoch
         self._preemptions.complete(plan)
         replica_key = (f"{self._prefix}-{epoch}", epoch)
--- a/packages/decisions/wasabilanding/assembly/tests/assembly.feature
+++ b/packages/decisions/wasabilanding/assembly/tests/assembly.feature
@@ -171,6 +171,11 @@
       | 2   | 12     | 0         | 0         | 200000050 | 200000051 |
       | 2   | 12     | 300000000 | 0         | 0         | 300000001 |
 
+    Examples: An epoch that no planner gives is not followed
+      | era | number | members          | removed          | orders | epoch     |
+      | 2   | 12     | 9007199254740992 | 0                | 0      | 200000013 |
+      | 2   | 12     | 200000050        | 9007199254740992 | 0      | 200000051 |
+
   Scenario Outline: What a planner knows of an endpoint ends with its start
     Given a planner at revision 34 of era 0
     And four free endpoints of which one <was>
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -16,7 +16,6 @@
 """
 
 import collections.abc
-import dataclasses
 import logging
 
 import trio
@@ -27,6 +26,7 @@
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import lease as lease_module
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import registrations
 from wasabilanding import metadata
 from wasabilanding import model
 from wasabilanding import routes
@@ -87,7 +87,9 @@
         # Whether this node sends changes to the other nodes.
         self.feeds_peers = False
         self._change_log = changefeed.ChangeLog()
-        self._rejected_keys: set[str] = set()
+        self._registrations = registrations.Registrations(
+            wire, self.registry, self._change_log, self._is_configured
+        )
 
     @property
     def is_initialized(self) -> bool:
@@ -181,6 +183,11 @@
         """Seconds since another node last confirmed the view."""
         return self._clock() - self._fed_as_of
 
+    @property
+    def rejected_registrations(self) -> int:
+        """Number of registrations that name no endpoint to this node."""
+        return self._registrations.rejected_count
+
     async def wait_changed(self) -> None:
         """Wait until the view changes."""
         await self._changed.wait()
@@ -221,32 +228,38 @@
         was_read = self._is_read
         if is_restored:
             self._era_began_at = self._clock()
-        endpoints = []
+        registered: list[metadata.Item] = []
         internal_items = {}
         for item in listing.items:
             if item.key.startswith(self._wire.registrations_prefix):
-                endpoint = self._decode_registration(item)
-                if endpoint is not None:
-                    endpoints.append(endpoint)
+                registered.append(item)
             elif item.key == self._wire.configuration_key:
                 self._apply_table(item, listing.era)
             elif item.key.startswith(self._wire.internal_prefix):
                 internal_items[item.key] = item
+        endpoints = self._registrations.read_all(registered)
+        served = self._registrations.served(endpoints)
         if is_restored and was_read:
             self._begin_era(listing, internal_items, now)
-            self.registry.restore(endpoints, now)
-            endpoints = list(filter(self._is_in_use, endpoints))
+            self.registry.restore(served, now)
+            endpoints = list(filter(self._registrations.is_in_use, endpoints))
         else:
             if is_restored and self._has_nodes(internal_items):
                 self._ask_peers(True)
-            self.registry.replace(endpoints, now)
+            self.registry.replace(served, now)
             self._lost_items.clear()
         self.internal_items = internal_items
         self.revision = listing.store_revision
         self._change_log.replace(endpoints, self.revision)
+        self._registrations.follow_services(now)
+        self._registrations.log_rejected(now)
         self._notify()
         return True
 
+    def _is_configured(self, service: str) -> bool:
+        """Return whether the configuration, if known, names a service."""
+        return self.table is None or self.table.service(service) is not None
+
     def _begin_era(
         self,
         listing: metadata.Listing,
@@ -278,13 +291,6 @@
         prefix = directory.address_prefix(self._wire)
         return directory.count_nodes(items, prefix) > 0
 
-    def _is_in_use(self, listed: fleet.Endpoint) -> bool:
-        """Return whether a listed registration is the one in use."""
-        found = self.registry.get(listed.endpoint_id)
-        if found is None:
-            return False
-        return dataclasses.replace(found, resident=listed.resident) == listed
-
     def apply_changes(self, changes: metadata.Changes, now: float) -> bool:
         """Apply changes from a watch.
 
@@ -313,6 +319,7 @@
 
     def _expire(self, now: float) -> None:
         self.registry.expire(now)
+        self._registrations.log_rejected(now)
         for key, expires_at in list(self._lost_items.items()):
             if now >= expires_at:
                 del self._lost_items[key]
@@ -348,9 +355,9 @@
     def _apply_states(self, segment: changefeed.Segment, now: float) -> None:
         revision = segment.store_revision
         for endpoint in segment.endpoints:
-            self._put_endpoint(endpoint, revision)
+            self._registrations.put(endpoint, revision, now)
         for name in segment.removed_endpoints:
-            self._remove_endpoint(name, revision, now)
+            self._registrations.remove(name, revision, now)
         for key, value in segment.items.items():
             item = metadata.Item(key, value.encode(), revision.number)
             self._put_internal(item, revision)
@@ -374,12 +381,13 @@
         key = event.key
         revision = model.StoreRevision(era, event.revision)
         if key.startswith(self._wire.registrations_prefix):
-            self._apply_registration(event, revision, now)
+            self._registrations.apply(event, revision, now)
         elif key == self._wire.configuration_key:
             # It may be too large for a datagram.
             self._change_log.reset(revision)
             if isinstance(event, metadata.Item):
                 self._apply_table(event, era)
+                self._registrations.follow_services(now)
         elif key.startswith(self._wire.internal_prefix):
             if isinstance(event, metadata.Item):
                 self._put_internal(event, revision)
@@ -402,56 +410,6 @@
         self._lost_items.pop(key, None)
         self._change_log.record_item(key, None, revision)
 
-    def _apply_registration(
-        self,
-        event: metadata.Item | metadata.Removal,
-        revision: model.StoreRevision,
-        now: float,
-    ) -> None:
-        endpoint = None
-        if isinstance(event, metadata.Item):
-            endpoint = self._decode_registration(event)
-        if endpoint is not None:
-            self._put_endpoint(endpoint, revision)
-            return
-        name = event.key.removeprefix(self._wire.registrations_prefix)
-        self._remove_endpoint(name, revision, now)
-
-    def _put_endpoint(
-        self, endpoint: fleet.Endpoint, revision: model.StoreRevision
-    ) -> None:
-        self.registry.put(endpoint)
-        self._change_log.record_endpoint(
-            endpoint.endpoint_id, endpoint, revision
-        )
-
-    def _remove_endpoint(
-        self, name: str, revision: model.StoreRevision, now: float
-    ) -> None:
-        if self.registry.get(name) is not None:
-            _LOG.info(
-                "registration of endpoint %s was removed",
-                name,
-                extra={"endpoint": name},
-            )
-        self.registry.remove(name, now)
-        self._change_log.record_endpoint(name, None, revision)
-
-    def _decode_registration(
-        self, item: metadata.Item
-    ) -> fleet.Endpoint | None:
-        try:
-            endpoint = self._wire.read_registration(item.key, item.value)
-        except ValueError as error:
-            if item.key not in self._rejected_keys:
-                _LOG.warning(
-                    "invalid registration %s ignored: %s", item.key, error
-                )
-            self._rejected_keys.add(item.key)
-            return None
-        self._rejected_keys.discard(item.key)
-        return endpoint
-
     def _apply_table(self, item: metadata.Item, era: model.Era) -> None:
         """Put a configuration in force unless a newer one is."""
         revision = model.StoreRevision(era, item.revision)
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -92,6 +92,7 @@
         self.capacity: dict[Labels, int] = {}
         self.held: dict[Labels, int] = {}
         self.leaving: dict[Labels, int] = {}
+        self.rejected_registrations: dict[Labels, int] = {}
         self.longest_leaving_s: dict[Labels, int] = {}
         self.store_era: dict[Labels, int] = {}
         self.store_restores: CountsByLabels = collections.Counter({(): 0})
@@ -231,6 +232,13 @@
         self.leaving[()] = count
         self.longest_leaving_s[()] = longest_s
 
+    def set_rejected_registrations(self, count: int) -> None:
+        """Set the number of registrations that name no endpoint.
+
+        :param count: the number.
+        """
+        self.rejected_registrations[()] = count
+
     def count_loop_failure(self, name: str) -> None:
         """Count a failure of a background loop.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -167,6 +167,11 @@
             metrics.store_era,
             "Newest known era of the platform's store",
         ),
+        (
+            "rejected_registrations",
+            metrics.rejected_registrations,
+            "Registrations that name no endpoint, as this node has read",
+        ),
         (
             "held_endpoints",
             metrics.held,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -286,6 +286,9 @@
             self.forwarder.update_retry_budget(nodes)
             self._tracker.drop_expired(trio.current_time())
             self._guard.observe()
+            self.metrics.set_rejected_registrations(
+                self.view.rejected_registrations
+            )
             await self._crash_guard.observe()
             for endpoint in self._upstream.endpoints:
                 if relays.is_relay(endpoint.endpoint_id):
