--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -159,7 +159,7 @@
 def _is_avoided(
     candidate: Candidate, tracker: tracker_module.EndpointTracker, now: float
 ) -> bool:
-    record = tracker.record(fleet.incarnation_of(candidate.endpoint))
+    record = tracker.record(candidate.endpoint.incarnation)
     unproven = (
         candidate.is_incomplete
         and now - record.progress_at > RECENT_PROGRESS_S
@@ -180,7 +180,7 @@
         _Option(
             c,
             is_remote,
-            c.slots - tracker.load(fleet.incarnation_of(c.endpoint)),
+            c.slots - tracker.load(c.endpoint.incarnation),
         )
         for c in candidates
     ]
--- a/packages/decisions/wasabilanding/fleet/__init__.py
+++ b/packages/decisions/wasabilanding/fleet/__init__.py
@@ -12,10 +12,10 @@
 """
 
 from wasabilanding.fleet.endpoint import Endpoint
+from wasabilanding.fleet.endpoint import Incarnation
 from wasabilanding.fleet.endpoint import Membership
 from wasabilanding.fleet.endpoint import MemberState
 from wasabilanding.fleet.endpoint import ReplicaKey
-from wasabilanding.fleet.registry import Incarnation
 from wasabilanding.fleet.registry import incarnation_name
 from wasabilanding.fleet.registry import incarnation_of
 from wasabilanding.fleet.registry import RECOVERY_GRACE_S
--- a/packages/decisions/wasabilanding/fleet/endpoint.py
+++ b/packages/decisions/wasabilanding/fleet/endpoint.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+import functools
+import typing
 
 
 class MemberState(enum.Enum):
@@ -39,6 +41,20 @@
         return self.replica, self.epoch
 
 
+class Incarnation(typing.NamedTuple):
+    """One start of an endpoint.
+
+    An endpoint that starts again under its identity knows nothing of the time
+    before, so that what is known of one start does not apply to the next.
+
+    :param endpoint_id: identity of the endpoint.
+    :param started_at_ms: Unix time in milliseconds of its start.
+    """
+
+    endpoint_id: str
+    started_at_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Endpoint:
     """Registration of an endpoint.
@@ -74,6 +90,11 @@
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
 
+    @functools.cached_property
+    def incarnation(self) -> Incarnation:
+        """Its identity and start; kept, as each choice of an endpoint asks."""
+        return Incarnation(self.endpoint_id, self.started_at_ms)
+
     def has_weights(self, model: str) -> bool:
         """Tell whether it can join a replica of a model without a load.
 
--- a/packages/decisions/wasabilanding/fleet/registry.py
+++ b/packages/decisions/wasabilanding/fleet/registry.py
@@ -2,12 +2,12 @@
 
 import collections.abc
 import dataclasses
-import typing
 
 from wasabilanding.fleet import endpoint as endpoint_module
 from wasabilanding.fleet import restored
 
 Endpoint = endpoint_module.Endpoint
+Incarnation = endpoint_module.Incarnation
 
 # Endpoints whose registrations lapsed while the store was unavailable register
 # again within about two seconds of its recovery.
@@ -17,26 +17,12 @@
 MAX_ANNOUNCED = 4096
 
 
-class Incarnation(typing.NamedTuple):
-    """One start of an endpoint.
-
-    An endpoint that starts again under its identity knows nothing of the time
-    before, so that what is known of one start does not apply to the next.
-
-    :param endpoint_id: identity of the endpoint.
-    :param started_at_ms: Unix time in milliseconds of its start.
-    """
-
-    endpoint_id: str
-    started_at_ms: int
-
-
 def incarnation_of(endpoint: Endpoint) -> Incarnation:
     """Return the start of an endpoint that a registration describes.
 
     :param endpoint: the registration.
     """
-    return Incarnation(endpoint.endpoint_id, endpoint.started_at_ms)
+    return endpoint.incarnation
 
 
 def incarnation_name(incarnation: Incarnation) -> str:
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -174,7 +174,7 @@
     def _has_free_slot(self, candidate: dispatch.Candidate | None) -> bool:
         if candidate is None:
             return False
-        endpoint = fleet.incarnation_of(candidate.endpoint)
+        endpoint = candidate.endpoint.incarnation
         return self._tracker.load(endpoint) < candidate.slots
 
     async def _pick_limited(
