--- a/packages/experiments/wasabilanding/experiments/installation/changes.py
+++ b/packages/experiments/wasabilanding/experiments/installation/changes.py
@@ -11,6 +11,7 @@
 from wasabilanding.experiments.installation import gateway_changes
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation import network_faults
+from wasabilanding.experiments.installation import operator_changes
 from wasabilanding.experiments.installation import options as options_module
 from wasabilanding.experiments.installation import outputs
 from wasabilanding.experiments.installation import proxy
@@ -18,6 +19,8 @@
 
 CHANGE_INTERVAL_RANGE_S = (0.1, 1.5)
 REVOKE_PROBABILITY = 0.3
+# Chances of an evacuation, relative to another kind of planned change.
+EVACUATION_WEIGHT = 3
 TIMEOUTS_S = (4.0, 5.0, 6.0)
 KEYS = ("key-1", "key-2")
 
@@ -56,6 +59,7 @@
         changed = installation, rng, self.record
         self._gateways = gateway_changes.GatewayChanges(*changed)
         self._engines = engine_changes.EngineChanges(*changed)
+        self._operators = operator_changes.OperatorChanges(*changed)
         self._network = network_faults.NetworkFaults(*changed, proxies)
 
     async def run(self, nursery: trio.Nursery) -> None:
@@ -66,6 +70,8 @@
         kinds = self._planned_changes()
         if self._options.pauses:
             kinds += self._pauses()
+        if self._options.evacuations:
+            kinds += [self._operators.evacuate] * EVACUATION_WEIGHT
         if not self._options.planned_only:
             kinds += self._faults()
         async with trio.open_nursery() as pipes:
--- a/packages/experiments/wasabilanding/experiments/installation/checks.py
+++ b/packages/experiments/wasabilanding/experiments/installation/checks.py
@@ -6,6 +6,7 @@
 import json
 
 from wasabilanding.experiments.installation import cuts
+from wasabilanding.experiments.installation import evacuation
 from wasabilanding.experiments.installation import load
 
 HTTP_OK = 200
@@ -25,6 +26,8 @@
         answer may be cut.
     :param excuses: what excuses a cut answer.
     :param late_exits: gateways that did not exit in time after a SIGTERM.
+    :param evacuations: evacuations of failure domains.
+    :param arrivals: callers' requests that reached the engines.
     """
 
     answers: tuple[load.Answer, ...]
@@ -36,6 +39,8 @@
     planned_only: bool = False
     excuses: cuts.Excuses = dataclasses.field(default_factory=cuts.Excuses)
     late_exits: tuple[str, ...] = ()
+    evacuations: tuple[evacuation.Evacuation, ...] = ()
+    arrivals: tuple[evacuation.Arrival, ...] = ()
 
 
 def _wrong_answers(
@@ -111,6 +116,20 @@
             yield f"{name}: did not exit in time after a SIGTERM"
 
 
+def _late_arrivals(
+    observation: Observation,
+) -> collections.abc.Iterator[str]:
+    """Yield requests to evacuated failure domains.
+
+    Under faults a gateway may be cut off from the store and from its peers,
+    or go on from where it was suspended.
+    """
+    if observation.planned_only:
+        yield from evacuation.find_violations(
+            observation.evacuations, observation.arrivals
+        )
+
+
 def find_violations(observation: Observation) -> list[str]:
     """Return a description of each violated guarantee.
 
@@ -121,5 +140,6 @@
         *_wrong_runs(observation),
         *_cut_answers(observation),
         *_late_exits(observation),
+        *_late_arrivals(observation),
         *observation.engine_violations,
     ]
--- a/packages/experiments/wasabilanding/experiments/installation/options.py
+++ b/packages/experiments/wasabilanding/experiments/installation/options.py
@@ -11,6 +11,8 @@
     :param planned_only: whether to make planned changes only, no faults.
     :param pauses: whether engines also pause and go on beside the planned
         changes, which excuses no cut answer.
+    :param evacuations: whether failure domains are evacuated beside the other
+        planned changes.
     :param callers: number of concurrent callers.
     :param slow_callers: how many of them pause while they read an answer.
     :param max_events: longest stream in events.
@@ -22,6 +24,7 @@
     seconds: float = 12.0
     planned_only: bool = False
     pauses: bool = False
+    evacuations: bool = False
     callers: int = 12
     slow_callers: int = 0
     max_events: int = 40
--- a/packages/experiments/wasabilanding/experiments/installation/record.py
+++ b/packages/experiments/wasabilanding/experiments/installation/record.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from wasabilanding.experiments.installation import evacuation
+
 
 @dataclasses.dataclass(frozen=True)
 class TimeoutChange:
@@ -29,6 +31,7 @@
         self.timeouts: list[TimeoutChange] = []
         self.late_exits: list[str] = []
         self.killed: set[str] = set()
+        self.evacuations: list[evacuation.Evacuation] = []
 
     def add(self, text: str) -> None:
         """Record an action with the time of day, as in the logs.
--- a/packages/experiments/wasabilanding/experiments/installation/soak.py
+++ b/packages/experiments/wasabilanding/experiments/installation/soak.py
@@ -23,6 +23,7 @@
 from wasabilanding.experiments.installation import changes
 from wasabilanding.experiments.installation import checks
 from wasabilanding.experiments.installation import cuts
+from wasabilanding.experiments.installation import evacuation
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation import load
 from wasabilanding.experiments.installation import options as options_module
@@ -183,9 +184,16 @@
                 killed=frozenset(record.killed),
             ),
             tuple(record.late_exits),
+            tuple(record.evacuations),
+            await trio.to_thread.run_sync(self._callers_arrivals),
         )
         return (*checks.find_violations(self.observation), *recovery_errors)
 
+    def _callers_arrivals(self) -> tuple[evacuation.Arrival, ...]:
+        if not self._options.evacuations:
+            return ()
+        return evacuation.arrivals_at(self._installation)
+
 
 def run_seed(
     seed: int, options: options_module.Options, folder: pathlib.Path
--- a/packages/experiments/wasabilanding/experiments/installation/soak_command.py
+++ b/packages/experiments/wasabilanding/experiments/installation/soak_command.py
@@ -77,6 +77,9 @@
         bool,
         typer.Option(help="As --planned, and engines pause and go on."),
     ] = False,
+    evacuations: typing.Annotated[
+        bool, typer.Option(help="Failure domains are evacuated, too.")
+    ] = False,
     callers: typing.Annotated[
         int, typer.Option(help="Concurrent callers.")
     ] = DEFAULTS.callers,
@@ -107,6 +110,7 @@
         seconds=seconds,
         planned_only=planned or pauses,
         pauses=pauses,
+        evacuations=evacuations,
         callers=callers,
         slow_callers=slow,
         max_events=events,
--- a/packages/experiments/wasabilanding/experiments/installation/tests/checks.feature
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/checks.feature
@@ -113,3 +113,17 @@
       | seconds | ending     |
       | 0.1     | time limit |
       | 0.3     | cut        |
+
+  Scenario Outline: Requests that reach an evacuated failure domain late are found
+    Given the evacuation of prov, confirmed at 100 s and taken back at 110 s
+    When a request reaches an endpoint of <domain> at <at> s in a run with <changes>
+    Then it is found: <found>
+
+    Examples:
+      | domain | at    | changes         | found |
+      | prov   | 104.9 | planned changes | no    |
+      | prov   | 105.1 | planned changes | yes   |
+      | prov   | 109.9 | planned changes | yes   |
+      | prov   | 110.1 | planned changes | no    |
+      | maipu  | 107   | planned changes | no    |
+      | prov   | 107   | faults          | no    |
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/checks_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/checks_steps.py
@@ -8,6 +8,7 @@
 import trio
 
 from wasabilanding.experiments import installation
+from wasabilanding.experiments.installation import evacuation
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation import sending
 from wasabilanding.experiments import launcher
@@ -312,3 +313,35 @@
     """Check what the caller sees of the close."""
     assert context.answer.was_sent and not context.answer.complete
     assert context.answer.was_reset is (seen == "reset"), context.answer
+
+
+@behave.given(
+    "the evacuation of {name}, confirmed at {begin:g} s and taken back at "
+    "{end:g} s"
+)
+def given_evacuation(context, name, begin, end):
+    """Record an evacuation."""
+    context.evacuation = evacuation.Evacuation(name, "1", begin, end)
+
+
+@behave.when(
+    "a request reaches an endpoint of {domain} at {at:g} s in a run with "
+    "{changes}"
+)
+def arrive(context, domain, at, changes):
+    """Check an observation with one arrival."""
+    context.violations = installation.find_violations(
+        installation.Observation(
+            (),
+            (),
+            planned_only=changes == "planned changes",
+            evacuations=(context.evacuation,),
+            arrivals=(evacuation.Arrival("pages-1", "e1", domain, at),),
+        )
+    )
+
+
+@behave.then("it is found: {expected}")
+def check_late_found(context, expected):
+    """Compare whether there is a violation."""
+    assert bool(context.violations) is (expected == "yes"), context.violations
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -369,16 +369,10 @@
         source = evacuated_domains.COLLECTOR
         for key, value in segment.items.items():
             item = metadata.Item(key, value.encode(), revision.number)
-            if self.evacuations.has_key(key):
-                self._apply_evacuation(item, revision, source, now)
-            else:
-                self._put_internal(item, revision)
+            self._apply_item(item, revision, source, now)
         for key in segment.removed_items:
-            if self.evacuations.has_key(key):
-                removal = metadata.Removal(key, revision.number)
-                self._apply_evacuation(removal, revision, source, now)
-            else:
-                self._remove_internal(key, revision)
+            removal = metadata.Removal(key, revision.number)
+            self._apply_item(removal, revision, source, now)
         self.revision = revision
         self._change_log.advance(revision)
         self._notify()
@@ -403,49 +397,39 @@
             self._change_log.reset(revision)
             if isinstance(event, metadata.Item):
                 self._apply_table(event, era)
-        elif key.startswith(self._wire.internal_prefix):
-            if isinstance(event, metadata.Item):
-                self._put_internal(event, revision)
-            else:
-                self._remove_internal(key, revision)
-        elif self.evacuations.has_key(key):
+        elif self._is_fed(key):
             source = evacuated_domains.STORE
-            self._apply_evacuation(event, revision, source, now)
+            self._apply_item(event, revision, source, now)
+
+    def _is_fed(self, key: str) -> bool:
+        """Return whether collectors send an item to other nodes as it is."""
+        return key.startswith(
+            self._wire.internal_prefix
+        ) or self.evacuations.has_key(key)
 
-    def _apply_evacuation(
+    def _apply_item(
         self,
         event: metadata.Item | metadata.Removal,
         revision: model.StoreRevision,
         source: str,
         now: float,
     ) -> None:
-        """Apply the state of an operators' key; feed it to other nodes.
-
-        Its value has no meaning.
-        """
-        is_present = isinstance(event, metadata.Item)
-        self.evacuations.apply_key(
-            event.key, is_present, revision, source, now
-        )
-        self._change_log.record_item(
-            event.key, "" if is_present else None, revision
-        )
-
-    def _put_internal(
-        self, item: metadata.Item, revision: model.StoreRevision
-    ) -> None:
-        self.internal_items[item.key] = item
-        self._lost_items.pop(item.key, None)
-        self._change_log.record_item(
-            item.key, item.value.decode(errors="replace"), revision
-        )
-
-    def _remove_internal(
-        self, key: str, revision: model.StoreRevision
-    ) -> None:
-        self.internal_items.pop(key, None)
-        self._lost_items.pop(key, None)
-        self._change_log.record_item(key, None, revision)
+        """Apply the state of an evacuation's key or of an internal item."""
+        key = event.key
+        value = None
+        if self.evacuations.has_key(key):
+            is_present = isinstance(event, metadata.Item)
+            self.evacuations.apply_key(key, is_present, revision, source, now)
+            # The value has no meaning.
+            value = "" if is_present else None
+        else:
+            self._lost_items.pop(key, None)
+            if isinstance(event, metadata.Item):
+                self.internal_items[key] = event
+                value = event.value.decode(errors="replace")
+            else:
+                self.internal_items.pop(key, None)
+        self._change_log.record_item(key, value, revision)
 
     def _apply_registration(
         self,
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -37,7 +37,8 @@
     :param retry_slack: additional allowed retries, in total over all nodes.
         A node's share of it is rounded down, as a retry takes a whole token.
     :param change_bounds_ms: milliseconds within which a change of the
-        configuration, and the removal of an endpoint, must take effect.
+        configuration, the removal of an endpoint, and the evacuation of a
+        failure domain must take effect.
     :param peer_port: UDP port for messages from other nodes, and TCP port for
         requests that they hand on; 0 for none.
     :param metrics_port: TCP port that serves metrics; 0 for none.
