--- a/packages/decisions/wasabilanding/changefeed/tests/changefeed.feature
+++ b/packages/decisions/wasabilanding/changefeed/tests/changefeed.feature
@@ -16,6 +16,10 @@
       | s2    | 11 12 15 20 | e1 e2  |
       | s1    | 11 12 15 20 | e2     |
 
+    Examples: The time for which an endpoint stays cold is a change
+      | state | covered     | listed |
+      | s1~3  | 11 12 15 20 | e1 e2  |
+
   Scenario Outline: A segment is applied only by a view of its era
     Given a log that was reset at revision 10
     And a segment is cut
--- a/packages/decisions/wasabilanding/changefeed/tests/steps/changefeed_steps.py
+++ b/packages/decisions/wasabilanding/changefeed/tests/steps/changefeed_steps.py
@@ -26,8 +26,14 @@
     "endpoint {name} is registered in state {state} at revision {revision:d}"
 )
 def register(context, name, state, revision):
-    """Record a registration; the state stands for its content."""
-    endpoint = fleet.Endpoint(name, state, "10.0.0.1", 80, "z1")
+    """Record a registration; the state stands for its content.
+
+    After a tilde are the seconds for which the endpoint stays cold.
+    """
+    content, _, left_s = state.partition("~")
+    endpoint = fleet.Endpoint(
+        name, content, "10.0.0.1", 80, "z1", cold_left_s=float(left_s or 0)
+    )
     context.log.record_endpoint(name, endpoint, _at(revision))
     context.log.advance(_at(revision))
 
--- a/packages/decisions/wasabilanding/dispatch/send_slots.py
+++ b/packages/decisions/wasabilanding/dispatch/send_slots.py
@@ -96,6 +96,8 @@
         (True, 0.1)
         >>> slots.reserve(("e1", 7), 0, 2.0, 0.1, now=10.9)
         (False, 0.6)
+        >>> slots.reserve(("e1", 8), 0, 2.0, 0.1, now=11.0)
+        (False, 0.5)
         """
         interval_s = 1.0 / (rate_per_s * SHARES[rank])
         key = endpoint[0], rank
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/cold_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/cold_steps.py
@@ -23,44 +23,34 @@
     running.start(context, plan)
 
 
-def _pages(context):
-    return [
-        vm for vm in context.installation.vms if vm.service == launch.PAGES
-    ]
-
-
-@behave.when("all plain endpoints start again, one by one at {at:g} s")
-def start_again(context, at):
+async def _start_again(installation, vms):
     """Stop each endpoint and start it again."""
+    for vm in vms:
+        for action in ("kill", "restart"):
+            await trio.to_thread.run_sync(installation.control_vm, vm, action)
+            await trio.sleep(INTERVAL_S)
 
-    async def restart():
-        await trio.sleep(at)
-        for vm in _pages(context):
-            for action in ("kill", "restart"):
-                await trio.to_thread.run_sync(
-                    context.installation.control_vm, vm, action
-                )
-                await trio.sleep(INTERVAL_S)
 
-    context.disturb = restart
+async def _become_cold(installation, vms):
+    """Make all endpoints cold at the same moment."""
+    async with trio.open_nursery() as nursery:
+        for vm in vms:
+            nursery.start_soon(
+                trio.to_thread.run_sync, installation.make_cold, vm, COLD_S
+            )
 
 
-@behave.when("all plain endpoints become cold at {at:g} s")
-def become_cold(context, at):
-    """Make all endpoints cold at the same moment."""
+@behave.when("all plain endpoints {happen} from {at:g} s on")
+def change_endpoints(context, happen, at):
+    """Choose what happens to the endpoints."""
+    change = _become_cold if happen == "become cold" else _start_again
+    vms = [vm for vm in context.installation.vms if vm.service == launch.PAGES]
 
-    async def cool():
+    async def disturb():
         await trio.sleep(at)
-        async with trio.open_nursery() as nursery:
-            for vm in _pages(context):
-                nursery.start_soon(
-                    trio.to_thread.run_sync,
-                    context.installation.make_cold,
-                    vm,
-                    COLD_S,
-                )
+        await change(context.installation, vms)
 
-    context.disturb = cool
+    context.disturb = disturb
 
 
 @behave.then("no endpoint has ended as it got too many requests")
--- a/packages/gateway/wasabilanding/gateway/cold_monitor.py
+++ b/packages/gateway/wasabilanding/gateway/cold_monitor.py
@@ -77,11 +77,10 @@
         :param now: local monotonic time in seconds.
         :returns: the configured rate; None if the endpoint is not cold.
         """
-        if not self._known.has_any:
+        phase = self._known.phase_of(fleet.incarnation_of(endpoint))
+        if phase is None or now >= phase.until:
             return None
-        rate = self._rates.get(endpoint.service)
-        left_s = self._known.left_s(fleet.incarnation_of(endpoint), now)
-        return rate if left_s > 0 else None
+        return self._rates.get(endpoint.service)
 
     def rate_of_question(
         self, question: limit_messages.SendQuestion, now: float
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -109,6 +109,9 @@
     if word == "limit":
         text, _, rest = rest.partition(" ")
         return {"x-limit": text}, rest
+    if word == "cold":
+        text, _, rest = rest.partition(" ")
+        return {"x-cold-s": text}, rest
     if word == "busy":
         text, _, rest = rest.partition(" ")
         return {"retry-after": text}, rest
@@ -145,7 +148,8 @@
         a request), "mute" (no reply), "clinging" (no reply, and
         a cancelled request ends some time later). In front of it, "leaving"
         announces the endpoint's shutdown, "busy TEXT" asks to receive
-        nothing, and "limit TEXT" names a limit.
+        nothing, "limit TEXT" names a limit, and "cold TEXT" states for how
+        long it stays cold.
     """
 
     def __init__(self, scripts):
@@ -370,6 +374,7 @@
         self.reported_leaving = []
         self.metrics = metrics.Metrics("n1")
         self.grants = grants()
+        self.grants.cold.follow(self.view)
         self.guard = endpoint_guard.EndpointGuard(
             self.view,
             self.tracker,
--- a/packages/gateway/wasabilanding/gateway/tests/memory_network.py
+++ b/packages/gateway/wasabilanding/gateway/tests/memory_network.py
@@ -19,6 +19,8 @@
         # Times in seconds from which on an address neither sends nor receives.
         self.dead_from = {}
         self._rng = random.Random(1)
+        # Returns whether the link from one address to another is cut.
+        self.is_cut = lambda sender, address: False
         # Datagrams still to lose, by sender and receiver.
         self.to_lose = collections.Counter()
 
@@ -35,6 +37,8 @@
             self.to_lose[sender, address] -= 1
         elif self._rng.random() < self.loss or self._is_dead(sender, address):
             return
+        elif self.is_cut(sender, address):
+            return
         elif address in self._queues:
             trio.lowlevel.spawn_system_task(
                 self._deliver, (data, sender), address
--- a/packages/gateway/wasabilanding/gateway/tests/steps/limits_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/limits_steps.py
@@ -15,7 +15,6 @@
 from wasabilanding.gateway.tests.steps import notices_steps
 from wasabilanding import membership
 
-WINDOW_S = 4.0
 MAX_WAIT_S = 0.1
 START_S = 0.5
 E1 = dataclasses.replace(
@@ -24,7 +23,7 @@
 NAMED = fleet.incarnation_of(E1)
 
 
-class _Senders:
+class Senders:
     """Nodes that want to send requests to one endpoint."""
 
     def __init__(self, nodes, domains, limit):
@@ -49,14 +48,14 @@
         return membership.owner_of("e1", own)
 
     async def _want(self, name, interval_s, rng):
-        grants = self.nodes.grants[name]
         await trio.sleep(START_S + rng.uniform(0, interval_s))
         while True:
             if trio.current_time() < self.dead.get(name, float("inf")):
-                self._nursery.start_soon(self._acquire, grants)
+                self._nursery.start_soon(self._acquire, name)
             await trio.sleep(rng.expovariate(1 / interval_s))
 
-    async def _acquire(self, grants):
+    async def _acquire(self, name):
+        grants = self.nodes.grants[name]
         if not grants.is_limited(E1) or await grants.acquire(E1, MAX_WAIT_S):
             self.sent_at.append(trio.current_time())
 
@@ -104,7 +103,7 @@
 )
 def given_senders(context, nodes, domains, limit):
     """Make nodes that know a limit."""
-    context.senders = _Senders(nodes, domains, limit)
+    context.senders = Senders(nodes, domains, limit)
 
 
 @behave.given("a share of {loss:g} of the datagrams is lost")
@@ -143,17 +142,17 @@
 
 
 @behave.then(
-    "in any 4 s from {since:g} s on at most {factor:g} x {limit:g} x 4 + "
-    "{slack:d} are sent"
+    "in any {window:g} s from {since:g} s on at most {factor:g} x {limit:g} x "
+    "{seconds:g} + {slack:d} are sent"
 )
-def check_windows(context, since, factor, limit, slack):
+def check_windows(context, window, since, factor, limit, seconds, slack):
     """Compare all windows."""
     times = [at for at in context.senders.sent_at if at >= since]
     largest = max(
-        bisect.bisect_left(times, at + WINDOW_S) - index
+        bisect.bisect_left(times, at + window) - index
         for index, at in enumerate(times)
     )
-    assert largest <= factor * limit * WINDOW_S + slack, largest
+    assert largest <= factor * limit * seconds + slack, largest
 
 
 @behave.then("from {since:g} s on at least {least:g} a second are sent")
