--- a/packages/experiments/wasabilanding/experiments/installation/tests/cold_endpoints.feature
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/cold_endpoints.feature
@@ -10,4 +10,4 @@
     Examples:
       | happen                  | served |
       | start again, one by one | 0.9    |
-      | become cold             | 0.45   |
+      | become cold             | 0.55   |
