Follow endpoints with and without a queue, and busy plain endpoints

Endpoints without a queue refused each send beyond their slots.

Change: the bound on silence of a plain service is twice its slot time, with admission only. The backlog shrinks while endpoints refuse. A node reuses the slot of its own ended request at once. A run time counts with three mean deviations. The stand-in's plain endpoints can have a queue.

--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -27,10 +27,12 @@
 from wasabilanding.dispatch.tracker import EndpointTracker
 from wasabilanding.dispatch.tracker import Load
 from wasabilanding.dispatch.tracker import NEVER
+from wasabilanding.dispatch.tracker import PROGRESS_TIMEOUT_S
 
 __all__ = [
     "MAX_WAIT_S",
     "NEVER",
+    "PROGRESS_TIMEOUT_S",
     "SHARES",
     "WAITS_FOR_CALLER",
     "EndpointTracker",
--- a/packages/decisions/wasabilanding/dispatch/choice.py
+++ b/packages/decisions/wasabilanding/dispatch/choice.py
@@ -111,6 +111,7 @@
     failure_domain: str,
     now: float,
     rng: random.Random,
+    silent_after_s: float = tracker_module.PROGRESS_TIMEOUT_S,
 ) -> Candidate | None:
     """Return a candidate with little load.
 
@@ -123,6 +124,8 @@
     :param failure_domain: failure domain of this node.
     :param now: local monotonic time in seconds.
     :param rng: draws candidates.
+    :param silent_after_s: longest usual time in seconds without progress of
+        an endpoint with requests in flight.
     """
     local: list[Candidate] = []
     remote: list[Candidate] = []
@@ -132,9 +135,11 @@
             continue
         is_local = candidate.endpoint.failure_domain == failure_domain
         (local if is_local else remote).append(candidate)
-    options = _options(_not_avoided(local, tracker, now), tracker, False)
+    usable_local = _not_avoided(local, tracker, now, silent_after_s)
+    options = _options(usable_local, tracker, False)
     if not _has_enough_slots(options):
-        options += _options(_not_avoided(remote, tracker, now), tracker, True)
+        usable_remote = _not_avoided(remote, tracker, now, silent_after_s)
+        options += _options(usable_remote, tracker, True)
     if not options:
         options = _options(local, tracker, False)
         if not _has_enough_slots(options):
@@ -152,6 +157,7 @@
     candidates: collections.abc.Iterable[Candidate],
     tracker: tracker_module.EndpointTracker,
     now: float,
+    silent_after_s: float = tracker_module.PROGRESS_TIMEOUT_S,
 ) -> list[Candidate]:
     """Return the candidates among which :func:`choose` chooses.
 
@@ -160,22 +166,32 @@
     :param candidates: endpoints that may receive requests.
     :param tracker: this node's observations of them.
     :param now: local monotonic time in seconds.
+    :param silent_after_s: longest usual time in seconds without progress of
+        an endpoint with requests in flight.
     """
     closed = tracker.holds.closed(now)
     open_now = [c for c in candidates if c.endpoint.endpoint_id not in closed]
-    return _not_avoided(open_now, tracker, now) or open_now
+    return _not_avoided(open_now, tracker, now, silent_after_s) or open_now
 
 
 def _not_avoided(
     candidates: collections.abc.Iterable[Candidate],
     tracker: tracker_module.EndpointTracker,
     now: float,
+    silent_after_s: float,
 ) -> list[Candidate]:
-    return [c for c in candidates if not _is_avoided(c, tracker, now)]
+    return [
+        c
+        for c in candidates
+        if not _is_avoided(c, tracker, now, silent_after_s)
+    ]
 
 
 def _is_avoided(
-    candidate: Candidate, tracker: tracker_module.EndpointTracker, now: float
+    candidate: Candidate,
+    tracker: tracker_module.EndpointTracker,
+    now: float,
+    silent_after_s: float,
 ) -> bool:
     record = tracker.record(candidate.endpoint.endpoint_id)
     unproven = (
@@ -185,7 +201,7 @@
     return (
         unproven
         or now < record.avoid_until
-        or record.is_silent(now, tracker_module.PROGRESS_TIMEOUT_S)
+        or record.is_silent(now, silent_after_s)
     )
 
 
--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -57,6 +57,7 @@
 from wasabilanding.limits.admission import Shed
 from wasabilanding.limits.admission_request import AdmissionRequest
 from wasabilanding.limits.admission_request import estimated_tokens
+from wasabilanding.limits.backlog_share import BacklogShare
 from wasabilanding.limits.customer_queue import Kind
 from wasabilanding.limits.fair_queue import FairQueue
 from wasabilanding.limits.pool_queue import PoolQueue
@@ -77,6 +78,7 @@
     "Admission",
     "Admitted",
     "AdmissionRequest",
+    "BacklogShare",
     "Decision",
     "Decisions",
     "FairQueue",
--- a/packages/decisions/wasabilanding/limits/pool_queue.py
+++ b/packages/decisions/wasabilanding/limits/pool_queue.py
@@ -26,6 +26,7 @@
 import statistics
 
 from wasabilanding.limits import admission_request
+from wasabilanding.limits import backlog_share
 from wasabilanding.limits import customer_queue
 from wasabilanding.limits import fair_queue
 from wasabilanding.limits import pool_share
@@ -37,7 +38,10 @@
 
 # Tokens that the fair queue charges for each request.
 REQUEST_TOKENS = 1.0
-THRESHOLD_RANGE = (0.5, 1.5)
+THRESHOLD_RANGE = (0.75, 1.25)
+# What a node may send in advance of its part, in requests, as it knows first
+# that a request of its own has ended.
+MAX_DEBT = 1.0
 # Longest time for which the pool is refilled at once, if decisions are late.
 MAX_ELAPSED_S = 0.25
 # Half-life of the corrections of a kind of request that is refused.
@@ -104,8 +108,11 @@
         self._slot_time = slot_time.SlotTime()
         self._run_time = run_time.RunTime()
         self._correction = wait_correction.WaitCorrection()
+        self._backlog = backlog_share.BacklogShare()
         self._returns = return_schedule.ReturnSchedule()
-        self._assumed_run_s = 0.0
+        # Mean time in seconds that a request holds a slot, also as other
+        # nodes observed it at the last decision; 0 if unknown.
+        self.known_slot_time_s = 0.0
         self._credit = rng.random()
         self._threshold = rng.uniform(*THRESHOLD_RANGE)
         self._allotted_at = float("-inf")
@@ -138,7 +145,7 @@
         if pool.peer_slot_times_s:
             own = (known_s,) if known_s else ()
             known_s = statistics.median(pool.peer_slot_times_s + own)
-        self._assumed_run_s = known_s * ASSUMED_RUN_FACTOR
+        self.known_slot_time_s = known_s
         return known_s
 
     def offer(
@@ -218,13 +225,18 @@
             del self._customers[customer]
 
     def admit(
-        self, pool: pool_share.PoolState, now: float, retries: int
+        self,
+        pool: pool_share.PoolState,
+        now: float,
+        retries: int,
+        has_ended: bool = False,
     ) -> list[str]:
         """Remove and return the requests that are to be sent now.
 
         :param pool: the pool.
         :param now: local monotonic time in seconds.
         :param retries: retries that the budget allows.
+        :param has_ended: whether a request of this node has just ended.
         :returns: identities of the requests, in the order of sending.
         """
         if not self._entries or not pool.slots:
@@ -233,11 +245,17 @@
         self._allotted_at = now
         slot_time_s = self._slot_time_s(pool)
         wanted = len(self._entries) + sum(pool.peer_waiting.values())
-        if pool.room(slot_time_s) >= wanted:
+        room = pool.room(slot_time_s, self._backlog.share)
+        if room >= wanted:
             return self._serve(len(self._entries), retries, now)
-        free = pool_share.refill(pool, slot_time_s, elapsed_s)
+        free = pool_share.refill(pool, room, slot_time_s, elapsed_s)
         self._credit += pool_share.allot(free, self.waiting, pool.peer_waiting)
         count = 0
+        has_free_slot = pool.total_slots - pool.load >= 1.0
+        if has_ended and has_free_slot and self._credit > -MAX_DEBT:
+            # No other node knows of the free slot yet.
+            count = 1
+            self._credit -= 1.0
         while self._credit >= self._threshold and count < len(self._entries):
             count += 1
             self._credit -= self._threshold
@@ -309,7 +327,8 @@
         :returns: local monotonic time in seconds.
         """
         limit_s = request.deadline - request.arrived_at
-        needed_s = self._run_time.needed_s(request.kind) or self._assumed_run_s
+        needed_s = self._run_time.needed_s(request.kind)
+        needed_s = needed_s or ASSUMED_RUN_FACTOR * self.known_slot_time_s
         needed_s = min(needed_s, MAX_RUN_SHARE * limit_s)
         return request.deadline - max(needed_s, DEADLINE_MARGIN_S)
 
@@ -341,7 +360,7 @@
             for name in own.keys() | peers.keys()
             if name != customer
         )
-        room = max(0.0, pool.room(slot_time_s))
+        room = max(0.0, pool.room(slot_time_s, self._backlog.share))
         return max(0.0, ahead + others - room) / per_s
 
     def _lateness_s(
@@ -395,9 +414,15 @@
         :param seconds: time in seconds from its send to its end.
         :param pool: the pool at its end.
         """
+        self._backlog.record(is_refused=False)
         self._run_time.observe(kind, seconds)
         held_s = seconds / max(1.0, pool.load / max(1.0, pool.total_slots))
         self._slot_time.observe(REQUEST_TOKENS, held_s)
+        self._slot_time_s(pool)
+
+    def record_refusal(self) -> None:
+        """Record that an endpoint refused a request."""
+        self._backlog.record(is_refused=True)
 
     def sweep(self) -> None:
         """Discard the state of customers without waiting requests."""
--- a/packages/decisions/wasabilanding/limits/pool_share.py
+++ b/packages/decisions/wasabilanding/limits/pool_share.py
@@ -67,19 +67,21 @@
         """Slots that this node counts on, for itself and reported load."""
         return sum(self.slots) * self.share
 
-    def room(self, slot_time_s: float) -> float:
+    def room(self, slot_time_s: float, backlog_share: float = 1.0) -> float:
         """Return how many more requests the pool may hold.
 
         It is negative if the pool holds too many.
 
         :param slot_time_s: mean time in seconds that a request holds a slot.
+        :param backlog_share: part of the backlog that endpoints accept.
         """
         counts = collections.Counter(self.slots)
         backlog = sum(
             count * backlog_slots(slots, self.report_age_s, slot_time_s)
             for slots, count in counts.items()
         )
-        return self.total_slots + backlog * self.share - self.load
+        backlog *= backlog_share * self.share
+        return self.total_slots + backlog - self.load
 
     def completions_per_s(self, slot_time_s: float) -> float:
         """Return the rate of completions while all slots are in use.
@@ -136,15 +138,18 @@
     return parts
 
 
-def refill(pool: PoolState, slot_time_s: float, elapsed_s: float) -> float:
+def refill(
+    pool: PoolState, room: float, slot_time_s: float, elapsed_s: float
+) -> float:
     """Return how many requests all nodes may send in a time.
 
     :param pool: the pool; requests wait for it.
+    :param room: how many more requests it may hold; negative for too many.
     :param slot_time_s: mean time in seconds that a request holds a slot.
     :param elapsed_s: length of the time in seconds.
     """
     spread_s = max(MIN_CORRECTION_S, CORRECTION_AGES * pool.report_age_s)
-    correction = pool.room(slot_time_s) * min(1.0, elapsed_s / spread_s)
+    correction = room * min(1.0, elapsed_s / spread_s)
     completed = pool.completions_per_s(slot_time_s) * elapsed_s
     return max(0.0, completed + correction)
 
--- a/packages/decisions/wasabilanding/limits/run_time.py
+++ b/packages/decisions/wasabilanding/limits/run_time.py
@@ -18,7 +18,7 @@
 import dataclasses
 
 LEARNING_RATE = 0.05
-DEVIATIONS = 2.0
+DEVIATIONS = 3.0
 # Assumed deviation of a single observation, relative to it.
 FIRST_DEVIATION = 0.5
 
@@ -76,11 +76,11 @@
         >>> times = limits.RunTime()
         >>> times.observe("pages", 1.0)
         >>> times.needed_s("pages"), times.needed_s("sheets")
-        (2.0, 2.0)
+        (2.5, 2.5)
         >>> for seconds in (1.0, 1.0, 1.0):
         ...     times.observe("pages", seconds)
         >>> times.needed_s("pages")
-        1.25
+        1.375
         """
         found = self._kinds.get(kind, self._all)
         return found.mean_s + DEVIATIONS * found.deviation_s
--- a/packages/decisions/wasabilanding/limits/tests/steps/pools_steps.py
+++ b/packages/decisions/wasabilanding/limits/tests/steps/pools_steps.py
@@ -147,7 +147,9 @@
     assert refused["late"] < share * refused.total(), refused
 
 
-@behave.given('requests of kind "slow" took {before:g} s each, and now take 1 s')
+@behave.given(
+    'requests of kind "slow" took {before:g} s each, and now take 1 s'
+)
 def given_slow(context, before):
     """Let the queue learn a run time that is wrong from now on."""
     context.queue = _learned_queue()
@@ -261,7 +263,9 @@
     context.report = limits.bounded({f"p{i}": waiting for i in range(pools)})
 
 
-@behave.then("the report has {customers:d} customers in each of {pools:d} pools")
+@behave.then(
+    "the report has {customers:d} customers in each of {pools:d} pools"
+)
 def check_report(context, customers, pools):
     """Count pools and customers."""
     assert len(context.report) == pools, len(context.report)
--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -9,6 +9,7 @@
 import sys
 import time
 import types
+import typing
 
 import httpx
 
@@ -147,6 +148,9 @@
         be cut, with :meth:`cut`.
     :param output_of: maps the name of a gateway to the file descriptor for
         its standard output, or None for its log file, the default.
+    :param settings: settings of the gateways that differ from the usual ones.
+    :param behaviour: settings of the endpoints, see
+        :class:`wasabilanding.standins.registered_engine.RegisteredSettings`.
     """
 
     def __init__(
@@ -156,7 +160,11 @@
         proxied_port: collections.abc.Callable[[str, int], int] | None = None,
         output_of: collections.abc.Callable[[str], int | None] | None = None,
         is_cuttable: bool = False,
+        settings: collections.abc.Mapping[str, typing.Any] | None = None,
+        behaviour: collections.abc.Mapping[str, typing.Any] | None = None,
     ) -> None:
+        self._settings = dict(settings or {})
+        self._behaviour = dict(behaviour or {})
         self._plan = plan
         self._folder = folder
         self._proxied_port = proxied_port or (lambda name, port: port)
@@ -243,6 +251,7 @@
             "platform_url": self.platform_url,
             "failure_domain": domain,
             "control_port": control_port,
+            "behaviour": self._behaviour,
             "vms": [
                 {
                     "endpoint_id": vm.endpoint_id,
@@ -285,6 +294,7 @@
             "first_start": True,
             "shutdown_grace_s": SHUTDOWN_GRACE_S,
             "peer_port": peers,
+            **self._settings,
         }
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
--- a/packages/experiments/wasabilanding/experiments/installation/tests/running.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/running.py
@@ -12,17 +12,18 @@
 from wasabilanding.experiments.installation import launch
 
 
-def start(context, plan, is_cuttable=False):
+def start(context, plan, is_cuttable=False, **options):
     """Start the installation of a scenario; it ends with the scenario.
 
     :param context: context of the scenario; receives the installation.
     :param plan: size of the installation.
     :param is_cuttable: whether gateways can be cut off from endpoints.
+    :param options: further options of the installation.
     """
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.installation = launch.Installation(
-        plan, pathlib.Path(folder.name), is_cuttable=is_cuttable
+        plan, pathlib.Path(folder.name), is_cuttable=is_cuttable, **options
     )
     context.installation.__enter__()
     context.add_cleanup(
--- a/packages/experiments/wasabilanding/experiments/placing/admission.py
+++ b/packages/experiments/wasabilanding/experiments/placing/admission.py
@@ -20,6 +20,7 @@
 KIND = limits.Kind("pages", 1)
 RECHECK_INTERVAL_S = 0.05
 REFUSED_AVOID_S = 0.15
+SILENT_SLOT_TIMES = 2.0
 # The retry budget is not modelled; sends that are refused are counted.
 UNLIMITED = 1_000_000
 
@@ -54,6 +55,12 @@
     returns: int = 0
     settle_s: float = 5.0
 
+    @property
+    def silent_after_s(self) -> float:
+        """Longest usual time in seconds without progress of an endpoint."""
+        usual_s = SILENT_SLOT_TIMES * self.mean_service_s
+        return max(dispatch.PROGRESS_TIMEOUT_S, usual_s)
+
     @property
     def report_age_s(self) -> float:
         """Usual age in seconds of what other nodes report."""
@@ -175,7 +182,10 @@
 
     def _usable(self, node: int) -> list[dispatch.Candidate]:
         return dispatch.usable(
-            self._candidates, self._trackers[node], self._now
+            self._candidates,
+            self._trackers[node],
+            self._now,
+            self._pattern.silent_after_s,
         )
 
     def _has_free_slot(self, node: int) -> bool:
@@ -202,14 +212,15 @@
         if self._is_checking[node]:
             self._at(self._now + RECHECK_INTERVAL_S, self._recheck, node)
 
-    def _admit(self, node: int) -> None:
+    def _admit(self, node: int, has_ended: bool = False) -> None:
         queue = self._queues[node]
         if not queue:
             return
         state = self._state(node)
         for request_id, outcome in queue.refuse_late(state, self._now):
             self._refuse(self._requests[request_id], outcome, "late")
-        for request_id in queue.admit(state, self._now, UNLIMITED):
+        admitted = queue.admit(state, self._now, UNLIMITED, has_ended)
+        for request_id in admitted:
             self._send(self._requests[request_id])
 
     def _refuse(
@@ -234,12 +245,13 @@
 
     def _send(self, request: _Request) -> None:
         tracker = self._trackers[request.node]
-        found = self._policy(
+        found = dispatch.choose(
             self._candidates,
             tracker,
             self._domain(request.node),
             self._now,
             self._rng,
+            self._pattern.silent_after_s,
         )
         name = found.endpoint.endpoint_id
         replica = self._replicas[name]
@@ -255,6 +267,7 @@
 
     def _send_again(self, request: _Request, refusing: str) -> None:
         self.retries += 1
+        self._queues[request.node].record_refusal()
         tracker = self._trackers[request.node]
         tracker.avoid(refusing, self._now, REFUSED_AVOID_S)
         again = dataclasses.replace(self._pool_request(request), is_retry=True)
@@ -284,7 +297,7 @@
         self._end_request(request, "served")
         if replica.queue:
             self._start(replica, replica.queue.popleft())
-        self._admit(request.node)
+        self._admit(request.node, has_ended=True)
 
     def _report(self, node: int) -> None:
         load = self._trackers[node].local_load
--- a/packages/experiments/wasabilanding/experiments/placing/tests/steps/admission_steps.py
+++ b/packages/experiments/wasabilanding/experiments/placing/tests/steps/admission_steps.py
@@ -34,9 +34,7 @@
     context.pattern = MANY_NODES
 
 
-@behave.given(
-    "a large customer that asks for {large:g} times the capacity"
-)
+@behave.given("a large customer that asks for {large:g} times the capacity")
 def given_large(context, large):
     """Set the demand of the large customer."""
     context.pattern = dataclasses.replace(context.pattern, large=large)
@@ -57,9 +55,7 @@
     context.alone = placing.simulate_overload(alone, seed)
 
 
-@behave.then(
-    "{share:g} of the small customers' requests or more are served"
-)
+@behave.then("{share:g} of the small customers' requests or more are served")
 def check_small_served(context, share):
     """Compare the share."""
     assert context.found.small_served >= share, context.found
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -1,5 +1,6 @@
 """Selection of the endpoint of an attempt, and limits on attempts."""
 
+import collections.abc
 import dataclasses
 import random
 
@@ -84,6 +85,11 @@
         self._crash_guard = crash_guard
         self._grants = grants
         self._rng = rng
+        # Returns the longest usual time in seconds without progress of an
+        # endpoint of a service.
+        self.silent_after_s: collections.abc.Callable[
+            [routes.RoutedService], float
+        ] = lambda service: dispatch.PROGRESS_TIMEOUT_S
         self._candidates: dict[str, dict[str, list[dispatch.Candidate]]] = {}
         self._candidates_version: tuple[object, int] = (None, -1)
 
@@ -100,7 +106,7 @@
         if self.needs_relay(state):
             return self._pick_relay(state)
         limited, unlimited = self._candidates_by_limit(state)
-        found = self._choose(unlimited)
+        found = self._choose(state, unlimited)
         if limited and not self._has_free_slot(found):
             max_wait_s = state.route.latency_goal_s * GRANT_WAIT_SHARE
             granted = await self._pick_limited(limited, max_wait_s)
@@ -117,7 +123,7 @@
         """
         if self.needs_relay(state):
             return self._pick_relay(state)
-        found = self._choose(self._candidates_by_limit(state)[1])
+        found = self._choose(state, self._candidates_by_limit(state)[1])
         return Selection(found.endpoint) if found is not None else None
 
     def needs_relay(self, state: request_state_module.RequestState) -> bool:
@@ -168,7 +174,9 @@
         return limited, unlimited
 
     def _choose(
-        self, candidates: list[dispatch.Candidate]
+        self,
+        state: request_state_module.RequestState,
+        candidates: list[dispatch.Candidate],
     ) -> dispatch.Candidate | None:
         return dispatch.choose(
             candidates,
@@ -176,6 +184,7 @@
             self._failure_domain,
             trio.current_time(),
             self._rng,
+            self.silent_after_s(state.service),
         )
 
     def _has_free_slot(self, candidate: dispatch.Candidate | None) -> bool:
@@ -368,7 +377,9 @@
         candidates = self._candidates_of(service, model_name)
         if self._grants.has_limits:
             candidates = [c for c in candidates if self._may_grant(c, now)]
-        return dispatch.usable(candidates, self._tracker, now)
+        return dispatch.usable(
+            candidates, self._tracker, now, self.silent_after_s(service)
+        )
 
     def _may_grant(self, candidate: dispatch.Candidate, now: float) -> bool:
         wait_s = self._grants.wait_s(candidate.endpoint, now)
--- a/packages/gateway/wasabilanding/gateway/waiting.py
+++ b/packages/gateway/wasabilanding/gateway/waiting.py
@@ -37,6 +37,9 @@
 # A refused send is not repeated within this time, unless another endpoint has
 # a free slot: the endpoint is avoided meanwhile.
 RESEND_AFTER_S = 0.15
+# An endpoint of a plain service with requests in flight makes progress within
+# this multiple of the time that a request holds a slot.
+SILENT_SLOT_TIMES = 2.0
 # If no other node reports for this time while requests wait here, this node
 # uses its part of the pool only.
 ISOLATED_AFTER_S = 1.5
@@ -121,6 +124,7 @@
         rng: random.Random,
     ) -> None:
         self._selector = selector
+        selector.silent_after_s = self._silent_after_s
         self._tracker = tracker
         self._reports = reports
         self._metrics = metrics
@@ -153,6 +157,18 @@
             if pool.queue.observed_slot_time_s
         }
 
+    def _silent_after_s(self, service: routes.RoutedService) -> float:
+        """Return the longest usual time without progress of an endpoint.
+
+        Requests to a plain service make no progress before they end. If a
+        busy endpoint counted as silent, its slots would count as absent.
+        """
+        pool = self._pools.get(f"{service.name}/")
+        if service.engine is not None or pool is None:
+            return dispatch.PROGRESS_TIMEOUT_S
+        usual_s = SILENT_SLOT_TIMES * pool.queue.known_slot_time_s
+        return max(dispatch.PROGRESS_TIMEOUT_S, usual_s)
+
     async def enter(
         self,
         state: request_state_module.RequestState,
@@ -310,7 +326,9 @@
             return 1.0
         return 1.0 / max(1, self.known_nodes())
 
-    def _examine(self, name: str, pool: _Pool, now: float) -> None:
+    def _examine(
+        self, name: str, pool: _Pool, now: float, has_ended: bool = False
+    ) -> None:
         """Send or refuse the requests whose wait ends now."""
         if not pool.queue:
             return
@@ -319,7 +337,7 @@
             self._metrics.count_refusal(pool.service.name, "late")
             self._end_wait(pool, request_id, refusal)
         retries = self._selector.retries_left(pool.service)
-        for request_id in pool.queue.admit(state, now, retries):
+        for request_id in pool.queue.admit(state, now, retries, has_ended):
             self._end_wait(pool, request_id, None)
         if pool.queue:
             pool.busy_at = now
@@ -365,7 +383,9 @@
             pool.queue.record_run(
                 _kind_of(state), seconds, self._state(name, now)
             )
-        self._examine(name, pool, now)
+        if outcome is not None and outcome.reason is model.Reason.REFUSED:
+            pool.queue.record_refusal()
+        self._examine(name, pool, now, has_ended=True)
 
     async def run(self) -> None:
         """Examine the queues while requests wait; never returns."""
--- a/packages/standins/wasabilanding/standins/registered_engine.py
+++ b/packages/standins/wasabilanding/standins/registered_engine.py
@@ -38,6 +38,7 @@
     """Capacity and timing of the engines of a fabric.
 
     :param slots: requests that a replica or plain endpoint runs concurrently.
+    :param queue: further requests that a plain endpoint queues.
     :param event_s: seconds between events of a stream.
     :param work_s: seconds that a plain request takes.
     :param rejoin_s: seconds of a join whose model is still in memory.
@@ -56,6 +57,7 @@
     """
 
     slots: int = 4
+    queue: int = 0
     event_s: float = 0.02
     work_s: float = 0.05
     rejoin_s: float = 0.1
@@ -170,6 +172,8 @@
         self.stalled = False
         self._reset_notices()
         self.in_flight = 0
+        # Slots of a plain endpoint.
+        self.free_slots = trio.Semaphore(fabric.settings.slots)
         self.changed = trio.Event()
         self.staged = ""
         self._reset()
--- a/packages/standins/wasabilanding/standins/registered_engine_http.py
+++ b/packages/standins/wasabilanding/standins/registered_engine_http.py
@@ -189,8 +189,9 @@
         request = quart.request
         body = (await request.get_data()).decode(errors="replace")
         response_headers = {"x-request": request.headers.get("x-request", "")}
+        queue = 0 if engine.fabric_domain else fabric.settings.queue
         refusal_status = _refusal_status(
-            engine, request.headers, fabric.settings.slots
+            engine, request.headers, fabric.settings.slots + queue
         )
         if refusal_status is not None:
             return (
@@ -209,7 +210,8 @@
         if engine.fabric_domain:
             return _stream(engine, fabric, run, response_headers)
         with _track_run(engine, fabric, run) as life:
-            await _run_for(engine, life, fabric.settings.work_s)
+            async with engine.free_slots:
+                await _run_for(engine, life, fabric.settings.work_s)
         answer = {"endpoint": engine.endpoint_id, "body": body}
         return answer, HTTP_OK, response_headers
 
