Test the reports of waiting requests between nodes

Cause: they had no test of their own: the end of waiting, the ways through collectors, and fields that an older build does not know.

--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -38,6 +38,30 @@
     And the nodes exchange hints for 0.3 s
     Then the nodes count "n1 0 n2 0 n3 0" requests at e1
 
+  # Neither node has load, so that only the waiting requests cause hints.
+  Scenario Outline: Waiting requests, and their end, are known to all nodes
+    When 3 requests of customer a wait at node n1
+    And the nodes exchange hints for 0.5 s
+    And <left> requests of customer a wait at node n1
+    And the nodes exchange hints for <seconds> s
+    Then the nodes know of "<known>" requests waiting elsewhere
+
+    Examples:
+      | left | seconds | known          |
+      | 3    | 0       | n1 0 n2 3 n3 3 |
+      | 3    | 4       | n1 0 n2 3 n3 3 |
+      | 0    | 0.5     | n1 0 n2 0 n3 0 |
+
+  Scenario: Waiting requests are known through collectors
+    Given 12 nodes in each of 3 failure domains, each with a request in flight
+    And 2 requests of customer a wait at each node
+    Then after 2 s each node knows of 70 of them elsewhere
+
+  # A node of an older build has no such field, and one of a newer build more.
+  Scenario: A field that a node does not know does not hide the others
+    When node n2 receives the datagram {"sender": "n9", "newer": 1, "hints": [{"node": "n9", "newer": {"a": 1}, "in_flight": {"e1": 3}}]}
+    Then the nodes count "n1 0 n2 3 n3 0" requests at e1
+
   Scenario Outline: Each node knows the load of all failure domains
     Given 12 nodes in each of 3 failure domains, each with a request in flight
     And the first <dead> nodes of each failure domain are dead
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -17,6 +17,7 @@
 from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests import memory_network
 from wasabilanding.gateway.tests import memory_store
+from wasabilanding import limits
 from wasabilanding import metadata
 from wasabilanding import model
 
@@ -44,6 +45,7 @@
         self.hints = {}
         self.guards = {}
         self.grants = {}
+        self.waiting_reports = {}
         # Seconds after which a node starts, by name.
         self.late_s = {}
         self.views = {}
@@ -60,6 +62,7 @@
                 view, self.trackers[entry.node], metrics.Metrics(entry.node)
             )
             self.grants[entry.node] = fakes.grants(entry.node)
+            self.waiting_reports[entry.node] = limits.WaitingReports()
             self.hints[entry.node] = hints.HintExchange(
                 entry.node,
                 entry.failure_domain,
@@ -68,6 +71,7 @@
                 self.guards[entry.node],
                 self.grants[entry.node],
                 plain_wire,
+                self.waiting_reports[entry.node],
             )
             self.grants[entry.node].exchange_through(
                 self.hints[entry.node].ask_to_send,
@@ -270,6 +274,64 @@
     context.plan.append(answer)
 
 
+@behave.given("{count:d} requests of customer {customer} wait at each node")
+def given_waiting(context, count, customer):
+    """Let requests wait at all nodes from the start."""
+    for exchange in context.nodes.hints.values():
+        exchange.waiting = lambda: {"pages/": {customer: count}}
+
+
+@behave.when("{count:d} requests of customer {customer} wait at node {node}")
+def set_waiting(context, count, customer, node):
+    """Change the requests that wait at a node."""
+    waiting = {"pages/": {customer: count}} if count else {}
+
+    def change(network):
+        context.nodes.hints[node].waiting = lambda: waiting
+
+    context.plan.append(change)
+
+
+def _waiting_elsewhere(context, name):
+    """Return the waiting requests at other nodes that a node knows of."""
+    report = context.nodes.waiting_reports[name]
+    return report.of_pool("pages/", trio.current_time()).total()
+
+
+@behave.then('the nodes know of "{known}" requests waiting elsewhere')
+def check_waiting(context, known):
+    """Run the nodes and compare what they know."""
+    found = {}
+
+    def read(network):
+        found.update(
+            (name, _waiting_elsewhere(context, name))
+            for name in context.nodes.hints
+        )
+
+    context.plan.append(read)
+    _run_nodes(context)
+    text = " ".join(f"{name} {count}" for name, count in found.items())
+    assert text == known, text
+
+
+@behave.then(
+    "after {seconds:g} s each node knows of {count:d} of them elsewhere"
+)
+def check_all_waiting(context, seconds, count):
+    """Run the nodes and compare what they know."""
+    found = set()
+
+    def read(network):
+        found.update(
+            _waiting_elsewhere(context, name) for name in context.nodes.hints
+        )
+
+    context.plan = [lambda network: seconds, read]
+    _run_nodes(context)
+    assert found == {count}, found
+
+
 @behave.when("the nodes exchange hints for {seconds:g} s")
 def wait(context, seconds):
     """Wait."""
