--- a/packages/decisions/wasabilanding/dispatch/__init__.py
+++ b/packages/decisions/wasabilanding/dispatch/__init__.py
@@ -41,6 +41,7 @@
 from wasabilanding.dispatch.tracker import EndpointTracker
 from wasabilanding.dispatch.tracker import Load
 from wasabilanding.dispatch.tracker import NEVER
+from wasabilanding.dispatch.tracker import PROGRESS_TIMEOUT_S
 
 __all__ = [
     "BURST_S",
@@ -49,6 +50,7 @@
     "MAX_REPLY_DELAY_S",
     "MAX_WAIT_S",
     "NEVER",
+    "PROGRESS_TIMEOUT_S",
     "SHARES",
     "WAITS_FOR_CALLER",
     "EndpointTracker",
