Remove duplication left between the merged gateway parts

The reasons for which an endpoint may be unreachable were defined twice, the model that a request requires was computed twice, and the time for which a refusing endpoint is avoided was a second copy of the one after which its request is sent again. Each is defined once now.

Hint.has_waiting and a hint that only carried two values are removed. Messages on limits and cold endpoints return fleet.Incarnation, as they state, and not a plain tuple, so that their readers use its field names. PoolQueue.last_start is named wait_deadline, since latest_start is another time.

Comments and docstrings that were unclear are rewritten. That of PoolQueue named another range of thresholds than the constant. Behaviour does not change.

--- a/packages/decisions/wasabilanding/limits/customer_queue.py
+++ b/packages/decisions/wasabilanding/limits/customer_queue.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-# Every so many turns, the kind that was served the longest time ago is next,
+# One of so many turns goes to the kind that was served the longest time ago,
 # whatever its priority, so that no priority starves another.
 LOW_PRIORITY_TURN = 8
 
@@ -27,8 +27,9 @@
     """Waiting requests of one customer.
 
     Higher priorities come first. Kinds of one priority take turns, as their
-    time limits differ: in one line, the requests that can wait longest would
-    make the line as long as they can bear, and all others would be refused.
+    time limits differ: in a single queue, the requests with the longest time
+    limit would lengthen the wait up to that limit, and all others would be
+    refused.
     Requests of one kind are in the order of their arrival.
     """
 
--- a/packages/decisions/wasabilanding/limits/pool_queue.py
+++ b/packages/decisions/wasabilanding/limits/pool_queue.py
@@ -8,11 +8,12 @@
 customer in the order of :class:`~wasabilanding.limits.customer_queue.\
 CustomerQueue`. How many requests the node may send is its part of what all
 nodes may send (:mod:`~wasabilanding.limits.pool_share`). Parts of a request
-are summed up; a request is sent when the sum passes a threshold drawn between
-half of a request and one and a half. A draw at each decision would have the
-same mean, but waits would be spread exponentially about the prediction, and
-many requests would miss their deadlines. With a fixed threshold, nodes whose
-queues began at the same time would send at the same time.
+are summed up; a request is sent when the sum reaches a threshold drawn from
+:data:`THRESHOLD_RANGE`, whose mean is one request. A draw at each decision
+would have the same mean, but waits would be spread exponentially about the
+prediction, and many requests would miss their deadlines. With a fixed
+threshold, nodes whose queues began at the same time would send at the same
+time.
 
 A request that cannot end within its time limit is refused on arrival: the
 requests ahead of it over all nodes in fair order, divided by the pool's
@@ -38,9 +39,10 @@
 
 # Tokens that the fair queue charges for each request.
 REQUEST_TOKENS = 1.0
+# Requests that a node must be allotted before it sends the next one.
 THRESHOLD_RANGE = (0.75, 1.25)
-# What a node may send in advance of its part, in requests, as it knows first
-# that a request of its own has ended.
+# Requests that a node may send in advance of its part, as it is the first to
+# know that one of its own has ended.
 MAX_DEBT = 1.0
 # Longest time for which the pool is refilled at once, if decisions are late.
 MAX_ELAPSED_S = 0.25
@@ -95,7 +97,7 @@
 class PoolQueue:
     """Requests of one node that wait for a pool, and what is known of it.
 
-    :param name: name of the pool, for texts.
+    :param name: name of the pool, for the detail of refusals.
     :param rng: draws thresholds.
     """
 
@@ -332,8 +334,8 @@
         needed_s = min(needed_s, MAX_RUN_SHARE * limit_s)
         return request.deadline - max(needed_s, DEADLINE_MARGIN_S)
 
-    def last_start(self, request: PoolRequest) -> float:
-        """Return the time at which a wait ends in any case.
+    def wait_deadline(self, request: PoolRequest) -> float:
+        """Return the time at which a waiting request is refused at the latest.
 
         :param request: the request.
         :returns: local monotonic time in seconds.
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -76,7 +76,8 @@
     :param state: the request.
     :param endpoint: the endpoint.
     :param answer: the answer to the request.
-    :param purpose: whether the request has a grant for the endpoint.
+    :param purpose: what the endpoint is for: a caller's request, with or
+        without a grant, or a relay to another node.
     """
 
     def __init__(
@@ -97,9 +98,9 @@
         self._answer = answer
         self._scope = trio.CancelScope()
         self._is_run_counted = False
-        self._is_counted = False
-        # Local monotonic times in seconds: when the attempt began, and from
-        # when on its connection was established.
+        self._is_in_flight_counted = False
+        # Local monotonic times in seconds at which the attempt began, and at
+        # which its connection was ready for the request.
         self.sent_at = NEVER
         self._connected_at = NEVER
         self.silence = dispatch.SilenceMonitor(trio.current_time())
@@ -153,8 +154,8 @@
 
         :param now: local monotonic time in seconds.
         """
-        if not self._is_counted:
-            self._is_counted = True
+        if not self._is_in_flight_counted:
+            self._is_in_flight_counted = True
             self._tracker.begin(self.incarnation, now)
 
     async def run(self) -> model.Outcome | None:
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -30,23 +30,20 @@
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
 from wasabilanding.gateway import shared_answer
+from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding.gateway import waiting
 from wasabilanding import model
 
-REFUSED_AVOID_S = 0.15
+# Times for which an endpoint is avoided after a refusal, and after another
+# failure.
+REFUSED_AVOID_S = waiting.RESEND_AFTER_S
 FAILED_AVOID_S = 1.0
 # While all attempts are silent, the limits on another one are checked again
 # at this interval.
 RECHECK_INTERVAL_S = 0.25
-
 # Why a request that waits for a slot ends without an attempt.
 NOT_SENT = "it is not sent"
 
-UNREACHABLE_REASONS = (
-    model.Reason.CONNECT_FAILED,
-    model.Reason.CONNECTION_LOST,
-)
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -333,7 +330,8 @@
         self, attempt: attempt_module.Attempt, outcome: model.Outcome
     ) -> None:
         endpoint_id = attempt.endpoint_id
-        if outcome.reason in UNREACHABLE_REASONS and not attempt.is_relayed:
+        is_unreachable = outcome.reason in upstream_module.UNREACHABLE_REASONS
+        if is_unreachable and not attempt.is_relayed:
             self._state.connect_failures += 1
             self._record_unreachable(endpoint_id)
         avoid_s = FAILED_AVOID_S
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -75,17 +75,18 @@
         self.eras = metadata.EraTracker()
         self.era_learned_at = float("-inf")
         self.restores = 0
-        # Highest version of the configuration that another node has told.
+        # Highest version of the configuration that another node has reported.
         self._peers_version = 0
-        # Times of this view's clock: when that was told; when the present era
-        # of the store began for this view.
+        # Times of this view's clock at which that was reported, and at which
+        # the present era of the store began for this view.
         self._told_at = float("-inf")
         self._era_began_at = float("-inf")
         # Time of this view's clock until which it asks other nodes for it.
         self._asks_until = float("-inf")
         self._is_answer_needed = False
+        # Times of this view's clock at which the view was last known to be
+        # current, from any source and from another node.
         self._current_as_of = float("-inf")
-        # Part of it that another node has confirmed.
         self._fed_as_of = float("-inf")
         self.active_planners = 0
         # Whether this node sends changes to the other nodes.
--- a/packages/gateway/wasabilanding/gateway/cold_monitor.py
+++ b/packages/gateway/wasabilanding/gateway/cold_monitor.py
@@ -34,7 +34,7 @@
         self._known = dispatch.ColdEndpoints()
         self._view: cluster_view_module.ClusterView | None = None
         self._report: Report = lambda notice: None
-        # Endpoints of which a line says that they are cold.
+        # Endpoints that were logged as cold.
         self._logged: set[fleet.Incarnation] = set()
 
     def follow(self, view: cluster_view_module.ClusterView) -> None:
@@ -97,13 +97,13 @@
         if not self._known.left_s(question.incarnation, now):
             return None
         told = question.cold.per_s if question.cold is not None else 0.0
-        return self._configured(question.incarnation) or told or None
+        return self._configured_rate(question.incarnation) or told or None
 
-    def _configured(self, incarnation: fleet.Incarnation) -> float:
+    def _configured_rate(self, incarnation: fleet.Incarnation) -> float:
         """Return the configured rate of an endpoint; 0 if unknown."""
         if self._view is None:
             return 0.0
-        found = self._view.registry.get(incarnation[0])
+        found = self._view.registry.get(incarnation.endpoint_id)
         return self._rates.get(found.service, 0.0) if found else 0.0
 
     def record_registration(
@@ -160,7 +160,7 @@
     def apply_question(
         self, question: limit_messages.SendQuestion, now: float
     ) -> None:
-        """Record what a node knows that asks for a grant.
+        """Record what a node that asks for a grant knows.
 
         :param question: its question.
         :param now: local monotonic time in seconds.
@@ -177,16 +177,16 @@
     ) -> bool:
         if not self._known.note(incarnation, phase, now):
             return False
-        rate = self._configured(incarnation)
+        rate = self._configured_rate(incarnation)
         if rate and incarnation not in self._logged:
             self._logged.add(incarnation)
             _LOG.info(
                 "%s is cold for %.1f s and takes %g requests a second from "
                 "all nodes",
-                incarnation[0],
+                incarnation.endpoint_id,
                 self._known.left_s(incarnation, now),
                 rate,
-                extra={"endpoint": incarnation[0]},
+                extra={"endpoint": incarnation.endpoint_id},
             )
         return True
 
@@ -202,7 +202,7 @@
         phase = self._known.phase_of(incarnation)
         if phase is None or now >= phase.until:
             return None
-        rate = self._configured(incarnation)
+        rate = self._configured_rate(incarnation)
         return limit_messages.cold_notice_of(incarnation, phase, rate, now)
 
     def due_notices(self, now: float) -> tuple[limit_messages.ColdNotice, ...]:
@@ -214,7 +214,7 @@
             return ()
         return tuple(
             limit_messages.cold_notice_of(
-                incarnation, phase, self._configured(incarnation), now
+                incarnation, phase, self._configured_rate(incarnation), now
             )
             for incarnation, phase in self._known.recent(now)
         )
@@ -228,8 +228,8 @@
         for incarnation in self._logged - cold:
             _LOG.info(
                 "%s is not cold any more",
-                incarnation[0],
-                extra={"endpoint": incarnation[0]},
+                incarnation.endpoint_id,
+                extra={"endpoint": incarnation.endpoint_id},
             )
         self._logged &= cold
         self._known.drop_expired(now)
--- a/packages/gateway/wasabilanding/gateway/confinement.py
+++ b/packages/gateway/wasabilanding/gateway/confinement.py
@@ -1,4 +1,4 @@
-"""The one endpoint at which all nodes try what is suspected."""
+"""Choice of the one endpoint at which all nodes try a suspected request."""
 
 import collections.abc
 
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -38,11 +38,6 @@
 REFUSAL_STATUSES = (421, 429, 503)
 # Another endpoint than the intended one may give such a reply.
 MISDIRECTED = 421
-# After such a failure the endpoint may have started again.
-UNREACHABLE_REASONS = (
-    model.Reason.CONNECT_FAILED,
-    model.Reason.CONNECTION_LOST,
-)
 Purpose = upstream_module.Purpose
 CALLERS_PURPOSES = (Purpose.CALLER, Purpose.GRANTED)
 
@@ -107,7 +102,9 @@
             permit.check()
             yield permit
         except upstream_module.AttemptFailed as failure:
-            if failure.outcome.reason in UNREACHABLE_REASONS:
+            reason = failure.outcome.reason
+            if reason in upstream_module.UNREACHABLE_REASONS:
+                # The endpoint may have started again.
                 self._grants.cold.record_failure(endpoint, trio.current_time())
             raise
         finally:
--- a/packages/gateway/wasabilanding/gateway/evacuated_domains.py
+++ b/packages/gateway/wasabilanding/gateway/evacuated_domains.py
@@ -20,7 +20,7 @@
 from wasabilanding import metadata
 from wasabilanding import model
 
-# More statements than these are not told, so that they fit into a datagram.
+# Statements in one datagram at most; further ones are left out.
 MAX_TOLD = 64
 STORE = "the store"
 COLLECTOR = "the collector"
@@ -144,7 +144,7 @@
         )
 
     def expire(self, now: float) -> None:
-        """End what a restore of the store has lost some time ago.
+        """End the evacuations that a restore has lost some time ago.
 
         :param now: local monotonic time in seconds.
         """
--- a/packages/gateway/wasabilanding/gateway/evacuation_monitor.py
+++ b/packages/gateway/wasabilanding/gateway/evacuation_monitor.py
@@ -1,4 +1,4 @@
-"""Tells the operators what evacuations of failure domains leave unserved."""
+"""Reports services that evacuations leave without a usable endpoint."""
 
 import logging
 
@@ -13,7 +13,7 @@
     """Logs when a service loses all its endpoints to evacuations.
 
     :param view: the node's view of the cluster.
-    :param metrics: tells how many failure domains are evacuated.
+    :param metrics: receives the number of evacuated failure domains.
     """
 
     def __init__(
--- a/packages/gateway/wasabilanding/gateway/hint_messages.py
+++ b/packages/gateway/wasabilanding/gateway/hint_messages.py
@@ -17,7 +17,7 @@
 
 # Digits of the seconds since an endpoint's last progress.
 AGE_DIGITS = 3
-# Absent where there are none, so that they cost nothing.
+# The field is left out of a datagram without notices, to keep it small.
 EvacuationNotices = typing.Annotated[
     tuple[evacuation_messages.EvacuationNotice, ...],
     pydantic.Field(exclude_if=operator.not_),
@@ -82,14 +82,9 @@
     )
     cold: tuple[limit_messages.ColdNotice, ...] = ()
 
-    @property
-    def has_waiting(self) -> bool:
-        """Whether requests wait at the node."""
-        return bool(self.waiting)
-
     @property
     def has_notices(self) -> bool:
-        """Whether it says something besides load and progress."""
+        """Whether it has more than load, progress and waiting requests."""
         return bool(
             self.leaving
             or self.crashes
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -51,11 +51,11 @@
 evacuated, and recent ends, with the revisions of the store as of which it
 knows, so that a node without the store learns of them.
 
-Datagrams may be lost. Hints are advisory: they move requests to other
-endpoints, make the planner query the replica's members, and make it replace
-the replica of an endpoint that announced its shutdown, but trigger no other
-action but that requests which end endpoints are rejected; no hint makes a node
-use an endpoint again. A node that loses changes reads them from the store.
+Datagrams may be lost. Hints are advisory. They move requests to other
+endpoints, make the planner query the members of a replica or replace the
+replica of an endpoint that announced its shutdown, and make nodes reject
+requests that end endpoints. No hint makes a node use an endpoint again. A node
+that loses changes reads them from the store.
 
 Each datagram states the version of the sender's configuration. A node whose
 view begins in a newer era of the store asks other nodes for theirs, since the
@@ -94,8 +94,8 @@
 # Each hint repeats some of the previous hint's progress, in case its datagram
 # was lost.
 PROGRESS_OVERLAP_S = 0.1
-# Progress of an endpoint that still counts when the next report is due: an
-# older one would make a busy endpoint seem silent between two reports.
+# Greatest age at which reported progress must still count when the next report
+# is due. Otherwise a busy endpoint would seem silent between two reports.
 MAX_REPORT_AGE_S = 0.3
 PEER_REFRESH_INTERVAL_S = 0.5
 BIND_RETRY_INTERVAL_S = 2.0
@@ -189,7 +189,8 @@
         )
         # Called when other nodes have reported their load.
         self.note_load: collections.abc.Callable[[], None] = lambda: None
-        # Local monotonic times in seconds until which they are repeated.
+        # Local monotonic times in seconds until which announced shutdowns are
+        # repeated.
         self._leaving: dict[hint_messages.LeavingEndpoint, float] = {}
         self._urgent_sender, self._urgent_receiver = trio.open_memory_channel[
             hint_messages.Hint
@@ -378,15 +379,13 @@
             age_s += remote_reports.PERIOD_S / 2
         return age_s
 
-    def _waiting_hint(self, now: float) -> hint_messages.Hint:
-        """Return a hint on this node's waiting requests."""
-        waiting = limits.bounded(self.waiting())
-        times_s: dict[str, float] = {}
+    def _due_slot_times_s(
+        self, waiting: dict[str, dict[str, int]], now: float
+    ) -> dict[str, float]:
+        """Return the slot times to report; none while no request waits."""
         if waiting or self._waiting_reports.has_any(now):
-            times_s = self.slot_times_s()
-        return hint_messages.Hint(
-            self._node, waiting=waiting, slot_times_s=times_s
-        )
+            return self.slot_times_s()
+        return {}
 
     async def _send_load(self, datagrams: Datagrams) -> None:
         last_load: dict[str, int] = {}
@@ -403,9 +402,9 @@
                 self._view.feeds_peers = False
             load = self._tracker.local_load
             notices = self._due_notices(LOCAL, now)
-            waiting = self._waiting_hint(now)
+            waiting = limits.bounded(self.waiting())
             has_news = notices.has_notices or self._crash_questions > 0
-            has_news |= waiting.has_waiting or was_waiting
+            has_news |= bool(waiting) or was_waiting
             has_news |= self._waiting_reports.has_any(now)
             has_news |= self._has_evacuations(now)
             if load or last_load or has_news or self.nodes.uses_collector:
@@ -416,15 +415,15 @@
                     notices,
                     in_flight=load,
                     worked_ago_s=worked,
-                    waiting=waiting.waiting,
-                    slot_times_s=waiting.slot_times_s,
+                    waiting=waiting,
+                    slot_times_s=self._due_slot_times_s(waiting, now),
                 )
                 await self._send_load_hint(datagrams, hint, now)
             if self._collected:
                 await self._forward_collected(datagrams, now)
             await self._send_remote(datagrams, now)
             last_load = load
-            was_waiting = waiting.has_waiting
+            was_waiting = bool(waiting)
 
     def _due_notices(
         self, scope: crash_reports.Scope, now: float
@@ -471,7 +470,7 @@
             notices,
             in_flight=load,
             waiting=waiting,
-            slot_times_s=self._waiting_hint(now).slot_times_s,
+            slot_times_s=self._due_slot_times_s(waiting, now),
         )
         for domain, nodes in self.nodes.remote.items():
             has_collector = peer_nodes.needs_collector(len(nodes))
@@ -601,7 +600,8 @@
         """Record the latest progress that other nodes have seen.
 
         Through a collector, the next report follows after up to two periods.
-        Progress counts as later by what they exceed the allowed age.
+        So progress is dated later by the time by which two periods exceed
+        :data:`MAX_REPORT_AGE_S`.
         """
         latest: dict[str, float] = {}
         for hint in batch.hints:
--- a/packages/gateway/wasabilanding/gateway/limit_messages.py
+++ b/packages/gateway/wasabilanding/gateway/limit_messages.py
@@ -58,7 +58,7 @@
     @property
     def incarnation(self) -> fleet.Incarnation:
         """The endpoint and its start."""
-        return self.endpoint_id, self.started_at_ms
+        return fleet.Incarnation(self.endpoint_id, self.started_at_ms)
 
     def phase(self, now: float, is_from_reply: bool) -> dispatch.ColdPhase:
         """Return the statement that it passes on.
@@ -102,7 +102,7 @@
     def incarnation(self) -> fleet.Incarnation:
         """The endpoint and its start."""
         found = self.notice or self.cold
-        return found.endpoint_id, found.started_at_ms
+        return found.incarnation
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -142,7 +142,7 @@
         )
 
     def _connect_waiting_room(self) -> None:
-        """Let the waiting room report to other nodes, and hear from them."""
+        """Exchange the waiting room's numbers with other nodes in hints."""
         room = self.forwarder.waiting_room
         if room is None:
             return
@@ -159,7 +159,7 @@
         wire: messages.WireFormat,
         rng: random.Random,
     ) -> control.Controller:
-        """Return what plans the replicas of a failure domain."""
+        """Return the controller that plans a failure domain's replicas."""
         controller = control.Controller(
             self._settings,
             self.view,
@@ -430,7 +430,7 @@
 def _relay_listeners(
     node: Node, settings: settings_module.Settings, stopping: trio.Event
 ) -> list[listeners.Listener]:
-    """Return what takes requests that other nodes hand to this one."""
+    """Return the listeners for requests that other nodes relay."""
     if not settings.peer_port:
         return []
     address = f"{settings.address}:{settings.peer_port}"
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -54,7 +54,7 @@
     # Whether a stream can resume after the last delivered event.
     is_position_known: bool = True
     tried_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
-    # Whether it may be sent, and is not in flight yet.
+    # Whether it may be sent and is not in flight yet.
     is_departing: bool = False
     # Endpoints that refused it and may be tried again, once for each refusal.
     refused_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
@@ -67,6 +67,11 @@
         """Parts of its prompt that other requests may share."""
         return prompt_parts.shared_parts(self.request.prompt_parts)
 
+    @property
+    def required_model(self) -> str:
+        """Model that its endpoint must serve; empty for a plain service."""
+        return self.request.model if self.service.engine else ""
+
     @property
     def spent_endpoint_ids(self) -> list[str]:
         """Endpoints that it was sent to and must not be sent to again."""
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -25,20 +25,20 @@
 # Callers are told to return this long after the first endpoint does.
 CALLER_RETURN_SPREAD_S = (0.1, 0.6)
 MAX_RETRY_AFTER_S = 10.0
-# Callers whose service is evacuated everywhere return within this time, of
-# which no endpoint can tell.
+# Callers are told to return after a random time in this range if all endpoints
+# of their service are evacuated, as the end of an evacuation is unknown.
 EVACUATED_RETURN_S = (2.0, 5.0)
 NOT_SENT_REASONS = (model.Reason.CONNECT_FAILED, model.Reason.ENDPOINT_HELD)
 NO_OTHER_ENDPOINT = "no other endpoint"
 BUDGET_SPENT = "the retry budget is spent"
-# From so many failed connections on, another node is asked.
+# A request is relayed to another node after so many failed connections.
 RELAY_AFTER_FAILURES = 2
-# Endpoints with limits that are asked for one after the other.
+# Endpoints with limits for which a request asks for a grant, one by one.
 MAX_LIMITED_ASKED = 3
-# An endpoint from which a grant is farther is no capacity for waiting
-# requests.
+# An endpoint whose next grant is later than this does not count as capacity
+# for waiting requests.
 MAX_POOL_GRANT_WAIT_S = 0.05
-# Share of a route's latency goal for which a request waits for a grant.
+# Share of a route's latency goal for which a request may wait for a grant.
 GRANT_WAIT_SHARE = 0.25
 
 _CandidatesByModel = dispatch.CandidatesByModel
@@ -49,7 +49,8 @@
     """An endpoint for an attempt.
 
     :param endpoint: the endpoint.
-    :param purpose: whether the request has a grant for it.
+    :param purpose: what it is used for: a caller's request, with or without a
+        grant, or a relay to another node.
     """
 
     endpoint: fleet.Endpoint
@@ -211,7 +212,8 @@
     ) -> Selection | None:
         """Return an endpoint with a limit that grants the request.
 
-        Those from which a grant is known to be far are not asked for.
+        No grant is asked for where the next one is known to be later than
+        ``max_wait_s``.
         """
         now = trio.current_time()
         likely = [
@@ -235,10 +237,11 @@
     def held_outcome(
         self, state: request_state_module.RequestState
     ) -> model.Outcome | None:
-        """Return why no endpoint is left, if all want no requests now.
+        """Return the outcome if no endpoint accepts requests now.
 
-        Callers return at random times after the first endpoint, or if all
-        endpoints are in evacuated failure domains, soon.
+        Callers are told to return at random times after the first endpoint
+        accepts requests again. If all endpoints are in evacuated failure
+        domains, they return within :data:`EVACUATED_RETURN_S`.
 
         :param state: the request.
         """
@@ -388,13 +391,12 @@
         self, state: request_state_module.RequestState
     ) -> tuple[list[dispatch.Candidate], list[dispatch.Candidate]]:
         """Return the candidates, and those in evacuated failure domains."""
-        wanted = state.request.model if state.service.engine else ""
-        return self._candidates_of(state.service, wanted)
+        return self._split_candidates_of(state.service, state.required_model)
 
-    def _candidates_of(
+    def _split_candidates_of(
         self, service: routes.RoutedService, model_name: str
     ) -> tuple[list[dispatch.Candidate], list[dispatch.Candidate]]:
-        """Return the candidates, and those in evacuated failure domains."""
+        """Do the same for all requests to a service and model."""
         view = self._view
         version = (
             view.table,
@@ -422,7 +424,7 @@
         :param model_name: name of the model; empty for a plain service.
         """
         now = trio.current_time()
-        candidates = self._candidates_of(service, model_name)[0]
+        candidates = self._split_candidates_of(service, model_name)[0]
         if self._grants.has_limits:
             candidates = [c for c in candidates if self._may_grant(c, now)]
         return dispatch.usable(
--- a/packages/gateway/wasabilanding/gateway/send_grants.py
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -350,13 +350,17 @@
         """
         if not self._limits.note(endpoint, per_s, at):
             return
-        fields = {"endpoint": endpoint[0], "limit": per_s}
+        fields = {"endpoint": endpoint.endpoint_id, "limit": per_s}
         if per_s is None:
-            _LOG.info("%s names no limit any more", endpoint[0], extra=fields)
+            _LOG.info(
+                "%s names no limit any more",
+                endpoint.endpoint_id,
+                extra=fields,
+            )
         else:
             _LOG.info(
                 "%s takes %g requests a second from all nodes",
-                endpoint[0],
+                endpoint.endpoint_id,
                 per_s,
                 extra=fields,
             )
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -33,6 +33,7 @@
 CLOSE_TIMEOUT_S = 1.0
 # For endpoints that do not announce their timeout of idle connections.
 DEFAULT_IDLE_TIMEOUT_S = 5.0
+# Parsed base URLs of endpoints that are kept.
 CACHED_URLS = 1024
 # Fraction of the announced timeout after which a connection is not reused.
 IDLE_FRACTION = 0.75
@@ -55,6 +56,11 @@
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Event of the connection just before it sends a request.
 SENDING = "http11.send_request_headers.started"
+# Reasons of attempts whose endpoint may be unreachable.
+UNREACHABLE_REASONS = (
+    model.Reason.CONNECT_FAILED,
+    model.Reason.CONNECTION_LOST,
+)
 _LOG = logging.getLogger(__name__)
 _TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 
--- a/packages/gateway/wasabilanding/gateway/waiting.py
+++ b/packages/gateway/wasabilanding/gateway/waiting.py
@@ -30,13 +30,14 @@
 from wasabilanding import model
 from wasabilanding import routes
 
+# Interval between examinations of the queues while requests wait.
 RECHECK_INTERVAL_S = 0.05
 # Reports of other nodes that arrive together cause one examination.
 MIN_WAKE_INTERVAL_S = 0.01
 # A queue that is empty for this time is logged as ended.
 QUIET_S = 1.0
 # A refused send is not repeated within this time, unless another endpoint has
-# a free slot: the endpoint is avoided meanwhile.
+# a free slot. The endpoint is avoided for the same time.
 RESEND_AFTER_S = 0.15
 # An endpoint of a plain service with requests in flight makes progress within
 # this multiple of the time that a request holds a slot.
@@ -57,11 +58,7 @@
 
     :param state: the request.
     """
-    return f"{state.service.name}/{_model_of(state)}"
-
-
-def _model_of(state: request_state_module.RequestState) -> str:
-    return state.request.model if state.service.engine else ""
+    return f"{state.service.name}/{state.required_model}"
 
 
 def _kind_of(state: request_state_module.RequestState) -> limits.Kind:
@@ -109,7 +106,7 @@
 class WaitingRoom:
     """Requests of this node that wait to be sent.
 
-    :param selector: tells the endpoints of a pool, and limits retries.
+    :param selector: lists the endpoints of a pool, and limits retries.
     :param tracker: this node's observations of the endpoints.
     :param reports: waiting requests of other nodes.
     :param metrics: counts waits and refusals.
@@ -137,7 +134,7 @@
         self._is_closed = False
         # Usual age in seconds of what other nodes report.
         self.report_age_s = lambda: RECHECK_INTERVAL_S
-        # Number of nodes, with this one.
+        # Number of known nodes, including this one.
         self.known_nodes = lambda: 1
 
     @property
@@ -186,9 +183,10 @@
         """
         now = trio.current_time()
         name = pool_name(state)
-        model_name = _model_of(state)
-        if not self._selector.pool_candidates(state.service, model_name):
-            # The selection of an endpoint tells why there is none.
+        if not self._selector.pool_candidates(
+            state.service, state.required_model
+        ):
+            # The selection of an endpoint reports why there is none.
             return None
         pool = self._pool(name, state)
         is_retry = (
@@ -219,7 +217,7 @@
         try:
             return await self._wait(name, pool, request, state)
         except trio.Cancelled:
-            # Its caller has disconnected, perhaps when its turn had come.
+            # The caller may have disconnected after its request was admitted.
             self.record_departure(state)
             raise
 
@@ -246,7 +244,7 @@
         pool = self._pools.get(name)
         if pool is None:
             queue = limits.PoolQueue(name, self._rng)
-            pool = _Pool(state.service, _model_of(state), queue)
+            pool = _Pool(state.service, state.required_model, queue)
             self._pools[name] = pool
         pool.service = state.service
         return pool
@@ -287,7 +285,7 @@
         self._begun.set()
         self._examine(name, pool, begun_at)
         try:
-            with trio.move_on_at(pool.queue.last_start(request)):
+            with trio.move_on_at(pool.queue.wait_deadline(request)):
                 await waiter.ended.wait()
         finally:
             pool.queue.withdraw(request.request_id)
@@ -356,7 +354,7 @@
         waiter.ended.set()
 
     def wake(self) -> None:
-        """Examine the queues: other nodes have reported their load."""
+        """Examine the queues after other nodes have reported their load."""
         now = trio.current_time()
         if now - self._examined_at >= MIN_WAKE_INTERVAL_S:
             self._examine_all(now)
