--- a/packages/decisions/wasabilanding/assembly/demand.py
+++ b/packages/decisions/wasabilanding/assembly/demand.py
@@ -120,7 +120,7 @@
 
 
 def _without_excess(shares: Shares, configured: Shares) -> Shares:
-    """Take from the models above their least share what the others got."""
+    """Scale down the parts above the least shares so that the sum is 1."""
     least = {
         name: MIN_SHARE_FACTOR * share for name, share in configured.items()
     }
--- a/packages/decisions/wasabilanding/dispatch/cold.py
+++ b/packages/decisions/wasabilanding/dispatch/cold.py
@@ -54,7 +54,7 @@
 MAX_DELAY_S = 0.2
 # Time for which unused times are kept.
 COLD_BURST_S = 0.05
-# Time for which statements in replies are told to other nodes.
+# Time for which statements in replies are repeated to other nodes.
 RECENT_S = 5.0
 _WINDOW_S = 1.0 + MAX_DELAY_S + COLD_BURST_S
 
@@ -73,8 +73,9 @@
     [0.25, 1.0, 14.93, 81.33]
     """
     shares = sum(send_slots.SHARES)
-    starts = len(send_slots.SHARES)
-    allowed = OVERSHOOT * cold_per_s + SLACK - starts - MARGIN
+    # Each node in the order may send one request at once.
+    first_requests = len(send_slots.SHARES)
+    allowed = OVERSHOOT * cold_per_s + SLACK - first_requests - MARGIN
     return max(
         min(cold_per_s, allowed / (shares * _WINDOW_S)),
         named_limits.MIN_RATE_PER_S,
--- a/packages/decisions/wasabilanding/dispatch/evacuations.py
+++ b/packages/decisions/wasabilanding/dispatch/evacuations.py
@@ -32,8 +32,8 @@
 from wasabilanding.dispatch import choice
 from wasabilanding import model
 
-# Time for which the end of an evacuation is told to other nodes. It is some
-# times the longest interval between two hints on all ways.
+# Time for which the end of an evacuation is repeated to other nodes: several
+# times the longest interval between two hints on any path.
 END_TOLD_S = 10.0
 # Ended evacuations that are remembered; the oldest are dropped.
 MAX_ENDED = 256
--- a/packages/decisions/wasabilanding/dispatch/holds.py
+++ b/packages/decisions/wasabilanding/dispatch/holds.py
@@ -28,7 +28,7 @@
 # A returning endpoint that receives no request is treated normally after this.
 UNUSED_TTL_S = 30.0
 NO_HOLD = 0
-# Time in which the registration of a start is seen, and then some.
+# Longest time until the registration of a start is seen, with a margin.
 UNSEEN_START_S = 5.0
 
 
--- a/packages/experiments/wasabilanding/experiments/placing/admission.py
+++ b/packages/experiments/wasabilanding/experiments/placing/admission.py
@@ -118,7 +118,6 @@
         self._requests: dict[str, _Request] = {}
         self._is_checking = [False] * count
         self.endings: list[Ending] = []
-        self.run_ends_at: list[float] = []
         self.retries = 0
 
     def run(self) -> None:
