--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -3,8 +3,11 @@
 Explanation
 ===========
 
-Each entry VM runs at most its share of the batch slots of the replicas that
-it can use (:func:`concurrency_limit`). Further requests wait in one
+Two processes share the queues, slot times and corrected waits of this package:
+the daemon admits by :class:`Admission`, the gateway by :class:`PoolQueue`.
+
+Daemon: each entry VM runs at most its share of the batch slots of the replicas
+that it can use (:func:`concurrency_limit`). Further requests wait in one
 :class:`FairQueue` per service: customers are served by start-time fair
 queueing [1]_ over estimated tokens, and the difference between estimated and
 actual work is charged when a request ends, as in the virtual token counter of
@@ -18,6 +21,12 @@
 wait is predicted from the start tags that order the queue
 (:meth:`FairQueue.work_before`) and from the mean recent slot time per token.
 
+Gateway: many nodes with few requests each share the slots of a pool, so that
+an equal share of the slots would be less than one. While requests wait, the
+nodes report them (:class:`WaitingReports`) and divide the pool's completions
+among customers, then among nodes (:func:`allot`). Requests beyond wait in the
+:class:`PoolQueue` of their node.
+
 The functions take the time as an argument and perform no input or output.
 
 Examples
