Take the constants of the model of overload from the gateway

Cause: three constants of gateway/waiting.py stood again in the model, which would not have followed a change of them. The reason for a check in the waiting room was not stated.

No change of behaviour.

--- a/packages/experiments/wasabilanding/experiments/placing/admission.py
+++ b/packages/experiments/wasabilanding/experiments/placing/admission.py
@@ -13,15 +13,13 @@
 from wasabilanding.experiments.placing import patterns
 from wasabilanding.experiments.placing import simulation
 from wasabilanding import fleet
+from wasabilanding.gateway import waiting
 from wasabilanding import limits
 from wasabilanding import model
 
 POOL = "pages"
 LARGE = "large"
 KIND = limits.Kind("pages", 1)
-RECHECK_INTERVAL_S = 0.05
-REFUSED_AVOID_S = 0.15
-SILENT_SLOT_TIMES = 2.0
 # The retry budget is not modelled; sends that are refused are counted.
 UNLIMITED = 1_000_000
 
@@ -59,7 +57,7 @@
     @property
     def silent_after_s(self) -> float:
         """Longest usual time in seconds without progress of an endpoint."""
-        usual_s = SILENT_SLOT_TIMES * self.mean_service_s
+        usual_s = waiting.SILENT_SLOT_TIMES * self.mean_service_s
         return max(dispatch.PROGRESS_TIMEOUT_S, usual_s)
 
     @property
@@ -165,7 +163,9 @@
             return
         if not self._is_checking[node]:
             self._is_checking[node] = True
-            self._at(self._now + RECHECK_INTERVAL_S, self._recheck, node)
+            self._at(
+                self._now + waiting.RECHECK_INTERVAL_S, self._recheck, node
+            )
         self._admit(node)
 
     def _pool_request(self, request: _Request) -> limits.PoolRequest:
@@ -213,7 +213,9 @@
         self._admit(node)
         self._is_checking[node] = bool(self._queues[node])
         if self._is_checking[node]:
-            self._at(self._now + RECHECK_INTERVAL_S, self._recheck, node)
+            self._at(
+                self._now + waiting.RECHECK_INTERVAL_S, self._recheck, node
+            )
 
     def _admit(self, node: int, has_ended: bool = False) -> None:
         queue = self._queues[node]
@@ -274,13 +276,15 @@
         self.retries += 1
         self._queues[request.node].record_refusal()
         tracker = self._trackers[request.node]
-        tracker.avoid(refusing, self._now, REFUSED_AVOID_S)
+        tracker.avoid(refusing, self._now, waiting.RESEND_AFTER_S)
         again = dataclasses.replace(self._pool_request(request), is_retry=True)
         self._queues[request.node].put_back(again, self._now, False)
         if not self._is_checking[request.node]:
             self._is_checking[request.node] = True
             self._at(
-                self._now + RECHECK_INTERVAL_S, self._recheck, request.node
+                self._now + waiting.RECHECK_INTERVAL_S,
+                self._recheck,
+                request.node,
             )
 
     def _start(self, replica, sent) -> None:
--- a/packages/gateway/wasabilanding/gateway/waiting.py
+++ b/packages/gateway/wasabilanding/gateway/waiting.py
@@ -268,6 +268,11 @@
         return free > pool.departing
 
     def _is_avoided(self, candidate: dispatch.Candidate, now: float) -> bool:
+        """Tell whether an endpoint has lately refused or failed a request.
+
+        Where all are avoided, they are candidates all the same, and a retry
+        must not be sent to them at once.
+        """
         record = self._tracker.record(fleet.incarnation_of(candidate.endpoint))
         return now < record.avoid_until
 
