--- a/packages/experiments/wasabilanding/experiments/installation/tests/running.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/running.py
@@ -4,7 +4,10 @@
 import dataclasses
 import functools
 import itertools
+import os
 import pathlib
+import re
+import shutil
 import signal
 import tempfile
 import time
@@ -18,6 +21,35 @@
 CALLERS_PER_KIND = 2
 PAUSE_S = 0.15
 TIMEOUT_S = 4.0
+# Names the folder that receives the logs of failed scenarios.
+KEPT_LOGS_VARIABLE = "WASABILANDING_KEPT_LOGS"
+
+
+def make_folder(context):
+    """Return a folder for the settings and logs of a scenario.
+
+    It is removed with the scenario. The logs of a failed one are kept, as a
+    failure that depends on timing may not show again.
+
+    :param context: context of the scenario.
+    """
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.add_cleanup(_keep_logs, context, pathlib.Path(folder.name))
+    return pathlib.Path(folder.name)
+
+
+def _keep_logs(context, folder):
+    kept = os.environ.get(KEPT_LOGS_VARIABLE)
+    if not kept or not any(
+        step.status.has_failed() for step in context.scenario.all_steps
+    ):
+        return
+    name = re.sub(r"\W+", "-", context.scenario.name).strip("-")
+    target = pathlib.Path(kept) / f"{name}-{os.getpid()}"
+    shutil.copytree(
+        folder, target, ignore_dangling_symlinks=True, dirs_exist_ok=True
+    )
 
 
 def start(context, plan, is_cuttable=False, **options):
@@ -28,10 +60,8 @@
     :param is_cuttable: whether gateways can be cut off from endpoints.
     :param options: further options of the installation.
     """
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
     context.installation = launch.Installation(
-        plan, pathlib.Path(folder.name), is_cuttable=is_cuttable, **options
+        plan, make_folder(context), is_cuttable=is_cuttable, **options
     )
     context.installation.__enter__()
     context.add_cleanup(
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/evacuation_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/evacuation_steps.py
@@ -2,8 +2,6 @@
 
 import collections
 import json
-import pathlib
-import tempfile
 
 import behave
 import trio
@@ -106,9 +104,7 @@
 )
 def given_installation(context):
     """Prepare an installation, which the load starts."""
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    context.run = _Run(pathlib.Path(folder.name))
+    context.run = _Run(running.make_folder(context))
 
 
 @behave.when(
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/soak_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/soak_steps.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 import functools
-import pathlib
-import tempfile
 
 import behave
 import trio
@@ -11,6 +9,7 @@
 from wasabilanding.experiments.installation import options
 from wasabilanding.experiments.installation import proxy
 from wasabilanding.experiments.installation import soak
+from wasabilanding.experiments.installation.tests import running
 
 HTTP_OK = 200
 WAIT_S = 0.6
@@ -34,8 +33,8 @@
 def run_soak(context, seed, changes, seconds):
     """Run the soak test with one seed."""
     chosen = dataclasses.replace(MODES[changes], seconds=seconds)
-    with tempfile.TemporaryDirectory() as folder:
-        context.result = soak.run_seed(seed, chosen, pathlib.Path(folder))
+    folder = running.make_folder(context)
+    context.result = soak.run_seed(seed, chosen, folder)
 
 
 @behave.then("at least {count:d} requests were answered with 200")
