Give the survivors of a large replica what they lack from a small one

Cause: where a replica of one model has four times as many VMs as one of the other, 14 or 15 survivors of 16 lacked one or two VMs. The two lost members, registered until their registrations lapse, made the fabric domain count as one in transition, in which nothing is preempted; the survivors formed three small replicas at once, and no more than two could be preempted later.

Change: dead members are no transition; a preemption most of whose members are free and have the weights starts at once; as many replicas may be preempted as a large one needs. Where a large replica has at most twice the VMs of a small one, only the first two change anything.

Measured: three of four rows of the new table fail before (16 of 32 VMs), all pass; the other 60 of the feature pass.

--- a/packages/decisions/wasabilanding/assembly/choice.py
+++ b/packages/decisions/wasabilanding/assembly/choice.py
@@ -13,7 +13,6 @@
 # Replicas are preempted only if this improves the need of the worst supplied
 # model by at least this factor.
 MIN_PREEMPTION_GAIN = 1.5
-MAX_VICTIMS = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -138,6 +137,18 @@
     members: tuple[fleet.Endpoint, ...]
     victims: tuple[fleet.Replica, ...]
 
+    @property
+    def is_mostly_free(self) -> bool:
+        """Whether most members belong to no replica, and all have weights."""
+        taken = {
+            fleet.incarnation_of(member)
+            for victim in self.victims
+            for member in victim.members
+        }
+        found = [m for m in self.members if fleet.incarnation_of(m) in taken]
+        cold = count_cold_members(self.members, self.model)
+        return not cold and 2 * len(found) < len(self.members)
+
 
 def need(spec: routes.ModelSpec, vms: int) -> float:
     """Return how much a model lacks VMs, relative to its share of the work.
@@ -157,7 +168,7 @@
 ) -> Preemption | None:
     lacking = wanted.size - len(free)
     count = -(-lacking // donor.size)
-    if not 1 <= count <= MAX_VICTIMS or count > len(replicas):
+    if not 1 <= count <= len(replicas):
         return None
     after = max(
         need(wanted, vm_counts[wanted.name] + wanted.size),
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -120,7 +120,7 @@
         ]
         if not inputs.loads_are_unlimited:
             domains_in_transition = self._domains_in_transition(
-                replicas, usable, settled, inputs
+                replicas, usable, settled, inputs, now
             )
             self._preemptions.start(
                 settled,
@@ -237,16 +237,23 @@
         free: collections.abc.Sequence[fleet.Endpoint],
         settled: collections.abc.Sequence[fleet.Endpoint],
         inputs: orders.PlannerInput,
+        now: float,
     ) -> set[str]:
-        """Return fabric domains whose endpoints are still changing."""
+        """Return fabric domains whose endpoints are still changing.
+
+        What is left of a replica after its survivors have been freed, until
+        the registrations of the lost members lapse, changes no more.
+        """
         domains_in_transition = {
             endpoint.fabric_domain
             for endpoint in free
             if endpoint not in settled
         }
         for replica in replicas.values():
-            left = self._upkeep.head_has_left(replica)
-            if not left and not self._upkeep.is_serving(replica, inputs):
+            ended = self._upkeep.head_has_left(replica) or all(
+                self._upkeep.is_dead(member, now) for member in replica.members
+            )
+            if not ended and not self._upkeep.is_serving(replica, inputs):
                 domains_in_transition.add(replica.members[0].fabric_domain)
         for forming in self._forming.values():
             domains_in_transition.add(forming.members[0].fabric_domain)
--- a/packages/decisions/wasabilanding/assembly/preemption.py
+++ b/packages/decisions/wasabilanding/assembly/preemption.py
@@ -88,7 +88,7 @@
             found = choice.choose_preemption(
                 free, serving, vms_by_model, spec, skipped
             )
-            if not self._lacks_long(found, now):
+            if not self._is_due(found, now):
                 return
             vms_by_model[found.model.name] += found.model.size
             self._active_by_domain[found.victims[0].head.fabric_domain] = (
@@ -104,8 +104,15 @@
                 )
             )
 
-    def _lacks_long(self, found: choice.Preemption | None, now: float) -> bool:
-        """Tell whether the same model has lacked VMs for long."""
+    def _is_due(self, found: choice.Preemption | None, now: float) -> bool:
+        """Tell whether the same model has lacked VMs for long.
+
+        If most members are free, as the survivors of a large replica are,
+        they would form replicas of the small model meanwhile, and more of
+        these would have to be preempted later.
+        """
+        if found is not None and found.is_mostly_free:
+            return True
         name = found.model.name if found else ""
         if name != self._lacking_model:
             self._lacking_model = name
--- a/packages/decisions/wasabilanding/assembly/tests/assembly.feature
+++ b/packages/decisions/wasabilanding/assembly/tests/assembly.feature
@@ -57,6 +57,24 @@
       | 1    | 2    | 8    |
       | 1    | 3    | 4    |
 
+  # Survivors that are one or two short formed small replicas, of which four
+  # were then too many to preempt, so that the large model lost all replicas.
+  Scenario Outline: Survivors of a large replica get what they lack from a small
+    Given two fabric domains of 37 engines, replicas of 16 and 4, and seed <seed>
+    When 16 s pass without faults
+    And one replica of the large model loses <lost> members permanently
+    And <seconds> s pass without faults
+    Then no invariant is violated
+    And the large model has at least <left> engines
+
+    # A registration lapses after 3.6 s, a small replica closes in 1.5 s.
+    Examples:
+      | seed | lost | seconds | left |
+      | 1    | 1    | 8       | 32   |
+      | 1    | 2    | 8       | 32   |
+      | 2    | 2    | 8       | 32   |
+      | 3    | 4    | 8       | 32   |
+
   Scenario: A delayed join that reaches a restarted member dissolves no replica
     Given two fabric domains of ten engines and seed 67
     When 60 s pass with a fault rate of 0.8 per second
--- a/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
+++ b/packages/decisions/wasabilanding/assembly/tests/fake_engines.py
@@ -29,7 +29,12 @@
 
 LARGE = routes.ModelSpec("large", 4, 0.5, 1.0, 3.0, 0.4)
 SMALL = routes.ModelSpec("small", 2, 0.5, 0.6, 3.0, 0.4)
+SMALL_OF_FOUR = dataclasses.replace(SMALL, size=4)
 SPEC = routes.EngineSpec(9, (LARGE, SMALL), 5.0)
+# Replicas of four times as many VMs as those of the other model.
+UNEQUAL_SPEC = routes.EngineSpec(
+    9, (dataclasses.replace(LARGE, size=16), SMALL_OF_FOUR), 5.0
+)
 STATES = fleet.MemberState
 
 
@@ -77,11 +82,17 @@
     :param seed: seed of the random number generator.
     :param fault_rate: probability per second of each kind of fault.
     :param domain_size: number of engines in each of two fabric domains.
+    :param spec: the models.
     """
 
     def __init__(
-        self, seed: int, fault_rate: float, domain_size: int = 10
+        self,
+        seed: int,
+        fault_rate: float,
+        domain_size: int = 10,
+        spec: routes.EngineSpec = SPEC,
     ) -> None:
+        self.spec = spec
         self.rng = random.Random(seed)
         self.fault_rate = fault_rate
         self.now = 0.0
@@ -237,7 +248,7 @@
     def _plan(self) -> None:
         inputs = assembly.PlannerInput(
             service="writer",
-            spec=SPEC,
+            spec=self.spec,
             endpoints=tuple(self.registry.endpoints),
             recently_removed=dict(self.registry.recently_removed),
             revision=model.StoreRevision(number=self.revision),
@@ -456,7 +467,7 @@
         )
         serving = 0
         for replica in replicas.values():
-            spec = SPEC.model(replica.model)
+            spec = self.spec.model(replica.model)
             if spec and replica.is_whole(spec.size) and replica.is_open:
                 serving += len(replica.members)
         return len(self.engines) - serving
@@ -474,12 +485,13 @@
             if replica.model == model and replica.is_open
         )
 
-    def lose_member_permanently(self, model: str) -> None:
+    def lose_member_permanently(self, model: str, rank: int = 1) -> None:
         """Remove a member of a replica of a model permanently.
 
         :param model: name of the model.
+        :param rank: rank of the member.
         """
-        victim = self._member(model, 1)
+        victim = self._member(model, rank)
         victim.alive = False
         victim.membership = None
         victim.model = ""
--- a/packages/decisions/wasabilanding/assembly/tests/steps/assembly_steps.py
+++ b/packages/decisions/wasabilanding/assembly/tests/steps/assembly_steps.py
@@ -27,6 +27,25 @@
     context.cluster = fake_engines.SimulatedCluster(seed, 0.0, size)
 
 
+@behave.given(
+    "two fabric domains of 37 engines, replicas of 16 and 4, and seed {seed:d}"
+)
+def given_unequal_sizes(context, seed):
+    """Create engines for models whose replicas differ much in size."""
+    context.cluster = fake_engines.SimulatedCluster(
+        seed, 0.0, 37, fake_engines.UNEQUAL_SPEC
+    )
+
+
+@behave.when(
+    "one replica of the large model loses {count:d} members permanently"
+)
+def lose_several(context, count):
+    """Lose some members of one replica at the same moment."""
+    for rank in range(1, count + 1):
+        context.cluster.lose_member_permanently("large", rank)
+
+
 @behave.when("one replica of the {model} model loses a member permanently")
 def lose_one(context, model):
     """Lose one member."""
