Hand requests to other nodes where this one cannot check their keys

Cause: nodes that the store turned away for 9 s told their callers to come back after a second, once the keys were last confirmed 4.6 s ago.

Change: such a request is handed to another node, which checks the key itself. Nodes that cannot check keys say so in their hints, as nodes without endpoints do, and refuse what others hand them. Without another node the answer is as before.

--- a/packages/callers/wasabilanding/callers/error_responses.py
+++ b/packages/callers/wasabilanding/callers/error_responses.py
@@ -15,6 +15,8 @@
     model.Reason.REFUSED: 503,
     model.Reason.ENDPOINT_HELD: 503,
     model.Reason.EVACUATED: 503,
+    model.Reason.KEYS_NOT_PROVEN: 503,
+    model.Reason.NOT_PROVEN: 503,
     model.Reason.CONNECT_FAILED: 503,
     model.Reason.CONNECTION_LOST: 502,
     model.Reason.STALLED: 504,
--- a/packages/decisions/wasabilanding/model/outcomes.py
+++ b/packages/decisions/wasabilanding/model/outcomes.py
@@ -44,6 +44,8 @@
     POISONED = "poisoned"
     CANCELLED = "cancelled"
     SHUTTING_DOWN = "shutting_down"
+    KEYS_NOT_PROVEN = "keys_not_proven"
+    NOT_PROVEN = "not_proven"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/wasabilanding/gateway/admission.py
+++ b/packages/gateway/wasabilanding/gateway/admission.py
@@ -1,4 +1,11 @@
-"""Admission of requests: route, API key and deadline."""
+"""Admission of requests: route, API key and deadline.
+
+Load pattern: the store turns away a part of the nodes for seconds, in which
+keys are revoked. Such a node cannot tell whether a key is valid, and other
+nodes can, so its requests are handed to them
+(:mod:`wasabilanding.gateway.relays`). Callers that were told to come back
+instead would lose a second and one of their few retries.
+"""
 
 import random
 
@@ -7,6 +14,7 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import settings as settings_module
+from wasabilanding import model
 from wasabilanding import routes
 
 DEFAULT_DEADLINE_S = 30.0
@@ -49,7 +57,8 @@
         :param request: its decoded head.
         :param arrived_at: local monotonic time in seconds of its arrival.
         :raises wasabilanding.gateway.request_state.RequestRejected: if it may
-            not be served.
+            not be served; :class:`~wasabilanding.gateway.request_state.\
+            KeysNotProven` if another node may serve it.
         """
         table = self._view.table
         if table is None:
@@ -64,7 +73,7 @@
         if route is None:
             detail = f"no route for {request.host}{head.path}"
             raise self._reject_unknown(404, "unknown_route", detail)
-        holder = self._authenticate(table, route, request)
+        holder, unproven = self._authenticate(table, route, request)
         service = table.service(
             routes.choose_target(route, self._rng.random())
         )
@@ -83,7 +92,7 @@
         priority = route.priority
         if holder is not None and holder.priority is not None:
             priority = holder.priority
-        return request_state_module.RequestState(
+        state = request_state_module.RequestState(
             head=head,
             body=body,
             request=request,
@@ -93,38 +102,49 @@
             priority=priority,
             deadline_at=arrived_at + timeout_s,
             arrived_at=arrived_at,
+            unproven=unproven,
         )
+        if unproven is not None:
+            raise request_state_module.KeysNotProven(state, unproven)
+        return state
+
+    def can_prove_keys(self) -> bool:
+        """Return whether this node can tell whether an API key is valid."""
+        table = self._view.table
+        if table is not None and table.key_holders is None:
+            return True
+        return not self._keys_obstacle()
+
+    def _keys_obstacle(self) -> str:
+        """Return why this node cannot tell which keys are valid, if so."""
+        bound_s = self._settings.key_revocation_s
+        age_s = self._view.staleness_s
+        if bound_s and age_s > bound_s - REVOCATION_MARGIN_S:
+            return f"API keys were last confirmed {age_s:.1f} s ago"
+        if self._view.is_configuration_proven:
+            return ""
+        version = self._view.table.version if self._view.table else 0
+        return f"configuration {version} may not be the newest"
 
     def _authenticate(
         self,
         table: routes.RoutingTable,
         route: routes.Route,
         request: messages.CallerRequest,
-    ) -> routes.KeyHolder | None:
+    ) -> tuple[routes.KeyHolder | None, model.Outcome | None]:
+        """Return the holder of a key, or why it cannot be told."""
         if table.key_holders is None or route.public:
-            return None
-        bound_s = self._settings.key_revocation_s
-        age_s = self._view.staleness_s
-        if bound_s and age_s > bound_s - REVOCATION_MARGIN_S:
-            raise request_state_module.RequestRejected(
-                answers.not_run(
-                    "keys_not_proven",
-                    f"API keys were last confirmed {age_s:.1f} s ago",
-                    UNINITIALIZED_RETRY_AFTER_S,
-                )
-            )
-        if not self._view.is_configuration_proven:
-            raise request_state_module.RequestRejected(
-                answers.not_run(
-                    "keys_not_proven",
-                    f"configuration {table.version} may not be the newest",
-                    UNINITIALIZED_RETRY_AFTER_S,
-                )
-            )
+            return None, None
+        obstacle = self._keys_obstacle()
+        if obstacle:
+            return None, _unproven(model.Reason.KEYS_NOT_PROVEN, obstacle)
         holder = table.holder(request.key) if request.key else None
-        if holder is None:
+        if holder is not None:
+            return holder, None
+        if self._is_final:
             raise self._reject_unknown(401, "unknown_key", "unknown API key")
-        return holder
+        detail = self._aged("unknown API key")
+        return None, _unproven(model.Reason.NOT_PROVEN, detail)
 
     def _reject_unknown(
         self, status: int, reason: str, detail: str
@@ -134,13 +154,28 @@
         It is final only if the configuration is recent and no other node
         has a newer one.
         """
-        age_s = self._view.staleness_s
-        is_newest = not self._view.lacks_configuration
-        if age_s <= MAX_RECENT_AGE_S and is_newest:
+        if self._is_final:
             return request_state_module.RequestRejected(
                 answers.Answer(status, reason, detail)
             )
-        detail = f"{detail}; the configuration is {age_s:.1f} s old"
         return request_state_module.RequestRejected(
-            answers.not_run("not_proven", detail, UNINITIALIZED_RETRY_AFTER_S)
+            answers.not_run(
+                "not_proven", self._aged(detail), UNINITIALIZED_RETRY_AFTER_S
+            )
         )
+
+    @property
+    def _is_final(self) -> bool:
+        """Whether what the configuration lacks is unknown to all nodes."""
+        is_recent = self._view.staleness_s <= MAX_RECENT_AGE_S
+        return is_recent and not self._view.lacks_configuration
+
+    def _aged(self, detail: str) -> str:
+        """Return a detail with the age of the configuration."""
+        age_s = self._view.staleness_s
+        return f"{detail}; the configuration is {age_s:.1f} s old"
+
+
+def _unproven(reason: model.Reason, detail: str) -> model.Outcome:
+    """Return the outcome of a request whose key this node cannot check."""
+    return model.not_run(reason, detail, UNINITIALIZED_RETRY_AFTER_S)
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -105,7 +105,7 @@
         self._ended: collections.deque[_EndedAttempt] = collections.deque()
         self._changed = trio.Event()
         self._hedge_obstacle = ""
-        self._last_outcome = model.not_run(
+        self._last_outcome = state.unproven or model.not_run(
             model.Reason.NO_REPLICA, f"no replica serves {state.request.model}"
         )
 
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -131,6 +131,11 @@
             inbound.ResponseWriter, request_state_module.OpenRequest
         ] = {}
 
+    @property
+    def can_prove_keys(self) -> bool:
+        """Whether this node can tell whether an API key is valid."""
+        return self._admission.can_prove_keys()
+
     @property
     def in_flight(self) -> int:
         """Number of requests whose answers are not complete."""
@@ -240,7 +245,7 @@
         state = None
         reason = ""
         try:
-            state = self._admission.admit(head, body, request, arrived_at)
+            state = self._admit(head, body, request, arrived_at)
             self._open_requests[response].state = state
             if relayed is not None:
                 self._accept_relayed(relayed, state, response)
@@ -265,6 +270,19 @@
         finally:
             self._record_end(request, state, response, arrived_at, reason)
 
+    def _admit(
+        self,
+        head: messages.RequestHead,
+        body: bytes,
+        request: messages.CallerRequest,
+        arrived_at: float,
+    ) -> request_state_module.RequestState:
+        """Admit a request, perhaps only to hand it to another node."""
+        try:
+            return self._admission.admit(head, body, request, arrived_at)
+        except request_state_module.KeysNotProven as error:
+            return error.state
+
     def _accept_relayed(
         self,
         relayed: relays_module.RelayedRequest,
@@ -287,6 +305,8 @@
             obstacle = "this node reaches no endpoint"
         elif table is None or table.version < relayed.version:
             obstacle = f"configuration {relayed.version} is not in force here"
+        elif state.unproven is not None:
+            obstacle = state.unproven.detail
         self._metrics.count_relay("server", "refused" if obstacle else "taken")
         if obstacle:
             raise request_state_module.RelayRefused(
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -107,7 +107,7 @@
         self._grants.cold.report_through(self._hints.report_cold)
         self._crash_guard.report_through(self._hints.report_crashes)
         self._crash_guard.try_parts_at(self._hints.nodes.is_first_for)
-        self._hints.is_cut_off = lambda: self._reachability.is_cut_off
+        self._hints.is_cut_off = self._refuses_relays
         self._hints.report_cut_off = self._relays.record_cut_off
         self._relays.nodes = self._hints.nodes.by_domain
         self._guard = endpoint_guard.EndpointGuard(
@@ -174,6 +174,12 @@
         controller.should_step_down = self._is_cut_off_unlike_others
         return controller
 
+    def _refuses_relays(self) -> bool:
+        """Whether no other node should hand requests to this one."""
+        if self._reachability.is_cut_off:
+            return True
+        return not self.forwarder.can_prove_keys
+
     def _is_cut_off_unlike_others(self) -> bool:
         """Whether this node reaches no endpoint, and another one may."""
         if not self._reachability.is_cut_off:
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -47,6 +47,8 @@
     is_trial: bool = False
     # Failed connections to endpoints.
     connect_failures: int = 0
+    # Why this node cannot tell whether its API key is valid; None if it can.
+    unproven: model.Outcome | None = None
     # Whether another node has handed it to this one.
     is_relayed: bool = False
     # Whether another node has rejected it, so that no third one is asked.
@@ -112,6 +114,18 @@
         self.answer = answer
 
 
+class KeysNotProven(RequestRejected):
+    """This node cannot tell whether an API key is valid; others may.
+
+    :param state: the request, which may be handed to another node.
+    :param outcome: why it cannot.
+    """
+
+    def __init__(self, state: RequestState, outcome: model.Outcome) -> None:
+        super().__init__(final_answer(state, outcome))
+        self.state = state
+
+
 class RelayRefused(RequestRejected):
     """Another node's request is refused here; a third one may serve it."""
 
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -149,7 +149,9 @@
         """
         if state.is_relayed:
             return False
-        if state.is_rejected_elsewhere or self._reachability.is_cut_off:
+        if state.is_rejected_elsewhere or state.unproven is not None:
+            return True
+        if self._reachability.is_cut_off:
             return True
         if state.connect_failures < RELAY_AFTER_FAILURES:
             return False
--- a/packages/gateway/wasabilanding/gateway/tests/relays.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/relays.feature
@@ -53,6 +53,33 @@
       | refuse, refuse           | 503    | not_run      |
       | crash, crash             | 502    | may_have_run |
 
+  Scenario: A node that cannot check a key serves no request of another node
+    Given safe requests of up to 2 attempts
+    And endpoints that "answer, answer"
+    And the nodes "n2" as relays, in place of e1
+    And the node last heard of the store at 0 s
+    When another node with configuration 1 hands over a request at 10 s
+    Then the request at 10 s gets 503 with the verdict "elsewhere"
+    And the endpoints reached are ""
+
+  # Callers of nodes that the store turned away were told to come back after a
+  # second, although other nodes could serve them at once.
+  Scenario Outline: A request whose key the node cannot check goes to another
+    Given safe requests of up to 2 attempts
+    And endpoints that "<scripts>"
+    And the nodes "n2 n3" as relays, in place of e1 and e2
+    And the node last heard of the store at 0 s
+    When requests for "/a" are sent at 10 s
+    Then the request at 10 s gets <status>
+    And the endpoints reached are "<reached>"
+
+    Examples:
+      | scripts                      | status | reached |
+      | answer, answer, answer       | 200    | e1      |
+      | answer, elsewhere, answer    | 200    | e1 e2   |
+      | answer, elsewhere, elsewhere | 503    | e1 e2   |
+      | answer, rejected, answer     | 503    | e1      |
+
   Scenario: A node that reaches endpoints asks no other node
     Given safe requests of up to 2 attempts
     And endpoints that "answer, answer"
--- a/packages/gateway/wasabilanding/gateway/tests/steps/relays_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/relays_steps.py
@@ -4,7 +4,9 @@
 import trio
 
 from wasabilanding.gateway import relays
+from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests.steps import notices_steps
+from wasabilanding import routes
 
 CUT_OFF_CHECKED = 4
 
@@ -31,6 +33,13 @@
     monitor.record_check(0, CUT_OFF_CHECKED)
 
 
+@behave.given("the node last heard of the store at 0 s")
+def given_keys_not_proven(context):
+    """Require keys, which the store confirms no more."""
+    holders = (routes.KeyHolder("customer", frozenset({"key"})),)
+    context.system.view.table = fakes.table("safe", False, 2, holders=holders)
+
+
 @behave.given("the node reaches the endpoints")
 def given_reachable(context):
     """Change nothing."""
