Let nodes of different builds understand each other

A kind of message or a value that a node did not know made it ignore the whole datagram.

The address of a node says which messages it understands, and only nodes that understand it are asked. A segment of changes says what it holds, and one that holds less is not applied; the node reads the store. Headers between nodes that this build does not know are not passed on.

--- a/packages/decisions/wasabilanding/changefeed/__init__.py
+++ b/packages/decisions/wasabilanding/changefeed/__init__.py
@@ -15,11 +15,13 @@
 """
 
 from wasabilanding.changefeed.change_log import ChangeLog
+from wasabilanding.changefeed.change_log import CONTENT
 from wasabilanding.changefeed.change_log import MAX_CHANGES
 from wasabilanding.changefeed.change_log import Segment
 from wasabilanding.changefeed.confirmations import Confirmations
 
 __all__ = [
+    "CONTENT",
     "ChangeLog",
     "Confirmations",
     "MAX_CHANGES",
--- a/packages/decisions/wasabilanding/changefeed/change_log.py
+++ b/packages/decisions/wasabilanding/changefeed/change_log.py
@@ -15,6 +15,10 @@
 # Each segment repeats the previous one, in case its datagram was lost.
 REPEATED_SEGMENTS = 1
 
+# What segments of this build hold: 0 is endpoints and internal items, 1 also
+# evacuations and the times for which endpoints stay cold.
+CONTENT = 1
+
 Era = typing.Annotated[model.Era, pydantic.Field(ge=0)]
 Revision = typing.Annotated[int, pydantic.Field(ge=0)]
 Seconds = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
@@ -35,6 +39,8 @@
     :param items: values of the internal items added or changed, by key.
     :param removed_items: keys of the internal items removed.
     :param era: era of the store.
+    :param content: see :data:`CONTENT`; 0 is also that of builds that do not
+        say it.
     """
 
     after: Revision
@@ -45,6 +51,7 @@
     items: dict[str, str] = dataclasses.field(default_factory=dict)
     removed_items: tuple[str, ...] = ()
     era: Era = model.NO_ERA
+    content: Revision = 0
 
     @property
     def store_revision(self) -> model.StoreRevision:
@@ -54,8 +61,13 @@
     def covers(self, revision: model.StoreRevision) -> bool:
         """Tell whether a view at a revision misses no earlier change.
 
+        It misses some if the sender's build does not know all kinds of items
+        that this one knows.
+
         :param revision: revision of the view.
         """
+        if self.content < CONTENT:
+            return False
         return self.era == revision.era and self.after <= revision.number
 
 
@@ -177,6 +189,7 @@
                 if c.state is not None
             },
             removed_items=_removed(self._items),
+            content=CONTENT,
         )
 
 
--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -19,6 +19,9 @@
 from wasabilanding.model.codec import InvalidEntry
 from wasabilanding.model.codec import json_schema
 from wasabilanding.model.codec import Mistake
+from wasabilanding.model.independent_parts import decode_parts
+from wasabilanding.model.independent_parts import Each
+from wasabilanding.model.independent_parts import PartPath
 from wasabilanding.model.outcomes import completed
 from wasabilanding.model.outcomes import may_have_run
 from wasabilanding.model.outcomes import not_run
@@ -49,6 +52,7 @@
 __all__ = [
     "Count",
     "DomainRecord",
+    "Each",
     "Era",
     "InvalidDocument",
     "InvalidEntry",
@@ -58,6 +62,7 @@
     "Name",
     "Outcome",
     "ReplicaKey",
+    "PartPath",
     "PlainProfile",
     "Profile",
     "Quantity",
@@ -73,6 +78,7 @@
     "completed",
     "decode",
     "decode_entry",
+    "decode_parts",
     "decode_value",
     "encode",
     "json_schema",
--- a/packages/decisions/wasabilanding/model/codec.py
+++ b/packages/decisions/wasabilanding/model/codec.py
@@ -33,11 +33,13 @@
     :param path: dotted path of the field.
     :param value: the invalid value, shortened.
     :param allowed: what the field accepts.
+    :param location: names and indices that lead to the field.
     """
 
     path: str
     value: str
     allowed: str
+    location: tuple[str | int, ...] = ()
 
     def __str__(self) -> str:
         return f"{self.path}: {self.value} is not allowed: {self.allowed}"
@@ -68,12 +70,13 @@
 
 def _mistake(error: typing.Any) -> Mistake:
     path = ".".join(str(part) for part in error["loc"]) or WHOLE_DOCUMENT
+    location = tuple(error["loc"])
     if error["type"] in MISSING_TYPES:
-        return Mistake(path, "nothing", "a value is required")
+        return Mistake(path, "nothing", "a value is required", location)
     value = _shortened(error["input"])
     if error["type"] in UNKNOWN_KEY_TYPES:
-        return Mistake(path, value, "there is no such key")
-    return Mistake(path, value, error["msg"])
+        return Mistake(path, value, "there is no such key", location)
+    return Mistake(path, value, error["msg"], location)
 
 
 def decode(kind: type[T], text: str | bytes) -> T:
--- a/packages/gateway/wasabilanding/gateway/directory.py
+++ b/packages/gateway/wasabilanding/gateway/directory.py
@@ -13,6 +13,7 @@
 from wasabilanding.gateway import internal_documents
 from wasabilanding.gateway import messages
 from wasabilanding import metadata
+from wasabilanding import model
 
 # Long, to keep the load of renewals on the store low.
 LEASE_TTL_S = 90.0
@@ -21,6 +22,11 @@
 # Interval of the check whether the store was restored from a copy.
 ERA_CHECK_INTERVAL_S = 1.0
 
+# Messages that nodes of this build understand: 0 is all up to questions on
+# limits that endpoints name, 1 also questions on cold endpoints. A message of
+# a new kind that is to be answered needs a greater one.
+PROTOCOL = 1
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -32,12 +38,15 @@
     :param failure_domain: its failure domain.
     :param host: IP address.
     :param port: UDP port.
+    :param protocol: what the node understands, see :data:`PROTOCOL`; 0 is also
+        that of builds that do not say it.
     """
 
     node: str
     failure_domain: str
     host: str
     port: int
+    protocol: model.Count = 0
 
 
 def address_prefix(wire: messages.WireFormat) -> str:
--- a/packages/gateway/wasabilanding/gateway/hints.py
+++ b/packages/gateway/wasabilanding/gateway/hints.py
@@ -77,6 +77,7 @@
 from wasabilanding.gateway import compression
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import crash_reports
+from wasabilanding.gateway import datagrams as datagrams_module
 from wasabilanding.gateway import hint_messages
 from wasabilanding.gateway import limit_messages
 from wasabilanding.gateway import messages
@@ -165,6 +166,7 @@
         # Hints to forward, with the local monotonic time in seconds at which
         # each was received.
         self._collected: dict[str, tuple[hint_messages.Hint, float]] = {}
+        self._reader = datagrams_module.DatagramReader()
         self._confirmations = changefeed.Confirmations(
             random.getrandbits(NUMBER_BITS)
         )
@@ -556,16 +558,10 @@
         self, data: bytes, sender: Address
     ) -> hint_messages.HintBatch | None:
         """Apply a datagram and return its content; None if it is invalid."""
-        try:
-            batch = model.decode(
-                hint_messages.HintBatch, compression.decompress(data)
-            )
-        except (compression.InvalidData, model.InvalidDocument) as error:
-            _LOG.info(
-                "invalid datagram from %s:%d ignored: %s", *sender, error
-            )
-            return None
         now = trio.current_time()
+        batch = self._reader.read(data, sender, now)
+        if batch is None:
+            return None
         self._view.note_peer_version(batch.version)
         for notice in batch.evacuations:
             self._view.note_era(notice.store_revision.era)
--- a/packages/gateway/wasabilanding/gateway/limit_messages.py
+++ b/packages/gateway/wasabilanding/gateway/limit_messages.py
@@ -9,6 +9,10 @@
 from wasabilanding import fleet
 from wasabilanding import model
 
+# First protocol with questions on cold endpoints; see
+# :data:`wasabilanding.gateway.directory.PROTOCOL`.
+COLD_PROTOCOL = 1
+
 Rank = typing.Annotated[int, pydantic.Field(ge=0, lt=len(dispatch.SHARES))]
 MaxWait = typing.Annotated[
     float,
@@ -104,6 +108,11 @@
         found = self.notice or self.cold
         return found.incarnation
 
+    @property
+    def protocol(self) -> int:
+        """What a node must understand to reply to it."""
+        return 0 if self.cold is None else COLD_PROTOCOL
+
 
 @dataclasses.dataclass(frozen=True)
 class SendReply:
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -281,6 +281,7 @@
             self._settings.failure_domain,
             self._settings.address,
             self._settings.peer_port,
+            directory.PROTOCOL,
         )
         with await hints.bind_socket(
             (own_address.host, own_address.port)
--- a/packages/gateway/wasabilanding/gateway/peer_nodes.py
+++ b/packages/gateway/wasabilanding/gateway/peer_nodes.py
@@ -57,6 +57,7 @@
         self._prefix = directory.address_prefix(wire)
         self.local: dict[str, Address] = {}
         self.remote: dict[str, dict[str, Address]] = {}
+        self._protocols: dict[str, int] = {}
         # Local monotonic times in seconds, by node.
         self._sending_since: dict[str, float] = {}
         self._received_at: dict[str, float] = {}
@@ -73,6 +74,7 @@
         self.local = by_domain.pop(self._domain, {})
         self.local.pop(self._node, None)
         self.remote = by_domain
+        self._protocols = {node.node: node.protocol for node in nodes}
 
     def by_domain(self) -> dict[str, dict[str, Address]]:
         """Return the addresses of the other nodes, by failure domain."""
@@ -93,18 +95,36 @@
         """Number of known nodes, with this one."""
         return 1 + sum(len(nodes) for nodes in self.by_domain().values())
 
-    def owners_of(self, failure_domain: str) -> send_grants.Owners:
+    def owners_of(
+        self, failure_domain: str, protocol: int
+    ) -> send_grants.Owners:
         """Return the nodes that may own the limits of some endpoints.
 
-        They are those of the failure domain. If it has none, as before its
-        nodes have started, they are all nodes, so that all agree on one.
+        They are those of the failure domain that understand the questions. If
+        it has none, as before its nodes have started or are upgraded, they are
+        all nodes that do, so that all agree on one.
 
         :param failure_domain: failure domain of the endpoints.
+        :param protocol: what they must understand, see
+            :data:`wasabilanding.gateway.directory.PROTOCOL`.
         """
+        names: tuple[str, ...] = tuple(self.remote.get(failure_domain, ()))
         if failure_domain == self._domain:
-            return send_grants.Owners(self._node, (*self.local, self._node))
-        names = tuple(self.remote.get(failure_domain, ()))
-        return send_grants.Owners(self._node, names or self._all_names())
+            names = (*self.local, self._node)
+        able = self._understanding(names, protocol)
+        if not able:
+            able = self._understanding(self._all_names(), protocol)
+        return send_grants.Owners(self._node, able)
+
+    def _understanding(
+        self, names: tuple[str, ...], protocol: int
+    ) -> tuple[str, ...]:
+        """Return the nodes that understand some messages."""
+        return tuple(
+            name
+            for name in names
+            if name == self._node or self._protocols.get(name, 0) >= protocol
+        )
 
     def _all_names(self) -> tuple[str, ...]:
         """Return the names of all known nodes."""
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -37,7 +37,8 @@
 VERSION = b"wasabilanding-version"
 RUNS = b"wasabilanding-runs"
 VERDICT = b"wasabilanding-verdict"
-OWN_HEADERS = frozenset((RELAYED_BY, VERSION, RUNS, VERDICT))
+# Of all headers between nodes, including those of newer builds.
+PREFIX = b"wasabilanding-"
 NOT_RUN = b"not_run"
 MAY_HAVE_RUN = b"may_have_run"
 ELSEWHERE = b"elsewhere"
@@ -154,8 +155,16 @@
     """Return headers without those between nodes.
 
     :param headers: headers, names in lower case.
+
+    Examples
+    ========
+
+    >>> from wasabilanding.gateway import relays
+    >>> newer = (b"wasabilanding-newer", b"1")
+    >>> relays.without_own([(b"accept", b"*/*"), (relays.RUNS, b"1"), newer])
+    ((b'accept', b'*/*'),)
     """
-    return tuple(pair for pair in headers if pair[0] not in OWN_HEADERS)
+    return tuple(pair for pair in headers if not pair[0].startswith(PREFIX))
 
 
 def outcome_of(
--- a/packages/gateway/wasabilanding/gateway/send_grants.py
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -66,7 +66,7 @@
 
 
 SendTo = collections.abc.Callable[[str, limit_messages.SendQuestion], None]
-OwnersOf = collections.abc.Callable[[str], Owners]
+OwnersOf = collections.abc.Callable[[str, int], Owners]
 
 
 @dataclasses.dataclass
@@ -102,7 +102,9 @@
         self._rng = rng
         self._slots = dispatch.SendSlots()
         self._send_to: SendTo = lambda node, question: None
-        self._owners_of: OwnersOf = lambda domain: Owners("", ("",))
+        self._owners_of: OwnersOf = lambda domain, protocol: Owners(
+            "", ("",)
+        )
         self._waiting: dict[int, trio.MemorySendChannel] = {}
         self._kept: collections.OrderedDict[int, limit_messages.SendReply] = (
             collections.OrderedDict()
@@ -118,7 +120,7 @@
 
         :param send_to: sends a question to a node.
         :param owners_of: returns the nodes that may own the limits of the
-            endpoints of a failure domain.
+            endpoints of a failure domain and understand the questions.
         """
         self._send_to = send_to
         self._owners_of = owners_of
@@ -208,9 +210,10 @@
         self, endpoint: fleet.Endpoint, max_wait_s: float
     ) -> limit_messages.SendReply | None:
         """Ask the owner of a limit; return its reply, if any."""
-        owners = self._owners_of(endpoint.failure_domain)
+        question = self._question(endpoint, max_wait_s)
+        owners = self._owners_of(endpoint.failure_domain, question.protocol)
         rank, node = self._owner(endpoint.endpoint_id, owners)
-        question = self._question(endpoint, rank, max_wait_s)
+        question = dataclasses.replace(question, rank=rank)
         if node == owners.own:
             return self.answer(question, trio.current_time())
         reply = await self._exchange(node, question)
@@ -218,7 +221,7 @@
         return reply
 
     def _question(
-        self, endpoint: fleet.Endpoint, rank: int, max_wait_s: float
+        self, endpoint: fleet.Endpoint, max_wait_s: float
     ) -> limit_messages.SendQuestion:
         incarnation = fleet.incarnation_of(endpoint)
         now = trio.current_time()
@@ -229,7 +232,7 @@
         return limit_messages.SendQuestion(
             self._rng.getrandbits(NUMBER_BITS),
             notice,
-            rank,
+            0,
             max_wait_s,
             self.cold.notice_of(incarnation, now),
         )
--- a/packages/gateway/wasabilanding/gateway/tests/cold.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/cold.feature
@@ -47,6 +47,15 @@
     When together they want to send 400 requests a second for 5 s
     Then in any 1 s from 0 s on at most 1.5 x 17 x 1 + 5 are sent
 
+  # They do not reply to questions on cold endpoints, so that all nodes of
+  # today's build were refused as long as the upgrade took.
+  Scenario: No node of the endpoint's failure domain is upgraded yet
+    Given 29 nodes in each of 3 failure domains that read that e1 is cold and takes 17 requests a second
+    And the nodes of failure domain z0 are of the previous build
+    When together they want to send 400 requests a second for 5 s
+    Then from 0 s on at least 12 a second are sent
+    And in any 1 s from 0 s on at most 1.5 x 17 x 1 + 5 are sent
+
   Scenario: What a reply to one node says is told to all
     Given 29 nodes in each of 3 failure domains that read that e1 is cold and takes 17 requests a second
     When a reply tells one node at 2 s that e1 becomes cold
--- a/packages/gateway/wasabilanding/gateway/tests/evacuation.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/evacuation.feature
@@ -33,6 +33,15 @@
     And it receives the evacuation changes "-z1 -z2 +z3" of era 2 at revision 102
     Then the other view knows the evacuations "z3"
 
+  # Such a collector does not know evacuations, so that its changes of the
+  # store lack them; the view that follows reads the store itself.
+  Scenario: What a collector of the previous build has seen is not followed
+    Given a view of era 2 at revision 100 with evacuations "z1"
+    And another view that follows it, as a collector of the previous build
+    When it receives the evacuation changes "+z2" of era 2 at revision 101
+    Then the other view knows the evacuations "z1"
+    And the other view is at revision 100
+
   Scenario: A node is ready only when it knows the evacuations
     Given a view that has not read the store
     Then it is not initialized
--- a/packages/gateway/wasabilanding/gateway/tests/hints.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/hints.feature
@@ -80,6 +80,25 @@
     When node n2 receives the datagram {"sender": "n9", "newer": 1, "hints": [{"node": "n9", "newer": {"a": 1}, "in_flight": {"e1": 3}}]}
     Then the nodes count "n1 0 n2 3 n3 0" requests at e1
 
+  # A node of a newer build may send kinds of reports, and values, that this
+  # one does not know.
+  Scenario Outline: A message of an unknown kind costs that message alone
+    When node n2 receives the datagram {"sender": "n9", <other> "hints": [{"node": "n9", <inner> "in_flight": {"e1": 3}}, {"node": "n8", "in_flight": {"e1": 2}}]}
+    Then the nodes count "n1 0 n2 <counted> n3 0" requests at e1
+
+    Examples:
+      | other                                      | inner                                  | counted |
+      |                                            | "crashes": [{"kind": "new"}],          | 5       |
+      |                                            | "crashes": [7], "cold": [{}, {}],      | 5       |
+      |                                            | "limits": [{"endpoint_id": "e1"}],     | 5       |
+      |                                            | "leaving": [{"started_at_ms": -1}],    | 5       |
+      | "questions": [{"number": 1, "new": {}}],   |                                        | 5       |
+      | "replies": [{"number": 1}],                |                                        | 5       |
+      | "evacuations": [{"region": "r1"}],         |                                        | 5       |
+      | "changes": {"endpoints": [{"name": "e"}]}, |                                        | 5       |
+      |                                            | "crashes": [{"kind": "new"}], "silent": 7, | 2   |
+      | "questions": 5,                            |                                        | 0       |
+
   Scenario Outline: Each node knows the load of all failure domains
     Given 12 nodes in each of 3 failure domains, each with a request in flight
     And the first <dead> nodes of each failure domain are dead
--- a/packages/gateway/wasabilanding/gateway/tests/steps/cold_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/cold_steps.py
@@ -13,6 +13,8 @@
 from wasabilanding.gateway.tests.steps import notices_steps
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import membership
+from wasabilanding import metadata
+from wasabilanding import model
 
 COLD_S = 60.0
 # After a start, in the tests of one node.
@@ -62,6 +64,21 @@
         owners = membership.owners_of("e1", own, 2)
         return {*self.names[::2]} - {*owners} | {owners[rank]}
 
+    def make_old(self, domain):
+        """Let the nodes of a failure domain be of the previous build.
+
+        They give out no permission for cold endpoints, and reply to no
+        question on one. What they send themselves does not count here.
+        """
+        for entry in self.nodes.addresses:
+            if entry.failure_domain == domain:
+                self.dead[entry.node] = 0.0
+                key = f"{hints_steps.PREFIX}{entry.node}"
+                old = dataclasses.replace(entry, protocol=0)
+                self.nodes.internal_items[key] = metadata.Item(
+                    key, model.encode(old).encode(), 1
+                )
+
     def remove(self, nodes):
         """Remove the addresses of nodes from the views of the others."""
         kept = {
@@ -137,6 +154,12 @@
     context.senders.remove(context.senders.cut_off)
 
 
+@behave.given("the nodes of failure domain {domain} are of the previous build")
+def given_old(context, domain):
+    """Let some nodes not understand questions on cold endpoints."""
+    context.senders.make_old(domain)
+
+
 @behave.given("e1 is in a failure domain without nodes")
 def given_empty_domain(context):
     """Move the endpoint."""
--- a/packages/gateway/wasabilanding/gateway/tests/steps/evacuation_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/evacuation_steps.py
@@ -101,6 +101,21 @@
     context.follower = _read_view(context.names)
 
 
+@behave.given(
+    "another view that follows it, as a collector of the previous build"
+)
+def given_old_collector(context):
+    """Make a view that is fed by a node which knows no evacuations."""
+    context.follower = _read_view(context.names)
+    context.is_previous_build = True
+
+
+@behave.then("the other view is at revision {number:d}")
+def check_revision(context, number):
+    """Compare the revision up to which the view knows all changes."""
+    assert context.follower.revision.number == number
+
+
 @behave.when(
     'it receives the evacuation {source} "{changes}" of era {era:d} at '
     "revision {at:d}"
@@ -118,6 +133,8 @@
         context.view.apply_segment(collector.cut_segment(), NOW_S, NOW_S)
     if getattr(context, "follower", None) is not None:
         segment = context.view.cut_segment()
+        if getattr(context, "is_previous_build", False):
+            segment = dataclasses.replace(segment, content=0)
         context.follower.apply_segment(segment, NOW_S, NOW_S)
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/hints_steps.py
@@ -35,7 +35,9 @@
     def __init__(self, domains):
         endpoints = fakes.FakeEndpoints({"e1": "", "e2": ""})
         self.addresses = [
-            directory.NodeAddress(name, domain, f"10.0.0.{i}", 1)
+            directory.NodeAddress(
+                name, domain, f"10.0.0.{i}", 1, directory.PROTOCOL
+            )
             for i, (name, domain) in enumerate(domains.items())
         ]
         self.internal_items = {
--- a/packages/gateway/wasabilanding/gateway/tests/steps/restore_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/restore_steps.py
@@ -91,7 +91,12 @@
             for item in items
         )
         segment = changefeed.Segment(
-            after=50, until=revision, age_s=0.0, endpoints=endpoints, era=era
+            after=50,
+            until=revision,
+            age_s=0.0,
+            endpoints=endpoints,
+            era=era,
+            content=changefeed.CONTENT,
         )
         view.apply_segment(segment, context.now, context.now)
         context.is_confirmed = view.feed_age_s == 0
@@ -397,7 +402,9 @@
             )
             await trio.sleep(at)
             store.restore(0.0)
-            segment = changefeed.Segment(0, 0, 0.0, era=store.era)
+            segment = changefeed.Segment(
+                0, 0, 0.0, era=store.era, content=changefeed.CONTENT
+            )
             while trio.current_time() < 3.2:
                 view.apply_segment(segment, trio.current_time(), 0.0)
                 await trio.sleep(0.1)
