Test an upgrade from the commit in production, and its rollback

Nothing ran nodes of that commit beside today's. The test extracts them by git archive, replaces the gateways of each failure domain one after the other under load, back again, and checks the guarantees of the soak test, that no gateway logs that it did not understand something, and that gateways of both kinds hand requests to each other.

--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -161,6 +161,9 @@
     :param settings: settings of the gateways that differ from the usual ones.
     :param behaviour: settings of the endpoints, see
         :class:`wasabilanding.standins.registered_engine.RegisteredSettings`.
+
+    ``environment_of`` maps the name of a gateway to additional variables of
+    the next process of it.
     """
 
     def __init__(
@@ -180,6 +183,9 @@
         self._proxied_port = proxied_port or (lambda name, port: port)
         self._is_cuttable = is_cuttable
         self._output_of = output_of or (lambda name: None)
+        self.environment_of: collections.abc.Callable[
+            [str], collections.abc.Mapping[str, str]
+        ] = lambda name: {}
         self._processes = launcher.Processes(folder)
         self._ports = iter(launcher.free_ports(self._port_count()))
         self.vms: list[Vm] = []
@@ -334,15 +340,13 @@
         self, name: str, path: pathlib.Path
     ) -> subprocess.Popen[bytes]:
         command = [str(launcher.BIN / "wasabilanding-gateway")]
-        environment = {}
+        environment = dict(self.environment_of(name))
         if self._is_cuttable:
             command = [sys.executable, "-c", cut_gateway.PROGRAM]
-            environment = {
-                cut_gateway.CUT_FILE: str(self._cut_file(name)),
-                cut_gateway.CUT_PORTS: ",".join(
-                    str(port) for port in self._endpoint_ports
-                ),
-            }
+            environment[cut_gateway.CUT_FILE] = str(self._cut_file(name))
+            environment[cut_gateway.CUT_PORTS] = ",".join(
+                str(port) for port in self._endpoint_ports
+            )
         return self._processes.spawn(
             name,
             *command,
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/upgrade_steps.py
@@ -0,0 +1,97 @@
+"""Steps for upgrades from an earlier commit."""
+
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import behave
+
+from wasabilanding.experiments.installation import earlier_sources
+from wasabilanding.experiments.installation import upgrade
+
+HTTP_OK = 200
+# Compiles the modules, too, once instead of in each gateway.
+FILE_PROGRAM = "from wasabilanding.gateway import main;print(main.__file__)"
+
+
+def _folder(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    return pathlib.Path(folder.name)
+
+
+@behave.given("the sources of the commit in production")
+def given_sources(context):
+    """Extract the sources, and check that Python prefers them."""
+    folder = _folder(context)
+    commit = earlier_sources.production_commit()
+    earlier_sources.extract(commit, folder)
+    context.earlier = earlier_sources.environment(folder)
+    path = subprocess.run(
+        [sys.executable, "-c", FILE_PROGRAM],
+        env={**os.environ, **context.earlier},
+        capture_output=True,
+        check=True,
+        text=True,
+    ).stdout
+    assert path.startswith(str(folder)), path
+
+
+@behave.when("the gateways are replaced by today's one by one, and back again")
+def replace(context):
+    """Run the upgrade and the rollback."""
+    context.result = upgrade.Upgrade(context.earlier, _folder(context)).run()
+    print(*context.result.actions, sep="\n")
+
+
+@behave.then("at least {share:g} of the requests were answered with 200")
+def check_served(context, share):
+    """Compare the share of the answers."""
+    statuses = context.result.statuses
+    served = statuses.count(HTTP_OK) / len(statuses)
+    counts = {status: statuses.count(status) for status in {*statuses}}
+    print(f"answers by status: {counts}")
+    assert served >= share, counts
+
+
+@behave.then("no guarantee was violated")
+def check_guarantees(context):
+    """Check that there are no violations."""
+    assert not context.result.violations, context.result.violations
+
+
+@behave.then("no gateway logs that it did not understand something")
+def check_logs(context):
+    """Check that there are no such lines."""
+    assert not context.result.bad_lines, context.result.bad_lines[:9]
+
+
+@behave.then("gateways of both kinds have handed requests to others")
+def check_relaying(context):
+    """Check that the test has reached what it is for."""
+    relayed = context.result.relayed
+    print(f"requests handed on: {relayed}")
+    assert len(relayed) == 2 and all(relayed), relayed
+
+
+@behave.when(
+    "the sources of the commit in production are read from a new repository"
+)
+def read_from_new(context):
+    """Read a commit where there is none."""
+    repository = _folder(context)
+    subprocess.run(["git", "init", "-q", str(repository)], check=True)
+    commit = earlier_sources.production_commit()
+    try:
+        earlier_sources.extract(commit, _folder(context), repository)
+    except earlier_sources.MissingHistory as error:
+        context.message = str(error)
+
+
+@behave.then("the message says that a shallow clone lacks the commit")
+def check_message(context):
+    """Check what a reader of the failed test sees."""
+    assert "whole history, no shallow clone" in context.message
+    assert earlier_sources.production_commit() in context.message
--- /dev/null
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/upgrade.feature
@@ -0,0 +1,15 @@
+Feature: Nodes of the commit in production and today's run side by side
+
+  # A message, record or header that one of them does not understand costs
+  # requests, or is named in a log.
+  Scenario: An upgrade and its rollback under load, one node after the other
+    Given the sources of the commit in production
+    When the gateways are replaced by today's one by one, and back again
+    Then at least 0.95 of the requests were answered with 200
+    And no guarantee was violated
+    And no gateway logs that it did not understand something
+    And gateways of both kinds have handed requests to others
+
+  Scenario: The test says so if the commit is not there
+    When the sources of the commit in production are read from a new repository
+    Then the message says that a shallow clone lacks the commit
--- a/packages/gateway/wasabilanding/gateway/send_grants.py
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -102,9 +102,7 @@
         self._rng = rng
         self._slots = dispatch.SendSlots()
         self._send_to: SendTo = lambda node, question: None
-        self._owners_of: OwnersOf = lambda domain, protocol: Owners(
-            "", ("",)
-        )
+        self._owners_of: OwnersOf = lambda domain, protocol: Owners("", ("",))
         self._waiting: dict[int, trio.MemorySendChannel] = {}
         self._kept: collections.OrderedDict[int, limit_messages.SendReply] = (
             collections.OrderedDict()
