Choose the first node for a part as the commit in production does

The former order is used again, and a program run by the sources of both commits prints what nodes must choose alike; its outputs are compared.

--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/upgrade_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/upgrade_steps.py
@@ -9,6 +9,7 @@
 import behave
 
 from wasabilanding.experiments.installation import earlier_sources
+from wasabilanding.experiments.installation import shared_choices
 from wasabilanding.experiments.installation import upgrade
 
 HTTP_OK = 200
@@ -39,6 +40,25 @@
     assert path.startswith(str(folder)), path
 
 
+def _choices(environment):
+    """Return what a program prints with some sources, as lines."""
+    return subprocess.run(
+        [sys.executable, shared_choices.__file__],
+        env={**os.environ, **environment},
+        capture_output=True,
+        check=True,
+        text=True,
+    ).stdout.splitlines()
+
+
+@behave.then("they choose owners, homes and first nodes as today's do")
+def check_choices(context):
+    """Compare the choices line by line."""
+    earlier, today = _choices(context.earlier), _choices({})
+    different = [pair for pair in zip(earlier, today) if len({*pair}) > 1]
+    assert len(earlier) == len(today) and not different, different[:3]
+
+
 @behave.when("the gateways are replaced by today's one by one, and back again")
 def replace(context):
     """Run the upgrade and the rollback."""
--- a/packages/experiments/wasabilanding/experiments/installation/tests/upgrade.feature
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/upgrade.feature
@@ -10,6 +10,12 @@
     And no gateway logs that it did not understand something
     And gateways of both kinds have handed requests to others
 
+  # The first node for a suspected part of prompts was found by another order:
+  # two nodes tried it, or none.
+  Scenario: Both kinds of nodes choose alike
+    Given the sources of the commit in production
+    Then they choose owners, homes and first nodes as today's do
+
   Scenario: The test says so if the commit is not there
     When the sources of the commit in production are read from a new repository
     Then the message says that a shallow clone lacks the commit
--- a/packages/experiments/wasabilanding/experiments/installation/upgrade.py
+++ b/packages/experiments/wasabilanding/experiments/installation/upgrade.py
@@ -153,8 +153,13 @@
         for gateway in self._installation.gateways:
             by_domain.setdefault(gateway.failure_domain, []).append(gateway)
         first, second = zip(*by_domain.values(), strict=True)
+        # From before their start on, as connections that are open stay so.
+        self._cut(first, cut_gateway.REFUSE)
         await self._replace_each(first, variables)
-        await self._cut(first)
+        lines_before = self._count_relayed()
+        await trio.sleep(CUT_S)
+        self._relayed.append(self._count_relayed() - lines_before)
+        self._cut(first, cut_gateway.NONE)
         await self._replace_each(second, variables)
 
     async def _replace_each(
@@ -181,18 +186,12 @@
         self._record.add(f"{gateway.name} is ready")
         await trio.sleep(SETTLE_S)
 
-    async def _cut(
-        self, gateways: collections.abc.Collection[launch.Gateway]
+    def _cut(
+        self, gateways: collections.abc.Iterable[launch.Gateway], mode: str
     ) -> None:
-        """Let gateways connect to no endpoint for a while."""
-        lines_before = self._count_relayed()
         for gateway in gateways:
-            self._record.add(f"{gateway.name} reaches no endpoint")
-            self._installation.cut(gateway, cut_gateway.REFUSE)
-        await trio.sleep(CUT_S)
-        for gateway in gateways:
-            self._installation.cut(gateway, cut_gateway.NONE)
-        self._relayed.append(self._count_relayed() - lines_before)
+            self._record.add(f"links of {gateway.name}: {mode or 'whole'}")
+            self._installation.cut(gateway, mode)
 
     def _lines_with(
         self, parts: tuple[str, ...]
--- a/packages/gateway/wasabilanding/gateway/peer_nodes.py
+++ b/packages/gateway/wasabilanding/gateway/peer_nodes.py
@@ -12,7 +12,7 @@
 from wasabilanding.gateway import directory
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import send_grants
-from wasabilanding import membership
+from wasabilanding import poison
 
 # Up to this number of nodes send hints to each other, without a collector.
 MAX_MESH_NODES = 9
@@ -136,11 +136,13 @@
     def is_first_for(self, subject: str) -> bool:
         """Return whether this node comes first for a subject.
 
-        All nodes that know the same nodes agree on it.
+        All nodes that know the same nodes agree on it. Nodes of earlier
+        builds find it in the same order, so it must not change.
 
         :param subject: what one node does for all.
         """
-        return membership.owner_of(subject, self._all_names()) == self._node
+        order = poison.trial_order(subject, self._all_names())
+        return order[0] == self._node
 
     @property
     def uses_collector(self) -> bool:
