--- a/packages/experiments/wasabilanding/experiments/installation/upgrade.py
+++ b/packages/experiments/wasabilanding/experiments/installation/upgrade.py
@@ -37,8 +37,7 @@
 CUT_S = 1.0
 # Requests between two replacements, and after the last one.
 SETTLE_S = 0.3
-# Fewer engines than usual start sooner.
-PLAN = launch.Plan(fabrics_per_domain=1)
+PLAN = launch.Plan()
 # Between the replacements in two failure domains.
 APART_S = 0.5
 # Requests a second of one plain endpoint.
