Account for what a node buffers, and bound it by its memory

A process that exceeds limits.memoryMb is killed with all its requests. Nothing counted the bodies and answers that a node held, a body that was declared and not sent kept its connection forever, and a write to a caller that did not read had no limit.

With memory_mb, a request is refused by the declared size before its body is read (503, not run), a body is abandoned after 5 s without a byte (408), the send buffer of a caller's connection is fixed, the kernel ends a connection that takes nothing for 10 s, and a write ends at the request's time limit. A request beyond kvCapacity is refused; an endpoint whose tokens are in use is skipped. Without the setting and kvCapacity nothing changes.

--- a/packages/decisions/wasabilanding/dispatch/tracker.py
+++ b/packages/decisions/wasabilanding/dispatch/tracker.py
@@ -41,6 +41,7 @@
     """Observations of one start of an endpoint.
 
     :param in_flight: this node's requests in flight to it.
+    :param tokens: tokens of these requests.
     :param waiting: those that wait for it, not for their callers.
     :param progress_at: local monotonic time in seconds of its last progress,
         seen by any node.
@@ -55,6 +56,7 @@
     """
 
     in_flight: int = 0
+    tokens: int = 0
     waiting: int = 0
     progress_at: float = NEVER
     own_progress_at: float = NEVER
@@ -113,6 +115,13 @@
         local = self._records[endpoint].in_flight
         return local + self._peer_load.get(endpoint.endpoint_id, 0)
 
+    def peer_load(self, endpoint: fleet.Incarnation) -> int:
+        """Return the known requests of other nodes in flight to an endpoint.
+
+        :param endpoint: the endpoint.
+        """
+        return self._peer_load.get(endpoint.endpoint_id, 0)
+
     def load_of_nodes(self, nodes: collections.abc.Iterable[str]) -> Load:
         """Return the requests in flight from this node and some others.
 
@@ -161,23 +170,30 @@
         """
         return self._records[endpoint]
 
-    def begin(self, endpoint: fleet.Incarnation, now: float) -> None:
+    def begin(
+        self, endpoint: fleet.Incarnation, now: float, tokens: int = 0
+    ) -> None:
         """Count a request that is sent to an endpoint.
 
         :param endpoint: the endpoint.
         :param now: local monotonic time in seconds.
+        :param tokens: tokens of the request; 0 if not known.
         """
         record = self._records[endpoint]
         record.in_flight += 1
+        record.tokens += tokens
         record.updated_at = now
         self.resume(endpoint, now)
 
-    def end(self, endpoint: fleet.Incarnation) -> None:
+    def end(self, endpoint: fleet.Incarnation, tokens: int = 0) -> None:
         """Remove a finished request from the count.
 
         :param endpoint: the endpoint.
+        :param tokens: tokens of the request, as when it was sent.
         """
-        self._records[endpoint].in_flight -= 1
+        record = self._records[endpoint]
+        record.in_flight -= 1
+        record.tokens -= tokens
         self.suspend(endpoint)
 
     def suspend(self, endpoint: fleet.Incarnation) -> None:
--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -27,6 +27,9 @@
 among customers, then among nodes (:func:`allot`). Requests beyond wait in the
 :class:`PoolQueue` of their node.
 
+The gateway also bounds the memory that requests take, at the node
+(:func:`memory_obstacle`) and at the endpoints (:func:`free_tokens`).
+
 The functions take the time as an argument and perform no input or output.
 
 Examples
@@ -69,6 +72,10 @@
 from wasabilanding.limits.backlog_share import BacklogShare
 from wasabilanding.limits.customer_queue import Kind
 from wasabilanding.limits.fair_queue import FairQueue
+from wasabilanding.limits.memory import memory_budget
+from wasabilanding.limits.memory import memory_obstacle
+from wasabilanding.limits.memory import MemoryBudget
+from wasabilanding.limits.memory import MemoryCause
 from wasabilanding.limits.pool_queue import PoolQueue
 from wasabilanding.limits.pool_queue import PoolRequest
 from wasabilanding.limits.pool_share import allot
@@ -80,6 +87,8 @@
 from wasabilanding.limits.share import concurrency_limit
 from wasabilanding.limits.share import engine_priority
 from wasabilanding.limits.slot_time import SlotTime
+from wasabilanding.limits.tokens import free_tokens
+from wasabilanding.limits.tokens import MeanTokens
 from wasabilanding.limits.waiting_reports import bounded
 from wasabilanding.limits.waiting_reports import WaitingReports
 
@@ -92,6 +101,9 @@
     "Decisions",
     "FairQueue",
     "Kind",
+    "MeanTokens",
+    "MemoryBudget",
+    "MemoryCause",
     "PoolQueue",
     "PoolRequest",
     "PoolState",
@@ -106,5 +118,8 @@
     "concurrency_limit",
     "engine_priority",
     "estimated_tokens",
+    "free_tokens",
     "max_min",
+    "memory_budget",
+    "memory_obstacle",
 ]
--- /dev/null
+++ b/packages/decisions/wasabilanding/limits/memory.py
@@ -0,0 +1,115 @@
+"""Bound on what a node buffers for callers, endpoints and other nodes.
+
+Explanation
+===========
+
+A process that exceeds its memory is killed, with all requests in progress. So
+a node holds no more than a share of the memory that it does not need itself.
+A new request that would exceed the share is refused; one in progress is never
+ended. No single request may hold more than a quarter of the share, so that a
+large one leaves room for small ones.
+
+A body is judged by its declared size when it begins and by the bytes that
+have arrived while it arrives, as many callers may declare bodies at the same
+time and send them later.
+"""
+
+import dataclasses
+import enum
+
+MB = 1_000_000
+# An idle node uses 60 to 70 MB.
+IDLE_BYTES = 80 * MB
+# Bodies are copied when they are joined and sent, and the allocator does not
+# return all of its memory.
+BUFFER_SHARE = 0.5
+# A node that is given less memory than it uses when idle still serves some
+# requests.
+MIN_TOTAL_BYTES = 8 * MB
+REQUEST_SHARE = 0.25
+
+
+class MemoryCause(enum.Enum):
+    """Why a request is refused for lack of memory.
+
+    ``REQUEST``: it is larger than what one request may hold. ``NODE``: the
+    node holds too much for others.
+    """
+
+    REQUEST = "request"
+    NODE = "node"
+
+
+@dataclasses.dataclass(frozen=True)
+class MemoryBudget:
+    """What a node may hold for others.
+
+    :param total_bytes: for all requests together.
+    """
+
+    total_bytes: int
+
+    @property
+    def request_bytes(self) -> int:
+        """What one request may hold."""
+        return int(self.total_bytes * REQUEST_SHARE)
+
+
+def memory_budget(memory_mb: float) -> MemoryBudget | None:
+    """Return what a node may hold for others; None for no bound.
+
+    :param memory_mb: memory of the process in MB; 0 if it has no bound.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import limits
+    >>> limits.memory_budget(200)
+    MemoryBudget(total_bytes=60000000)
+    >>> limits.memory_budget(200).request_bytes
+    15000000
+    >>> limits.memory_budget(50)
+    MemoryBudget(total_bytes=8000000)
+    >>> limits.memory_budget(0) is None
+    True
+    """
+    if not memory_mb:
+        return None
+    usable = (memory_mb * MB - IDLE_BYTES) * BUFFER_SHARE
+    return MemoryBudget(max(int(usable), MIN_TOTAL_BYTES))
+
+
+def memory_obstacle(
+    budget: MemoryBudget | None,
+    held_bytes: int,
+    request_bytes: int,
+    more_bytes: int,
+) -> MemoryCause | None:
+    """Return why a request may not hold more; None if it may.
+
+    :param budget: what the node may hold; None for no bound.
+    :param held_bytes: what it holds for all requests.
+    :param request_bytes: what the request is to hold in all.
+    :param more_bytes: the part of it that it does not hold yet.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import limits
+    >>> budget = limits.MemoryBudget(1000)
+    >>> limits.memory_obstacle(budget, 700, 250, 250) is None
+    True
+    >>> limits.memory_obstacle(budget, 700, 251, 251)
+    <MemoryCause.REQUEST: 'request'>
+    >>> limits.memory_obstacle(budget, 900, 250, 101)
+    <MemoryCause.NODE: 'node'>
+    >>> limits.memory_obstacle(None, 900, 250, 101) is None
+    True
+    """
+    if budget is None:
+        return None
+    if request_bytes > budget.request_bytes:
+        return MemoryCause.REQUEST
+    if held_bytes + more_bytes > budget.total_bytes:
+        return MemoryCause.NODE
+    return None
--- a/packages/decisions/wasabilanding/routes/table.py
+++ b/packages/decisions/wasabilanding/routes/table.py
@@ -101,12 +101,15 @@
         second, over all engines; 0 for no limit.
     :param loads_at_once: concurrent loads that run at full speed, over all
         engines; 0 for no limit.
+    :param kv_capacity: tokens that one replica can hold; 0 if it is not
+        known.
     """
 
     slots: int
     models: tuple[ModelSpec, ...]
     load_starts_per_s: float
     loads_at_once: int = 0
+    kv_capacity: int = 0
 
     def model(self, name: str) -> ModelSpec | None:
         """Return a model, or None if it is not configured.
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -18,6 +18,7 @@
 
 from wasabilanding import dispatch
 from wasabilanding import fleet
+from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import reachability as reachability_module
 from wasabilanding.gateway import relays
@@ -51,6 +52,7 @@
         local monotonic time in seconds at which the request was sent.
     :param reachability: whether this node reaches any endpoint.
     :param relay_headers: returns what other nodes are told of a request.
+    :param account: the node's memory.
     """
 
     wire: messages.WireFormat
@@ -67,6 +69,7 @@
     relay_headers: collections.abc.Callable[
         [request_state_module.RequestState], list[messages.Header]
     ]
+    account: memory_account.MemoryAccount
 
 
 class Attempt:
@@ -156,7 +159,7 @@
         """
         if not self._is_in_flight_counted:
             self._is_in_flight_counted = True
-            self._tracker.begin(self.incarnation, now)
+            self._tracker.begin(self.incarnation, now, self._state.tokens)
 
     async def run(self) -> model.Outcome | None:
         """Send the request and relay the reply.
@@ -172,7 +175,7 @@
             with self._scope, self._waiting():
                 return await self._relay_catching_failure(headers)
         finally:
-            self._tracker.end(self.incarnation)
+            self._tracker.end(self.incarnation, self._state.tokens)
         if self.endpoint_makes_progress:
             self._count_run()
         return None
@@ -211,7 +214,9 @@
         self, headers: list[messages.Header]
     ) -> model.Outcome:
         try:
-            return await self._relay(headers)
+            kind = memory_account.Kind.ANSWER
+            with self._context.account.reserve(kind) as held:
+                return await self._relay(headers, held)
         except upstream_module.AttemptFailed as error:
             if error.outcome.verdict is not model.Verdict.NOT_RUN:
                 self._count_run()
@@ -237,7 +242,11 @@
             self._tracker.resume(self.incarnation, now)
             self.silence.resume(now)
 
-    async def _relay(self, headers: list[messages.Header]) -> model.Outcome:
+    async def _relay(
+        self,
+        headers: list[messages.Header],
+        held: memory_account.Reservation,
+    ) -> model.Outcome:
         state = self._state
         sent = self._context.upstream.send(
             self._endpoint,
@@ -270,8 +279,8 @@
             if head.kind is messages.ReplyKind.FAILURE:
                 return await self._handle_failure(head, reply)
             if head.is_events:
-                return await self._relay_events(head, reply)
-            return await self._relay_body(head, reply)
+                return await self._relay_events(head, reply, held)
+            return await self._relay_body(head, reply, held)
 
     def _read_relay_reply(
         self, reply: upstream_module.Reply
@@ -327,7 +336,10 @@
         )
 
     async def _relay_body(
-        self, head: messages.ReplyHead, reply: upstream_module.Reply
+        self,
+        head: messages.ReplyHead,
+        reply: upstream_module.Reply,
+        held: memory_account.Reservation,
     ) -> model.Outcome:
         if self._answer.has_begun:
             return model.may_have_run(
@@ -342,10 +354,12 @@
         async for chunk in chunks:
             self._record_progress()
             buffered.append(chunk)
+            held.grow(len(chunk))
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
                 await self._write(head, b"".join(buffered))
                 buffered.clear()
+                held.resize(0)
         await self._check_end(reply)
         if self._answer.has_begun:
             if buffered:
@@ -390,11 +404,15 @@
             await self._answer.write(self, head, data)
 
     async def _relay_events(
-        self, head: messages.ReplyHead, reply: upstream_module.Reply
+        self,
+        head: messages.ReplyHead,
+        reply: upstream_module.Reply,
+        held: memory_account.Reservation,
     ) -> model.Outcome:
         splitter = sse.EventSplitter(self._bounds.event_bytes)
         async for chunk in reply.chunks():
             self._record_progress()
+            held.grow(len(chunk))
             try:
                 events = splitter.feed(chunk)
             except reply_bounds.BoundExceeded as error:
@@ -402,6 +420,7 @@
             if events:
                 with self._waiting_for_caller():
                     await self._answer.deliver(self, head, events)
+                held.resize(splitter.remaining_bytes)
         if splitter.remainder:
             raise upstream_module.AttemptFailed(
                 model.may_have_run(
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -30,6 +30,7 @@
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
 from wasabilanding.gateway import shared_answer
+from wasabilanding.gateway import token_capacity
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding.gateway import waiting
 from wasabilanding import model
@@ -41,6 +42,10 @@
 # While all attempts are silent, the limits on another one are checked again
 # at this interval.
 RECHECK_INTERVAL_S = 0.25
+# A request that fits into no endpoint's memory is tried again at this interval
+# for this time.
+TOKEN_RECHECK_S = 0.05
+TOKEN_WAIT_S = 1.0
 # Why a request that waits for a slot ends without an attempt.
 NOT_SENT = "it is not sent"
 
@@ -105,6 +110,7 @@
         self._ended: collections.deque[_EndedAttempt] = collections.deque()
         self._changed = trio.Event()
         self._hedge_obstacle = ""
+        self._created_at = trio.current_time()
         self._last_outcome = model.not_run(
             model.Reason.NO_REPLICA, f"no replica serves {state.request.model}"
         )
@@ -162,6 +168,10 @@
             finally:
                 if obstacle:
                     room.record_departure(self._state)
+            if obstacle == selection.NO_TOKENS_FREE:
+                if not await self._wait_for_tokens():
+                    return obstacle
+                continue
             if obstacle != selection.BUDGET_SPENT or self._answer.has_begun:
                 return obstacle
             # Another request has taken from the budget meanwhile.
@@ -188,10 +198,25 @@
             return None
         return await room.enter(state, self._last_outcome)
 
+    async def _wait_for_tokens(self) -> bool:
+        """Wait a moment for memory; return whether to try again."""
+        now = trio.current_time()
+        state = self._state
+        end_at = min(
+            self._created_at + TOKEN_WAIT_S, state.deadline_at - TOKEN_WAIT_S
+        )
+        if now >= end_at or self._answer.has_begun:
+            return False
+        await trio.sleep(TOKEN_RECHECK_S)
+        return True
+
     async def _start_selected(self, nursery: trio.Nursery) -> str:
         """Select an endpoint and start an attempt; return why not if none."""
         selected = await self._context.selector.pick(self._state)
         if selected is None:
+            if self._context.selector.lacks_tokens(self._state):
+                self._last_outcome = token_capacity.no_room(self._state)
+                return selection.NO_TOKENS_FREE
             held = self._context.selector.held_outcome(self._state)
             self._last_outcome = held or self._last_outcome
             return selection.NO_OTHER_ENDPOINT
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -23,6 +23,7 @@
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import inbound
+from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import reachability as reachability_module
@@ -37,6 +38,8 @@
 from wasabilanding import model
 from wasabilanding import retries
 
+# A write of this length is named as the cause where an answer is given up.
+MIN_UNREAD_S = 1.0
 MAY_HAVE_RUN_STATUSES = (502, 504)
 NOT_RELAYED = answers.Answer(
     403, "not_relayed", "only nodes send requests to this port"
@@ -61,6 +64,7 @@
     :param relays: nodes that serve requests for this one.
     :param rng: random number generator.
     :param waiting_reports: waiting requests of other nodes.
+    :param account: the node's memory; None for no bound.
     """
 
     def __init__(
@@ -78,7 +82,9 @@
         relays: relays_module.Relays,
         rng: random.Random,
         waiting_reports: limits.WaitingReports | None = None,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
+        self._account = account or memory_account.unbounded()
         self._reachability = reachability
         self._settings = settings
         self._metrics = metrics
@@ -88,7 +94,7 @@
         self._budget = retries.RetryBudget()
         self.update_retry_budget(0)
         self._admission = admission.Admission(settings, view, rng)
-        selector = selection.EndpointSelector(
+        selector = self._selector = selection.EndpointSelector(
             view,
             tracker,
             settings.failure_domain,
@@ -119,6 +125,7 @@
                 crash_guard.record_progress,
                 reachability,
                 self._relay_headers,
+                self._account,
             ),
             selector,
             tracker,
@@ -245,6 +252,9 @@
             if relayed is not None:
                 self._accept_relayed(relayed, state, response)
             self._crash_guard.check(state)
+            self._selector.tokens.check(state)
+            if self._account.is_bounded:
+                response.deadline_at = state.deadline_at
             self._budget.deposit(state.service.name)
             with trio.move_on_at(state.deadline_at) as scope:
                 attempts = attempt_set.AttemptSet(
@@ -258,6 +268,7 @@
                 )
         except request_state_module.RequestRejected as rejection:
             reason = f"{rejection.answer.reason}: {rejection.answer.detail}"
+            reason += _unread(response)
             if not response.has_begun:
                 if relayed is not None:
                     echoed.append(_relay_verdict(rejection))
@@ -348,12 +359,19 @@
     return relays_module.VERDICT, relays_module.NOT_RUN
 
 
+def _unread(response: inbound.ResponseWriter) -> str:
+    """Return for how long the caller did not read, if it matters."""
+    if response.is_complete or response.unread_s < MIN_UNREAD_S:
+        return ""
+    return f"; it did not read for {response.unread_s:.1f} s"
+
+
 def _end_reason(response: inbound.ResponseWriter) -> str:
     """Return why a request ended that the node did not reject."""
     if response.is_complete:
         return "answered"
     if response.caller_left:
-        return "the caller disconnected"
+        return f"the caller disconnected{_unread(response)}"
     error = sys.exception()
     if error is None or not isinstance(error, Exception):
         # It was cancelled, perhaps together with its attempts.
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -13,23 +13,22 @@
 
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import asgi
+from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import request_body
 
 # Time in which the server closes an idle connection.
 CLOSE_TIME_S = 0.02
+# Parts between which a write stops once the answer's time has passed.
+WRITE_BYTES = 64 * 1024
 STOPPING = answers.not_run("stopping", "this node stops", 0.0)
 Message = asgi.Message
 Receive = asgi.Receive
 Send = asgi.Send
 AddedHeaders = collections.abc.Callable[[], list[messages.Header]]
-
-
-class BodyTooLarge(Exception):
-    """A request's body exceeds the size limit."""
-
-
-class CallerDisconnected(Exception):
-    """A caller disconnected before its request was complete."""
+EchoedHeaders = collections.abc.Callable[
+    [messages.RequestHead], list[messages.Header]
+]
 
 
 class ResponseWriter:
@@ -40,7 +39,10 @@
         the answer.
 
     ``caller_left`` tells whether the caller closed its connection before the
-    answer was complete.
+    answer was complete. A write that the caller does not read is not
+    interrupted within a part of :data:`WRITE_BYTES`; the kernel ends the
+    connection of a caller that reads nothing for a time (see
+    :mod:`wasabilanding.gateway.caller_sockets`).
     """
 
     def __init__(
@@ -52,6 +54,10 @@
         self.begun_at: float | None = None
         self.is_complete = False
         self.caller_left = False
+        # Local monotonic time in seconds after which no part is written.
+        self.deadline_at = float("inf")
+        # Seconds that the longest write took.
+        self.unread_s = 0.0
         # Returns headers to add to the head of the answer.
         self.added_headers: AddedHeaders = lambda: []
 
@@ -64,8 +70,26 @@
         # If a send were cancelled halfway, the server's protocol state would
         # be ahead of the bytes written. A cancellation takes effect after the
         # send, when it is known what the caller has received.
+        begun_at = trio.current_time()
         with trio.CancelScope(shield=True):
             await self._send(message)
+        took_s = trio.current_time() - begun_at
+        self.unread_s = max(self.unread_s, took_s)
+
+    async def _write_but_last(self, data: bytes) -> bytes:
+        """Write all parts of some data but the last one, which is returned.
+
+        If the answer's time has passed, the rest is not written: the scope
+        that ends the request is cancelled then.
+        """
+        while len(data) > WRITE_BYTES and self.deadline_at < float("inf"):
+            part, data = data[:WRITE_BYTES], data[WRITE_BYTES:]
+            await self._send_uninterrupted(
+                {"type": "http.response.body", "body": part, "more_body": True}
+            )
+            if trio.current_time() >= self.deadline_at:
+                await trio.lowlevel.checkpoint()
+        return data
 
     async def begin(self, status: int, headers: list[messages.Header]) -> None:
         """Send the head of the answer.
@@ -91,6 +115,7 @@
 
         :param data: the part.
         """
+        data = await self._write_but_last(data)
         await self._send_uninterrupted(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
@@ -100,6 +125,7 @@
 
         :param data: the part.
         """
+        data = await self._write_but_last(data)
         self.is_complete = True
         await self._send_uninterrupted(
             {"type": "http.response.body", "body": data, "more_body": False}
@@ -118,6 +144,25 @@
         await self.begin(answer.status, [*headers, *answer.headers, length])
         await self.end(body)
 
+    async def refuse(
+        self,
+        answer: answers.Answer,
+        headers: list[messages.Header],
+        receive: Receive,
+    ) -> None:
+        """Send an answer that the node generated before it read the body.
+
+        :param answer: the answer.
+        :param headers: headers that the answer has in addition.
+        :param receive: ASGI callable; the rest of the body is discarded.
+        """
+        body = answer.body
+        length = (b"content-length", str(len(body)).encode())
+        await self.begin(answer.status, [*headers, *answer.headers, length])
+        await self.write(body)
+        await request_body.discard_body(receive)
+        await self.end()
+
 
 Handler = collections.abc.Callable[
     [messages.RequestHead, bytes, ResponseWriter],
@@ -125,21 +170,6 @@
 ]
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes:
-    parts = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            raise CallerDisconnected()
-        size += len(message["body"])
-        if size > limit:
-            raise BodyTooLarge()
-        parts.append(message["body"])
-        if not message.get("more_body"):
-            return b"".join(parts)
-
-
 def _head(scope: Message) -> messages.RequestHead:
     path = scope["raw_path"]
     query = scope["query_string"]
@@ -172,6 +202,9 @@
     closes_connection: collections.abc.Callable[[], bool],
     accepts_requests: collections.abc.Callable[[], bool],
     stopping_headers: collections.abc.Sequence[messages.Header] = (),
+    account: memory_account.MemoryAccount | None = None,
+    kind: memory_account.Kind = memory_account.Kind.REQUEST,
+    echoed_headers: EchoedHeaders = lambda head: [],
 ) -> collections.abc.Callable[..., collections.abc.Awaitable[None]]:
     """Return the ASGI application for callers.
 
@@ -182,19 +215,52 @@
         their answers.
     :param accepts_requests: returns whether to pass on a request that has
         just begun to arrive; if not, its connection is being closed.
-    :param stopping_headers: headers of the answer to such a request.
+    :param stopping_headers: headers of the answer to such a request, and to
+        one that is refused for lack of memory.
+    :param account: the node's memory; None for no bound.
+    :param kind: what the bodies count as.
+    :param echoed_headers: returns the headers that every answer to a request
+        has.
     """
+    found = account or memory_account.unbounded()
 
     async def run(scope: Message, receive: Receive, send: Send) -> None:
+        with found.reserve(kind) as held:
+            await answer(scope, receive, send, held)
+
+    async def answer(
+        scope: Message,
+        receive: Receive,
+        send: Send,
+        held: memory_account.Reservation,
+    ) -> None:
         response = ResponseWriter(send, closes_connection)
         is_accepted = accepts_requests()
+        limit = max_body_bytes()
         try:
-            body = await _read_body(receive, max_body_bytes())
-        except CallerDisconnected:
+            body = await request_body.read_body(
+                receive, scope["headers"], limit, found, held
+            )
+        except request_body.CallerDisconnected:
+            return
+        except request_body.BodyNotSent:
+            echoed = echoed_headers(_head(scope))
+            await response.answer(request_body.NOT_SENT, echoed)
+            return
+        except memory_account.MemoryRefused as refusal:
+            held.resize(0)
+            refused = found.refuse(refusal, trio.current_time())
+            echoed = [*echoed_headers(_head(scope)), *stopping_headers]
+            await response.refuse(refused, echoed, receive)
             return
-        except BodyTooLarge:
-            detail = f"the body is larger than {max_body_bytes()} bytes"
-            await response.answer(answers.Answer(413, "too_large", detail), [])
+        except request_body.BodyTooLarge:
+            detail = f"the body is larger than {limit} bytes"
+            too_large = answers.Answer(413, "too_large", detail)
+            if found.is_bounded:
+                held.resize(0)
+                await response.refuse(too_large, [], receive)
+            else:
+                await response.answer(too_large, [])
             return
         if not is_accepted:
             # If its connection is being closed, it is by then, and the caller
--- a/packages/gateway/wasabilanding/gateway/listeners.py
+++ b/packages/gateway/wasabilanding/gateway/listeners.py
@@ -8,6 +8,7 @@
 import trio
 
 from wasabilanding.gateway import asgi
+from wasabilanding.gateway import caller_sockets
 from wasabilanding import routes
 
 LISTEN_BACKLOG = 1000
@@ -19,12 +20,15 @@
 
     :param app: the application.
     :param address: IP address and port.
+    :param is_bounded: whether answers take a bounded amount of memory.
     """
 
-    def __init__(self, app: asgi.App, address: str) -> None:
+    def __init__(
+        self, app: asgi.App, address: str, is_bounded: bool = False
+    ) -> None:
         self._app = app
         self._closed = trio.Event()
-        self._config = _http_config(address)
+        self._config = _http_config(address, is_bounded)
         self.update_limits(routes.CallerLimits())
 
     def update_limits(self, limits: routes.CallerLimits) -> None:
@@ -55,8 +59,10 @@
         await self._closed.wait()
 
 
-def _http_config(address: str) -> hypercorn.config.Config:
+def _http_config(address: str, is_bounded: bool) -> hypercorn.config.Config:
     config = hypercorn.config.Config()
+    if is_bounded:
+        config = caller_sockets.BoundedConfig()
     config.bind = [address]
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -97,6 +97,9 @@
         self.stranded: dict[Labels, int] = {}
         self.capacity: dict[Labels, int] = {}
         self.held: dict[Labels, int] = {}
+        # Bytes held for others, by kind; the node's account changes them.
+        self.memory_held: dict[Labels, int] = {}
+        self.memory_refusals: CountsByLabels = collections.Counter()
         self.leaving: dict[Labels, int] = {}
         self.rejected_registrations: dict[Labels, int] = {}
         self.longest_leaving_s: dict[Labels, int] = {}
@@ -271,6 +274,14 @@
         """
         self.refusals[(("service", service), ("cause", cause))] += 1
 
+    def count_memory_refusal(self, cause: str) -> None:
+        """Count a request that is refused for lack of memory.
+
+        :param cause: "request" if it is too large by itself, "node" if the
+            node holds too much, "endpoint" if no endpoint can ever hold it.
+        """
+        self.memory_refusals[(("cause", cause),)] += 1
+
     def set_held(self, counts: collections.abc.Mapping[str, int]) -> None:
         """Set the number of endpoints that receive no or few requests.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -138,6 +138,11 @@
             metrics.refusals,
             "Requests refused as slots are in use, by service and cause",
         ),
+        (
+            "memory_refusals",
+            metrics.memory_refusals,
+            "Requests refused for lack of memory, by cause",
+        ),
         (
             "evacuation_refusals",
             metrics.evacuation_refusals,
@@ -188,6 +193,11 @@
             metrics.held,
             "Endpoints that asked to receive nothing for a time, by state",
         ),
+        (
+            "memory_held_bytes",
+            metrics.memory_held,
+            "Bytes held for callers, endpoints and other nodes, by kind",
+        ),
         (
             "limited_endpoints",
             metrics.limited,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -23,6 +23,7 @@
 from wasabilanding.gateway import hints
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import listeners
+from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import reachability
@@ -73,6 +74,10 @@
         self._draining = False
         self._is_store_reachable: bool | None = None
         self.metrics = metrics
+        self._wire = wire
+        self._account = memory_account.MemoryAccount(
+            settings.memory_mb, metrics, rng
+        )
         self.view = cluster_view_module.ClusterView(wire)
         self._tracker = dispatch.EndpointTracker()
         self._reachability = reachability.Reachability(self.view, metrics, rng)
@@ -134,6 +139,7 @@
             self._relays,
             rng,
             self._waiting_reports,
+            self._account,
         )
         self._connect_waiting_room()
         self.controllers = control.ControllerSet(
@@ -202,7 +208,12 @@
 
         :param stopping: set when idle connections close.
         """
-        return self._requests_app(self.forwarder.handle, stopping, ())
+        return self._requests_app(
+            self.forwarder.handle,
+            stopping,
+            (),
+            memory_account.Kind.REQUEST,
+        )
 
     def relays_app(self, stopping: trio.Event) -> asgi.App:
         """Return the ASGI application for requests of other nodes' callers.
@@ -213,6 +224,7 @@
             self.forwarder.handle_relayed,
             stopping,
             ((relays.VERDICT, relays.ELSEWHERE),),
+            memory_account.Kind.RELAYED_REQUEST,
         )
 
     def _requests_app(
@@ -220,6 +232,7 @@
         handle: inbound.Handler,
         stopping: trio.Event,
         stopping_headers: tuple[messages.Header, ...],
+        kind: memory_account.Kind,
     ) -> asgi.App:
         return inbound.callers_app(
             handle,
@@ -227,8 +240,21 @@
             lambda: self._draining,
             lambda: not stopping.is_set(),
             stopping_headers,
+            self._account,
+            kind,
+            self._echoed_headers,
         )
 
+    def _echoed_headers(
+        self, head: messages.RequestHead
+    ) -> list[messages.Header]:
+        """Return the headers of every answer to a request."""
+        try:
+            request = self._wire.read_request(head)
+        except messages.InvalidHead:
+            return []
+        return self._wire.answer_headers(request)
+
     def start_loops(self, nursery: trio.Nursery) -> None:
         """Start the background loops.
 
@@ -312,6 +338,7 @@
             self._tracker.drop_expired(trio.current_time())
             self._guard.observe()
             self._evacuation_monitor.observe()
+            self._account.observe(trio.current_time())
             self.metrics.set_rejected_registrations(
                 self.view.rejected_registrations
             )
@@ -404,7 +431,9 @@
     gc.set_threshold(GC_THRESHOLD)
     gc.freeze()
     callers = listeners.Listener(
-        node.callers_app(stopping), settings.callers_address
+        node.callers_app(stopping),
+        settings.callers_address,
+        is_bounded=bool(settings.memory_mb),
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, node, settings, load, stopping)
@@ -434,7 +463,9 @@
     if not settings.peer_port:
         return []
     address = f"{settings.address}:{settings.peer_port}"
-    return [listeners.Listener(node.relays_app(stopping), address)]
+    is_bounded = bool(settings.memory_mb)
+    app = node.relays_app(stopping)
+    return [listeners.Listener(app, address, is_bounded)]
 
 
 def _status_listeners(
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -7,6 +7,8 @@
 ``x-deadline-s``             seconds until the deadline
 ``x-key``                    API key of the caller; never forwarded
 ``x-model``                  requested model
+``x-prompt-tokens``          length of the prompt in tokens
+``x-max-tokens``             limit on the answer's length in tokens
 ``x-resumes-after``          number of the last event that the caller received
 ``x-endpoint``               intended endpoint
 ``x-customer``               customer that the key belongs to
@@ -123,8 +125,8 @@
         key=fields.get(b"x-key"),
         resumes_after=_parse_number(fields, b"x-resumes-after", int),
         model=fields.get(b"x-model", ""),
-        prompt_tokens=0,
-        max_output_tokens=0,
+        prompt_tokens=_parse_number(fields, b"x-prompt-tokens", int) or 0,
+        max_output_tokens=_parse_number(fields, b"x-max-tokens", int) or 0,
         expected_output_tokens=0,
         headers=tuple(h for h in forwarded if h[0] not in OWN_HEADERS),
         prompt_parts=fields.get(PARTS, ""),
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -72,6 +72,11 @@
         """Model that its endpoint must serve; empty for a plain service."""
         return self.request.model if self.service.engine else ""
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of its prompt and its longest answer; 0 if not given."""
+        return self.request.prompt_tokens + self.request.max_output_tokens
+
     @property
     def spent_endpoint_ids(self) -> list[str]:
         """Endpoints that it was sent to and must not be sent to again."""
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -15,6 +15,7 @@
 from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import send_grants
+from wasabilanding.gateway import token_capacity
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 from wasabilanding import retries
@@ -30,6 +31,7 @@
 EVACUATED_RETURN_S = (2.0, 5.0)
 NOT_SENT_REASONS = (model.Reason.CONNECT_FAILED, model.Reason.ENDPOINT_HELD)
 NO_OTHER_ENDPOINT = "no other endpoint"
+NO_TOKENS_FREE = "the memory of the endpoints is in use"
 BUDGET_SPENT = "the retry budget is spent"
 # A request is relayed to another node after so many failed connections.
 RELAY_AFTER_FAILURES = 2
@@ -85,6 +87,7 @@
         metrics: metrics_module.Metrics,
         rng: random.Random,
     ) -> None:
+        self.tokens = token_capacity.TokenCapacity(tracker, metrics)
         self._metrics = metrics
         self._reachability = reachability
         self._relays = relays
@@ -177,7 +180,9 @@
         self, state: request_state_module.RequestState
     ) -> tuple[list[dispatch.Candidate], list[dispatch.Candidate]]:
         """Return the candidates with limits, and those without."""
-        allowed = self._crash_guard.confine(state, self._untried(state))
+        allowed = self._crash_guard.confine(
+            state, self.tokens.fitting(state, self._untried(state))
+        )
         if not self._grants.has_limits:
             return [], allowed
         limited: list[dispatch.Candidate] = []
@@ -307,6 +312,14 @@
         """
         return bool(self._untried(state))
 
+    def lacks_tokens(self, state: request_state_module.RequestState) -> bool:
+        """Return whether only memory is lacking at the endpoints left.
+
+        :param state: the request.
+        """
+        untried = self._untried(state)
+        return bool(untried) and not self.tokens.fitting(state, untried)
+
     def retry_obstacle(
         self,
         state: request_state_module.RequestState,
@@ -427,9 +440,10 @@
         candidates = self._split_candidates_of(service, model_name)[0]
         if self._grants.has_limits:
             candidates = [c for c in candidates if self._may_grant(c, now)]
-        return dispatch.usable(
+        found = dispatch.usable(
             candidates, self._tracker, now, self.silent_after_s(service)
         )
+        return self.tokens.capped(service, model_name, found)
 
     def _may_grant(self, candidate: dispatch.Candidate, now: float) -> bool:
         wait_s = self._grants.wait_s(candidate.endpoint, now)
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -49,6 +49,8 @@
         reply to a call.
     :param admission: whether requests wait at the node while all slots are
         in use, and are refused early if they cannot be served in time.
+    :param memory_mb: memory of the process in MB, above which it is killed;
+        0 for no bound. Requests are refused before it is reached.
     :param log_level: lowest level that is logged.
     """
 
@@ -70,6 +72,7 @@
     max_failure_bytes: Size = reply_bounds.DEFAULT.failure_bytes
     admission: bool = False
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    memory_mb: model.Quantity = 0.0
 
     @property
     def key_revocation_s(self) -> float:
--- a/packages/gateway/wasabilanding/gateway/sse.py
+++ b/packages/gateway/wasabilanding/gateway/sse.py
@@ -65,6 +65,11 @@
         """Bytes of an incomplete event."""
         return bytes(self._buffer)
 
+    @property
+    def remaining_bytes(self) -> int:
+        """Length of an incomplete event."""
+        return len(self._buffer)
+
     def feed(self, received: bytes) -> list[Event]:
         """Return the events that the received bytes complete.
 
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -383,6 +383,8 @@
     def __init__(self, scripts, found, settings=SETTINGS):
         self.settings = settings
         self.waiting_reports = limits.WaitingReports()
+        # The node's memory; None for no bound.
+        self.account = None
         self._forwarder = None
         self.caller_read_s = 0.0
         self.endpoints = FakeEndpoints(scripts)
@@ -451,6 +453,7 @@
                 self.relays,
                 _FirstRandom(1),
                 self.waiting_reports,
+                self.account,
             )
             try:
                 yield self._forwarder
