Send endpoints no more tokens than they can hold, and describe memory

Slots do not bound what requests need of an endpoint's memory, and requests that were chosen for one endpoint at the same moment did not see each other.

A request's tokens are counted at its endpoint from the choice on.

--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -43,9 +43,9 @@
 # at this interval.
 RECHECK_INTERVAL_S = 0.25
 # A request that fits into no endpoint's memory is tried again at this interval
-# for this time.
+# for this share of the time left, so that its caller can try elsewhere.
 TOKEN_RECHECK_S = 0.05
-TOKEN_WAIT_S = 1.0
+TOKEN_WAIT_SHARE = 0.5
 # Why a request that waits for a slot ends without an attempt.
 NOT_SENT = "it is not sent"
 
@@ -110,7 +110,6 @@
         self._ended: collections.deque[_EndedAttempt] = collections.deque()
         self._changed = trio.Event()
         self._hedge_obstacle = ""
-        self._created_at = trio.current_time()
         self._last_outcome = model.not_run(
             model.Reason.NO_REPLICA, f"no replica serves {state.request.model}"
         )
@@ -161,17 +160,13 @@
                 return NOT_SENT
             room = self._context.waiting_room
             if room is None:
-                return await self._start_selected(nursery)
+                return await self._start_fitting(nursery)
             obstacle = selection.NO_OTHER_ENDPOINT
             try:
-                obstacle = await self._start_selected(nursery)
+                obstacle = await self._start_fitting(nursery)
             finally:
                 if obstacle:
                     room.record_departure(self._state)
-            if obstacle == selection.NO_TOKENS_FREE:
-                if not await self._wait_for_tokens():
-                    return obstacle
-                continue
             if obstacle != selection.BUDGET_SPENT or self._answer.has_begun:
                 return obstacle
             # Another request has taken from the budget meanwhile.
@@ -198,17 +193,25 @@
             return None
         return await room.enter(state, self._last_outcome)
 
-    async def _wait_for_tokens(self) -> bool:
-        """Wait a moment for memory; return whether to try again."""
+    async def _start_fitting(self, nursery: trio.Nursery) -> str:
+        """Start an attempt once it fits into some endpoint's memory.
+
+        It waits here, not in the waiting room, which may let out more
+        requests than there are slots: endpoints may queue those, but not
+        where their memory is in use.
+
+        :returns: why it is not started; empty if it is.
+        """
         now = trio.current_time()
-        state = self._state
-        end_at = min(
-            self._created_at + TOKEN_WAIT_S, state.deadline_at - TOKEN_WAIT_S
-        )
-        if now >= end_at or self._answer.has_begun:
-            return False
-        await trio.sleep(TOKEN_RECHECK_S)
-        return True
+        left_s = self._state.deadline_at - now
+        give_up_at = now + left_s * TOKEN_WAIT_SHARE
+        while True:
+            obstacle = await self._start_selected(nursery)
+            if obstacle != selection.NO_TOKENS_FREE:
+                return obstacle
+            if trio.current_time() >= give_up_at:
+                return obstacle
+            await trio.sleep(TOKEN_RECHECK_S)
 
     async def _start_selected(self, nursery: trio.Nursery) -> str:
         """Select an endpoint and start an attempt; return why not if none."""
@@ -239,9 +242,14 @@
         )
         self._state.tried_endpoint_ids.append(attempt.endpoint_id)
         self._open.append(attempt)
-        if self._context.waiting_room is not None:
+        room = self._context.waiting_room
+        if room is not None or self._context.selector.tokens.counts(
+            self._state
+        ):
+            # Others that are sent at the same moment must know of it.
             attempt.count_in_flight(trio.current_time())
-            self._context.waiting_room.record_departure(self._state)
+        if room is not None:
+            room.record_departure(self._state)
         nursery.start_soon(self._run_attempt, attempt)
 
     async def _run_attempt(self, attempt: attempt_module.Attempt) -> None:
--- a/packages/gateway/wasabilanding/gateway/memory_account.py
+++ b/packages/gateway/wasabilanding/gateway/memory_account.py
@@ -20,7 +20,8 @@
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding import limits
 
-# Tasks, buffers and connections of a request at the node, without its body.
+# Tasks, buffers and connections of a request at the node, without its body:
+# 400 requests in progress with bodies of 1 KB took 61 KB each.
 REQUEST_OVERHEAD_BYTES = 64 * 1024
 # Callers are told to return after a random time in this range.
 RETURN_AFTER_S = (0.5, 1.5)
--- a/packages/gateway/wasabilanding/gateway/token_capacity.py
+++ b/packages/gateway/wasabilanding/gateway/token_capacity.py
@@ -53,6 +53,13 @@
             collections.defaultdict(limits.MeanTokens)
         )
 
+    def counts(self, state: request_state_module.RequestState) -> bool:
+        """Return whether the tokens of a request matter at its endpoint.
+
+        :param state: the request.
+        """
+        return bool(_capacity(state.service))
+
     def check(self, state: request_state_module.RequestState) -> None:
         """Check that an endpoint can hold a request; record its size.
 
