Count bodies that are not sent, and test a bounded process

A 408 had no trace on the node, and to another node it did not say that a third one may be asked. A process test covers the wiring of the setting.

--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -216,7 +216,7 @@
     :param accepts_requests: returns whether to pass on a request that has
         just begun to arrive; if not, its connection is being closed.
     :param stopping_headers: headers of the answer to such a request, and to
-        one that is refused for lack of memory.
+        one that is refused for lack of memory or whose body is not sent.
     :param account: the node's memory; None for no bound.
     :param kind: what the bodies count as.
     :param echoed_headers: returns the headers that every answer to a request
@@ -244,7 +244,9 @@
         except request_body.CallerDisconnected:
             return
         except request_body.BodyNotSent:
-            echoed = echoed_headers(_head(scope))
+            held.resize(0)
+            found.count_body_not_sent()
+            echoed = [*echoed_headers(_head(scope)), *stopping_headers]
             await response.answer(request_body.NOT_SENT, echoed)
             return
         except memory_account.MemoryRefused as refusal:
--- a/packages/gateway/wasabilanding/gateway/memory_account.py
+++ b/packages/gateway/wasabilanding/gateway/memory_account.py
@@ -182,6 +182,10 @@
             self._rng.uniform(*RETURN_AFTER_S),
         )
 
+    def count_body_not_sent(self) -> None:
+        """Count a request whose body is abandoned."""
+        self._metrics.count_memory_refusal("body_not_sent")
+
     def observe(self, now: float) -> None:
         """Log the end of refusals; call it periodically.
 
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -278,7 +278,8 @@
         """Count a request that is refused for lack of memory.
 
         :param cause: "request" if it is too large by itself, "node" if the
-            node holds too much, "endpoint" if no endpoint can ever hold it.
+            node holds too much, "endpoint" if no endpoint can ever hold it,
+            "body_not_sent" if its body did not arrive.
         """
         self.memory_refusals[(("cause", cause),)] += 1
 
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -317,6 +317,8 @@
 
         :param state: the request.
         """
+        if self.needs_relay(state):
+            return False
         untried = self._untried(state)
         return bool(untried) and not self.tokens.fitting(state, untried)
 
--- a/packages/gateway/wasabilanding/gateway/tests/memory.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/memory.feature
@@ -24,6 +24,7 @@
     When a caller declares 1000000 bytes and sends 100000
     Then it gets 408 after 1 parts of the body
     And the answer came after 5.0 s
+    And the metrics count 1 requests refused for "body_not_sent"
     And the node holds nothing for it afterwards
 
   Scenario: Bodies that are declared and not sent hold what has arrived
--- a/packages/gateway/wasabilanding/gateway/tests/process.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/process.feature
@@ -43,3 +43,9 @@
     When the watch of the store fails while a request is in progress
     Then the caller gets the whole answer of an endpoint that needs 0.5 s
     And the log says that the loop restarts
+
+  Scenario: A gateway refuses what it has no memory for before it is sent
+    Given a gateway with a configuration and one endpoint
+    And a memory of 96 MB
+    When a caller declares a body of 3 MB and sends none of it
+    Then it gets 503 with its identifier and Retry-After, and others get 200
--- a/packages/gateway/wasabilanding/gateway/tests/steps/memory_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/memory_steps.py
@@ -126,6 +126,13 @@
     assert abs(context.caller.took_s - seconds) < 0.1, context.caller.took_s
 
 
+@behave.then('the metrics count {count:d} requests refused for "{cause}"')
+def check_cause(context, count, cause):
+    """Compare a counter."""
+    found = dict(context.node.metrics.memory_refusals)
+    assert found == {(("cause", cause),): count}, found
+
+
 @behave.then("the node holds nothing for it afterwards")
 def check_left(context):
     """Compare the account."""
--- a/packages/gateway/wasabilanding/gateway/tests/steps/process_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/process_steps.py
@@ -195,6 +195,22 @@
         self.seen["late"] = received
         await stream.aclose()
 
+    async def declare_body(self):
+        """Declare a large body and send none of it; send a small one then."""
+        host, _, port = self.settings.callers_address.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            await stream.send_all(
+                b"POST /a HTTP/1.1\r\nHost: h.example\r\nX-Request: r5\r\n"
+                b"Content-Length: 3000000\r\n\r\n"
+            )
+            received = b""
+            while not received.endswith(b"}}"):
+                received += await stream.receive_some()
+            self.seen["refused"] = received
+        await (await self._idle_connection()).aclose()
+        os.kill(os.getpid(), signal.SIGTERM)
+
     async def fail_watch(self):
         """Let the watch of the store fail during a request."""
         self.store.fails = True
@@ -389,6 +405,34 @@
     assert least <= idle_s <= most, idle_s
 
 
+@behave.given("a memory of {size:g} MB")
+def given_memory(context, size):
+    """Change a setting."""
+    process = context.process
+    process.settings = dataclasses.replace(process.settings, memory_mb=size)
+
+
+@behave.when("a caller declares a body of 3 MB and sends none of it")
+def declare_body(context):
+    """Run a scenario with a large request and a small one."""
+
+    async def run():
+        with trio.fail_after(START_S + 2 * STOP_S):
+            await context.process.run(context.process.declare_body)
+
+    trio.run(run)
+
+
+@behave.then(
+    "it gets 503 with its identifier and Retry-After, and others get 200"
+)
+def check_refused(context):
+    """Compare the head of the answer; the other request has ended."""
+    head = context.process.seen["refused"].lower()
+    assert head.startswith(b"http/1.1 503"), head
+    assert b"x-request: r5" in head and b"retry-after: " in head, head
+
+
 @behave.given("a gateway that accepts requests: {accepts}")
 def given_accepting(context, accepts):
     """Set whether the gateway accepts requests."""
