Test the time limit of a write by one large event

Without the check between the parts of a write the scenario passed, as each part of a long answer is a write of its own. With one event of 2 MB it fails without the check (5.1 s instead of 2 to 3 s), and passes with it.

--- a/packages/gateway/wasabilanding/gateway/tests/memory.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/memory.feature
@@ -73,5 +73,5 @@
   # The server's write is shielded, so the time limit alone did not end it.
   Scenario: A caller that reads slowly is given up at the time limit
     Given listeners of a bounded node
-    When a caller reads 65536 bytes each 0.2 s of an answer of 3000000 bytes
+    When a caller reads 65536 bytes each 0.2 s of an event of 2000000 bytes
     Then the answer has ended 2.0 to 3.0 s after its request
--- a/packages/gateway/wasabilanding/gateway/tests/steps/memory_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/memory_steps.py
@@ -274,7 +274,7 @@
     def __init__(self, size, part=b"x" * 65536):
         self._size = size
         self._part = part
-        self.is_events = part == EVENT
+        self.is_events = part.startswith(b"data: ")
         self.read = 0
 
     async def __aiter__(self):
@@ -427,12 +427,13 @@
 
 
 @behave.when(
-    "a caller reads {part:d} bytes each {interval:g} s of an answer of "
+    "a caller reads {part:d} bytes each {interval:g} s of an event of "
     "{size:d} bytes"
 )
 def read_slowly(context, part, interval, size):
-    """Read an answer slowly until its connection ends."""
-    context.listening.body = _Body(size)
+    """Read an event, which is written at once, until its connection ends."""
+    event = b"data: %s\n\n" % (b"x" * size)
+    context.listening.body = _Body(size, event)
 
     async def read(port):
         with contextlib.suppress(trio.BrokenResourceError):
