--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -82,14 +82,18 @@
         If the answer's time has passed, the rest is not written: the scope
         that ends the request is cancelled then.
         """
-        while len(data) > WRITE_BYTES and self.deadline_at < float("inf"):
-            part, data = data[:WRITE_BYTES], data[WRITE_BYTES:]
+        if self.deadline_at == float("inf"):
+            return data
+        start = 0
+        while len(data) - start > WRITE_BYTES:
+            part = data[start : start + WRITE_BYTES]
+            start += WRITE_BYTES
             await self._send_uninterrupted(
                 {"type": "http.response.body", "body": part, "more_body": True}
             )
             if trio.current_time() >= self.deadline_at:
                 await trio.lowlevel.checkpoint()
-        return data
+        return data[start:]
 
     async def begin(self, status: int, headers: list[messages.Header]) -> None:
         """Send the head of the answer.
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -2,6 +2,8 @@
 
 import collections
 import contextlib
+import logging
+import logging.handlers
 import random
 
 import httpx
@@ -356,6 +358,22 @@
     return routes.RoutingTable(1, (route,), (service,), limits, holders)
 
 
+@contextlib.contextmanager
+def log_of(module):
+    """Collect the log records of a module.
+
+    :param module: its name.
+    """
+    logger = logging.getLogger(module)
+    handler = logging.handlers.BufferingHandler(1000)
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    try:
+        yield handler.buffer
+    finally:
+        logger.removeHandler(handler)
+
+
 def grants(node="n1"):
     """Return grants of a node that knows no other node.
 
