--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -30,6 +30,7 @@
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
 from wasabilanding.gateway import shared_answer
+from wasabilanding.gateway import token_capacity
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding.gateway import waiting
 from wasabilanding import model
@@ -41,6 +42,10 @@
 # While all attempts are silent, the limits on another one are checked again
 # at this interval.
 RECHECK_INTERVAL_S = 0.25
+# A request that fits into no endpoint's memory is tried again at this interval
+# for this share of the time left, so that its caller can try elsewhere.
+TOKEN_RECHECK_S = 0.05
+TOKEN_WAIT_SHARE = 0.5
 # Why a request that waits for a slot ends without an attempt.
 NOT_SENT = "it is not sent"
 
@@ -155,10 +160,10 @@
                 return NOT_SENT
             room = self._context.waiting_room
             if room is None:
-                return await self._start_selected(nursery)
+                return await self._start_fitting(nursery)
             obstacle = selection.NO_OTHER_ENDPOINT
             try:
-                obstacle = await self._start_selected(nursery)
+                obstacle = await self._start_fitting(nursery)
             finally:
                 if obstacle:
                     room.record_departure(self._state)
@@ -188,10 +193,33 @@
             return None
         return await room.enter(state, self._last_outcome)
 
+    async def _start_fitting(self, nursery: trio.Nursery) -> str:
+        """Start an attempt once it fits into some endpoint's memory.
+
+        It waits here, not in the waiting room, which may let out more
+        requests than there are slots: endpoints may queue those, but not
+        where their memory is in use.
+
+        :returns: why it is not started; empty if it is.
+        """
+        now = trio.current_time()
+        left_s = self._state.deadline_at - now
+        give_up_at = now + left_s * TOKEN_WAIT_SHARE
+        while True:
+            obstacle = await self._start_selected(nursery)
+            if obstacle != selection.NO_TOKENS_FREE:
+                return obstacle
+            if trio.current_time() >= give_up_at:
+                return obstacle
+            await trio.sleep(TOKEN_RECHECK_S)
+
     async def _start_selected(self, nursery: trio.Nursery) -> str:
         """Select an endpoint and start an attempt; return why not if none."""
         selected = await self._context.selector.pick(self._state)
         if selected is None:
+            if self._context.selector.lacks_tokens(self._state):
+                self._last_outcome = token_capacity.no_room(self._state)
+                return selection.NO_TOKENS_FREE
             held = self._context.selector.held_outcome(self._state)
             self._last_outcome = held or self._last_outcome
             return selection.NO_OTHER_ENDPOINT
@@ -214,9 +242,14 @@
         )
         self._state.tried_endpoint_ids.append(attempt.endpoint_id)
         self._open.append(attempt)
-        if self._context.waiting_room is not None:
+        room = self._context.waiting_room
+        if room is not None or self._context.selector.tokens.counts(
+            self._state
+        ):
+            # Others that are sent at the same moment must know of it.
             attempt.count_in_flight(trio.current_time())
-            self._context.waiting_room.record_departure(self._state)
+        if room is not None:
+            room.record_departure(self._state)
         nursery.start_soon(self._run_attempt, attempt)
 
     async def _run_attempt(self, attempt: attempt_module.Attempt) -> None:
