Count limited endpoints in admission as what they may take

Cause: an endpoint that is cold or names a limit counted with all its slots while its next grant was near, and with none otherwise.

Change: it counts with its rate times the time that a request holds a slot (limits/limited_slots.py), at most its slots and at least 0.05. When the limit ends, the slots return over one second, in proportion to the time.

Result: in the replay of limits/tests/pools.feature four endpoints of 10 slots that take 2 requests a second each get 7 to 9 a second together, and at most 7 in 0.1 s when their limits end together.

--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -69,6 +69,9 @@
 from wasabilanding.limits.backlog_share import BacklogShare
 from wasabilanding.limits.customer_queue import Kind
 from wasabilanding.limits.fair_queue import FairQueue
+from wasabilanding.limits.limited_slots import limited_slots
+from wasabilanding.limits.limited_slots import LimitedSlots
+from wasabilanding.limits.limited_slots import returning_slots
 from wasabilanding.limits.pool_queue import PoolQueue
 from wasabilanding.limits.pool_queue import PoolRequest
 from wasabilanding.limits.pool_share import allot
@@ -92,6 +95,7 @@
     "Decisions",
     "FairQueue",
     "Kind",
+    "LimitedSlots",
     "PoolQueue",
     "PoolRequest",
     "PoolState",
@@ -106,5 +110,7 @@
     "concurrency_limit",
     "engine_priority",
     "estimated_tokens",
+    "limited_slots",
     "max_min",
+    "returning_slots",
 ]
--- a/packages/decisions/wasabilanding/limits/pool_share.py
+++ b/packages/decisions/wasabilanding/limits/pool_share.py
@@ -45,7 +45,7 @@
 class PoolState:
     """A pool as one node knows it.
 
-    :param slots: slots of each usable endpoint.
+    :param slots: slots of each usable endpoint, or the part that counts.
     :param load: requests in flight to them, from all nodes.
     :param report_age_s: usual age in seconds of what other nodes report.
     :param peer_waiting: waiting requests of all other nodes, by customer.
@@ -55,8 +55,8 @@
         hears nothing from the others.
     """
 
-    slots: tuple[int, ...]
-    load: int
+    slots: tuple[float, ...]
+    load: float
     report_age_s: float
     peer_waiting: Waiting = dataclasses.field(default_factory=dict)
     peer_slot_times_s: tuple[float, ...] = ()
@@ -93,7 +93,9 @@
         return self.total_slots / slot_time_s if slot_time_s > 0 else 0.0
 
 
-def backlog_slots(slots: int, report_age_s: float, slot_time_s: float) -> int:
+def backlog_slots(
+    slots: float, report_age_s: float, slot_time_s: float
+) -> int:
     """Return how many requests may wait at an endpoint.
 
     :param slots: its slots.
--- a/packages/decisions/wasabilanding/limits/tests/pools.feature
+++ b/packages/decisions/wasabilanding/limits/tests/pools.feature
@@ -70,3 +70,24 @@
       | 5         | 2     | 5        | 2    | 10    |
       | 100       | 1     | 32       | 1    | 100   |
       | 1         | 50    | 1        | 32   | 32    |
+
+  Scenario Outline: Endpoints with limits count as what they may take
+    Given 4 endpoints of 10 slots that take <rate> requests a second each until <ends> s
+    When all nodes together send as many requests as the pool may take
+    Then from 2 s to <ends> s they send <least> to <most> requests a second
+
+    # With all slots counted, 40 would be sent at once.
+    Examples:
+      | rate | ends | least | most |
+      | 2    | 6    | 7     | 9    |
+      | 0.5  | 6    | 1.5   | 2.5  |
+
+    Examples: No more than the slots take
+      | rate | ends | least | most |
+      | 30   | 6    | 36    | 44   |
+
+  Scenario: The slots return step by step when limits end
+    Given 4 endpoints of 10 slots that take 1 requests a second each until 6 s
+    When all nodes together send as many requests as the pool may take
+    Then in no 0.1 s from 6 s on they send more than 7 requests
+    And from 8 s to 12 s they send 38 to 42 requests a second
--- a/packages/decisions/wasabilanding/limits/tests/steps/pools_steps.py
+++ b/packages/decisions/wasabilanding/limits/tests/steps/pools_steps.py
@@ -7,6 +7,7 @@
 import behave
 
 from wasabilanding import limits
+from wasabilanding.limits import pool_share
 
 SLOTS = 10
 WORK_S = 1.0
@@ -278,3 +279,68 @@
     """Count requests."""
     found = sum(sum(counts.values()) for counts in context.report.values())
     assert found == total, found
+
+
+@behave.given(
+    "{count:d} endpoints of {slots:d} slots that take {rate:g} requests a "
+    "second each until {ends:g} s"
+)
+def given_limited(context, count, slots, rate, ends):
+    """Describe endpoints whose limits end together."""
+    context.endpoints = range(count)
+    context.slots = slots
+    context.rate_at = lambda now: rate if now < ends else None
+
+
+@behave.when("all nodes together send as many requests as the pool may take")
+def send_counted(context):
+    """Replay a full queue; requests take WORK_S, and reports are exact."""
+    counted = limits.LimitedSlots()
+    ends = []
+    context.sent_at = []
+    due = 0.0
+    for tick in range(round(12 / TICK_S)):
+        now = tick * TICK_S
+        while ends and ends[0] <= now:
+            heapq.heappop(ends)
+        slots = tuple(
+            counted.count(
+                name, context.slots, context.rate_at(now), WORK_S, now
+            )
+            for name in context.endpoints
+        )
+        pool = limits.PoolState(slots, len(ends), REPORT_AGE_S)
+        room = pool.total_slots - pool.load
+        due += pool_share.refill(pool, room, WORK_S, TICK_S)
+        while due >= 1:
+            due -= 1
+            context.sent_at.append(now)
+            heapq.heappush(ends, now + WORK_S)
+
+
+def _sent(context, begin, end):
+    return sum(begin <= at < end - TICK_S / 2 for at in context.sent_at)
+
+
+@behave.then(
+    "from {begin:g} s to {end:g} s they send {least:g} to {most:g} requests a "
+    "second"
+)
+def check_rate(context, begin, end, least, most):
+    """Compare the rate."""
+    found = _sent(context, begin, end) / (end - begin)
+    assert least <= found <= most, found
+
+
+@behave.then(
+    "in no {window:g} s from {begin:g} s on they send more than {most:d} "
+    "requests"
+)
+def check_surge(context, window, begin, most):
+    """Compare each window."""
+    largest = max(
+        _sent(context, at, at + window)
+        for at in context.sent_at
+        if at >= begin
+    )
+    assert largest <= most, largest
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -16,6 +16,7 @@
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import limits
 from wasabilanding import model
 from wasabilanding import retries
 from wasabilanding import routes
@@ -95,6 +96,7 @@
         self._crash_guard = crash_guard
         self._grants = grants
         self._rng = rng
+        self._limited_slots = limits.LimitedSlots()
         # Returns the longest usual time in seconds without progress of an
         # endpoint of a service.
         self.silent_after_s: collections.abc.Callable[
@@ -416,16 +418,21 @@
         return usable.get(model_name, []), excluded.get(model_name, [])
 
     def pool_candidates(
-        self, service: routes.RoutedService, model_name: str
+        self,
+        service: routes.RoutedService,
+        model_name: str,
+        only_grantable: bool = True,
     ) -> list[dispatch.Candidate]:
         """Return the endpoints that can take some request of a pool now.
 
         :param service: the service.
         :param model_name: name of the model; empty for a plain service.
+        :param only_grantable: whether those with limits are left out whose
+            next grant is late.
         """
         now = trio.current_time()
         candidates = self._split_candidates_of(service, model_name)[0]
-        if self._grants.has_limits:
+        if only_grantable and self._grants.has_limits:
             candidates = [c for c in candidates if self._may_grant(c, now)]
         return dispatch.usable(
             candidates, self._tracker, now, self.silent_after_s(service)
@@ -435,6 +442,27 @@
         wait_s = self._grants.wait_s(candidate.endpoint, now)
         return wait_s is None or wait_s <= MAX_POOL_GRANT_WAIT_S
 
+    def counted_slots(
+        self, candidate: dispatch.Candidate, slot_time_s: float, now: float
+    ) -> float:
+        """Return the slots of an endpoint that count as capacity.
+
+        :param candidate: the endpoint.
+        :param slot_time_s: mean time in seconds that a request holds a slot;
+            0 if unknown.
+        :param now: local monotonic time in seconds.
+        """
+        if not (self._grants.has_limits or self._limited_slots.has_any):
+            return candidate.slots
+        endpoint = candidate.endpoint
+        return self._limited_slots.count(
+            fleet.incarnation_of(endpoint),
+            candidate.slots,
+            self._grants.rate(endpoint, now),
+            slot_time_s,
+            now,
+        )
+
     def retries_left(self, service: routes.RoutedService) -> int:
         """Return how many retries the budget allows now.
 
--- a/packages/gateway/wasabilanding/gateway/send_grants.py
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -133,9 +133,19 @@
 
         :param endpoint: the endpoint.
         """
-        if self._limits.rate(fleet.incarnation_of(endpoint)) is not None:
-            return True
-        return self.is_cold(endpoint)
+        return self.rate(endpoint, trio.current_time()) is not None
+
+    def rate(self, endpoint: fleet.Endpoint, now: float) -> float | None:
+        """Return the requests a second that an endpoint takes.
+
+        :param endpoint: the endpoint.
+        :param now: local monotonic time in seconds.
+        :returns: of all nodes together; None if it has no limit.
+        """
+        return dispatch.effective_rate(
+            self._limits.rate(fleet.incarnation_of(endpoint)),
+            self.cold.rate(endpoint, now),
+        )
 
     def is_cold(self, endpoint: fleet.Endpoint) -> bool:
         """Return whether an endpoint is cold.
@@ -223,12 +233,9 @@
         incarnation = fleet.incarnation_of(endpoint)
         now = trio.current_time()
         known = self._limits.limit_of(incarnation)
-        notice = None
-        if known is not None:
-            notice = limit_messages.notice_of(incarnation, known, now)
         return limit_messages.SendQuestion(
             self._rng.getrandbits(NUMBER_BITS),
-            notice,
+            known and limit_messages.notice_of(incarnation, known, now),
             rank,
             max_wait_s,
             self.cold.notice_of(incarnation, now),
@@ -351,17 +358,14 @@
         """
         if not self._limits.note(endpoint, per_s, at):
             return
-        fields = {"endpoint": endpoint.endpoint_id, "limit": per_s}
+        name = endpoint.endpoint_id
+        fields = {"endpoint": name, "limit": per_s}
         if per_s is None:
-            _LOG.info(
-                "%s names no limit any more",
-                endpoint.endpoint_id,
-                extra=fields,
-            )
+            _LOG.info("%s names no limit any more", name, extra=fields)
         else:
             _LOG.info(
                 "%s takes %g requests a second from all nodes",
-                endpoint.endpoint_id,
+                name,
                 per_s,
                 extra=fields,
             )
--- a/packages/gateway/wasabilanding/gateway/waiting.py
+++ b/packages/gateway/wasabilanding/gateway/waiting.py
@@ -260,13 +260,22 @@
         free = sum(
             max(
                 0,
-                c.slots - self._tracker.load(fleet.incarnation_of(c.endpoint)),
+                self._counted(pool, c, now)
+                - self._tracker.load(fleet.incarnation_of(c.endpoint)),
             )
             for c in self._selector.pool_candidates(pool.service, pool.model)
             if not (is_retry and self._is_avoided(c, now))
         )
         return free > pool.departing
 
+    def _counted(
+        self, pool: _Pool, candidate: dispatch.Candidate, now: float
+    ) -> float:
+        """Return the slots of an endpoint that count as capacity."""
+        return self._selector.counted_slots(
+            candidate, pool.queue.known_slot_time_s, now
+        )
+
     def _is_avoided(self, candidate: dispatch.Candidate, now: float) -> bool:
         """Tell whether an endpoint has lately refused or failed a request.
 
@@ -314,12 +323,19 @@
     def _state(self, name: str, now: float) -> limits.PoolState:
         """Return a pool as this node knows it."""
         pool = self._pools[name]
-        candidates = self._selector.pool_candidates(pool.service, pool.model)
-        load = self._tracker.load
+        candidates = self._selector.pool_candidates(
+            pool.service, pool.model, only_grantable=False
+        )
+        counted = tuple(self._counted(pool, c, now) for c in candidates)
+        load = 0.0
+        for candidate, slots in zip(candidates, counted, strict=True):
+            own = self._tracker.load(fleet.incarnation_of(candidate.endpoint))
+            # What a limited endpoint holds beyond what it takes was sent
+            # before, and occupies no slot of another one.
+            load += min(own, slots) if slots < candidate.slots else own
         return limits.PoolState(
-            tuple(c.slots for c in candidates),
-            pool.departing
-            + sum(load(fleet.incarnation_of(c.endpoint)) for c in candidates),
+            counted,
+            pool.departing + load,
             self.report_age_s(),
             self._reports.of_pool(name, now),
             self._reports.slot_times_s(name),
