Count heads that stay limited as less supply in placement

Change: requests that a limited head lacks compared with the others of its model are added to the model's demand once the limit has lasted for longer than a load (assembly/limited_heads.py). The capacity log compares with the shares that follow demand instead of the configured ones.

Result: in the replay, 4 of 10 heads limited for 3 or 16 s leave the shares as they are; for 60 s they move the share of their model from 0.50 to between 0.55 and 0.70.

--- a/packages/decisions/wasabilanding/assembly/__init__.py
+++ b/packages/decisions/wasabilanding/assembly/__init__.py
@@ -29,6 +29,9 @@
 from wasabilanding.assembly.demand import busy_vms
 from wasabilanding.assembly.demand import demanded_shares
 from wasabilanding.assembly.demand import DemandEstimate
+from wasabilanding.assembly.limited_heads import Head
+from wasabilanding.assembly.limited_heads import LimitedHeads
+from wasabilanding.assembly.limited_heads import missing_requests
 from wasabilanding.assembly.orders import Close
 from wasabilanding.assembly.orders import Join
 from wasabilanding.assembly.orders import Leave
@@ -52,8 +55,10 @@
     "Cause",
     "Close",
     "DemandEstimate",
+    "Head",
     "Join",
     "Leave",
+    "LimitedHeads",
     "LoadRateLimiter",
     "ModelCapacity",
     "Open",
@@ -74,5 +79,6 @@
     "choose_spare_loads",
     "demanded_shares",
     "first_epoch",
+    "missing_requests",
     "plan_replicas",
 ]
--- a/packages/decisions/wasabilanding/assembly/tests/demand.feature
+++ b/packages/decisions/wasabilanding/assembly/tests/demand.feature
@@ -51,3 +51,19 @@
     And demand keeps 120 and 40 VMs busy for 30 s
     And demand keeps 40 and 40 VMs busy for 60 s
     Then the share of the large model is 0.45 to 0.60
+
+  Scenario Outline: Heads that stay limited for longer than a load count as less supply
+    Given demand keeps 40 and 40 VMs busy for 20 s
+    When <count> of the 10 large heads are limited for <seconds> s and then have no limit for 3 s
+    Then the share of the large model was <share> at most
+
+    # A load of the large model takes 16 s.
+    Examples: Cold after a start, or for as long as a load
+      | count | seconds | share |
+      | 4     | 3       | 0.50  |
+      | 4     | 16      | 0.50  |
+
+    Examples: For longer; all of them, so that the demand does not show
+      | count | seconds | share        |
+      | 4     | 60      | 0.55 to 0.70 |
+      | 10    | 60      | 0.50         |
--- a/packages/decisions/wasabilanding/assembly/tests/steps/demand_steps.py
+++ b/packages/decisions/wasabilanding/assembly/tests/steps/demand_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from wasabilanding import assembly
+from wasabilanding import fleet
 from wasabilanding import routes
 
 VMS = 160
@@ -12,6 +13,8 @@
 LARGE = routes.ModelSpec("large", 8, 0.5, 1.0, 16.0, 1.6)
 SMALL = routes.ModelSpec("small", 2, 0.5, 0.6, 12.0, 1.1)
 TOLERANCE = 0.005
+# Requests at a head without a limit.
+USUAL_LOAD = 8
 
 
 class _Replay:
@@ -73,3 +76,37 @@
 def check_changes(context, count):
     """Compare how often the shares have changed."""
     assert context.replay.changes == count, context.replay.changes
+
+
+@behave.when(
+    "{count:d} of the {heads:d} large heads are limited for {seconds:d} s and "
+    "then have no limit for {after:d} s"
+)
+def limit_heads(context, count, heads, seconds, after):
+    """Replay heads that take nothing; the others carry 8 requests each."""
+    replay = _replay(context)
+    limited = assembly.LimitedHeads()
+    spec = replay.estimate.spec
+    context.shares = []
+    for second in range(seconds + after):
+        found = []
+        for number in range(heads):
+            is_limited = number < count and second < seconds
+            start = fleet.Incarnation(f"e{number}", 1)
+            requests = 0 if is_limited else USUAL_LOAD
+            found.append(assembly.Head(start, "large", requests, is_limited))
+        missing = limited.observe(found, spec, replay.now)
+        busy = sum(head.requests for head in found) + missing.get("large", 0)
+        # Demand for the other model stays in proportion to what is served.
+        served = sum(head.requests for head in found) * LARGE.size / SLOTS
+        replay.observe(busy * LARGE.size / SLOTS, served)
+        context.shares.append(replay.estimate.spec.model("large").share)
+
+
+@behave.then("the share of the large model was {share} at most")
+def check_largest(context, share):
+    """Compare the largest share."""
+    low, _, high = share.partition(" to ")
+    found = max(context.shares)
+    low, high = float(low) - TOLERANCE, float(high or low) + TOLERANCE
+    assert low <= found <= high, found
--- a/packages/gateway/wasabilanding/gateway/capacity_log.py
+++ b/packages/gateway/wasabilanding/gateway/capacity_log.py
@@ -28,7 +28,8 @@
     """Return the capacity of each model service in a failure domain.
 
     :param endpoints: all registered endpoints.
-    :param services: all services.
+    :param services: all services, with the shares of their models to
+        compare with.
     :param failure_domain: the failure domain.
     """
     by_service = collections.defaultdict(list)
--- a/packages/gateway/wasabilanding/gateway/control.py
+++ b/packages/gateway/wasabilanding/gateway/control.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 import logging
 import random
 import secrets
@@ -110,7 +111,7 @@
             self._key, settings.node, store, view.eras
         )
         self._planners: dict[str, assembly.Planner] = {}
-        self._demand = model_demand.ModelDemand(view, tracker, failure_domain)
+        self.demand = model_demand.ModelDemand(view, tracker, failure_domain)
         self._capacity_log = capacity_log.CapacityLog(failure_domain, metrics)
         # What the capacity was last computed from, and the result.
         self._capacity_inputs: tuple[object, int] = (None, -1)
@@ -160,7 +161,7 @@
     async def _plan_while_held(self) -> None:
         """Plan until the lease is lost."""
         self._planners.clear()
-        self._demand.clear()
+        self.demand.clear()
         self._view.active_planners += 1
         try:
             async with trio.open_nursery() as nursery:
@@ -280,17 +281,29 @@
         return any(map(registry.has_announced_shutdown, join.members))
 
     def _report_capacity(self) -> None:
-        """Report the capacity, computed only when its inputs changed."""
+        """Report the capacity, computed only when its inputs changed.
+
+        It is compared with the shares that follow demand, as planned.
+        """
         table = self._view.table
         if table is None or not self._lease.is_held:
             return
-        inputs = (table, self._view.registry.version)
+        now = trio.current_time()
+        services = [
+            dataclasses.replace(
+                service,
+                engine=self.demand.spec_of(service.name, service.engine, now),
+            )
+            for service in table.services
+            if service.engine is not None
+        ]
+        inputs = (services, self._view.registry.version)
         if inputs != self._capacity_inputs:
             self._capacity_inputs = inputs
             self._capacity = capacity_log.domain_capacity(
-                self._view.registry.endpoints, table.services, self._domain
+                self._view.registry.endpoints, services, self._domain
             )
-        self._capacity_log.observe(self._capacity, trio.current_time())
+        self._capacity_log.observe(self._capacity, now)
 
     def _planner(self, service: str) -> assembly.Planner:
         planner = self._planners.get(service)
@@ -307,7 +320,7 @@
         since_start_s = now - self._started_at
         return assembly.PlannerInput(
             service=service,
-            spec=self._demand.spec_of(service, spec, now),
+            spec=self.demand.spec_of(service, spec, now),
             endpoints=tuple(
                 endpoint
                 for endpoint in registry.endpoints
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -173,6 +173,7 @@
             rng,
         )
         controller.should_step_down = self._is_cut_off_unlike_others
+        controller.demand.is_limited = self._grants.is_limited
         return controller
 
     def _is_cut_off_unlike_others(self) -> bool:
