--- a/packages/gateway/wasabilanding/gateway/send_grants.py
+++ b/packages/gateway/wasabilanding/gateway/send_grants.py
@@ -133,7 +133,9 @@
 
         :param endpoint: the endpoint.
         """
-        return self.rate(endpoint, trio.current_time()) is not None
+        if self._limits.rate(fleet.incarnation_of(endpoint)) is not None:
+            return True
+        return self.is_cold(endpoint)
 
     def rate(self, endpoint: fleet.Endpoint, now: float) -> float | None:
         """Return the requests a second that an endpoint takes.
@@ -142,10 +144,8 @@
         :param now: local monotonic time in seconds.
         :returns: of all nodes together; None if it has no limit.
         """
-        return dispatch.effective_rate(
-            self._limits.rate(fleet.incarnation_of(endpoint)),
-            self.cold.rate(endpoint, now),
-        )
+        named = self._limits.rate(fleet.incarnation_of(endpoint))
+        return dispatch.effective_rate(named, self.cold.rate(endpoint, now))
 
     def is_cold(self, endpoint: fleet.Endpoint) -> bool:
         """Return whether an endpoint is cold.
