--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -72,6 +72,9 @@
 from wasabilanding.limits.backlog_share import BacklogShare
 from wasabilanding.limits.customer_queue import Kind
 from wasabilanding.limits.fair_queue import FairQueue
+from wasabilanding.limits.limited_slots import limited_slots
+from wasabilanding.limits.limited_slots import LimitedSlots
+from wasabilanding.limits.limited_slots import returning_slots
 from wasabilanding.limits.memory import memory_budget
 from wasabilanding.limits.memory import memory_obstacle
 from wasabilanding.limits.memory import MemoryBudget
@@ -101,6 +104,7 @@
     "Decisions",
     "FairQueue",
     "Kind",
+    "LimitedSlots",
     "MeanTokens",
     "MemoryBudget",
     "MemoryCause",
@@ -119,7 +123,9 @@
     "engine_priority",
     "estimated_tokens",
     "free_tokens",
+    "limited_slots",
     "max_min",
     "memory_budget",
     "memory_obstacle",
+    "returning_slots",
 ]
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -110,6 +110,7 @@
         )
         self._grants.cold.follow(self.view)
         self._grants.cold.report_through(self._hints.report_cold)
+        self._grants.cold.was_used = self._tracker.was_used
         self._crash_guard.report_through(self._hints.report_crashes)
         self._crash_guard.try_parts_at(self._hints.nodes.is_first_for)
         self._hints.is_cut_off = self._refuses_relays
@@ -178,6 +179,7 @@
             rng,
         )
         controller.should_step_down = self._is_cut_off_unlike_others
+        controller.demand.is_limited = self._grants.is_limited
         return controller
 
     def _refuses_relays(self) -> bool:
