Wake an idle node less often

A collector sends the changes of the store several times a second. Most of them follow heartbeats and change nothing but the revision. Each woke all that waits for a change of the view: the controllers of three failure domains, their set, the limits and the questions about versions. The check for reachability fired twice in 0.6 s also while no request waited.

A segment without changes wakes only a planner, which waits for revisions. The check waits for the next failure or request while no request waits.

--- a/packages/decisions/wasabilanding/changefeed/change_log.py
+++ b/packages/decisions/wasabilanding/changefeed/change_log.py
@@ -51,6 +51,16 @@
         """Revision of the last change, with its era."""
         return model.StoreRevision(self.era, self.until)
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether it states any change but that of the revision."""
+        return bool(
+            self.endpoints
+            or self.removed_endpoints
+            or self.items
+            or self.removed_items
+        )
+
     def covers(self, revision: model.StoreRevision) -> bool:
         """Tell whether a view at a revision misses no earlier change.
 
--- a/packages/decisions/wasabilanding/dispatch/reachability.py
+++ b/packages/decisions/wasabilanding/dispatch/reachability.py
@@ -90,6 +90,11 @@
         silent_since = max(self._waiting_since, self._succeeded_at)
         return self._waiting > 0 and now - silent_since > SUSPECT_SILENCE_S
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether any request waits for an endpoint."""
+        return self._waiting > 0
+
     def quiet_s(self, now: float) -> float:
         """Return for how long no check can become due without a failure.
 
--- a/packages/gateway/wasabilanding/gateway/cluster_view.py
+++ b/packages/gateway/wasabilanding/gateway/cluster_view.py
@@ -397,7 +397,10 @@
             self._apply_item(removal, revision, source, now)
         self.revision = revision
         self._change_log.advance(revision)
-        self._notify()
+        # Most segments follow heartbeats alone and change nothing but the
+        # revision, which only a planner waits for.
+        if segment.has_changes or self.is_planning:
+            self._notify()
 
     def _note_recovery(self, now: float) -> None:
         """Spare the endpoints whose registrations lapsed in an outage."""
--- a/packages/gateway/wasabilanding/gateway/reachability.py
+++ b/packages/gateway/wasabilanding/gateway/reachability.py
@@ -7,6 +7,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import random
 
 import trio
@@ -51,9 +52,10 @@
         self._rng = rng
         self._is_reachable = is_reachable
         self._lock = trio.Lock()
-        self._has_failed = trio.Event()
+        # Set when a check may become due sooner than was known.
+        self._has_news = trio.Event()
         self.monitor = dispatch.ReachabilityMonitor()
-        self.monitor.on_failure = lambda: self._has_failed.set()
+        self.monitor.on_failure = lambda: self._has_news.set()
 
     @property
     def is_cut_off(self) -> bool:
@@ -68,6 +70,8 @@
     @contextlib.contextmanager
     def waiting(self) -> collections.abc.Iterator[None]:
         """Count a request that waits for an endpoint."""
+        if not self.monitor.is_waiting:
+            self._has_news.set()
         self.monitor.begin(trio.current_time())
         try:
             yield
@@ -84,11 +88,16 @@
             await self._wait_while_quiet()
 
     async def _wait_while_quiet(self) -> None:
-        """Wait while no check can become due, until the next failure."""
-        self._has_failed = trio.Event()
+        """Wait while no check can become due, until the next failure.
+
+        While no request waits, only a failure or the next request matters.
+        """
+        self._has_news = trio.Event()
         quiet_s = self.monitor.quiet_s(trio.current_time())
+        if quiet_s and not self.monitor.is_waiting:
+            quiet_s = math.inf
         with trio.move_on_after(max(quiet_s - LOOK_INTERVAL_S, 0.0)):
-            await self._has_failed.wait()
+            await self._has_news.wait()
 
     async def check(self) -> bool:
         """Connect to some endpoints; return whether none accepts.
