Read streams of endpoints without a time limit per read

httpcore begins a time limit of trio, and maps exceptions by a context manager, for each read, also where the read has no limit. A stream has some thirty reads.

A network backend of httpcore, which a transport of httpx passes to it, receives directly where there is no limit. Requests, connections, errors and all other reads stay those of the libraries.

--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -23,6 +23,7 @@
 import trio
 
 from wasabilanding import fleet
+from wasabilanding.gateway import endpoint_transport
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import reply_bounds
 from wasabilanding import model
@@ -347,15 +348,8 @@
     def _make_transport(
         self, idle_timeout_s: float
     ) -> httpx.AsyncBaseTransport:
-        return httpx.AsyncHTTPTransport(
-            verify=self._ssl,
-            trust_env=False,
-            limits=httpx.Limits(
-                max_connections=None,
-                max_keepalive_connections=None,
-                keepalive_expiry=idle_timeout_s * IDLE_FRACTION,
-            ),
-            socket_options=TCP_KEEPALIVE,
+        return endpoint_transport.EndpointTransport(
+            self._ssl, idle_timeout_s * IDLE_FRACTION, TCP_KEEPALIVE
         )
 
     @property
