Decode allowed regions and the regions of failure domains

Routes and customers of the configuration may restrict their requests to regions, and the platform names the region of each failure domain. The decoder reads the lists, the settings have region and regions, and routes.effective_regions decides which regions a request may use.

--- a/packages/callers/wasabilanding/callers/error_responses.py
+++ b/packages/callers/wasabilanding/callers/error_responses.py
@@ -15,6 +15,7 @@
     model.Reason.REFUSED: 503,
     model.Reason.ENDPOINT_HELD: 503,
     model.Reason.EVACUATED: 503,
+    model.Reason.REGION_UNAVAILABLE: 503,
     model.Reason.CONNECT_FAILED: 503,
     model.Reason.CONNECTION_LOST: 502,
     model.Reason.STALLED: 504,
--- a/packages/decisions/wasabilanding/model/outcomes.py
+++ b/packages/decisions/wasabilanding/model/outcomes.py
@@ -34,6 +34,7 @@
     REFUSED = "refused"
     ENDPOINT_HELD = "endpoint_held"
     EVACUATED = "evacuated"
+    REGION_UNAVAILABLE = "region_unavailable"
     CONNECT_FAILED = "connect_failed"
     CONNECTION_LOST = "connection_lost"
     STALLED = "stalled"
--- a/packages/decisions/wasabilanding/routes/__init__.py
+++ b/packages/decisions/wasabilanding/routes/__init__.py
@@ -11,6 +11,11 @@
 with.
 """
 
+from wasabilanding.routes.regions import AllowedRegions
+from wasabilanding.routes.regions import effective_regions
+from wasabilanding.routes.regions import NO_REGION
+from wasabilanding.routes.regions import RegionMap
+from wasabilanding.routes.regions import without_known_region
 from wasabilanding.routes.table import CallerLimits
 from wasabilanding.routes.table import choose_target
 from wasabilanding.routes.table import EngineSpec
@@ -23,14 +28,19 @@
 from wasabilanding.routes.table import Target
 
 __all__ = [
+    "NO_REGION",
+    "AllowedRegions",
     "CallerLimits",
     "EngineSpec",
     "KeyHolder",
     "ModelSpec",
+    "RegionMap",
     "RequestKind",
     "Route",
     "RoutedService",
     "RoutingTable",
     "Target",
     "choose_target",
+    "effective_regions",
+    "without_known_region",
 ]
--- a/packages/decisions/wasabilanding/routes/table.py
+++ b/packages/decisions/wasabilanding/routes/table.py
@@ -48,6 +48,7 @@
     :param max_attempts: maximum number of endpoints that may run a request.
     :param public: whether a request needs no key.
     :param targets: services that receive the requests.
+    :param allowed_regions: regions that may run a request; None for all.
     """
 
     name: str
@@ -62,6 +63,7 @@
     max_attempts: int
     public: bool
     targets: tuple[Target, ...]
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -161,11 +163,13 @@
     :param customer: name of the customer.
     :param keys: its keys.
     :param priority: priority that replaces the route's; None for none.
+    :param allowed_regions: regions that may run its requests; None for all.
     """
 
     customer: str
     keys: frozenset[str]
     priority: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway."""
 
+import collections.abc
 import dataclasses
 import pathlib
 import typing
@@ -8,6 +9,7 @@
 
 from wasabilanding.gateway import reply_bounds
 from wasabilanding import model
+from wasabilanding import routes
 
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
 Size = typing.Annotated[int, pydantic.Field(ge=1)]
@@ -50,6 +52,8 @@
     :param admission: whether requests wait at the node while all slots are
         in use, and are refused early if they cannot be served in time.
     :param log_level: lowest level that is logged.
+    :param region: region of the node; empty if unknown.
+    :param regions: region of each failure domain.
     """
 
     node: str
@@ -70,6 +74,15 @@
     max_failure_bytes: Size = reply_bounds.DEFAULT.failure_bytes
     admission: bool = False
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    region: str = routes.NO_REGION
+    regions: collections.abc.Mapping[str, str] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def region_map(self) -> routes.RegionMap:
+        """Regions of the failure domains."""
+        return routes.RegionMap(self.region, self.failure_domain, self.regions)
 
     @property
     def key_revocation_s(self) -> float:
@@ -100,6 +113,8 @@
     for name, value in document.items():
         if isinstance(value, list):
             value = [item for item in value if item is not None] or None
+        elif isinstance(value, dict):
+            value = {k: item for k, item in value.items() if item is not None}
         if value is not None:
             given[name] = value
     return given
