Keep requests in the regions that they may use

Selection filters endpoints and relays by the regions of the request, which follow the configuration in force. They are checked once more when the connection is ready. Requests of different regions wait in pools of their own, since a restricted request cannot use all slots of its model. Where no endpoint is left, the answer is 503 region_unavailable at once.

--- a/packages/gateway/wasabilanding/gateway/admission.py
+++ b/packages/gateway/wasabilanding/gateway/admission.py
@@ -5,6 +5,7 @@
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import region_restrictions
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding import routes
@@ -93,6 +94,13 @@
             priority=priority,
             deadline_at=arrived_at + timeout_s,
             arrived_at=arrived_at,
+            restriction=region_restrictions.follow(
+                self._view,
+                (request.host, head.path),
+                request.key,
+                route,
+                holder,
+            ),
         )
 
     def _authenticate(
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -13,6 +13,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 
 import trio
 
@@ -51,6 +52,8 @@
         local monotonic time in seconds at which the request was sent.
     :param reachability: whether this node reaches any endpoint.
     :param relay_headers: returns what other nodes are told of a request.
+    :param check_regions: checks that a request may be sent to an endpoint or
+        a node, whose region may not be allowed any more.
     """
 
     wire: messages.WireFormat
@@ -67,6 +70,9 @@
     relay_headers: collections.abc.Callable[
         [request_state_module.RequestState], list[messages.Header]
     ]
+    check_regions: collections.abc.Callable[
+        [request_state_module.RequestState, fleet.Endpoint], None
+    ]
 
 
 class Attempt:
@@ -246,6 +252,9 @@
             headers,
             state.body,
             purpose=self._purpose,
+            check=functools.partial(
+                self._context.check_regions, state, self._endpoint
+            ),
         )
         async with sent as reply:
             self._connected_at = reply.sent_at
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -26,6 +26,7 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import reachability as reachability_module
+from wasabilanding.gateway import region_restrictions
 from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
@@ -99,6 +100,7 @@
             relays,
             metrics,
             rng,
+            settings.region_map,
         )
         self.waiting_room: waiting.WaitingRoom | None = None
         if settings.admission:
@@ -119,6 +121,7 @@
                 crash_guard.record_progress,
                 reachability,
                 self._relay_headers,
+                region_restrictions.send_check(settings.region_map, metrics),
             ),
             selector,
             tracker,
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -93,6 +93,7 @@
         self.waiting: dict[Labels, int] = {}
         self.evacuated: dict[Labels, int] = {}
         self.evacuation_refusals: CountsByLabels = collections.Counter()
+        self.region_refusals: CountsByLabels = collections.Counter()
         self.loop_failures: CountsByLabels = collections.Counter()
         self.stranded: dict[Labels, int] = {}
         self.capacity: dict[Labels, int] = {}
@@ -231,6 +232,14 @@
         """
         self.evacuation_refusals[(("kind", kind),)] += 1
 
+    def count_region_refusal(self, kind: str) -> None:
+        """Count a request that its allowed regions keep from an endpoint.
+
+        :param kind: "held_back" if its endpoint or node was chosen before,
+            "rejected" if no other one could serve it.
+        """
+        self.region_refusals[(("kind", kind),)] += 1
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Set whether this node reaches no endpoint.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -143,6 +143,11 @@
             metrics.evacuation_refusals,
             "Requests kept from evacuated failure domains, by kind",
         ),
+        (
+            "region_refusals",
+            metrics.region_refusals,
+            "Requests kept from regions that they may not use, by kind",
+        ),
         (
             "loop_failures",
             metrics.loop_failures,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -26,6 +26,7 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import reachability
+from wasabilanding.gateway import region_restrictions
 from wasabilanding.gateway import relays
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
@@ -77,12 +78,15 @@
         self._tracker = dispatch.EndpointTracker()
         self._reachability = reachability.Reachability(self.view, metrics, rng)
         self._relays = relays.Relays(
-            settings.failure_domain, self._tracker, rng
+            settings.failure_domain, self._tracker, rng, settings.region_map
         )
         self._relays.is_evacuated = self.view.is_evacuated
         self._evacuation_monitor = evacuation_monitor.EvacuationMonitor(
             self.view, metrics
         )
+        self._region_monitor = region_restrictions.RegionMonitor(
+            self.view, settings.region_map
+        )
         self._crash_guard = crash_guard.CrashGuard(
             self.view, self._tracker, metrics
         )
@@ -312,6 +316,7 @@
             self._tracker.drop_expired(trio.current_time())
             self._guard.observe()
             self._evacuation_monitor.observe()
+            self._region_monitor.observe()
             self.metrics.set_rejected_registrations(
                 self.view.rejected_registrations
             )
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -32,6 +32,7 @@
 from wasabilanding import fleet
 from wasabilanding.gateway import messages
 from wasabilanding import model
+from wasabilanding import routes
 
 RELAYED_BY = b"wasabilanding-relayed-by"
 VERSION = b"wasabilanding-version"
@@ -87,15 +88,16 @@
 
 
 def relay_endpoint(
-    node: str, address: Address, service: str
+    node: str, address: Address, service: str, failure_domain: str = ""
 ) -> fleet.Endpoint:
     """Return a node in the form of an endpoint.
 
     :param node: its name.
     :param address: address at which it takes requests of other nodes.
     :param service: service that the request is for.
+    :param failure_domain: its failure domain.
     """
-    return fleet.Endpoint(_identity(node), service, *address, "")
+    return fleet.Endpoint(_identity(node), service, *address, failure_domain)
 
 
 def _identity(node: str) -> str:
@@ -183,6 +185,7 @@
     :param failure_domain: failure domain of this node.
     :param tracker: which nodes have failed lately.
     :param rng: random number generator.
+    :param regions: regions of the failure domains.
     """
 
     def __init__(
@@ -190,7 +193,9 @@
         failure_domain: str,
         tracker: dispatch.EndpointTracker,
         rng: random.Random,
+        regions: routes.RegionMap | None = None,
     ) -> None:
+        self._regions = regions or routes.RegionMap()
         self._failure_domain = failure_domain
         self._tracker = tracker
         self._rng = rng
@@ -213,29 +218,42 @@
         self._cut_off_until[node] = now + CUT_OFF_TTL_S
 
     def choose(
-        self, service: str, tried: collections.abc.Container[str]
+        self,
+        service: str,
+        tried: collections.abc.Container[str],
+        allowed: routes.AllowedRegions = None,
     ) -> fleet.Endpoint | None:
         """Return a node for a request, in the form of an endpoint.
 
         :param service: service that the request is for.
         :param tried: identities that the request was sent to.
+        :param allowed: regions that the request may use; None for all.
         :returns: one of the available nodes; None for none.
         """
-        nodes = self.available(tried)
+        nodes = self.available(tried, allowed)
         if not nodes:
             return None
         name = self._rng.choice(list(nodes))
-        return relay_endpoint(name, nodes[name], service)
+        domains = self.nodes().items()
+        domain = next(d for d, members in domains if name in members)
+        return relay_endpoint(name, nodes[name], service, domain)
 
-    def available(self, tried: collections.abc.Container[str] = ()) -> Nodes:
+    def available(
+        self,
+        tried: collections.abc.Container[str] = (),
+        allowed: routes.AllowedRegions = None,
+    ) -> Nodes:
         """Return the nodes that may take a request.
 
         :param tried: identities that the request was sent to.
+        :param allowed: regions that the request may use; None for all.
         :returns: nodes of this failure domain, else those of the others;
             those of evacuated ones last.
         """
         found: dict[tuple[bool, bool], dict[str, Address]] = {}
         for domain, nodes in self.nodes().items():
+            if not self._regions.allows_node(domain, allowed):
+                continue
             order = self.is_evacuated(domain), domain != self._failure_domain
             group = found.setdefault(order, {})
             for name, address in nodes.items():
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -1,6 +1,7 @@
 """State of a request, and the final answer after all its attempts."""
 
 import collections
+import collections.abc
 import dataclasses
 import functools
 
@@ -13,6 +14,11 @@
 RETRY_AFTER_S = 0.5
 
 
+def _no_restriction() -> routes.AllowedRegions:
+    """Allow all regions."""
+    return None
+
+
 @dataclasses.dataclass
 class RequestState:
     """State of a request in progress.
@@ -54,13 +60,22 @@
     # Whether a stream can resume after the last delivered event.
     is_position_known: bool = True
     tried_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
-    # Whether it may be sent and is not in flight yet.
-    is_departing: bool = False
+    # Pool in which it counts as sent and is not in flight yet; empty if none.
+    departing_pool: str = ""
     # Endpoints that refused it and may be tried again, once for each refusal.
     refused_endpoint_ids: list[str] = dataclasses.field(default_factory=list)
     # Local monotonic time in seconds at which the attempt was sent that an
     # endpoint has answered; None for none.
     answered_sent_at: float | None = None
+    # Returns the regions that it may use now; None for all.
+    restriction: collections.abc.Callable[[], routes.AllowedRegions] = (
+        _no_restriction
+    )
+
+    @property
+    def allowed_regions(self) -> routes.AllowedRegions:
+        """Regions that it may use now; None for all."""
+        return self.restriction()
 
     @functools.cached_property
     def parts(self) -> tuple[str, ...]:
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -12,6 +12,7 @@
 from wasabilanding.gateway import crash_guard as crash_guard_module
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import reachability as reachability_module
+from wasabilanding.gateway import region_restrictions
 from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import send_grants
@@ -70,6 +71,7 @@
     :param relays: nodes that serve requests for this one.
     :param metrics: counts requests that cannot be served.
     :param rng: random number generator.
+    :param regions: regions of the failure domains.
     """
 
     def __init__(
@@ -84,7 +86,9 @@
         relays: relays_module.Relays,
         metrics: metrics_module.Metrics,
         rng: random.Random,
+        regions: routes.RegionMap | None = None,
     ) -> None:
+        self._regions = regions or routes.RegionMap()
         self._metrics = metrics
         self._reachability = reachability
         self._relays = relays
@@ -159,7 +163,11 @@
         """Return whether there is another node for a request."""
         if state.is_rejected_elsewhere:
             return False
-        return bool(self._relays.available(state.tried_endpoint_ids))
+        return bool(
+            self._relays.available(
+                state.tried_endpoint_ids, state.allowed_regions
+            )
+        )
 
     def _pick_relay(
         self, state: request_state_module.RequestState
@@ -167,7 +175,9 @@
         if state.is_rejected_elsewhere:
             return None
         found = self._relays.choose(
-            state.service.name, state.tried_endpoint_ids
+            state.service.name,
+            state.tried_endpoint_ids,
+            state.allowed_regions,
         )
         if found is None:
             return None
@@ -241,13 +251,15 @@
 
         Callers are told to return at random times after the first endpoint
         accepts requests again. If all endpoints are in evacuated failure
-        domains, they return within :data:`EVACUATED_RETURN_S`.
+        domains, they return within :data:`EVACUATED_RETURN_S`. If the allowed
+        regions leave none, they return within
+        :data:`wasabilanding.gateway.region_restrictions.RETURN_S`.
 
         :param state: the request.
         """
-        evacuated = self._evacuated_outcome(state)
-        if evacuated is not None:
-            return evacuated
+        refused = self._evacuated_outcome(state) or self._region_outcome(state)
+        if refused is not None:
+            return refused
         waits_s = [
             self._wait_s(candidate.endpoint)
             for candidate in self._candidates_for(state)
@@ -278,6 +290,34 @@
             self._rng.uniform(*EVACUATED_RETURN_S),
         )
 
+    def _region_outcome(
+        self, state: request_state_module.RequestState
+    ) -> model.Outcome | None:
+        """Return the outcome if the allowed regions leave no endpoint."""
+        allowed = state.allowed_regions
+        if allowed is None:
+            return None
+        if not any(self._split_candidates(state)):
+            lack = f"no endpoint of {state.service.name}"
+        elif self._lacks_allowed_relay(state):
+            lack = "this node reaches no endpoint, and no other node"
+        else:
+            return None
+        self._metrics.count_region_refusal("rejected")
+        return region_restrictions.refusal(
+            allowed, lack, self._rng.uniform(*region_restrictions.RETURN_S)
+        )
+
+    def _lacks_allowed_relay(
+        self, state: request_state_module.RequestState
+    ) -> bool:
+        """Return whether only nodes in other regions may serve a request."""
+        if state.is_rejected_elsewhere or not self.needs_relay(state):
+            return False
+        return not self._has_relay(state) and bool(
+            self._relays.available(state.tried_endpoint_ids)
+        )
+
     def _wait_s(self, endpoint: fleet.Endpoint) -> float | None:
         """Return the time until an endpoint wants a request again."""
         now = trio.current_time()
@@ -390,8 +430,20 @@
     def _split_candidates(
         self, state: request_state_module.RequestState
     ) -> tuple[list[dispatch.Candidate], list[dispatch.Candidate]]:
-        """Return the candidates, and those in evacuated failure domains."""
-        return self._split_candidates_of(state.service, state.required_model)
+        """Return the candidates, and those in evacuated failure domains.
+
+        Both are in the regions that the request may use.
+        """
+        usable, excluded = self._split_candidates_of(
+            state.service, state.required_model
+        )
+        allowed = state.allowed_regions
+        if allowed is None:
+            return usable, excluded
+        return (
+            region_restrictions.keep_allowed(usable, self._regions, allowed),
+            region_restrictions.keep_allowed(excluded, self._regions, allowed),
+        )
 
     def _split_candidates_of(
         self, service: routes.RoutedService, model_name: str
@@ -415,16 +467,46 @@
         usable, excluded = self._candidates[name]
         return usable.get(model_name, []), excluded.get(model_name, [])
 
+    @property
+    def table(self) -> routes.RoutingTable | None:
+        """Routing table that is in force."""
+        return self._view.table
+
+    def has_endpoint(
+        self,
+        service: routes.RoutedService,
+        model_name: str,
+        allowed: routes.AllowedRegions,
+    ) -> bool:
+        """Return whether a pool has any endpoint that is not evacuated.
+
+        :param service: the service.
+        :param model_name: name of the model; empty for a plain service.
+        :param allowed: regions that its requests may use; None for all.
+        """
+        usable = self._split_candidates_of(service, model_name)[0]
+        return bool(
+            region_restrictions.keep_allowed(usable, self._regions, allowed)
+        )
+
     def pool_candidates(
-        self, service: routes.RoutedService, model_name: str
+        self,
+        service: routes.RoutedService,
+        model_name: str,
+        allowed: routes.AllowedRegions = None,
     ) -> list[dispatch.Candidate]:
         """Return the endpoints that can take some request of a pool now.
 
         :param service: the service.
         :param model_name: name of the model; empty for a plain service.
+        :param allowed: regions that its requests may use; None for all.
         """
         now = trio.current_time()
-        candidates = self._split_candidates_of(service, model_name)[0]
+        candidates = region_restrictions.keep_allowed(
+            self._split_candidates_of(service, model_name)[0],
+            self._regions,
+            allowed,
+        )
         if self._grants.has_limits:
             candidates = [c for c in candidates if self._may_grant(c, now)]
         return dispatch.usable(
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -283,14 +283,22 @@
     )
 
 
+def _check_nothing() -> None:
+    """Allow a request to be sent."""
+
+
 class _SendTrace:
     """Checks a permit once a connection is ready; records when it was.
 
     :param permit: permit of the request.
+    :param check: checks the request itself.
     """
 
-    def __init__(self, permit: Permit) -> None:
+    def __init__(
+        self, permit: Permit, check: collections.abc.Callable[[], None]
+    ) -> None:
         self._permit = permit
+        self._check = check
         # Local monotonic time in seconds.
         self.sent_at = float("inf")
 
@@ -303,6 +311,7 @@
         :param details: objects that it concerns.
         """
         if event == SENDING:
+            self._check()
             self._permit.check()
             self.sent_at = trio.current_time()
 
@@ -402,6 +411,7 @@
         body: bytes,
         timeout: dict[str, float | None] = TIMEOUT,
         purpose: Purpose = Purpose.CALLER,
+        check: collections.abc.Callable[[], None] = _check_nothing,
     ) -> collections.abc.AsyncIterator[Reply]:
         """Send a request and yield its reply.
 
@@ -412,11 +422,14 @@
         :param body: body; the content length is derived from it.
         :param timeout: httpx timeouts of connect, read, write and pool.
         :param purpose: what the request is for.
+        :param check: raises :class:`AttemptFailed` if this request may not be
+            sent to the endpoint any more, like a permit.
         :raises AttemptFailed: if no reply is received, or if nothing may be
             sent to the endpoint now.
         """
+        check()
         with self._admit(endpoint, purpose) as permit:
-            trace = _SendTrace(permit)
+            trace = _SendTrace(permit, check)
             request = httpx.Request(
                 method,
                 _url(endpoint.base_url),
--- a/packages/gateway/wasabilanding/gateway/waiting.py
+++ b/packages/gateway/wasabilanding/gateway/waiting.py
@@ -4,10 +4,12 @@
 ===========
 
 A pool is the capacity that some requests compete for: the usable endpoints of
-one service and model. While a slot is free and no node reports waiting
-requests, a request passes :class:`WaitingRoom` at once. Otherwise it waits in
-its pool's :class:`wasabilanding.limits.PoolQueue`, which decides on order,
-refusal and start.
+one service and model, in the regions that the requests may use. Pools that
+differ only in these share endpoints, whose load counts in each of them. While
+a slot is free and no node reports waiting requests, a request passes
+:class:`WaitingRoom` at once. Otherwise it waits in its pool's
+:class:`wasabilanding.limits.PoolQueue`, which decides on order, refusal and
+start.
 
 The queues are examined when a request arrives or ends, when another node
 reports its load, and periodically while requests wait, as waiting requests
@@ -24,6 +26,7 @@
 from wasabilanding import dispatch
 from wasabilanding import fleet
 from wasabilanding.gateway import metrics as metrics_module
+from wasabilanding.gateway import region_restrictions
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
 from wasabilanding import limits
@@ -58,7 +61,8 @@
 
     :param state: the request.
     """
-    return f"{state.service.name}/{state.required_model}"
+    name = f"{state.service.name}/{state.required_model}"
+    return region_restrictions.pool_name(name, state.allowed_regions)
 
 
 def _kind_of(state: request_state_module.RequestState) -> limits.Kind:
@@ -72,11 +76,13 @@
     :param state: the request.
     :param ended: set when its wait has ended.
     :param refusal: why it is refused; None if it is to be sent.
+    :param has_moved: whether it no longer belongs to its pool.
     """
 
     state: request_state_module.RequestState
     ended: trio.Event = dataclasses.field(default_factory=trio.Event)
     refusal: model.Outcome | None = None
+    has_moved: bool = False
 
 
 @dataclasses.dataclass
@@ -85,6 +91,7 @@
 
     :param service: its service.
     :param model: name of its model; empty for a plain service.
+    :param allowed: regions that its requests may use; None for all.
     :param queue: its waiting requests.
     :param waiters: the same by identity.
     :param departing: requests that may be sent and are not in flight yet.
@@ -96,11 +103,14 @@
 
     service: routes.RoutedService
     model: str
+    allowed: routes.AllowedRegions
     queue: limits.PoolQueue
     waiters: dict[str, _Waiter] = dataclasses.field(default_factory=dict)
     departing: int = 0
     since: float | None = None
     busy_at: float = dispatch.NEVER
+    # Routing table by which its waiting requests belong to it.
+    table: routes.RoutingTable | None = None
 
 
 class WaitingRoom:
@@ -128,6 +138,8 @@
         self._metrics = metrics
         self._rng = rng
         self._pools: dict[str, _Pool] = {}
+        # Pools of plain services, by service.
+        self._plain_pools: dict[str, list[_Pool]] = {}
         self._numbers = itertools.count()
         self._begun = trio.Event()
         self._examined_at = dispatch.NEVER
@@ -161,11 +173,11 @@
         Requests to a plain service make no progress before they end. If a
         busy endpoint counted as silent, its slots would count as absent.
         """
-        pool = self._pools.get(f"{service.name}/")
-        if service.engine is not None or pool is None:
+        pools = self._plain_pools.get(service.name)
+        if service.engine is not None or pools is None:
             return dispatch.PROGRESS_TIMEOUT_S
-        usual_s = SILENT_SLOT_TIMES * pool.queue.known_slot_time_s
-        return max(dispatch.PROGRESS_TIMEOUT_S, usual_s)
+        usual_s = max(pool.queue.known_slot_time_s for pool in pools)
+        return max(dispatch.PROGRESS_TIMEOUT_S, SILENT_SLOT_TIMES * usual_s)
 
     async def enter(
         self,
@@ -184,7 +196,7 @@
         now = trio.current_time()
         name = pool_name(state)
         if not self._selector.pool_candidates(
-            state.service, state.required_model
+            state.service, state.required_model, state.allowed_regions
         ):
             # The selection of an endpoint reports why there is none.
             return None
@@ -194,10 +206,11 @@
             and previous.reason not in selection.NOT_SENT_REASONS
         )
         if self._may_pass(name, pool, is_retry, now):
-            self._let_depart(pool, state)
+            self._let_depart(name, pool, state)
             return None
         if self._is_closed:
             return STOPPING
+        waiter = _Waiter(state)
         request = limits.PoolRequest(
             str(next(self._numbers)),
             state.customer,
@@ -215,17 +228,23 @@
                 self._metrics.count_refusal(state.service.name, "forecast")
                 return refusal
         try:
-            return await self._wait(name, pool, request, state)
+            refusal = await self._wait(name, pool, request, waiter)
         except trio.Cancelled:
             # The caller may have disconnected after its request was admitted.
             self.record_departure(state)
             raise
+        if waiter.has_moved:
+            return await self.enter(state, previous)
+        return refusal
 
     def _let_depart(
-        self, pool: _Pool, state: request_state_module.RequestState
+        self,
+        name: str,
+        pool: _Pool,
+        state: request_state_module.RequestState,
     ) -> None:
         pool.departing += 1
-        state.is_departing = True
+        state.departing_pool = name
 
     def record_departure(
         self, state: request_state_module.RequestState
@@ -234,9 +253,9 @@
 
         :param state: the request.
         """
-        if state.is_departing:
-            state.is_departing = False
-            self._pools[pool_name(state)].departing -= 1
+        if state.departing_pool:
+            self._pools[state.departing_pool].departing -= 1
+            state.departing_pool = ""
 
     def _pool(
         self, name: str, state: request_state_module.RequestState
@@ -244,8 +263,16 @@
         pool = self._pools.get(name)
         if pool is None:
             queue = limits.PoolQueue(name, self._rng)
-            pool = _Pool(state.service, state.required_model, queue)
+            pool = _Pool(
+                state.service,
+                state.required_model,
+                state.allowed_regions,
+                queue,
+            )
             self._pools[name] = pool
+            if not state.required_model:
+                plain = self._plain_pools.setdefault(state.service.name, [])
+                plain.append(pool)
         pool.service = state.service
         return pool
 
@@ -262,11 +289,16 @@
                 0,
                 c.slots - self._tracker.load(fleet.incarnation_of(c.endpoint)),
             )
-            for c in self._selector.pool_candidates(pool.service, pool.model)
+            for c in self._pool_candidates(pool)
             if not (is_retry and self._is_avoided(c, now))
         )
         return free > pool.departing
 
+    def _pool_candidates(self, pool: _Pool) -> list[dispatch.Candidate]:
+        return self._selector.pool_candidates(
+            pool.service, pool.model, pool.allowed
+        )
+
     def _is_avoided(self, candidate: dispatch.Candidate, now: float) -> bool:
         """Tell whether an endpoint has lately refused or failed a request.
 
@@ -281,10 +313,9 @@
         name: str,
         pool: _Pool,
         request: limits.PoolRequest,
-        state: request_state_module.RequestState,
+        waiter: _Waiter,
     ) -> model.Outcome | None:
         begun_at = trio.current_time()
-        waiter = _Waiter(state)
         pool.waiters[request.request_id] = waiter
         self._note_busy(name, pool, begun_at)
         self._begun.set()
@@ -314,7 +345,7 @@
     def _state(self, name: str, now: float) -> limits.PoolState:
         """Return a pool as this node knows it."""
         pool = self._pools[name]
-        candidates = self._selector.pool_candidates(pool.service, pool.model)
+        candidates = self._pool_candidates(pool)
         load = self._tracker.load
         return limits.PoolState(
             tuple(c.slots for c in candidates),
@@ -339,23 +370,53 @@
         """Send or refuse the requests whose wait ends now."""
         if not pool.queue:
             return
+        self._move_waiters(name, pool)
         state = self._state(name, now)
         for request_id, refusal in pool.queue.refuse_late(state, now):
             self._metrics.count_refusal(pool.service.name, "late")
-            self._end_wait(pool, request_id, refusal)
+            self._end_wait(name, pool, request_id, refusal)
         retries = self._selector.retries_left(pool.service)
         for request_id in pool.queue.admit(state, now, retries, has_ended):
-            self._end_wait(pool, request_id, None)
+            self._end_wait(name, pool, request_id, None)
         if pool.queue:
             pool.busy_at = now
 
+    def _move_waiters(self, name: str, pool: _Pool) -> None:
+        """Let requests enter anew whose allowed regions have changed.
+
+        So do those whose regions have no endpoint left: they are refused at
+        once.
+        """
+        table = self._selector.table
+        moved: list[str] = []
+        if pool.allowed is not None and not self._selector.has_endpoint(
+            pool.service, pool.model, pool.allowed
+        ):
+            moved = list(pool.waiters)
+        elif table is not pool.table:
+            moved = [
+                request_id
+                for request_id, waiter in pool.waiters.items()
+                if pool_name(waiter.state) != name
+            ]
+        pool.table = table
+        for request_id in moved:
+            pool.queue.withdraw(request_id)
+            waiter = pool.waiters.pop(request_id)
+            waiter.has_moved = True
+            waiter.ended.set()
+
     def _end_wait(
-        self, pool: _Pool, request_id: str, refusal: model.Outcome | None
+        self,
+        name: str,
+        pool: _Pool,
+        request_id: str,
+        refusal: model.Outcome | None,
     ) -> None:
         waiter = pool.waiters.pop(request_id)
         waiter.refusal = refusal
         if refusal is None:
-            self._let_depart(pool, waiter.state)
+            self._let_depart(name, pool, waiter.state)
         waiter.ended.set()
 
     def wake(self) -> None:
@@ -422,8 +483,8 @@
     def close(self) -> None:
         """Refuse all waiting requests, and those that would wait."""
         self._is_closed = True
-        for pool in self._pools.values():
+        for name, pool in self._pools.items():
             for request_id in list(pool.waiters):
                 self._metrics.count_refusal(pool.service.name, "stopping")
                 pool.queue.withdraw(request_id)
-                self._end_wait(pool, request_id, STOPPING)
+                self._end_wait(name, pool, request_id, STOPPING)
