--- a/packages/gateway/wasabilanding/gateway/region_restrictions.py
+++ b/packages/gateway/wasabilanding/gateway/region_restrictions.py
@@ -91,11 +91,10 @@
     """
     if allowed is None:
         return candidates
-    return [
-        candidate
-        for candidate in candidates
-        if regions.allows(candidate.endpoint.failure_domain, allowed)
-    ]
+    # There are many candidates in few failure domains.
+    domains = {c.endpoint.failure_domain for c in candidates}
+    permitted = {d for d in domains if regions.allows(d, allowed)}
+    return [c for c in candidates if c.endpoint.failure_domain in permitted]
 
 
 def pool_name(name: str, allowed: routes.AllowedRegions) -> str:
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -234,8 +234,11 @@
         if not nodes:
             return None
         name = self._rng.choice(list(nodes))
-        domains = self.nodes().items()
-        domain = next(d for d, members in domains if name in members)
+        domain = next(
+            domain
+            for domain, members in self.nodes().items()
+            if name in members and self._regions.allows_node(domain, allowed)
+        )
         return relay_endpoint(name, nodes[name], service, domain)
 
     def available(
--- a/packages/gateway/wasabilanding/gateway/tests/steps/evacuation_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/evacuation_steps.py
@@ -31,7 +31,11 @@
         self.texts.append(record.getMessage())
 
 
-def _keep_log(context):
+def keep_log(context):
+    """Keep the lines that the gateway logs.
+
+    :param context: receives them.
+    """
     context.lines = _Lines()
     logger = logging.getLogger("wasabilanding.gateway")
     logger.addHandler(context.lines)
@@ -89,7 +93,7 @@
 @behave.given('a view of era 2 at revision 100 with evacuations "{names}"')
 def given_view(context, names):
     """Make a view that has read the store."""
-    _keep_log(context)
+    keep_log(context)
     context.names = _words(names)
     context.view = _read_view(context.names)
     context.follower = None
@@ -169,7 +173,7 @@
 def given_evacuation(context, name, begin, end):
     """Let the node learn of the evacuation and its end from the store."""
     if not hasattr(context, "lines"):
-        _keep_log(context)
+        keep_log(context)
     timeline = notices_steps.timeline_of(context)
     context.system.relays.is_evacuated = context.system.view.is_evacuated
 
