--- a/packages/callers/wasabilanding/callers/error_responses.py
+++ b/packages/callers/wasabilanding/callers/error_responses.py
@@ -17,6 +17,7 @@
     model.Reason.EVACUATED: 503,
     model.Reason.KEYS_NOT_PROVEN: 503,
     model.Reason.NOT_PROVEN: 503,
+    model.Reason.REGION_UNAVAILABLE: 503,
     model.Reason.CONNECT_FAILED: 503,
     model.Reason.CONNECTION_LOST: 502,
     model.Reason.STALLED: 504,
--- a/packages/gateway/wasabilanding/gateway/admission.py
+++ b/packages/gateway/wasabilanding/gateway/admission.py
@@ -12,6 +12,7 @@
 from wasabilanding.gateway import answers
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import messages
+from wasabilanding.gateway import region_restrictions
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding import model
@@ -103,6 +104,13 @@
             deadline_at=arrived_at + timeout_s,
             arrived_at=arrived_at,
             unproven=unproven,
+            restriction=region_restrictions.follow(
+                self._view,
+                (request.host, head.path),
+                request.key,
+                route,
+                holder,
+            ),
         )
         if unproven is not None:
             raise request_state_module.KeysNotProven(state, unproven)
@@ -135,10 +143,11 @@
         """Return the holder of a key, or why it cannot be told."""
         if table.key_holders is None or route.public:
             return None, None
+        holder = table.holder(request.key) if request.key else None
         obstacle = self._keys_obstacle()
         if obstacle:
-            return None, _unproven(model.Reason.KEYS_NOT_PROVEN, obstacle)
-        holder = table.holder(request.key) if request.key else None
+            # The regions of the last known holder bind the choice of a node.
+            return holder, _unproven(model.Reason.KEYS_NOT_PROVEN, obstacle)
         if holder is not None:
             return holder, None
         if self._is_final:
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -27,6 +27,7 @@
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import reachability as reachability_module
+from wasabilanding.gateway import region_restrictions
 from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
@@ -105,6 +106,7 @@
             relays,
             metrics,
             rng,
+            settings.region_map,
         )
         self.waiting_room: waiting.WaitingRoom | None = None
         if settings.admission:
@@ -126,6 +128,7 @@
                 reachability,
                 self._relay_headers,
                 self._account,
+                region_restrictions.send_check(settings.region_map, metrics),
             ),
             selector,
             tracker,
