--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -109,6 +109,11 @@
         self.silent_after_s: collections.abc.Callable[
             [routes.RoutedService], float
         ] = lambda service: dispatch.PROGRESS_TIMEOUT_S
+        # Returns the regions for which restricted requests to a service and
+        # model wait.
+        self.wanted_regions: collections.abc.Callable[
+            [str, str], list[frozenset[str]]
+        ] = lambda service, model_name: []
         # Candidates by service and model: those that may receive requests,
         # and those in evacuated failure domains.
         self._candidates: dict[
@@ -210,6 +215,27 @@
         self,
         state: request_state_module.RequestState,
         candidates: list[dispatch.Candidate],
+    ) -> dispatch.Candidate | None:
+        """Return a candidate.
+
+        A request without a restriction leaves regions to those that wait for
+        them, if there are others: it would take each slot that ends there.
+        """
+        wanted = self.wanted_regions(state.service.name, state.required_model)
+        if wanted and state.allowed_regions is None:
+            spared = region_restrictions.keep_allowed(
+                candidates, self._regions, frozenset().union(*wanted)
+            )
+            others = [c for c in candidates if c not in spared]
+            found = self._choose_among(state, others)
+            if found is not None:
+                return found
+        return self._choose_among(state, candidates)
+
+    def _choose_among(
+        self,
+        state: request_state_module.RequestState,
+        candidates: list[dispatch.Candidate],
     ) -> dispatch.Candidate | None:
         return dispatch.choose(
             candidates,
--- a/packages/gateway/wasabilanding/gateway/tests/steps/regions_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/regions_steps.py
@@ -14,8 +14,10 @@
 from wasabilanding import routes
 
 KEY = b"k1"
+OTHER_KEY = b"k2"
 # Longer than any request of a scenario.
-EXAMINED_S = 3.0
+EXAMINED_S = 30.0
+HTTP_OK = 200
 
 
 def _allowed(text):
@@ -29,12 +31,15 @@
     """
     keys = frozenset((KEY.decode(),))
     holder = routes.KeyHolder("c", keys, None, _allowed(customer))
+    other = routes.KeyHolder("d", frozenset((OTHER_KEY.decode(),)))
     changed = dataclasses.replace(
         table.routes[0],
         allowed_regions=_allowed(route),
         public=customer == "-",
     )
-    return dataclasses.replace(table, routes=(changed,), key_holders=(holder,))
+    return dataclasses.replace(
+        table, routes=(changed,), key_holders=(holder, other)
+    )
 
 
 @behave.given('the failure domains are in the regions "{pairs}"')
@@ -139,3 +144,47 @@
         )
         context.monitor.observe()
         context.monitor.observe()
+
+
+def _send_often(context, count, period_s, key):
+    """Add requests with a key; keep their callers by the key."""
+    timeline = notices_steps.timeline_of(context)
+    callers = context.callers = getattr(context, "callers", {})
+    found = callers[key] = []
+
+    async def ask():
+        context.system.view.mark_current(0.0)
+        headers = ((b"x-key", key), (b"x-deadline-s", b"6"))
+        found.append(await context.system.ask(headers, fakes.LATE))
+
+    for number in range(count):
+        timeline.add(number * period_s, ask)
+    return timeline
+
+
+@behave.given(
+    "the other customer sends {count:d} late requests, one each {period:g} s"
+)
+def given_others(context, count, period):
+    """Plan the requests of a customer without a restriction."""
+    _send_often(context, count, period, OTHER_KEY)
+
+
+@behave.when(
+    "the customer sends {count:d} late requests, one each {period:g} s"
+)
+def send_often(context, count, period):
+    """Send the requests of both customers."""
+    _send_often(context, count, period, KEY).run()
+
+
+@behave.then(
+    "the customer gets {own:d} answers or more, the other one {other:d} or "
+    "more"
+)
+def check_shares(context, own, other):
+    """Count the answers of both."""
+    for key, least in ((KEY, own), (OTHER_KEY, other)):
+        callers = context.callers[key]
+        found = sum(caller.status == HTTP_OK for caller in callers)
+        assert found >= least, (key, found, len(callers))
--- a/packages/gateway/wasabilanding/gateway/waiting.py
+++ b/packages/gateway/wasabilanding/gateway/waiting.py
@@ -138,6 +138,9 @@
         self._metrics = metrics
         self._rng = rng
         self._pools: dict[str, _Pool] = {}
+        # Names of pools by service and model; their regions differ.
+        self._related: dict[tuple[str, str], list[str]] = {}
+        selector.wanted_regions = self._wanted_regions
         # Pools of plain services, by service.
         self._plain_pools: dict[str, list[_Pool]] = {}
         self._numbers = itertools.count()
@@ -196,7 +199,9 @@
         now = trio.current_time()
         name = pool_name(state)
         if not self._selector.pool_candidates(
-            state.service, state.required_model, state.allowed_regions
+            state.service,
+            state.required_model,
+            allowed=state.allowed_regions,
         ):
             # The selection of an endpoint reports why there is none.
             return None
@@ -270,6 +275,8 @@
                 queue,
             )
             self._pools[name] = pool
+            key = state.service.name, state.required_model
+            self._related.setdefault(key, []).append(name)
             if not state.required_model:
                 plain = self._plain_pools.setdefault(state.service.name, [])
                 plain.append(pool)
@@ -303,6 +310,21 @@
             candidate, pool.queue.known_slot_time_s, now
         )
 
+    def _wanted_regions(
+        self, service: str, model_name: str
+    ) -> list[frozenset[str]]:
+        """Return the regions for which restricted requests wait."""
+        related = self._related.get((service, model_name), ())
+        if len(related) < 2:
+            return []
+        now = trio.current_time()
+        return [
+            self._pools[name].allowed
+            for name in related
+            if self._pools[name].allowed is not None
+            and (self._pools[name].queue or self._reports.of_pool(name, now))
+        ]
+
     def _pool_candidates(
         self, pool: _Pool, only_grantable: bool = True
     ) -> list[dispatch.Candidate]:
