--- a/packages/gateway/wasabilanding/gateway/tests/regions.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/regions.feature
@@ -103,14 +103,14 @@
   # slot of their region.
   Scenario: Requests without a restriction leave others their region
     Given safe requests of up to 3 attempts
-    And endpoints that "answer, answer"
+    And endpoints that "answer, answer, answer"
     And e1 is in failure domain z2
     And the failure domains are in the regions "z1=eu z2=us"
     And requests wait for the one slot of each endpoint
     And the route allows "-" and the customer "eu"
-    And the other customer sends 85 late requests, one each 0.14 s
-    When the customer sends 85 late requests, one each 0.14 s
-    Then the customer gets 30 answers or more, the other one 30 or more
+    And the other customer sends 125 late requests, one each 0.095 s
+    When the customer sends 125 late requests, one each 0.095 s
+    Then the customer gets 62 answers or more, the other one 62 or more
 
   Scenario Outline: A body is sent to a node only in an allowed or the own region
     Given safe requests of up to 2 attempts
