--- a/packages/decisions/wasabilanding/assembly/orders.py
+++ b/packages/decisions/wasabilanding/assembly/orders.py
@@ -140,3 +140,25 @@
             self.pending_epochs.get(member.endpoint_id, 0) > epoch
             for member in replica.members
         )
+
+
+def order_key(order: Order) -> tuple:
+    """Return what identifies repetitions of the same order.
+
+    :param order: the order.
+    """
+    match order:
+        case Join():
+            return "join", order.replica
+        case Open():
+            return "open", order.head.membership.replica_key
+        case Close():
+            return "close", order.head.membership.replica_key, order.at_once
+        case Leave():
+            member = order.endpoint
+            start = fleet.incarnation_of(member)
+            return "leave", start, member.membership.replica_key
+        case Probe():
+            return "probe", fleet.incarnation_of(order.endpoint)
+        case Stage():
+            return "stage", fleet.incarnation_of(order.endpoint), order.model
--- a/packages/decisions/wasabilanding/assembly/planner.py
+++ b/packages/decisions/wasabilanding/assembly/planner.py
@@ -373,7 +373,7 @@
         )
 
     def _is_due(self, order: orders.Order, now: float) -> bool:
-        key = _order_key(order)
+        key = orders.order_key(order)
         if now - self._sent.get(key, float("-inf")) < ORDER_RETRY_S:
             return False
         self._sent[key] = now
@@ -384,21 +384,3 @@
                 if now - at < SENT_ORDER_TTL_S
             }
         return True
-
-
-def _order_key(order: orders.Order) -> tuple:
-    match order:
-        case orders.Join():
-            return "join", order.replica
-        case orders.Open():
-            return "open", order.head.membership.replica_key
-        case orders.Close():
-            return "close", order.head.membership.replica_key, order.at_once
-        case orders.Leave():
-            member = order.endpoint
-            start = fleet.incarnation_of(member)
-            return "leave", start, member.membership.replica_key
-        case orders.Probe():
-            return "probe", fleet.incarnation_of(order.endpoint)
-        case orders.Stage():
-            return "stage", fleet.incarnation_of(order.endpoint), order.model
