--- a/packages/decisions/wasabilanding/assembly/choice.py
+++ b/packages/decisions/wasabilanding/assembly/choice.py
@@ -145,9 +145,9 @@
             for victim in self.victims
             for member in victim.members
         }
-        found = [m for m in self.members if fleet.incarnation_of(m) in taken]
+        starts = set(map(fleet.incarnation_of, self.members))
         cold = count_cold_members(self.members, self.model)
-        return not cold and 2 * len(found) < len(self.members)
+        return not cold and 2 * len(starts & taken) < len(starts)
 
 
 def need(spec: routes.ModelSpec, vms: int) -> float:
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/upgrade_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/upgrade_steps.py
@@ -21,12 +21,6 @@
 FILE_PROGRAM = "from wasabilanding.gateway import main;print(main.__file__)"
 
 
-def _folder(context):
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    return pathlib.Path(folder.name)
-
-
 @functools.cache
 def _earlier():
     """Extract the sources once; return their folder, removed at the end."""
@@ -155,11 +149,13 @@
 )
 def read_from_new(context):
     """Read a commit where there is none."""
-    repository = _folder(context)
+    repository = running.make_folder(context)
     subprocess.run(["git", "init", "-q", str(repository)], check=True)
     commit = earlier_sources.production_commit()
     try:
-        earlier_sources.extract(commit, _folder(context), repository)
+        earlier_sources.extract(
+            commit, running.make_folder(context), repository
+        )
     except earlier_sources.MissingHistory as error:
         context.message = str(error)
 
