Tell late nodes enough crashes to condemn a part by five of them

A part of a prompt is condemned after five crashes in two rounds, but a node that had missed them was told only the first crash of each round: two, where it needs three rounds or five crashes. So requests with the part ended endpoints through each node that started later.

The evidence now has up to five crashes, the first of each round among them.

--- a/packages/decisions/wasabilanding/poison/parts.py
+++ b/packages/decisions/wasabilanding/poison/parts.py
@@ -199,7 +199,12 @@
         :param part: the part.
         :param now: local monotonic time in seconds.
         """
-        return _first_of_rounds(self.notices.valid_crashes(part, now))
+        crashes = self.notices.valid_crashes(part, now)
+        chosen = _first_of_rounds(crashes)[-MANY_CRASHES:]
+        # Many crashes count with fewer rounds.
+        others = [crash for crash in crashes if crash not in chosen]
+        chosen += others[: MANY_CRASHES - len(chosen)]
+        return sorted(chosen, key=lambda crash: crash.at)
 
     def _is_quarantined(self, part: str, crashes: Crashes, now: float) -> bool:
         if not _is_enough(crashes, now):
--- a/packages/decisions/wasabilanding/poison/tests/steps/poison_parts_steps.py
+++ b/packages/decisions/wasabilanding/poison/tests/steps/poison_parts_steps.py
@@ -114,6 +114,15 @@
     context.orders = [events]
 
 
+def _refused_by_evidence(context, now):
+    """Return the parts condemned at a node that has the evidence only."""
+    parts = poison.PartSuspicions(poison.Suspicions())
+    for part in context.parts.quarantined(now):
+        for notice in context.parts.evidence(part, now):
+            parts.notices.merge(notice, now)
+    return "".join(sorted(parts.quarantined(now)))
+
+
 def _refused(context, now):
     return "".join(sorted(context.parts.quarantined(now)))
 
@@ -124,6 +133,8 @@
     for events in context.orders:
         _record(context, events)
         assert _refused(context, now) == parts, _refused(context, now)
+        found = _refused_by_evidence(context, now)
+        assert found == parts, found
 
 
 @behave.then('at {now:g} s a request with "{parts}" is {verdict}')
