--- a/packages/experiments/wasabilanding/experiments/installation/changes.py
+++ b/packages/experiments/wasabilanding/experiments/installation/changes.py
@@ -7,6 +7,7 @@
 import httpx
 import trio
 
+from wasabilanding.experiments.installation import deadly_requests
 from wasabilanding.experiments.installation import engine_changes
 from wasabilanding.experiments.installation import gateway_changes
 from wasabilanding.experiments.installation import launch
@@ -21,6 +22,8 @@
 REVOKE_PROBABILITY = 0.3
 # Chances of an evacuation, relative to another kind of planned change.
 EVACUATION_WEIGHT = 3
+# Chances of a request that ends engines, relative to another kind of fault.
+POISON_WEIGHT = 2
 TIMEOUTS_S = (4.0, 5.0, 6.0)
 KEYS = ("key-1", "key-2")
 
@@ -60,6 +63,7 @@
         self._gateways = gateway_changes.GatewayChanges(*changed)
         self._engines = engine_changes.EngineChanges(*changed)
         self._operators = operator_changes.OperatorChanges(*changed)
+        self._deadly = deadly_requests.DeadlyRequests(*changed)
         self._network = network_faults.NetworkFaults(*changed, proxies)
 
     async def run(self, nursery: trio.Nursery) -> None:
@@ -74,6 +78,8 @@
             kinds += [self._operators.evacuate] * EVACUATION_WEIGHT
         if not self._options.planned_only:
             kinds += self._faults()
+            if self._options.poison:
+                kinds += [self._deadly.send_repeatedly] * POISON_WEIGHT
         async with trio.open_nursery() as pipes:
             for pipe in self._pipes.values():
                 pipes.start_soon(pipe.vary_reading, self._rng, self.record.add)
--- a/packages/experiments/wasabilanding/experiments/installation/options.py
+++ b/packages/experiments/wasabilanding/experiments/installation/options.py
@@ -13,6 +13,7 @@
         changes, which excuses no cut answer.
     :param evacuations: whether failure domains are evacuated beside the other
         planned changes.
+    :param poison: whether requests that end engines are among the faults.
     :param callers: number of concurrent callers.
     :param slow_callers: how many of them pause while they read an answer.
     :param max_events: longest stream in events.
@@ -25,6 +26,7 @@
     planned_only: bool = False
     pauses: bool = False
     evacuations: bool = False
+    poison: bool = False
     callers: int = 12
     slow_callers: int = 0
     max_events: int = 40
--- a/packages/experiments/wasabilanding/experiments/installation/soak.py
+++ b/packages/experiments/wasabilanding/experiments/installation/soak.py
@@ -23,6 +23,7 @@
 from wasabilanding.experiments.installation import changes
 from wasabilanding.experiments.installation import checks
 from wasabilanding.experiments.installation import cuts
+from wasabilanding.experiments.installation import deadly_requests
 from wasabilanding.experiments.installation import evacuation
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation import load
@@ -172,20 +173,24 @@
         except TimeoutError as error:
             recovery_errors.append(f"did not recover: {error}")
         record = self._changes.record
+        runs = await trio.to_thread.run_sync(self._installation.runs)
+        deadly_runs = deadly_requests.runs_of(runs)
+        ended = {run["endpoint"] for run in deadly_runs}
         self.observation = checks.Observation(
             tuple(self._callers.answers),
-            tuple(await trio.to_thread.run_sync(self._installation.runs)),
+            tuple(run for run in runs if run not in deadly_runs),
             tuple(self._installation.engine_violations()),
             record.revoked,
             self._options.planned_only,
             cuts.Excuses(
                 record.terminations,
                 (*cuts.NO_TIMEOUT, *record.timeouts),
-                killed=frozenset(record.killed),
+                killed=frozenset(record.killed | ended),
             ),
             tuple(record.late_exits),
             tuple(record.evacuations),
             await trio.to_thread.run_sync(self._callers_arrivals),
+            tuple(deadly_runs),
         )
         return (*checks.find_violations(self.observation), *recovery_errors)
 
--- a/packages/experiments/wasabilanding/experiments/installation/soak_command.py
+++ b/packages/experiments/wasabilanding/experiments/installation/soak_command.py
@@ -80,6 +80,10 @@
     evacuations: typing.Annotated[
         bool, typer.Option(help="Failure domains are evacuated, too.")
     ] = False,
+    poison: typing.Annotated[
+        bool,
+        typer.Option(help="Requests that end engines are among the faults."),
+    ] = False,
     callers: typing.Annotated[
         int, typer.Option(help="Concurrent callers.")
     ] = DEFAULTS.callers,
@@ -111,6 +115,7 @@
         planned_only=planned or pauses,
         pauses=pauses,
         evacuations=evacuations,
+        poison=poison,
         callers=callers,
         slow_callers=slow,
         max_events=events,
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
@@ -8,6 +8,7 @@
 import httpx
 import trio
 
+from wasabilanding.experiments.installation import deadly_requests
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation.tests import running
 from wasabilanding.standins import registered_engine
@@ -135,26 +136,16 @@
     context.runs = context.installation.runs()
 
 
-def _begun_by_path(runs):
-    found = collections.defaultdict(list)
-    for run in runs:
-        if registered_engine.CRASH_MARKER in run["path"]:
-            found[run["path"]].append(run["begun_at"])
-    return {path: sorted(times) for path, times in found.items()}
-
-
 @behave.then(
     "each ends at most {count:d} endpoints later than {bound:g} s after the "
     "third"
 )
 def check_ended(context, count, bound):
     """Count the runs after the third end of an endpoint."""
-    begun_by_path = _begun_by_path(context.runs)
+    begun_by_path = deadly_requests.begun_by_path(context.runs)
     assert begun_by_path, context.load.statuses
-    crash_after_s = registered_engine.RegisteredSettings().crash_after_s
     for path, begun_at in begun_by_path.items():
-        since = (begun_at[2:3] or begun_at[-1:])[0] + crash_after_s + bound
-        later = [at for at in begun_at if at > since]
+        later = deadly_requests.late_runs(begun_at, bound)
         assert len(later) <= count, (
             f"{path} ended {len(begun_at)} endpoints, {len(later)} of them "
             f"later than {bound} s after the third; {context.load.statuses}"
