--- a/packages/decisions/wasabilanding/assembly/demand.py
+++ b/packages/decisions/wasabilanding/assembly/demand.py
@@ -48,7 +48,7 @@
 # come in bunches, so some wait while others are free.
 SHORT_VM_SHARE = 0.7
 # The demand for a model is not taken to fall while it has less than this part
-# of its share of the VMs. A whole replica may lack to an even share.
+# of its share of the VMs. Rounding to whole replicas leaves it more than that.
 MIN_OPEN_SHARE = 0.5
 
 Shares = dict[str, float]
--- a/packages/experiments/wasabilanding/experiments/installation/changes.py
+++ b/packages/experiments/wasabilanding/experiments/installation/changes.py
@@ -7,7 +7,7 @@
 import httpx
 import trio
 
-from wasabilanding.experiments.installation import deadly_requests
+from wasabilanding.experiments.installation import crashing_requests
 from wasabilanding.experiments.installation import engine_changes
 from wasabilanding.experiments.installation import gateway_changes
 from wasabilanding.experiments.installation import launch
@@ -63,7 +63,7 @@
         self._gateways = gateway_changes.GatewayChanges(*changed)
         self._engines = engine_changes.EngineChanges(*changed)
         self._operators = operator_changes.OperatorChanges(*changed)
-        self._deadly = deadly_requests.DeadlyRequests(*changed)
+        self._crashing = crashing_requests.CrashingRequests(*changed)
         self._network = network_faults.NetworkFaults(*changed, proxies)
 
     async def run(self, nursery: trio.Nursery) -> None:
@@ -79,7 +79,7 @@
         if not self._options.planned_only:
             kinds += self._faults()
             if self._options.poison:
-                kinds += [self._deadly.send_repeatedly] * POISON_WEIGHT
+                kinds += [self._crashing.send_repeatedly] * POISON_WEIGHT
         async with trio.open_nursery() as pipes:
             for pipe in self._pipes.values():
                 pipes.start_soon(pipe.vary_reading, self._rng, self.record.add)
--- a/packages/experiments/wasabilanding/experiments/installation/checks.py
+++ b/packages/experiments/wasabilanding/experiments/installation/checks.py
@@ -5,8 +5,8 @@
 import dataclasses
 import json
 
+from wasabilanding.experiments.installation import crashing_requests
 from wasabilanding.experiments.installation import cuts
-from wasabilanding.experiments.installation import deadly_requests
 from wasabilanding.experiments.installation import evacuation
 from wasabilanding.experiments.installation import load
 
@@ -29,7 +29,7 @@
     :param late_exits: gateways that did not exit in time after a SIGTERM.
     :param evacuations: evacuations of failure domains.
     :param arrivals: callers' requests that reached the engines.
-    :param deadly_runs: requests that end engines, as the engines ran them.
+    :param crashing_runs: requests that end engines, as the engines ran them.
     """
 
     answers: tuple[load.Answer, ...]
@@ -43,7 +43,7 @@
     late_exits: tuple[str, ...] = ()
     evacuations: tuple[evacuation.Evacuation, ...] = ()
     arrivals: tuple[evacuation.Arrival, ...] = ()
-    deadly_runs: tuple[dict, ...] = ()
+    crashing_runs: tuple[dict, ...] = ()
 
 
 def _wrong_answers(
@@ -144,6 +144,6 @@
         *_cut_answers(observation),
         *_late_exits(observation),
         *_late_arrivals(observation),
-        *deadly_requests.find_violations(observation.deadly_runs),
+        *crashing_requests.find_violations(observation.crashing_runs),
         *observation.engine_violations,
     ]
--- a/packages/experiments/wasabilanding/experiments/installation/deadly_requests.py
+++ b/packages/experiments/wasabilanding/experiments/installation/crashing_requests.py
@@ -1,7 +1,7 @@
 """Requests that end each engine that runs them, and what may reach engines.
 
 At most three may reach engines later than some seconds after the request has
-ended its third one: by then all gateways in touch have been told.
+ended its third one: by then all gateways in touch have been notified.
 """
 
 import collections
@@ -20,9 +20,9 @@
 DURATION_RANGE_S = (1.0, 6.0)
 PAUSE_RANGE_S = (0.05, 0.5)
 TIMEOUT_S = 4.0
-# Engines that end before the gateways must have been told.
+# Engines that end before the gateways must have been notified.
 COUNTED_ENDS = 3
-TOLD_S = 4.0
+NOTIFICATION_S = 4.0
 MAX_LATE_RUNS = 3
 
 
@@ -47,7 +47,7 @@
     return {path: sorted(times) for path, times in found.items()}
 
 
-def late_runs(begun_at: list[float], told_s: float) -> list[float]:
+def late_runs(begun_at: list[float], notified_s: float) -> list[float]:
     """Return the runs that began some time after the third engine's end.
 
     Examples
@@ -57,11 +57,11 @@
     [9.0]
 
     :param begun_at: times of day in seconds, in order.
-    :param told_s: seconds in which the gateways are told.
+    :param notified_s: seconds in which the gateways are notified.
     """
     third = (begun_at[COUNTED_ENDS - 1 :] or begun_at[-1:])[0]
     ended_at = third + registered_engine.RegisteredSettings().crash_after_s
-    return [at for at in begun_at if at > ended_at + told_s]
+    return [at for at in begun_at if at > ended_at + notified_s]
 
 
 def find_violations(
@@ -72,15 +72,15 @@
     :param runs: what the engines ran.
     """
     for path, begun_at in begun_by_path(runs).items():
-        late = late_runs(begun_at, TOLD_S)
+        late = late_runs(begun_at, NOTIFICATION_S)
         if len(late) > MAX_LATE_RUNS:
             yield (
                 f"{path}: ended {len(begun_at)} engines, {len(late)} of them "
-                f"later than {TOLD_S} s after the third"
+                f"later than {NOTIFICATION_S} s after the third"
             )
 
 
-class DeadlyRequests:
+class CrashingRequests:
     """Sends such requests, each repeatedly and through any gateway.
 
     :param installation: running installation.
@@ -121,7 +121,7 @@
         gateway = self._rng.choice(self._installation.gateways)
         headers = {
             "host": launch.SITE,
-            "x-request": f"deadly-{next(self._numbers)}",
+            "x-request": f"crashing-{next(self._numbers)}",
             "x-deadline-s": str(TIMEOUT_S),
             "x-key": "key-1",
             "x-model": launch.SMALL.name if kind == "drafts" else "",
--- a/packages/experiments/wasabilanding/experiments/installation/soak.py
+++ b/packages/experiments/wasabilanding/experiments/installation/soak.py
@@ -22,8 +22,8 @@
 from wasabilanding.experiments.installation import callers as callers_module
 from wasabilanding.experiments.installation import changes
 from wasabilanding.experiments.installation import checks
+from wasabilanding.experiments.installation import crashing_requests
 from wasabilanding.experiments.installation import cuts
-from wasabilanding.experiments.installation import deadly_requests
 from wasabilanding.experiments.installation import evacuation
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation import load
@@ -174,11 +174,11 @@
             recovery_errors.append(f"did not recover: {error}")
         record = self._changes.record
         runs = await trio.to_thread.run_sync(self._installation.runs)
-        deadly_runs = deadly_requests.runs_of(runs)
-        ended = {run["endpoint"] for run in deadly_runs}
+        crashing_runs = crashing_requests.runs_of(runs)
+        ended = {run["endpoint"] for run in crashing_runs}
         self.observation = checks.Observation(
             tuple(self._callers.answers),
-            tuple(run for run in runs if run not in deadly_runs),
+            tuple(run for run in runs if run not in crashing_runs),
             tuple(self._installation.engine_violations()),
             record.revoked,
             self._options.planned_only,
@@ -190,7 +190,7 @@
             tuple(record.late_exits),
             tuple(record.evacuations),
             await trio.to_thread.run_sync(self._callers_arrivals),
-            tuple(deadly_runs),
+            tuple(crashing_runs),
         )
         return (*checks.find_violations(self.observation), *recovery_errors)
 
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/crashing_steps.py
@@ -8,7 +8,7 @@
 import httpx
 import trio
 
-from wasabilanding.experiments.installation import deadly_requests
+from wasabilanding.experiments.installation import crashing_requests
 from wasabilanding.experiments.installation import launch
 from wasabilanding.experiments.installation.tests import running
 from wasabilanding.standins import registered_engine
@@ -142,10 +142,10 @@
 )
 def check_ended(context, count, bound):
     """Count the runs after the third end of an endpoint."""
-    begun_by_path = deadly_requests.begun_by_path(context.runs)
+    begun_by_path = crashing_requests.begun_by_path(context.runs)
     assert begun_by_path, context.load.statuses
     for path, begun_at in begun_by_path.items():
-        later = deadly_requests.late_runs(begun_at, bound)
+        later = crashing_requests.late_runs(begun_at, bound)
         assert len(later) <= count, (
             f"{path} ended {len(begun_at)} endpoints, {len(later)} of them "
             f"later than {bound} s after the third; {context.load.statuses}"
