Count a replica's latest crash among the crashes beside another one

Cause: the order of crashes by time, added with the records of quarantines, kept the first time of each replica. A replica whose presumed crash was withdrawn and that crashed later was missing from the later mass event, so that a harmless request in flight there could be condemned.

The new scenario of poison_rules.feature fails without the change (condemned, where suspected is asked for); the feature passes, 31 of 31.

A sentence on the removal of records is worded anew.

--- a/packages/decisions/wasabilanding/poison/records.py
+++ b/packages/decisions/wasabilanding/poison/records.py
@@ -17,8 +17,8 @@
 each further one                          :data:`RANK_DELAY_S` more
 ========================================  =================================
 
-A node that did not succeed tries again after some time. A record that a crash
-which was withdrawn, or an answer, has refuted is removed in the same way.
+A node that did not succeed tries again after some time. A record is removed in
+the same way once one of its crashes is withdrawn or an answer clears it.
 Records end with their quarantines; one that ends soon is not written any more.
 Nothing is to be done on a day without quarantines.
 """
--- a/packages/decisions/wasabilanding/poison/suspicions.py
+++ b/packages/decisions/wasabilanding/poison/suspicions.py
@@ -156,7 +156,7 @@
         self._received_at: dict[tuple[NoticeKind, str, str], float] = {}
         self._crashes: dict[str, set[str]] = collections.defaultdict(set)
         self._requests: dict[str, set[str]] = collections.defaultdict(set)
-        # Times of the replicas' crashes, and the replicas in their order.
+        # Times of the replicas' latest crashes, and the replicas in order.
         self._crashed_at: dict[str, float] = {}
         self._timeline: list[tuple[float, str]] = []
 
@@ -353,9 +353,13 @@
         return True
 
     def _note_time(self, crash: Notice) -> None:
-        if crash.replica not in self._crashed_at:
-            self._crashed_at[crash.replica] = crash.at
-            bisect.insort(self._timeline, (crash.at, crash.replica))
+        known_at = self._crashed_at.get(crash.replica)
+        if known_at is not None:
+            if crash.at <= known_at:
+                return
+            self._forget_time(crash.replica)
+        self._crashed_at[crash.replica] = crash.at
+        bisect.insort(self._timeline, (crash.at, crash.replica))
 
     def _forget_time(self, replica: str) -> None:
         self._timeline.remove((self._crashed_at.pop(replica), replica))
--- a/packages/decisions/wasabilanding/poison/tests/poison_rules.feature
+++ b/packages/decisions/wasabilanding/poison/tests/poison_rules.feature
@@ -31,6 +31,13 @@
       | in order  | 599     | suspected |
       | in order  | 700     | clean     |
 
+  # The time of the presumed crash once stayed that of the replica.
+  Scenario: A replica that crashes after a withdrawn crash is part of the later mass event
+    Given crashes with requests in flight p, p
+    And 4 replicas have presumed crashes at 0 s that are withdrawn
+    When those replicas crash at the time of the last crash
+    Then request "p" is suspected
+
   Scenario: A withdrawn crash does not count in any order of notices
     Given crashes with requests in flight p, p
     When the last crash is withdrawn before its notice arrives
--- a/packages/decisions/wasabilanding/poison/tests/steps/poison_rules_steps.py
+++ b/packages/decisions/wasabilanding/poison/tests/steps/poison_rules_steps.py
@@ -95,6 +95,24 @@
     assert found == ("p",), found
 
 
+@behave.given(
+    "{count:d} replicas have presumed crashes at 0 s that are withdrawn"
+)
+def given_presumed(context, count):
+    """Record crashes under other requests, and withdraw them."""
+    context.others = [(f"r{i}", f"other-{i}") for i in range(count)]
+    for request, replica in context.others:
+        context.suspicions.record_crash(request, replica, 0.0)
+        context.suspicions.withdraw(request, replica, 0.5)
+
+
+@behave.when("those replicas crash at the time of the last crash")
+def crash_others(context):
+    """Record the crashes of the same replicas."""
+    for request, replica in context.others:
+        context.suspicions.record_crash(request, replica, context.now)
+
+
 @behave.given('requests that complete later "{completed}"')
 @behave.given('requests that complete later ""')
 def given_completed(context, completed=""):
