--- a/review/lab/outcome.py
+++ b/review/lab/outcome.py
@@ -45,6 +45,32 @@
     return BROKEN if broken else HELD
 
 
+def check_statuses(record, answers, given) -> int:
+    """Check MIXED: failures with a seal that no engine has given.
+
+    :param record: receives each request that breaks the rule.
+    :param answers: answers by request; None for none.
+    :param given: status that the engines have given to each request.
+    """
+    broken = 0
+    for request_id, answer in answers.items():
+        if answer is None or answer.status == given:
+            continue
+        if "server-seal" in answer.headers:
+            broken += 1
+            seal = answer.headers["server-seal"]
+            record.write(
+                f"MIXED: {request_id} got {answer.status} with seal {seal!r}"
+            )
+    served = sum(1 for a in answers.values() if a and a.status == given)
+    record.write(
+        f"{len(answers)} requests, {served} served, {broken} break the rule"
+    )
+    if served < MIN_SERVED * len(answers):
+        return COULD_NOT_RUN
+    return BROKEN if broken else HELD
+
+
 def check_timeouts(record, answers, timeout_s) -> int:
     """Check CONFIG: requests that are unanswered at their route's timeout.
 
