--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -95,7 +95,7 @@
         with contextlib.suppress(ConnectionError):
             while True:
                 request = await http.read_message(reader)
-                if request is None:
+                if request is None or not request.is_whole:
                     break
                 self.calls[request.path] = self.calls.get(request.path, 0) + 1
                 status, document = await self._handle(request)
--- a/review/lab/system.py
+++ b/review/lab/system.py
@@ -19,6 +19,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.2
+# Time in which connections end.
+CLOSE_S = 0.1
 HOST = "shop.example"
 KEY = "key-1"
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r1"}
@@ -167,7 +169,7 @@
         self.store.close()
         for found in self.engines:
             found.close()
-        await asyncio.sleep(0)
+        await asyncio.sleep(CLOSE_S)
         keep = os.environ.get("LAB_KEEP")
         if keep:
             target = pathlib.Path(keep)
