Bound the time that the parts of a reply take of the node

Cause: 64 KiB in such chunks are some ten thousand parts. The HTTP client passed on each of them without a turn for another task, and bounds on replies counted bytes only. A single such answer is enough; twelve at once are worse.

Ruled out: yielding once a read only, which gives each sound request one turn among many turns of half a second.

A caller's body in chunks of one byte already left others their turns (small_requests.feature holds before and after).

--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -28,7 +28,8 @@
 :class:`PoolQueue` of their node.
 
 The gateway also bounds the memory that requests take, at the node
-(:func:`memory_obstacle`) and at the endpoints (:func:`free_tokens`).
+(:func:`memory_obstacle`) and at the endpoints (:func:`free_tokens`), and the
+time that it spends on reading replies (:class:`ReadShares`).
 
 The functions take the time as an argument and perform no input or output.
 
@@ -85,6 +86,8 @@
 from wasabilanding.limits.pool_share import backlog_slots
 from wasabilanding.limits.pool_share import max_min
 from wasabilanding.limits.pool_share import PoolState
+from wasabilanding.limits.read_share import ReadShare
+from wasabilanding.limits.read_share import ReadShares
 from wasabilanding.limits.return_schedule import ReturnSchedule
 from wasabilanding.limits.run_time import RunTime
 from wasabilanding.limits.share import concurrency_limit
@@ -111,6 +114,8 @@
     "PoolQueue",
     "PoolRequest",
     "PoolState",
+    "ReadShare",
+    "ReadShares",
     "ReturnSchedule",
     "RunTime",
     "Shed",
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -422,14 +422,18 @@
         async for chunk in reply.chunks():
             self._record_progress()
             held.grow(len(chunk))
-            try:
-                events = splitter.feed(chunk)
-            except reply_bounds.BoundExceeded as error:
-                raise upstream_module.bound_failure(error) from None
-            if events:
-                with self._waiting_for_caller():
-                    await self._answer.deliver(self, head, events)
-                held.resize(splitter.remaining_bytes)
+            for piece in sse.pieces(chunk):
+                try:
+                    events = splitter.feed(piece)
+                except reply_bounds.BoundExceeded as error:
+                    raise upstream_module.bound_failure(error) from None
+                if events:
+                    with self._waiting_for_caller():
+                        await self._answer.deliver(self, head, events)
+                    held.resize(splitter.remaining_bytes)
+                if len(events) > 1:
+                    # The first one counts as the part that was read.
+                    await reply.pace(len(events) - 1)
         if splitter.remainder:
             raise upstream_module.AttemptFailed(
                 model.may_have_run(
--- a/packages/gateway/wasabilanding/gateway/endpoint_guard.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_guard.py
@@ -36,6 +36,8 @@
 RETURN_SPREAD_S = 0.3
 # Statuses by which an endpoint states that it does not accept a request.
 REFUSAL_STATUSES = (421, 429, 503)
+# Time for which an endpoint is avoided whose replies take too much work.
+EXCESS_AVOID_S = 6.0
 # Another endpoint than the intended one may give such a reply.
 MISDIRECTED = 421
 Purpose = upstream_module.Purpose
@@ -181,6 +183,26 @@
         self._record_cold(endpoint, status, notice, now)
         return notice
 
+    def avoid_excess(self, endpoint: fleet.Endpoint, waited_s: float) -> None:
+        """Avoid an endpoint whose reply takes more than its share.
+
+        :param endpoint: the endpoint.
+        :param waited_s: seconds for which the reply had to wait.
+        """
+        self._tracker.avoid(
+            fleet.incarnation_of(endpoint),
+            trio.current_time(),
+            EXCESS_AVOID_S,
+        )
+        _LOG.warning(
+            "reply of %s is read slowly, as it has too many small parts",
+            endpoint.endpoint_id,
+            extra={
+                "endpoint": endpoint.endpoint_id,
+                "waited_s": round(waited_s, 3),
+            },
+        )
+
     def _record_cold(
         self,
         endpoint: fleet.Endpoint,
@@ -324,6 +346,10 @@
         self.settle(status not in REFUSAL_STATUSES)
         return self._guard.obey(self._endpoint, self._purpose, status, headers)
 
+    def record_excess(self, waited_s: float) -> None:
+        """Have the endpoint avoided for a time."""
+        self._guard.avoid_excess(self._endpoint, waited_s)
+
     def settle(self, is_accepted: bool | None) -> None:
         """Record the reply, or that there was none, once.
 
--- a/packages/gateway/wasabilanding/gateway/endpoint_transport.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_transport.py
@@ -1,120 +1,50 @@
-"""HTTP transport to one endpoint that reads streams at a lower cost.
-
-Explanation
-===========
-
-:mod:`httpcore` begins a time limit for each read, even if none is given. For
-streams of many small events it costs about as much as the read, so
-:class:`_Stream` reads without one. All else is left to the libraries: httpcore
-takes a network backend, and httpx a transport.
-"""
+"""HTTP transport to one endpoint, over connections that are used again."""
 
 import collections.abc
-import contextlib
-import ssl
 import typing
 
-import httpcore
 import httpx
 import trio
 
+from wasabilanding.gateway import endpoint_connection
+from wasabilanding import limits
 
-class _Stream(httpcore.AsyncNetworkStream):
-    """A connection; reads without a time limit begin none.
-
-    :param inner: the connection as the library made it.
-    """
-
-    def __init__(self, inner: httpcore.AsyncNetworkStream) -> None:
-        self._inner = inner
-        self._socket = inner.get_extra_info("socket")
-
-    async def read(
-        self, max_bytes: int, timeout: float | None = None
-    ) -> bytes:
-        """Return the bytes that arrive next; none at the end."""
-        if timeout is not None:
-            return await self._inner.read(max_bytes, timeout)
-        try:
-            return await self._socket.recv(max_bytes)
-        except (OSError, trio.ClosedResourceError) as error:
-            raise httpcore.ReadError(
-                f"socket connection broken: {error}"
-            ) from error
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write bytes."""
-        await self._inner.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        """Close the connection."""
-        await self._inner.aclose()
-
-    async def start_tls(
-        self,
-        ssl_context: ssl.SSLContext,
-        server_hostname: str | None = None,
-        timeout: float | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Return an encrypted connection."""
-        return await self._inner.start_tls(
-            ssl_context, server_hostname, timeout
-        )
-
-    def get_extra_info(self, info: str) -> typing.Any:
-        """Return a property of the connection."""
-        return self._inner.get_extra_info(info)
-
-
-class _Backend(httpcore.TrioBackend):
-    """Establishes connections as the library does."""
-
-    async def connect_tcp(
-        self, *args: typing.Any, **kwargs: typing.Any
-    ) -> httpcore.AsyncNetworkStream:
-        """Return a new connection."""
-        return _Stream(await super().connect_tcp(*args, **kwargs))
-
-
-@contextlib.contextmanager
-def _httpx_errors() -> collections.abc.Iterator[None]:
-    """Raise the errors of httpcore as those of httpx, of the same names."""
-    try:
-        yield
-    except (
-        httpcore.NetworkError,
-        httpcore.TimeoutException,
-        httpcore.ProtocolError,
-        httpcore.UnsupportedProtocol,
-        httpcore.ProxyError,
-    ) as error:
-        name = type(error).__name__
-        raise getattr(httpx, name)(str(error)) from error
+# Event of a request's trace just before it is sent on a connection.
+SENDING = "sending"
+# Extension of a response: its connection.
+CONNECTION = "connection"
 
 
 class _Body(httpx.AsyncByteStream):
     """Body of a response.
 
     :param parts: its parts as they arrive.
+    :param end: ends the exchange.
     """
 
-    def __init__(self, parts: typing.Any) -> None:
+    def __init__(
+        self,
+        parts: collections.abc.AsyncIterator[bytes],
+        end: collections.abc.Callable[[], None],
+    ) -> None:
         self._parts = parts
+        self._end = end
+        self._is_ended = False
 
-    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        with _httpx_errors():
-            async for part in self._parts:
-                yield part
+    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        return self._parts
 
     async def aclose(self) -> None:
         """End the response; the connection is kept if the body was read."""
-        await self._parts.aclose()
+        if not self._is_ended:
+            self._is_ended = True
+            self._end()
 
 
 class EndpointTransport(httpx.AsyncBaseTransport):
     """Connections to one endpoint, as of :class:`httpx.AsyncHTTPTransport`.
 
-    :param ssl_context: context of encrypted connections.
+    :param share: share of the endpoint in the node's reading.
     :param keepalive_expiry_s: seconds after which an idle connection is not
         used again.
     :param socket_options: options of the sockets.
@@ -122,48 +52,103 @@
 
     def __init__(
         self,
-        ssl_context: ssl.SSLContext,
+        share: limits.ReadShare,
         keepalive_expiry_s: float,
-        socket_options: collections.abc.Iterable[tuple[int, int, int]],
+        socket_options: endpoint_connection.SocketOptions,
     ) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            ssl_context=ssl_context,
-            max_connections=None,
-            max_keepalive_connections=None,
-            keepalive_expiry=keepalive_expiry_s,
-            socket_options=socket_options,
-            network_backend=_Backend(),
-        )
+        self._share = share
+        self._keepalive_expiry_s = keepalive_expiry_s
+        self._socket_options = tuple(socket_options)
+        # The one that was used last stands at the end.
+        self._idle: list[endpoint_connection.EndpointConnection] = []
+        self._is_closed = False
 
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
         """Send a request and return the response when its head has arrived.
 
-        :param request: the request.
+        :param request: the request. Its extensions are those of httpx, and
+            the trace receives :data:`SENDING` only.
         """
-        url = request.url
-        sent = httpcore.Request(
-            method=request.method,
-            url=httpcore.URL(
-                scheme=url.raw_scheme,
-                host=url.raw_host,
-                port=url.port,
-                target=url.raw_path,
-            ),
-            headers=request.headers.raw,
-            content=request.stream,
-            extensions=request.extensions,
-        )
-        with _httpx_errors():
-            reply = await self._pool.handle_async_request(sent)
+        timeout = request.extensions.get("timeout", {})
+        connection = await self._connection(request)
+        await self._check(request, connection)
+        try:
+            await connection.send(request, timeout.get("write"))
+            head = await connection.read_head(timeout.get("read"))
+        except BaseException:
+            connection.close()
+            raise
         return httpx.Response(
-            status_code=reply.status,
-            headers=reply.headers,
-            stream=_Body(reply.stream),
-            extensions=reply.extensions,
+            status_code=head.status_code,
+            headers=head.headers.raw_items(),
+            stream=_Body(
+                connection.read_body(timeout.get("read")),
+                lambda: self._end_exchange(connection),
+            ),
+            extensions={CONNECTION: connection},
         )
 
     async def aclose(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
+        """Close all connections that are idle, and the others at their end."""
+        self._is_closed = True
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def _connection(
+        self, request: httpx.Request
+    ) -> endpoint_connection.EndpointConnection:
+        """Return an idle connection, or a new one."""
+        self._close_expired()
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_readable:
+                return connection
+            connection.close()
+        timeout = request.extensions.get("timeout", {})
+        stream = await endpoint_connection.connect(
+            request.url.host,
+            request.url.port or 80,
+            self._socket_options,
+            timeout.get("connect"),
+        )
+        return endpoint_connection.EndpointConnection(stream, self._share)
+
+    async def _check(
+        self,
+        request: httpx.Request,
+        connection: endpoint_connection.EndpointConnection,
+    ) -> None:
+        """Check that a request may be sent, now that it has a connection."""
+        trace: typing.Any = request.extensions.get("trace")
+        if trace is None:
+            return
+        try:
+            await trace(SENDING, {})
+        except BaseException:
+            self._keep(connection)
+            raise
+
+    def _end_exchange(
+        self, connection: endpoint_connection.EndpointConnection
+    ) -> None:
+        if connection.end_exchange():
+            self._keep(connection)
+        else:
+            connection.close()
+
+    def _keep(
+        self, connection: endpoint_connection.EndpointConnection
+    ) -> None:
+        if self._is_closed:
+            connection.close()
+            return
+        connection.idle_since = trio.current_time()
+        self._idle.append(connection)
+
+    def _close_expired(self) -> None:
+        used_after = trio.current_time() - self._keepalive_expiry_s
+        while self._idle and self._idle[0].idle_since < used_after:
+            self._idle.pop(0).close()
--- a/packages/gateway/wasabilanding/gateway/sse.py
+++ b/packages/gateway/wasabilanding/gateway/sse.py
@@ -4,14 +4,18 @@
 only the id is parsed. Lines may end in LF or CRLF.
 """
 
+import collections.abc
 import dataclasses
 import re
 
 from wasabilanding.gateway import reply_bounds
 
 _END = re.compile(rb"\r?\n\r?\n")
+_LINE = re.compile(rb"\n")
 _ID = re.compile(rb"(?:^|\n)id: ?([0-9]{1,18})\r?(?:\n|$)")
 _DATA = re.compile(rb"(?:^|\n)data")
+# Lines that are handled at once; they take about a millisecond.
+MAX_LINES = 256
 # Bytes of the end of an event that may be part of what was searched before.
 _OVERLAP = len(b"\r\n\r\n") - 1
 
@@ -33,6 +37,31 @@
         return _DATA.search(self.data) is not None
 
 
+def pieces(received: bytes) -> collections.abc.Iterator[bytes]:
+    """Yield received bytes in pieces of a bounded number of lines.
+
+    A read may hold thousands of tiny events, which would occupy the node if
+    they were handled at once.
+
+    :param received: bytes as read from the connection.
+
+    Examples
+    ========
+
+    >>> from wasabilanding.gateway import sse
+    >>> [len(piece) for piece in sse.pieces(b"a" + b"\\n" * 300)]
+    [257, 44]
+    """
+    start = 0
+    if received.count(b"\n") > MAX_LINES:
+        for number, end in enumerate(_LINE.finditer(received), 1):
+            if number % MAX_LINES == 0:
+                yield received[start : end.end()]
+                start = end.end()
+    if start < len(received):
+        yield received[start:]
+
+
 class EventSplitter:
     """Buffers received bytes and returns the events that they complete.
 
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -16,16 +16,17 @@
 import logging
 import re
 import socket
-import ssl
 import typing
 
 import httpx
 import trio
 
 from wasabilanding import fleet
+from wasabilanding.gateway import endpoint_connection
 from wasabilanding.gateway import endpoint_transport
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import reply_bounds
+from wasabilanding import limits
 from wasabilanding import model
 
 CONNECT_TIMEOUT_S = 0.4
@@ -55,8 +56,9 @@
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 JSON_HEADERS = [(b"content-type", b"application/json")]
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
-# Event of the connection just before it sends a request.
-SENDING = "http11.send_request_headers.started"
+SENDING = endpoint_transport.SENDING
+# An endpoint whose reply has waited for its share for longer is avoided.
+MAX_WAITED_S = 0.25
 # Reasons of attempts whose endpoint may be unreachable.
 UNREACHABLE_REASONS = (
     model.Reason.CONNECT_FAILED,
@@ -138,6 +140,12 @@
         """
         return messages.EndpointNotice()
 
+    def record_excess(self, waited_s: float) -> None:
+        """Record that the reply takes more than the endpoint's share.
+
+        :param waited_s: seconds for which it had to wait.
+        """
+
 
 @contextlib.contextmanager
 def admit_all(
@@ -186,6 +194,12 @@
         sent_at: float = float("inf"),
     ) -> None:
         self._response = response
+        self._permit = permit
+        self._is_excessive = False
+        # None for transports of tests.
+        self._connection: endpoint_connection.EndpointConnection | None = (
+            response.extensions.get(endpoint_transport.CONNECTION)
+        )
         self.sent_at = sent_at
         self.status = response.status_code
         self.headers = [
@@ -204,10 +218,29 @@
         stream = typing.cast(httpx.AsyncByteStream, self._response.stream)
         try:
             async for chunk in stream:
+                self._check_excess()
                 yield chunk
         except httpx.HTTPError as error:
             raise _failure(error) from None
 
+    def _check_excess(self) -> None:
+        """Record once that the reply takes more than the endpoint's share."""
+        if self._connection is None or self._is_excessive:
+            return
+        waited_s = self._connection.waited_s
+        if waited_s > MAX_WAITED_S:
+            self._is_excessive = True
+            self._permit.record_excess(waited_s)
+
+    async def pace(self, parts: int) -> None:
+        """Let other tasks run; wait if the endpoint's share is exceeded.
+
+        :param parts: parts of the reply that have been handled.
+        """
+        if self._connection is not None:
+            await self._connection.pace(parts)
+        await trio.lowlevel.checkpoint()
+
     async def bounded_chunks(
         self, what: str, max_bytes: int
     ) -> collections.abc.AsyncIterator[bytes]:
@@ -333,7 +366,7 @@
         bounds: reply_bounds.ReplyBounds = reply_bounds.DEFAULT,
     ) -> None:
         self.bounds = bounds
-        self._ssl = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        self._read_shares = limits.ReadShares()
         self._make_pool = make_transport or self._make_transport
         # Connections to an earlier start may be dead without a reset.
         self._pools: dict[fleet.Incarnation, _Pool] = {}
@@ -358,7 +391,9 @@
         self, idle_timeout_s: float
     ) -> httpx.AsyncBaseTransport:
         return endpoint_transport.EndpointTransport(
-            self._ssl, idle_timeout_s * IDLE_FRACTION, TCP_KEEPALIVE
+            self._read_shares.endpoint(),
+            idle_timeout_s * IDLE_FRACTION,
+            TCP_KEEPALIVE,
         )
 
     @property
