Carry no two requests with one id on a connection to an endpoint

Callers saw: a success where their endpoint had answered with a failure (MIXED). Reproduced with real processes: endpoints send each success once more where the next answer is due, and callers send each safe request twice under one id.

Cause: the id alone tells a late answer from the true one, and it is the caller's: it stays the same when a request is sent again, and nothing kept both off one connection.

Change: a connection remembers the ids of its last 64 requests and carries none of them again.

Ruled out: a success without an id is not relayed, before or now.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -264,6 +264,7 @@
             check=functools.partial(
                 self._context.check_regions, state, self._endpoint
             ),
+            request_id=state.request.request_id,
         )
         async with sent as reply:
             self._connected_at = reply.sent_at
--- a/packages/gateway/wasabilanding/gateway/endpoint_connection.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_connection.py
@@ -11,6 +11,7 @@
 share (:mod:`wasabilanding.limits`) is read more slowly.
 """
 
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -23,6 +24,8 @@
 
 from wasabilanding import limits
 
+# Extension of a request: its identity, if it is a caller's.
+REQUEST_ID = "request_id"
 READ_BYTES = 64 * 1024
 # Heads, trailers and chunk headers that are longer are errors.
 MAX_HEAD_BYTES = 100 * 1024
@@ -31,6 +34,9 @@
 # Interim answers (1xx) of one reply; more are an error.
 MAX_INTERIM_ANSWERS = 100
 
+# An answer is not expected to come again later than after so many others.
+REMEMBERED_IDS = 64
+
 SocketOptions = collections.abc.Iterable[tuple[int, int, int]]
 
 
@@ -95,6 +101,11 @@
 class EndpointConnection:
     """A connection that carries one exchange after the other.
 
+    An endpoint may send an answer once more where the answer to the next
+    request is due, and the request's id alone tells the two apart. So a
+    connection carries no two requests with the same id: a caller may send a
+    request again, and another node may hand it on.
+
     :param stream: the connection.
     :param share: share of the endpoint.
     """
@@ -105,6 +116,9 @@
         self._stream = stream
         self._share = share
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._recent_ids: collections.deque[str] = collections.deque(
+            maxlen=REMEMBERED_IDS
+        )
         # Seconds for which the current reply had to wait for its share.
         self.waited_s = 0.0
         # Local monotonic time in seconds from which it is idle.
@@ -120,6 +134,13 @@
             return True
         return bool(poll.poll(0))
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a request may be sent on this connection.
+
+        :param request_id: identity of the request; empty for none.
+        """
+        return request_id not in self._recent_ids
+
     async def send(
         self, request: httpx.Request, timeout_s: float | None
     ) -> None:
@@ -134,6 +155,9 @@
         :raises httpx.WriteTimeout: if it takes too long.
         """
         self.waited_s = 0.0
+        request_id = request.extensions.get(REQUEST_ID)
+        if request_id:
+            self._recent_ids.append(request_id)
         target = request.extensions.get("target", request.url.raw_path)
         body = request.content
         try:
--- a/packages/gateway/wasabilanding/gateway/endpoint_transport.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_transport.py
@@ -101,12 +101,9 @@
         self, request: httpx.Request
     ) -> endpoint_connection.EndpointConnection:
         """Return an idle connection, or a new one."""
-        self._close_expired()
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_readable:
-                return connection
-            connection.close()
+        connection = self._take_idle(request)
+        if connection is not None:
+            return connection
         timeout = request.extensions.get("timeout", {})
         stream = await endpoint_connection.connect(
             request.url.host,
@@ -116,6 +113,25 @@
         )
         return endpoint_connection.EndpointConnection(stream, self._share)
 
+    def _take_idle(
+        self, request: httpx.Request
+    ) -> endpoint_connection.EndpointConnection | None:
+        """Return an idle connection that may carry a request, if any.
+
+        One on which something has arrived is not used again: nothing that
+        arrives before a request is sent belongs to it.
+        """
+        request_id = request.extensions.get(endpoint_connection.REQUEST_ID, "")
+        self._close_expired()
+        for connection in reversed(self._idle.copy()):
+            if connection.is_readable:
+                self._idle.remove(connection)
+                connection.close()
+            elif connection.may_carry(request_id):
+                self._idle.remove(connection)
+                return connection
+        return None
+
     async def _check(
         self,
         request: httpx.Request,
--- a/packages/gateway/wasabilanding/gateway/tests/steps/endless_replies_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/endless_replies_steps.py
@@ -1,15 +1,14 @@
 """Steps for replies without end, over loopback."""
 
 import contextlib
-import functools
 
 import behave
 import trio
 
 from wasabilanding import fleet
-from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import reply_bounds
 from wasabilanding.gateway.tests import fakes
+from wasabilanding.gateway.tests import loopback
 from wasabilanding.gateway import upstream as upstream_module
 
 MIB = 1024 * 1024
@@ -109,39 +108,6 @@
         await stream.receive_some()
 
 
-class _System(fakes.System):
-    """A forwarder before one listener."""
-
-    def __init__(self, port, table):
-        super().__init__({}, table)
-        self.endpoint = fleet.Endpoint(
-            "e0", "service", "127.0.0.1", port, "z1", slots=9
-        )
-        self.view.registry.put(self.endpoint)
-        self.crash_guard = crash_guard.CrashGuard(
-            self.view, self.tracker, self.metrics
-        )
-
-    def upstream(self):
-        """Return real connections."""
-        found = upstream_module.Upstream(bounds=BOUNDS)
-        found.require_permits(self.guard.admit)
-        return found
-
-
-async def _system(nursery, endpoint, table):
-    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    nursery.start_soon(
-        functools.partial(
-            trio.serve_listeners,
-            endpoint.serve,
-            [listener],
-            handler_nursery=nursery,
-        )
-    )
-    return _System(listener.socket.getsockname()[1], table)
-
-
 @behave.given("an endpoint that replies with {reply} without end")
 def given_endless(context, reply):
     """Make an endpoint."""
@@ -177,9 +143,11 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            first = await _system(nursery, context.endpoint, table)
+            first = await loopback.system(
+                nursery, context.endpoint, table, BOUNDS
+            )
             sound = _Endpoint("an answer", 100)
-            other = await _system(
+            other = await loopback.system(
                 nursery, sound, fakes.table("safe", False, 1)
             )
             async with trio.open_nursery() as asking:
@@ -210,9 +178,11 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            first = await _system(nursery, context.endpoint, table)
+            first = await loopback.system(
+                nursery, context.endpoint, table, BOUNDS
+            )
             others = [
-                await _system(
+                await loopback.system(
                     nursery,
                     _Endpoint("an answer", 100),
                     fakes.table("safe", False, 1),
@@ -241,7 +211,9 @@
     async def run():
         table = fakes.table("safe", False, 1)
         async with trio.open_nursery() as nursery:
-            system = await _system(nursery, context.endpoint, table)
+            system = await loopback.system(
+                nursery, context.endpoint, table, BOUNDS
+            )
             started_at = trio.current_time()
             context.failure = None
             async with system.upstream() as upstream:
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -441,6 +441,7 @@
         timeout: dict[str, float | None] = TIMEOUT,
         purpose: Purpose = Purpose.CALLER,
         check: collections.abc.Callable[[], None] = _check_nothing,
+        request_id: str = "",
     ) -> collections.abc.AsyncIterator[Reply]:
         """Send a request and yield its reply.
 
@@ -453,6 +454,7 @@
         :param purpose: what the request is for.
         :param check: raises :class:`AttemptFailed` if this request may not be
             sent to the endpoint any more, like a permit.
+        :param request_id: identity of a caller's request; empty for none.
         :raises AttemptFailed: if no reply is received, or if nothing may be
             sent to the endpoint now.
         """
@@ -468,6 +470,7 @@
                     "target": target,
                     "timeout": timeout,
                     "trace": trace,
+                    endpoint_connection.REQUEST_ID: request_id,
                 },
             )
             async with self._replied(endpoint, request) as response:
