Take no reply of an earlier request for that of a later one

Cause: bytes left over behind a complete reply were read as the next one on the connection, and a refusal or failure without a request's id counted as that of the request that was sent last.

Change: a connection with bytes behind its reply is closed. A reply without an id counts on a new connection only, and only as a refusal. A reply with two ids belongs to another request. A reply that names a caller's request is none to an order or a report.

Ruled out: to believe refusals without an id on a kept connection: the endpoint has read the request there and echoes its id.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -277,6 +277,7 @@
                 state.request,
                 reply.status,
                 relays.without_own(reply.headers),
+                reply.is_first,
             )
             if head.kind is messages.ReplyKind.NOT_RUN:
                 return self._refusal_outcome(head)
--- a/packages/gateway/wasabilanding/gateway/endpoint_connection.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_connection.py
@@ -15,6 +15,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import logging
 import select
 import typing
 
@@ -37,6 +38,8 @@
 # An answer is not expected to come again later than after so many others.
 REMEMBERED_IDS = 64
 
+_LOG = logging.getLogger(__name__)
+
 SocketOptions = collections.abc.Iterable[tuple[int, int, int]]
 
 
@@ -104,7 +107,8 @@
     An endpoint may send an answer once more where the answer to the next
     request is due, and the request's id alone tells the two apart. So a
     connection carries no two requests with the same id: a caller may send a
-    request again, and another node may hand it on.
+    request again, and another node may hand it on. Nothing follows a reply
+    behind which more has arrived: those bytes belong to no request.
 
     :param stream: the connection.
     :param share: share of the endpoint.
@@ -119,11 +123,17 @@
         self._recent_ids: collections.deque[str] = collections.deque(
             maxlen=REMEMBERED_IDS
         )
+        self._exchanges = 0
         # Seconds for which the current reply had to wait for its share.
         self.waited_s = 0.0
         # Local monotonic time in seconds from which it is idle.
         self.idle_since = 0.0
 
+    @property
+    def is_first_exchange(self) -> bool:
+        """Whether no exchange came before the current one."""
+        return self._exchanges <= 1
+
     @property
     def is_readable(self) -> bool:
         """Whether bytes, or the end of the connection, have arrived."""
@@ -155,6 +165,7 @@
         :raises httpx.WriteTimeout: if it takes too long.
         """
         self.waited_s = 0.0
+        self._exchanges += 1
         request_id = request.extensions.get(REQUEST_ID)
         if request_id:
             self._recent_ids.append(request_id)
@@ -250,6 +261,10 @@
         states = self._http.our_state, self._http.their_state
         if states != (h11.DONE, h11.DONE):
             return False
+        left_over, _ = self._http.trailing_data
+        if left_over:
+            _LOG.warning("%d bytes follow a complete reply", len(left_over))
+            return False
         self._http.start_next_cycle()
         return True
 
--- a/packages/gateway/wasabilanding/gateway/messages.py
+++ b/packages/gateway/wasabilanding/gateway/messages.py
@@ -129,6 +129,7 @@
     :param cold_left_s: seconds for which the endpoint stays cold, 0 if it is
         not; None if it does not say.
     :param invalid_cold_left: a value that is no such time; None for none.
+    :param names_request: whether the reply names a caller's request.
     """
 
     is_leaving: bool = False
@@ -138,6 +139,7 @@
     invalid_limit: str | None = None
     cold_left_s: float | None = None
     invalid_cold_left: str | None = None
+    names_request: bool = False
 
 
 class InvalidHead(ValueError):
@@ -176,9 +178,17 @@
         """
 
     def read_reply(
-        self, request: CallerRequest, status: int, headers: list[Header]
+        self,
+        request: CallerRequest,
+        status: int,
+        headers: list[Header],
+        is_first: bool = True,
     ) -> ReplyHead:
-        """Decode the head of an endpoint's reply."""
+        """Decode the head of an endpoint's reply.
+
+        :param is_first: whether it is the first reply on its connection, so
+            that it cannot belong to an earlier request.
+        """
 
     def read_notice(
         self, status: int, headers: list[Header]
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -191,16 +191,20 @@
     request: messages.CallerRequest,
     status: int,
     headers: list[messages.Header],
+    is_first: bool = True,
 ) -> messages.ReplyHead:
     """Decode the head of an endpoint's reply.
 
     :param request: the request that was sent.
     :param status: HTTP status.
     :param headers: its headers, names in lower case.
+    :param is_first: whether it is the first reply on its connection; of no
+        account here, as each reply names its request.
     """
     fields = dict(headers)
     kind = messages.ReplyKind.ANSWER
-    if fields.get(b"x-request") != request.request_id.encode("latin-1"):
+    echoed = {value for name, value in headers if name == b"x-request"}
+    if echoed != {request.request_id.encode("latin-1")}:
         kind = messages.ReplyKind.MISMATCHED
     elif b"x-not-run" in fields:
         kind = messages.ReplyKind.NOT_RUN
@@ -236,6 +240,9 @@
         invalid_retry_after,
         *named_limit.read_limit(LIMIT, headers),
         *cold_left.read_cold_left(COLD, headers),
+        names_request=any(
+            name == b"x-request" and value for name, value in headers
+        ),
     )
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -400,6 +400,10 @@
     :param settings: settings of the node.
     """
 
+    wire = plain_wire
+    # Of each request.
+    headers = HEADERS
+
     def __init__(self, scripts, found, settings=SETTINGS):
         self.settings = settings
         self.waiting_reports = limits.WaitingReports()
@@ -409,7 +413,7 @@
         self.caller_read_s = 0.0
         self.endpoints = FakeEndpoints(scripts)
         self.view = cluster_view_module.ClusterView(
-            plain_wire, trio.current_time
+            self.wire, trio.current_time
         )
         self.view.table = found
         self.view.revision = model.StoreRevision(number=1)
@@ -423,7 +427,7 @@
         self.guard = endpoint_guard.EndpointGuard(
             self.view,
             self.tracker,
-            plain_wire,
+            self.wire,
             self.metrics,
             self.grants,
             self.reported_leaving.append,
@@ -464,7 +468,7 @@
                 self.settings,
                 self.view,
                 upstream,
-                plain_wire,
+                self.wire,
                 self.metrics,
                 self.tracker,
                 self.reported.append,
@@ -493,7 +497,9 @@
         """
         caller = Caller(self.caller_read_s)
         path = target.decode().partition("?")[0]
-        head = messages.RequestHead("POST", target, path, (*HEADERS, *headers))
+        head = messages.RequestHead(
+            "POST", target, path, (*self.headers, *headers)
+        )
         response = inbound.ResponseWriter(caller.send, lambda: False)
         begun_at = trio.current_time()
         async with self.forwarder() as forwarder:
--- a/packages/gateway/wasabilanding/gateway/tests/loopback.py
+++ b/packages/gateway/wasabilanding/gateway/tests/loopback.py
@@ -37,13 +37,16 @@
         return found
 
 
-async def system(nursery, endpoint, table, bounds=reply_bounds.DEFAULT):
+async def system(
+    nursery, endpoint, table, bounds=reply_bounds.DEFAULT, make=System
+):
     """Return a system before an endpoint.
 
     :param nursery: runs the listener.
     :param endpoint: serves a connection.
     :param table: routing table.
     :param bounds: bounds on replies.
+    :param make: class of the system.
     """
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
     nursery.start_soon(
@@ -54,4 +57,4 @@
             handler_nursery=nursery,
         )
     )
-    return System(listener.socket.getsockname()[1], table, bounds)
+    return make(listener.socket.getsockname()[1], table, bounds)
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -210,6 +210,11 @@
         # Nothing but the end of the connection marks the end of its body.
         self.ends_with_connection = names.isdisjoint(FRAMING_HEADERS)
 
+    @property
+    def is_first(self) -> bool:
+        """Whether it is the first reply on its connection."""
+        return self._connection is None or self._connection.is_first_exchange
+
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -522,6 +527,13 @@
                 purpose,
             )
             async with sent as reply:
+                if reply.notice.names_request:
+                    raise AttemptFailed(
+                        model.may_have_run(
+                            model.Reason.CONNECTION_LOST,
+                            f"{path}: the reply is to a caller's request",
+                        )
+                    )
                 text = await reply.read(
                     f"reply to {path}", self.bounds.failure_bytes
                 )
