Read lists entry by entry; accept usable addresses only

An odd entry of another writer among those of the endpoints hid the others or raised an error that nothing expects.

Shown: with the project's own form, an endpoint with a port of many digits or a host of 300 characters was listed, and what was sent to it raised OverflowError or UnicodeError. The daemon lost the whole list of VMs to one odd entry, and asked "http://[::1" for a report with an InvalidURL. In the platform's form all odd entries were rejected by themselves before: no fault was found there.

Change: registrations of the own form are checked; an address that cannot be used fails like one that is not reached; VMs are decoded one by one; what no decoder reads in a response of the store is read as null.

--- a/packages/callers/wasabilanding/callers/requests.py
+++ b/packages/callers/wasabilanding/callers/requests.py
@@ -98,7 +98,7 @@
 def _parse_document(body: bytes) -> dict:
     try:
         document = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidRequest(f"body is not valid JSON: {error}") from None
     if not isinstance(document, dict):
         raise InvalidRequest("body is not a JSON object")
--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -36,6 +36,7 @@
 from wasabilanding.model.quantities import Quantity
 from wasabilanding.model.quantities import rounded_down
 from wasabilanding.model.quantities import rounded_up
+from wasabilanding.model.readable_json import readable
 from wasabilanding.model.replicas import DomainRecord
 from wasabilanding.model.replicas import NO_REPLICA_KEY
 from wasabilanding.model.replicas import ReplicaKey
@@ -84,6 +85,7 @@
     "json_schema",
     "may_have_run",
     "not_run",
+    "readable",
     "rounded_down",
     "rounded_up",
     "read_era",
--- a/packages/gateway/wasabilanding/gateway/endpoint_connection.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_connection.py
@@ -40,6 +40,10 @@
 
 _LOG = logging.getLogger(__name__)
 
+# An address that cannot be used raises errors of other kinds than one that is
+# not reached.
+ADDRESS_ERRORS = (OSError, OverflowError, ValueError)
+
 SocketOptions = collections.abc.Iterable[tuple[int, int, int]]
 
 
@@ -79,7 +83,7 @@
     with _time_limit(timeout_s, httpx.ConnectTimeout, "to connect"):
         try:
             stream = await trio.open_tcp_stream(host, port)
-        except OSError as error:
+        except ADDRESS_ERRORS as error:
             raise httpx.ConnectError(str(error)) from error
         for option in options:
             stream.setsockopt(*option)
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -27,6 +27,7 @@
 """
 
 import dataclasses
+import ipaddress
 
 from wasabilanding import assembly
 from wasabilanding import fleet
@@ -43,6 +44,9 @@
 internal_prefix = "own/"
 evacuation_prefix = "evacuations/"
 
+MAX_PORT = 65535
+# Larger numbers are not exact in all JSON readers.
+MAX_WHOLE_NUMBER = 2**53
 HTTP_ERROR = 400
 HTTP_MISDIRECTED = 421
 LEAVING = b"x-leaving"
@@ -267,9 +271,30 @@
         raise ValueError(
             f"endpoint id {found.endpoint_id!r} does not match key {key}"
         )
+    _check_usable(found)
     return found
 
 
+def _check_usable(endpoint: fleet.Endpoint) -> None:
+    """Check what an endpoint says of itself.
+
+    :raises ValueError: if it cannot be used.
+    """
+    ipaddress.ip_address(endpoint.host)
+    if not 0 < endpoint.port <= MAX_PORT:
+        raise ValueError("port: out of range")
+    member = endpoint.membership
+    numbers = {
+        "slots": endpoint.slots,
+        "started_at_ms": endpoint.started_at_ms,
+    }
+    if member is not None:
+        numbers |= {"epoch": member.epoch, "rank": member.rank}
+    for name, number in numbers.items():
+        if not 0 <= number <= MAX_WHOLE_NUMBER:
+            raise ValueError(f"{name}: out of range")
+
+
 def order_path() -> str:
     """Return the HTTP path to which orders are sent."""
     return "/v1/orders"
--- a/packages/gateway/wasabilanding/gateway/tests/registrations.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/registrations.feature
@@ -26,6 +26,50 @@
       | bytes                 | listing | e2 e3    | 1        | yes     |
       | other                 | listing | e2 e3    | 1        | yes     |
 
+  # Guards against an entry that ends the node when it is read, or when the node
+  # connects to the address that it names.
+  Scenario Outline: An odd entry costs no other and ends nothing
+    Given a view with endpoints "e1 e2"
+    When <name> is written as "<word>" and e3 follows, seen in a <way>
+    Then its endpoints are "<known>"
+    And a node that is fed by it has the endpoints "<known>"
+
+    Examples:
+      | name | word               | way     | known    |
+      | e1   | deep               | watch   | e2 e3    |
+      | e1   | deep               | listing | e2 e3    |
+      | e1   | deep-unknown-field | watch   | e2 e3    |
+      | e1   | many-digits        | listing | e2 e3    |
+      | e1   | infinite-slots     | watch   | e2 e3    |
+      | e1   | port-0             | watch   | e2 e3    |
+      | e1   | port-65536         | watch   | e2 e3    |
+      | e1   | port-65536         | listing | e2 e3    |
+      | e1   | port-negative      | watch   | e2 e3    |
+      | e1   | port-huge          | watch   | e2 e3    |
+      | e1   | port-huge          | listing | e2 e3    |
+      | e4   | port-huge          | watch   | e1 e2 e3 |
+      | e1   | host-nul           | watch   | e2 e3    |
+      | e1   | host-newline       | listing | e2 e3    |
+      | e1   | host-long          | watch   | e2 e3    |
+      | e1   | host-empty         | watch   | e2 e3    |
+      | e1   | start-huge         | watch   | e2 e3    |
+      | e1   | epoch-huge         | watch   | e2 e3    |
+      | e1   | half-surrogate     | listing | e2 e3    |
+      | e1   | field-twice        | watch   | e1 e2 e3 |
+
+  Scenario Outline: All entries are odd, and later ones are followed
+    Given a view with endpoints "e1 e2"
+    When e1 is written as "<word>" and e3 follows, seen in a watch
+    And e2 is written as "<word>" and e3 follows, seen in a watch
+    And e3 is written as "<word> gone" and e3 follows, seen in a watch
+    Then its endpoints are "e3"
+
+    Examples:
+      | word       |
+      | deep       |
+      | port-huge  |
+      | host-long  |
+
   Scenario Outline: A key of another form names no endpoint
     Given a view with endpoints "e1 e2"
     When <key> is written as "ok" and e3 follows, seen in a <way>
--- a/packages/gateway/wasabilanding/gateway/tests/steps/registrations_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/registrations_steps.py
@@ -16,6 +16,31 @@
 PREFIX = plain_wire.registrations_prefix
 BEGIN = 10
 UNREADABLE = b"\xff"
+DEEP = b"[" * 50_000 + b"]" * 50_000
+DIGITS = b"9" * 5_000
+# What stands in an odd entry in place of what.
+ODD = {
+    "deep": (b'"10.0.0.1"', DEEP),
+    "deep-unknown-field": (b"{", b'{"unknown":' + DEEP + b",", 1),
+    "many-digits": (b'"slots":1', b'"slots":' + DIGITS),
+    "infinite-slots": (b'"slots":1', b'"slots":1e999'),
+    "port-0": (b":80", b":0"),
+    "port-65536": (b":80", b":65536"),
+    "port-negative": (b":80", b":-1"),
+    "port-huge": (b":80", b":" + DIGITS[:400]),
+    "host-nul": (b"10.0.0.1", b"10.0.0\\u0000"),
+    "host-newline": (b"10.0.0.1", b"10.0.0.1\\n"),
+    "host-long": (b"10.0.0.1", b"x" * 300),
+    "host-empty": (b"10.0.0.1", b""),
+    "start-huge": (b'"started_at_ms":0', b'"started_at_ms":' + DIGITS[:400]),
+    "epoch-huge": (
+        b'"membership":null',
+        b'"membership":{"replica":"g","epoch":%s,"rank":0,"state":"open"}'
+        % DIGITS[:400],
+    ),
+    "half-surrogate": (b'"z1"', b'"\\ud800"'),
+    "field-twice": (b"{", b'{"port":1,', 1),
+}
 
 
 def _entry(name, word, revision):
@@ -28,6 +53,8 @@
     value = model.encode(endpoint).encode()
     if word == "bytes":
         value = UNREADABLE
+    elif word in ODD:
+        value = value.replace(*ODD[word])
     return metadata.Item(f"{PREFIX}{name}", value, revision)
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
@@ -5,6 +5,7 @@
 
 from wasabilanding import fleet
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import model
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
 TIMEOUT_S = 5.0
@@ -108,6 +109,35 @@
     assert context.connections == count, context.connections
 
 
+@behave.when(
+    'a request and a check are sent to host "{host}" and port {port:d}'
+)
+@behave.when('a request and a check are sent to host "" and port {port:d}')
+def send_to_odd(context, port, host=""):
+    """Send to an address that no connection can be made to."""
+    found = {"a\\x00b": "a\0b", "x*300": "x" * 300}.get(host, host)
+    endpoint = fleet.Endpoint("e1", "service", found, port, "z1")
+
+    async def run():
+        context.is_reachable = await upstream_module.is_reachable(endpoint)
+        async with upstream_module.Upstream() as upstream:
+            try:
+                async with upstream.send(endpoint, "GET", b"/", [], b""):
+                    context.outcome = None
+            except upstream_module.AttemptFailed as error:
+                context.outcome = error.outcome
+
+    trio.run(run)
+
+
+@behave.then("the request has not run, as the endpoint is not reached")
+def check_not_reached(context):
+    """Compare the outcome."""
+    assert not context.is_reachable
+    assert context.outcome.verdict is model.Verdict.NOT_RUN, context.outcome
+    assert context.outcome.reason is model.Reason.CONNECT_FAILED
+
+
 @behave.when(
     "the connections of an endpoint are closed {delay:g} s before the second "
     "half of its answer"
--- a/packages/gateway/wasabilanding/gateway/tests/upstream.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/upstream.feature
@@ -1,4 +1,4 @@
-Feature: Connections to an endpoint that is removed
+Feature: Connections to an endpoint that is removed, or has no usable address
 
   Scenario: An endpoint is removed while it answers
     When the connections of an endpoint are closed 0.2 s before the second half of its answer
@@ -15,3 +15,18 @@
       | starts | count |
       | 1 1 1  | 1     |
       | 1 2 2  | 2     |
+
+  # Guards against an error that ends the node where an entry of another writer
+  # names such an address.
+  Scenario Outline: An address that cannot be used only fails what is sent to it
+    When a request and a check are sent to host "<host>" and port <port>
+    Then the request has not run, as the endpoint is not reached
+
+    Examples:
+      | host      | port                 |
+      | 127.0.0.1 | 65536                |
+      | 127.0.0.1 | -1                   |
+      | 127.0.0.1 | 99999999999999999999 |
+      | a\x00b    | 80                   |
+      | x*300     | 80                   |
+      |           | 80                   |
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -70,7 +70,12 @@
 
 @functools.lru_cache(maxsize=CACHED_URLS)
 def _url(text: str) -> httpx.URL:
-    return httpx.URL(text)
+    try:
+        return httpx.URL(text)
+    except httpx.InvalidURL as error:
+        raise AttemptFailed(
+            model.not_run(model.Reason.CONNECT_FAILED, repr(error))
+        ) from None
 
 
 class AttemptFailed(Exception):
@@ -561,7 +566,7 @@
     with trio.move_on_after(CONNECT_TIMEOUT_S):
         try:
             stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
-        except OSError:
+        except endpoint_connection.ADDRESS_ERRORS:
             return False
         await stream.aclose()
         return True
--- a/packages/metadata/wasabilanding/metadata/answers.py
+++ b/packages/metadata/wasabilanding/metadata/answers.py
@@ -1,5 +1,6 @@
 """Decoding of the outcomes of calls to the platform's service."""
 
+import logging
 import typing
 
 import httpx
@@ -7,6 +8,8 @@
 from wasabilanding.metadata import results
 from wasabilanding import model
 
+_LOG = logging.getLogger(__name__)
+
 CallOutcome = httpx.Response | results.Unavailable | results.Unknown
 
 
@@ -25,11 +28,23 @@
     if outcome.is_error:
         return results.Unavailable(f"{outcome.status_code} {outcome.text}")
     try:
-        return model.decode(kind, outcome.content)
+        return _decode(kind, outcome.content)
     except model.InvalidDocument as error:
         return results.Unavailable(f"malformed response: {error}")
 
 
+def _decode(kind: typing.Any, content: bytes) -> typing.Any:
+    """Decode a body, if need be without what no decoder reads."""
+    try:
+        return model.decode(kind, content)
+    except model.InvalidDocument as invalid:
+        readable = model.readable(content)
+        if readable == content:
+            raise
+        _LOG.warning("response read in part: %s", invalid)
+        return model.decode(kind, readable)
+
+
 def has_status(outcome: CallOutcome, status: int) -> bool:
     """Return whether a call was answered with a status.
 
--- a/packages/metadata/wasabilanding/metadata/client.py
+++ b/packages/metadata/wasabilanding/metadata/client.py
@@ -9,6 +9,7 @@
 from wasabilanding.metadata import answers
 from wasabilanding.metadata import calls
 from wasabilanding.metadata import results
+from wasabilanding.metadata import vm_listing
 from wasabilanding import model
 
 WATCH_MARGIN_S = 2.0
@@ -191,7 +192,7 @@
             "/v1/vms",
             params={"failure_domain": failure_domain},
         )
-        vms = answers.decode_body(tuple[model.Vm, ...], response)
+        vms = vm_listing.decode_vms(response)
         if isinstance(vms, results.Unavailable):
             return vms
         return VmList(vms)
--- a/packages/metadata/wasabilanding/metadata/tests/client.feature
+++ b/packages/metadata/wasabilanding/metadata/tests/client.feature
@@ -68,3 +68,32 @@
       | nodes | loops | outage | sent | back | burst |
       | 1     | 10    | 60     | 30   | 4    | 1     |
       | 90    | 3     | 60     | 30   | 4    | 12    |
+
+  # Guards against one odd entry that hides all other VMs, or ends the node when
+  # it connects to the address.
+  Scenario Outline: An odd entry of the list of VMs costs no other
+    When the list of VMs has a "<word>" entry between two valid ones
+    Then the valid VMs are read
+
+    Examples:
+      | word            |
+      | no object       |
+      | no address      |
+      | deep            |
+      | deep address    |
+      | many digits     |
+      | infinite        |
+      | not a number    |
+      | half surrogate  |
+      | no UTF-8        |
+      | port 65536      |
+      | port huge       |
+      | port no number  |
+      | no scheme       |
+      | space           |
+      | line break      |
+      | IPv6 cut        |
+
+  Scenario: A list of odd entries only is not believed
+    When "list_vms" is answered with status 200 and body [{"vm": "x"}, 5]
+    Then the result is Unavailable
--- a/packages/metadata/wasabilanding/metadata/tests/steps/client_steps.py
+++ b/packages/metadata/wasabilanding/metadata/tests/steps/client_steps.py
@@ -52,6 +52,57 @@
     context.result = _run(call)
 
 
+def _vm(name, address=b'"http://10.0.0.1:80"'):
+    return (
+        b'{"vm": "%s", "address": %s, "failure_domain": "prov", '
+        b'"fabric_domain": "f"}' % (name, address)
+    )
+
+
+_DEEP = b"[" * 50_000 + b"]" * 50_000
+ODD_VMS = {
+    "no object": b"5",
+    "no address": b'{"vm": "x"}',
+    "deep": _DEEP,
+    "deep address": _vm(b"x", _DEEP),
+    "many digits": _vm(b"x", b"9" * 5_000),
+    "infinite": b'{"accelerators": 1e999}',
+    "not a number": b'{"accelerators": NaN}',
+    "half surrogate": _vm(b"x", b'"\\ud800"'),
+    "no UTF-8": _vm(b"x", b'"\xff"'),
+    "port 65536": _vm(b"x", b'"http://10.0.0.1:65536"'),
+    "port huge": _vm(b"x", b'"http://10.0.0.1:%s"' % (b"9" * 400)),
+    "port no number": _vm(b"x", b'"http://10.0.0.1:a"'),
+    "no scheme": _vm(b"x", b'"10.0.0.1:80"'),
+    "space": _vm(b"x", b'"http://a b"'),
+    "line break": _vm(b"x", b'"http://10.0.0.1\\n"'),
+    "IPv6 cut": _vm(b"x", b'"http://[::1"'),
+}
+
+
+@behave.when('the list of VMs has a "{word}" entry between two valid ones')
+def list_odd(context, word):
+    """Read a list with one odd entry."""
+    body = b"[%s, %s, %s]" % (_vm(b"v1"), ODD_VMS[word], _vm(b"v2"))
+
+    async def handler(request):
+        return httpx.Response(200, content=body)
+
+    async def call():
+        async with _client(handler) as client:
+            return await client.list_vms("prov")
+
+    context.result = _run(call)
+
+
+@behave.then("the valid VMs are read")
+def check_vms(context):
+    """Compare the VMs."""
+    assert isinstance(context.result, metadata.VmList), context.result
+    names = [vm.vm for vm in context.result.vms]
+    assert names == ["v1", "v2"], context.result
+
+
 @behave.then("the result is {name}")
 def check_result(context, name):
     """Compare the result type."""
--- /dev/null
+++ b/packages/metadata/wasabilanding/metadata/vm_listing.py
@@ -0,0 +1,66 @@
+"""Decodes the platform's list of VMs, entry by entry.
+
+An entry that names no usable VM is logged and costs that entry alone. A list
+without any usable entry is not believed: all VMs would seem to be gone.
+"""
+
+import collections.abc
+import logging
+import typing
+import urllib.parse
+
+from wasabilanding.metadata import answers
+from wasabilanding.metadata import results
+from wasabilanding import model
+
+SCHEMES = ("http", "https")
+MAX_SHOWN_CHARACTERS = 200
+_LOG = logging.getLogger(__name__)
+
+
+def decode_vms(
+    outcome: answers.CallOutcome,
+) -> tuple[model.Vm, ...] | results.Unavailable:
+    """Return the usable VMs of a list.
+
+    :param outcome: outcome of the call that requested it.
+    """
+    entries = answers.decode_body(tuple[typing.Any, ...], outcome)
+    if isinstance(entries, results.Unavailable):
+        return entries
+    found = tuple(_vms(entries))
+    if entries and not found:
+        return results.Unavailable("malformed response: no usable VM")
+    return found
+
+
+def _vms(
+    entries: collections.abc.Sequence[typing.Any],
+) -> collections.abc.Iterator[model.Vm]:
+    for index, value in enumerate(entries):
+        entry = model.decode_entry(model.Vm, value, f"vms.{index}")
+        if isinstance(entry, model.InvalidEntry):
+            _ignore(str(entry.mistakes[0]))
+        elif not _is_usable(entry.address):
+            _ignore(f"vms.{index}: {entry.address!r} is no base URL")
+        else:
+            yield entry
+
+
+def _ignore(reason: str) -> None:
+    _LOG.warning(
+        "VM of the platform's list ignored: %s", reason[:MAX_SHOWN_CHARACTERS]
+    )
+
+
+def _is_usable(address: str) -> bool:
+    """Return whether an address is a base URL that can be connected to."""
+    if not (address.isascii() and address.isprintable()) or " " in address:
+        return False
+    try:
+        url = urllib.parse.urlsplit(address)
+        port = url.port
+    except ValueError:
+        # The port is no number or out of range, or an IPv6 address is invalid.
+        return False
+    return url.scheme in SCHEMES and bool(url.hostname) and port != 0
