Resume a stream with the next event, or not at all

Ruled out: the text or head of a failure in a stream.

Cause: events were checked to be newer than the last one, not to be the next.

Change: an attempt that would take over with an event without an id, or with a gap where the numbers rose evenly, fails and may be followed by another one. A part of an answer that is no stream is never continued.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -414,6 +414,20 @@
         with self._waiting_for_caller():
             await self._answer.write(self, head, data)
 
+    async def _deliver(
+        self, head: messages.ReplyHead, events: list[sse.Event]
+    ) -> None:
+        try:
+            with self._waiting_for_caller():
+                await self._answer.deliver(self, head, events)
+        except shared_answer.NotResumed as error:
+            raise upstream_module.AttemptFailed(
+                model.may_have_run(
+                    model.Reason.ENDPOINT_ERROR,
+                    f"{self.endpoint_id} did not resume the stream: {error}",
+                )
+            ) from None
+
     async def _relay_events(
         self,
         head: messages.ReplyHead,
@@ -430,8 +444,7 @@
                 except reply_bounds.BoundExceeded as error:
                     raise upstream_module.bound_failure(error) from None
                 if events:
-                    with self._waiting_for_caller():
-                        await self._answer.deliver(self, head, events)
+                    await self._deliver(head, events)
                     held.resize(splitter.remaining_bytes)
                 if len(events) > 1:
                     # The first one counts as the part that was read.
--- a/packages/gateway/wasabilanding/gateway/shared_answer.py
+++ b/packages/gateway/wasabilanding/gateway/shared_answer.py
@@ -6,7 +6,9 @@
 While an endpoint is silent, a second attempt resumes the stream beside the
 first. The attempt that delivers the next event owns the answer from then on
 and the others are cancelled, so that no event is delivered twice and each
-event follows the one before it.
+event follows the one before it. Another attempt takes over with the event that
+is due next only: if the numbers of the delivered events rise evenly, none may
+be left out.
 """
 
 import collections.abc
@@ -21,6 +23,15 @@
 from wasabilanding.gateway import sse
 
 BEFORE_FIRST_EVENT = -1
+# Of a stream whose event numbers do not rise evenly.
+NO_INTERVAL = 0
+
+
+class NotResumed(Exception):
+    """The events of another attempt do not go on where the answer broke off.
+
+    :param reason: what is wrong with them.
+    """
 
 
 class SharedAnswer:
@@ -45,6 +56,8 @@
         self._report_claim = claim
         self._has_alternative = has_alternative
         self._owner: object | None = None
+        # Between the numbers of delivered events; None until two are known.
+        self._interval: int | None = None
 
     @property
     def has_begun(self) -> bool:
@@ -67,6 +80,8 @@
         :param owner: the attempt that received them.
         :param head: head of its reply.
         :param events: the events, in order.
+        :raises NotResumed: if the attempt would take over with other events
+            than those that are due.
         """
         async with self._exclusive():
             new_events = self._undelivered(owner, events)
@@ -117,6 +132,8 @@
         async with self._exclusive():
             self._claim(owner)
             await self._begin(head)
+            # No event can follow what is no stream of events.
+            self._state.is_position_known = False
             await self._response.write(data)
 
     @contextlib.asynccontextmanager
@@ -148,20 +165,35 @@
 
         Another attempt takes over a begun answer with a numbered event only:
         of any other event it is unknown whether it follows the last one.
+
+        :raises NotResumed: if other events than those that are due come.
         """
         last_event_id = self._state.resumes_after
         if last_event_id is None:
             last_event_id = BEFORE_FIRST_EVENT
-        may_be_unnumbered = not self.has_begun or owner is self._owner
-        return [
-            event
-            for event in events
-            if (
-                may_be_unnumbered
-                if event.event_id is None
-                else event.event_id > last_event_id
-            )
-        ]
+        takes_over = self.has_begun and owner is not self._owner
+        found = []
+        for event in events:
+            if event.event_id is None:
+                if takes_over and event.has_data:
+                    raise NotResumed("an event without an id")
+                if not takes_over:
+                    found.append(event)
+            elif event.event_id > last_event_id:
+                if takes_over:
+                    self._check_due(event.event_id, last_event_id)
+                takes_over = False
+                last_event_id = event.event_id
+                found.append(event)
+        return found
+
+    def _check_due(self, event_id: int, last_event_id: int) -> None:
+        """Check that an event is the next one, as far as that is known.
+
+        The last interval of a stream may be shorter.
+        """
+        if self._interval and event_id > last_event_id + self._interval:
+            raise NotResumed(f"event {event_id} after {last_event_id}")
 
     def _record_delivered(
         self, events: collections.abc.Sequence[sse.Event]
@@ -173,6 +205,17 @@
         """
         for event in events:
             if event.event_id is not None:
+                self._record_interval(event.event_id)
                 self._state.last_event = event.event_id
             elif event.has_data:
                 self._state.is_position_known = False
+
+    def _record_interval(self, event_id: int) -> None:
+        last_event_id = self._state.last_event
+        if last_event_id is None:
+            return
+        interval = event_id - last_event_id
+        if self._interval is None:
+            self._interval = interval
+        elif self._interval != interval:
+            self._interval = NO_INTERVAL
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -54,6 +54,12 @@
 # Requests for this path are answered after a while.
 LATE = b"/late"
 LATE_S = 0.5
+# More than a node holds back of an answer that is no stream.
+LARGE_BYTES = 300_000
+ODD_SCRIPTS = (
+    *("cuthead", "cutlarge", "failtext", "large", "restart"),
+    *("skip", "untitled"),
+)
 SETTINGS = settings_module.Settings(
     node="n1",
     failure_domain="z1",
@@ -107,6 +113,38 @@
         await arrived.wait()
 
 
+def _odd_reply(script, count, request, headers):
+    """Return a reply that does not go on where a stream broke off.
+
+    :param script: "failtext" (a failure with events as its body), "untitled"
+        (an event without an id), "skip N" (without the next event),
+        "restart N" (from the beginning), "large" (a body of
+        :data:`LARGE_BYTES` that is no stream), "cutlarge" (the same, cut),
+        "cuthead" (the connection ends in the head).
+    :param count: number of events.
+    :param request: the request.
+    :param headers: headers of a reply.
+    """
+    if script == "cuthead":
+        raise httpx.RemoteProtocolError("cut in the head")
+    if script in ("large", "cutlarge"):
+        end = "reset" if script == "cutlarge" else ""
+        return httpx.Response(
+            200, headers=headers, stream=_Body([b"x" * LARGE_BYTES], end)
+        )
+    headers["x-events"] = "1"
+    text = b"data: error\n\n"
+    first = int(request.headers.get("x-resumes-after", "-1")) + 1
+    parts = {
+        "failtext": [b"id: %d\n" % first + text],
+        "untitled": [text],
+        "skip": _events(request, count)[1:],
+        "restart": [f"id: {i}\ndata: {i}\n\n".encode() for i in range(count)],
+    }[script]
+    status = 500 if script == "failtext" else 200
+    return httpx.Response(status, headers=headers, stream=_Body(parts, ""))
+
+
 def _split_notice(script):
     """Return the headers of a notice, and the script without it."""
     word, _, rest = script.partition(" ")
@@ -133,6 +171,13 @@
             await trio.sleep(0.001)
 
 
+def _spaced_events(request, count):
+    """Return the events of a stream whose numbers are even."""
+    first = int(request.headers.get("x-resumes-after", "-2")) + 2
+    numbers = range(first, 2 * count, 2)
+    return [f"id: {i}\ndata: {i}\n\n".encode() for i in numbers]
+
+
 def _events(request, count):
     """Return the events of a stream that a request asks for."""
     first = int(request.headers.get("x-resumes-after", "-1")) + 1
@@ -292,8 +337,13 @@
         if script == "foreign":
             headers["x-request"] = "another"
             return httpx.Response(200, headers=headers, stream=_Body([], ""))
+        if script in ODD_SCRIPTS:
+            return _odd_reply(script, count, request, headers)
         headers["x-events"] = "1"
         parts = _events(request, count)
+        if script.startswith("spaced"):
+            parts = _spaced_events(request, count)
+            script = "reset" if script == "spacedreset" else "events"
         if script == "comment":
             parts = []
         elif script not in ("events", "late", "pause", "queued"):
--- a/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -206,6 +206,56 @@
       | pause 5, answer               | whole  | 0-4    |
       | pause 5, fail                 | whole  | 0-4    |
 
+  # Guards against the text of an error, or events that do not follow, in the
+  # middle of a stream, and against an end that looks whole.
+  Scenario Outline: A stream goes on where it broke off, or not at all
+    Given resumable streaming requests of up to 3 attempts
+    And endpoints that "<scripts>"
+    When a request is sent
+    Then its answer is <whole> with events <events>
+
+    Examples: No other endpoint goes on with it
+      | scripts                      | whole  | events |
+      | reset 2, failtext            | broken | 0-1    |
+      | reset 2, refuse              | broken | 0-1    |
+      | reset 2, large               | broken | 0-1    |
+      | reset 2, untitled            | broken | 0-1    |
+      | reset 2, skip 5              | broken | 0-1    |
+      | reset 2, cuthead             | broken | 0-1    |
+      | reset 2, foreign             | broken | 0-1    |
+
+    Examples: A third one does
+      | scripts                      | whole  | events |
+      | reset 2, failtext, events 5  | whole  | 0-4    |
+      | reset 2, untitled, events 5  | whole  | 0-4    |
+      | reset 2, skip 5, events 5    | whole  | 0-4    |
+      | reset 2, cuthead, events 5   | whole  | 0-4    |
+      | reset 2, large, events 5     | whole  | 0-4    |
+      | reset 2, foreign, events 5   | whole  | 0-4    |
+
+    Examples: It repeats what was sent
+      | scripts                      | whole  | events |
+      | reset 2, restart 5           | whole  | 0-4    |
+
+    Examples: The first one goes on after a pause
+      | scripts                      | whole  | events |
+      | pause 5, failtext            | whole  | 0-4    |
+      | pause 5, untitled            | whole  | 0-4    |
+      | pause 5, skip 5              | whole  | 0-4    |
+      | pause 5, large               | whole  | 0-4    |
+
+  Scenario: Numbers of events need not be consecutive
+    Given resumable streaming requests of up to 2 attempts
+    And endpoints that "spacedreset 2, spaced 5"
+    When a request is sent
+    Then its answer is whole with the events "0 2 4 6 8"
+
+  Scenario: A stream does not go on with an answer that is no stream
+    Given resumable streaming requests of up to 2 attempts
+    And endpoints that "cutlarge, events 5"
+    When a request is sent
+    Then its answer is broken and holds no events
+
   Scenario Outline: A request ends when it may not be sent again and no endpoint responds
     Given resumable streaming requests of up to <attempts> attempts
     And endpoints that "<scripts>"
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -237,6 +237,21 @@
     assert caller.is_whole is (whole == "whole")
 
 
+@behave.then('its answer is whole with the events "{numbers}"')
+def check_numbers(context, numbers):
+    """Compare the numbers of the events."""
+    expected = b"".join(_events(int(n), int(n)) for n in numbers.split())
+    assert context.caller.body == expected, context.caller.body
+    assert context.caller.is_whole
+
+
+@behave.then("its answer is broken and holds no events")
+def check_no_events(context):
+    """Look for events behind the beginning of another answer."""
+    assert b"id:" not in context.caller.body, context.caller.body[-100:]
+    assert not context.caller.is_whole
+
+
 @behave.then("it takes at most {bound:g} s")
 def check_time(context, bound):
     """Compare the time until the answer ended."""
