Pass on what came before malformed bytes; describe endpoint connections

Found by reading once more: parts that came in one turn of the parser with the bytes on which a reply breaks off were dropped, such as the last events of a stream. The error is raised in the next turn now.

Test: "What came before malformed bytes is passed on" failed before (nothing was read). Ruled out: the end of a connection, which is a read of its own.

--- a/packages/gateway/wasabilanding/gateway/endpoint_connection.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_connection.py
@@ -34,15 +34,13 @@
 MAX_TURN_PARTS = 64
 # Interim answers (1xx) of one reply; more are an error.
 MAX_INTERIM_ANSWERS = 100
-
 # An answer is not expected to come again later than after so many others.
 REMEMBERED_IDS = 64
-
-_LOG = logging.getLogger(__name__)
-
 # An address that cannot be used raises errors of other kinds than one that is
 # not reached.
 ADDRESS_ERRORS = (OSError, OverflowError, ValueError)
+SWITCHING_PROTOCOLS = 101
+_LOG = logging.getLogger(__name__)
 
 SocketOptions = collections.abc.Iterable[tuple[int, int, int]]
 
@@ -216,7 +214,7 @@
                 return event
             elif not isinstance(event, h11.InformationalResponse):
                 raise httpx.RemoteProtocolError(f"no reply but {event!r}")
-            elif event.status_code == 101:
+            elif event.status_code == SWITCHING_PROTOCOLS:
                 raise httpx.RemoteProtocolError("another protocol begins")
             else:
                 interim_answers += 1
@@ -283,11 +281,20 @@
             raise httpx.RemoteProtocolError(str(error)) from error
 
     def _parse_turn(self) -> _Turn:
-        """Handle the parts that have arrived, up to a number of them."""
+        """Handle the parts that have arrived, up to a number of them.
+
+        Bytes that are malformed end the turn; the next one raises the error,
+        so that what came before them is passed on.
+        """
         data = []
         event = None
         for _ in range(MAX_TURN_PARTS):
-            event = self._next_event()
+            try:
+                event = self._next_event()
+            except httpx.RemoteProtocolError:
+                if not data:
+                    raise
+                break
             if not isinstance(event, h11.Data):
                 break
             data.append(event.data)
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -446,7 +446,7 @@
         if runs >= state.route.max_attempts:
             return f"run {runs} times"
         if not state.is_position_known:
-            return "events without an id were delivered"
+            return "it is unknown where its answer would go on"
         return self._crash_guard.obstacle(state)
 
     def _budget_obstacle(
--- a/packages/gateway/wasabilanding/gateway/shared_answer.py
+++ b/packages/gateway/wasabilanding/gateway/shared_answer.py
@@ -30,7 +30,7 @@
 class NotResumed(Exception):
     """The events of another attempt do not go on where the answer broke off.
 
-    :param reason: what is wrong with them.
+    Its message says what is wrong with them.
     """
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
@@ -166,3 +166,45 @@
     """Compare the answer and the number of connections."""
     assert context.second == b"firstother", context.second
     assert context.connections == 2, context.connections
+
+
+@behave.when('an endpoint sends "{text}" and malformed bytes at once')
+def send_malformed(context, text):
+    """Read a reply that breaks off behind a part of its body."""
+    reply = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    reply += b"%x\r\n%s\r\nno length\r\n" % (len(text), text.encode())
+
+    async def serve(stream):
+        await stream.receive_some()
+        await stream.send_all(reply)
+        await stream.receive_some()
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, serve, [listener])
+            port = listener.socket.getsockname()[1]
+            endpoint = fleet.Endpoint("e1", "service", "127.0.0.1", port, "z1")
+            context.answer = b""
+            async with upstream_module.Upstream() as upstream:
+                sent = upstream.send(endpoint, "GET", b"/a", [], b"")
+                try:
+                    async with sent as found:
+                        async for chunk in found.chunks():
+                            context.answer += chunk
+                except upstream_module.AttemptFailed as error:
+                    context.outcome = error.outcome
+            nursery.cancel_scope.cancel()
+
+    async def run_in_time():
+        with trio.fail_after(TIMEOUT_S):
+            await run()
+
+    trio.run(run_in_time)
+
+
+@behave.then('"{text}" is read, and the attempt may have run')
+def check_read(context, text):
+    """Compare what was read, and the outcome."""
+    assert context.answer == text.encode(), context.answer
+    assert context.outcome.verdict is model.Verdict.MAY_HAVE_RUN
--- a/packages/gateway/wasabilanding/gateway/tests/upstream.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/upstream.feature
@@ -30,3 +30,9 @@
       | a\x00b    | 80                   |
       | x*300     | 80                   |
       |           | 80                   |
+
+  # Guards against the loss of events that arrived together with the bytes on
+  # which their stream breaks off.
+  Scenario: What came before malformed bytes is passed on
+    When an endpoint sends "first" and malformed bytes at once
+    Then "first" is read, and the attempt may have run
