--- a/packages/gateway/wasabilanding/gateway/__init__.py
+++ b/packages/gateway/wasabilanding/gateway/__init__.py
@@ -15,6 +15,7 @@
 """
 
 from wasabilanding.gateway.cold_left import read_cold_left
+from wasabilanding.gateway.endpoint_transport import EndpointTransport
 from wasabilanding.gateway.headers import end_to_end
 from wasabilanding.gateway.headers import replaced as replaced_headers
 from wasabilanding.gateway.messages import AttemptParameters
@@ -38,6 +39,7 @@
     "AttemptParameters",
     "RequestHead",
     "EndpointNotice",
+    "EndpointTransport",
     "Header",
     "InvalidHead",
     "ReplyHead",
