--- a/packages/gateway/wasabilanding/gateway/tests/steps/extra_replies_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/extra_replies_steps.py
@@ -5,7 +5,7 @@
 
 from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests import loopback
-from wasabilanding.gateway.tests import stuttering
+from wasabilanding.gateway.tests import repeating_endpoint
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 
@@ -13,17 +13,19 @@
 @behave.given(
     'an endpoint that replies with "{replies}", and with {extra}, {moment}'
 )
-def given_stuttering(context, replies, extra, moment):
+def given_repeating(context, replies, extra, moment):
     """Make an endpoint."""
-    context.endpoint = stuttering.Endpoint(replies.split(), extra, moment)
+    context.endpoint = repeating_endpoint.Endpoint(
+        replies.split(), extra, moment
+    )
     is_large = moment == "while the next body is being sent"
-    context.body = stuttering.LARGE_BODY if is_large else b"body"
+    context.body = repeating_endpoint.LARGE_BODY if is_large else b"body"
 
 
 @behave.given("an endpoint that replies once to each request")
 def given_sound(context):
     """Make an endpoint."""
-    context.endpoint = stuttering.Endpoint(["success"])
+    context.endpoint = repeating_endpoint.Endpoint(["success"])
     context.body = b"body"
 
 
@@ -31,7 +33,7 @@
 def send(context, kind, ids):
     """Send one request after the other."""
     requests = [[(b"x-request", name.encode())] for name in ids.split()]
-    context.statuses = stuttering.statuses(
+    context.statuses = repeating_endpoint.statuses(
         context.endpoint, kind, requests, context.body
     )
 
