--- a/packages/decisions/wasabilanding/limits/read_share.py
+++ b/packages/decisions/wasabilanding/limits/read_share.py
@@ -18,7 +18,7 @@
 node either. Other endpoints keep their shares.
 """
 
-# Far above the rate at which an engine sends events to one node.
+# Far above the rate at which an endpoint sends events to one node.
 ENDPOINT_PARTS_PER_S = 2000.0
 EXCESS_PARTS_PER_S = 4000.0
 BURST_S = 1.0
@@ -90,9 +90,11 @@
         :param share: the endpoint's share.
         :param now: local monotonic time in seconds.
         """
+        if share not in self._exceeded:
+            return ENDPOINT_PARTS_PER_S
         calm = {s for s in self._exceeded if s.due_at <= now - CALM_S}
         self._exceeded -= calm
-        if share not in self._exceeded:
+        if share in calm:
             return ENDPOINT_PARTS_PER_S
         divided = EXCESS_PARTS_PER_S / len(self._exceeded)
         return min(ENDPOINT_PARTS_PER_S, divided)
--- a/packages/decisions/wasabilanding/model/__init__.py
+++ b/packages/decisions/wasabilanding/model/__init__.py
@@ -33,6 +33,8 @@
 from wasabilanding.model.profiles import Profile
 from wasabilanding.model.profiles import ReplicaProfile
 from wasabilanding.model.quantities import Count
+from wasabilanding.model.quantities import MAX_PORT
+from wasabilanding.model.quantities import MAX_WHOLE_NUMBER
 from wasabilanding.model.quantities import Quantity
 from wasabilanding.model.quantities import rounded_down
 from wasabilanding.model.quantities import rounded_up
@@ -57,6 +59,8 @@
     "Era",
     "InvalidDocument",
     "InvalidEntry",
+    "MAX_PORT",
+    "MAX_WHOLE_NUMBER",
     "Mistake",
     "NO_ERA",
     "NO_REPLICA_KEY",
--- a/packages/decisions/wasabilanding/model/quantities.py
+++ b/packages/decisions/wasabilanding/model/quantities.py
@@ -13,6 +13,10 @@
 
 import pydantic
 
+# Largest TCP port.
+MAX_PORT = 65535
+# JSON readers represent integers exactly up to it.
+MAX_WHOLE_NUMBER = 2**53
 Count = typing.Annotated[int, pydantic.Field(ge=0)]
 Quantity = typing.Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
 
--- a/packages/decisions/wasabilanding/model/readable_json.py
+++ b/packages/decisions/wasabilanding/model/readable_json.py
@@ -3,10 +3,10 @@
 Explanation
 ===========
 
-Load pattern: many entries share one document, and another writer has left an
-odd one among them: nested very deep, with a number of thousands of digits,
-with half of a surrogate pair or with bytes that are no UTF-8. The decoder
-rejects the whole document then, and with it all other entries.
+Load pattern: many entries share one document, and one of them is nested very
+deep, or has a number of thousands of digits, an unpaired surrogate or bytes
+that are not UTF-8. The decoder rejects the whole document then, and with it
+all other entries.
 """
 
 import json
@@ -55,11 +55,11 @@
 
 def _readable_token(token: bytes) -> bytes:
     if token.startswith(b'"'):
-        return _without_half_pairs(token)
+        return _without_unpaired_surrogates(token)
     return token if len(token) <= MAX_NUMBER_BYTES else _NULL
 
 
-def _without_half_pairs(token: bytes) -> bytes:
+def _without_unpaired_surrogates(token: bytes) -> bytes:
     if not _SURROGATE.search(token):
         return token
     try:
--- a/packages/gateway/wasabilanding/gateway/endpoint_connection.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_connection.py
@@ -30,7 +30,7 @@
 READ_BYTES = 64 * 1024
 # Heads, trailers and chunk headers that are longer are errors.
 MAX_HEAD_BYTES = 100 * 1024
-# They take about a millisecond of a small VM's processor.
+# Between two turns other tasks run.
 MAX_TURN_PARTS = 64
 # Interim answers (1xx) of one reply; more are an error.
 MAX_INTERIM_ANSWERS = 100
--- a/packages/gateway/wasabilanding/gateway/endpoint_transport.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_transport.py
@@ -1,7 +1,6 @@
 """HTTP transport to one endpoint, over connections that are used again."""
 
 import collections.abc
-import typing
 
 import httpx
 import trio
@@ -9,8 +8,8 @@
 from wasabilanding.gateway import endpoint_connection
 from wasabilanding import limits
 
-# Event of a request's trace just before it is sent on a connection.
-SENDING = "sending"
+# Extension of a request: called once a connection is ready for it.
+BEFORE_SEND = "before_send"
 # Extension of a response: its connection.
 CONNECTION = "connection"
 
@@ -68,12 +67,12 @@
     ) -> httpx.Response:
         """Send a request and return the response when its head has arrived.
 
-        :param request: the request. Its extensions are those of httpx, and
-            the trace receives :data:`SENDING` only.
+        :param request: the request. :data:`BEFORE_SEND` may raise an error if
+            it must not be sent any more.
         """
         timeout = request.extensions.get("timeout", {})
         connection = await self._connection(request)
-        await self._check(request, connection)
+        self._check(request, connection)
         try:
             await connection.send(request, timeout.get("write"))
             head = await connection.read_head(timeout.get("read"))
@@ -132,17 +131,17 @@
                 return connection
         return None
 
-    async def _check(
+    def _check(
         self,
         request: httpx.Request,
         connection: endpoint_connection.EndpointConnection,
     ) -> None:
         """Check that a request may be sent, now that it has a connection."""
-        trace: typing.Any = request.extensions.get("trace")
-        if trace is None:
+        before_send = request.extensions.get(BEFORE_SEND)
+        if before_send is None:
             return
         try:
-            await trace(SENDING, {})
+            before_send()
         except BaseException:
             self._keep(connection)
             raise
--- a/packages/gateway/wasabilanding/gateway/plain_wire.py
+++ b/packages/gateway/wasabilanding/gateway/plain_wire.py
@@ -44,9 +44,6 @@
 internal_prefix = "own/"
 evacuation_prefix = "evacuations/"
 
-MAX_PORT = 65535
-# Larger numbers are not exact in all JSON readers.
-MAX_WHOLE_NUMBER = 2**53
 HTTP_ERROR = 400
 HTTP_MISDIRECTED = 421
 LEAVING = b"x-leaving"
@@ -281,7 +278,7 @@
     :raises ValueError: if it cannot be used.
     """
     ipaddress.ip_address(endpoint.host)
-    if not 0 < endpoint.port <= MAX_PORT:
+    if not 0 < endpoint.port <= model.MAX_PORT:
         raise ValueError("port: out of range")
     member = endpoint.membership
     numbers = {
@@ -291,7 +288,7 @@
     if member is not None:
         numbers |= {"epoch": member.epoch, "rank": member.rank}
     for name, number in numbers.items():
-        if not 0 <= number <= MAX_WHOLE_NUMBER:
+        if not 0 <= number <= model.MAX_WHOLE_NUMBER:
             raise ValueError(f"{name}: out of range")
 
 
--- a/packages/gateway/wasabilanding/gateway/sse.py
+++ b/packages/gateway/wasabilanding/gateway/sse.py
@@ -14,7 +14,7 @@
 _LINE = re.compile(rb"\n")
 _ID = re.compile(rb"(?:^|\n)id: ?([0-9]{1,18})\r?(?:\n|$)")
 _DATA = re.compile(rb"(?:^|\n)data")
-# Lines that are handled at once; they take about a millisecond.
+# Lines that are handled before other tasks run.
 MAX_LINES = 256
 # Bytes of the end of an event that may be part of what was searched before.
 _OVERLAP = len(b"\r\n\r\n") - 1
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -15,6 +15,7 @@
 from wasabilanding.gateway import cluster_view as cluster_view_module
 from wasabilanding.gateway import crash_guard
 from wasabilanding.gateway import endpoint_guard
+from wasabilanding.gateway import endpoint_transport
 from wasabilanding.gateway import forwarding
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import messages
@@ -139,7 +140,7 @@
         "failtext": [b"id: %d\n" % first + text],
         "untitled": [text],
         "skip": _events(request, count)[1:],
-        "restart": [f"id: {i}\ndata: {i}\n\n".encode() for i in range(count)],
+        "restart": [_event(number) for number in range(count)],
     }[script]
     status = 500 if script == "failtext" else 200
     return httpx.Response(status, headers=headers, stream=_Body(parts, ""))
@@ -171,17 +172,20 @@
             await trio.sleep(0.001)
 
 
+def _event(number):
+    return f"id: {number}\ndata: {number}\n\n".encode()
+
+
 def _spaced_events(request, count):
     """Return the events of a stream whose numbers are even."""
     first = int(request.headers.get("x-resumes-after", "-2")) + 2
-    numbers = range(first, 2 * count, 2)
-    return [f"id: {i}\ndata: {i}\n\n".encode() for i in numbers]
+    return [_event(number) for number in range(first, 2 * count, 2)]
 
 
 def _events(request, count):
     """Return the events of a stream that a request asks for."""
     first = int(request.headers.get("x-resumes-after", "-1")) + 1
-    return [f"id: {i}\ndata: {i}\n\n".encode() for i in range(first, count)]
+    return [_event(number) for number in range(first, count)]
 
 
 class FakeEndpoints:
@@ -265,7 +269,7 @@
         script, _, count = script.partition(" ")
         if self.connect_s:
             await trio.sleep(self.connect_s)
-        await request.extensions["trace"](upstream_module.SENDING, {})
+        request.extensions[endpoint_transport.BEFORE_SEND]()
         self.arrivals.append((name, dict(request.headers)))
         self.arrival_times.append((name, trio.current_time()))
         if script == "unreachable":
--- a/packages/gateway/wasabilanding/gateway/tests/steps/slow_callers_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/slow_callers_steps.py
@@ -10,12 +10,12 @@
 import trio
 
 from wasabilanding.gateway import caller_sockets
+from wasabilanding.gateway import endpoint_transport
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import listeners
 from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import metrics
 from wasabilanding.gateway.tests import fakes
-from wasabilanding.gateway import upstream as upstream_module
 
 MB = 1_000_000
 MEMORY_MB = 96
@@ -54,7 +54,7 @@
 
     async def reply(self, request):
         """Reply with the long body, or with a short one."""
-        await request.extensions["trace"](upstream_module.SENDING, {})
+        request.extensions[endpoint_transport.BEFORE_SEND]()
         body = self.body
         if request.extensions["target"] == b"/short":
             body = _Body(100)
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -56,7 +56,6 @@
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 JSON_HEADERS = [(b"content-type", b"application/json")]
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
-SENDING = endpoint_transport.SENDING
 # An endpoint whose reply has waited for its share for longer is avoided.
 MAX_WAITED_S = 0.25
 # Reasons of attempts whose endpoint may be unreachable.
@@ -331,7 +330,7 @@
     """Allow a request to be sent."""
 
 
-class _SendTrace:
+class _SendCheck:
     """Checks a permit once a connection is ready; records when it was.
 
     :param permit: permit of the request.
@@ -346,18 +345,11 @@
         # Local monotonic time in seconds.
         self.sent_at = float("inf")
 
-    async def __call__(
-        self, event: str, details: dict[str, typing.Any]
-    ) -> None:
-        """Receive an event of the connection.
-
-        :param event: name of the event.
-        :param details: objects that it concerns.
-        """
-        if event == SENDING:
-            self._check()
-            self._permit.check()
-            self.sent_at = trio.current_time()
+    def __call__(self) -> None:
+        """Check that the request may still be sent."""
+        self._check()
+        self._permit.check()
+        self.sent_at = trio.current_time()
 
 
 class Upstream:
@@ -470,7 +462,7 @@
         """
         check()
         with self._admit(endpoint, purpose) as permit:
-            trace = _SendTrace(permit, check)
+            before_send = _SendCheck(permit, check)
             request = httpx.Request(
                 method,
                 _url(endpoint.base_url),
@@ -479,12 +471,12 @@
                 extensions={
                     "target": target,
                     "timeout": timeout,
-                    "trace": trace,
+                    endpoint_transport.BEFORE_SEND: before_send,
                     endpoint_connection.REQUEST_ID: request_id,
                 },
             )
             async with self._replied(endpoint, request) as response:
-                yield Reply(response, permit, trace.sent_at)
+                yield Reply(response, permit, before_send.sent_at)
 
     @contextlib.asynccontextmanager
     async def _replied(
--- a/packages/metadata/wasabilanding/metadata/answers.py
+++ b/packages/metadata/wasabilanding/metadata/answers.py
@@ -34,14 +34,14 @@
 
 
 def _decode(kind: typing.Any, content: bytes) -> typing.Any:
-    """Decode a body, if need be without what no decoder reads."""
+    """Decode a body, if need be without the parts that are unreadable."""
     try:
         return model.decode(kind, content)
     except model.InvalidDocument as invalid:
         readable = model.readable(content)
         if readable == content:
             raise
-        _LOG.warning("response read in part: %s", invalid)
+        _LOG.warning("unreadable parts of a response ignored: %s", invalid)
         return model.decode(kind, readable)
 
 
--- a/packages/metadata/wasabilanding/metadata/vm_listing.py
+++ b/packages/metadata/wasabilanding/metadata/vm_listing.py
@@ -1,6 +1,6 @@
 """Decodes the platform's list of VMs, entry by entry.
 
-An entry that names no usable VM is logged and costs that entry alone. A list
+An entry that names no usable VM costs that entry alone. A list
 without any usable entry is not believed: all VMs would seem to be gone.
 """
 
@@ -28,31 +28,33 @@
     entries = answers.decode_body(tuple[typing.Any, ...], outcome)
     if isinstance(entries, results.Unavailable):
         return entries
-    found = tuple(_vms(entries))
+    ignored: list[str] = []
+    found = tuple(_vms(entries, ignored))
+    if ignored:
+        _LOG.warning(
+            "%d VMs of the platform's list ignored; one is %s",
+            len(ignored),
+            ignored[0][:MAX_SHOWN_CHARACTERS],
+        )
     if entries and not found:
         return results.Unavailable("malformed response: no usable VM")
     return found
 
 
 def _vms(
-    entries: collections.abc.Sequence[typing.Any],
+    entries: collections.abc.Sequence[typing.Any], ignored: list[str]
 ) -> collections.abc.Iterator[model.Vm]:
+    """Yield the usable VMs; add why the others are not to a list."""
     for index, value in enumerate(entries):
         entry = model.decode_entry(model.Vm, value, f"vms.{index}")
         if isinstance(entry, model.InvalidEntry):
-            _ignore(str(entry.mistakes[0]))
+            ignored.append(str(entry.mistakes[0]))
         elif not _is_usable(entry.address):
-            _ignore(f"vms.{index}: {entry.address!r} is no base URL")
+            ignored.append(f"vms.{index}: {entry.address!r} is no base URL")
         else:
             yield entry
 
 
-def _ignore(reason: str) -> None:
-    _LOG.warning(
-        "VM of the platform's list ignored: %s", reason[:MAX_SHOWN_CHARACTERS]
-    )
-
-
 def _is_usable(address: str) -> bool:
     """Return whether an address is a base URL that can be connected to."""
     if not (address.isascii() and address.isprintable()) or " " in address:
--- a/packages/peers/wasabilanding/peers/messages.py
+++ b/packages/peers/wasabilanding/peers/messages.py
@@ -15,6 +15,7 @@
 
 from wasabilanding import knowledge
 from wasabilanding import membership
+from wasabilanding import model
 from wasabilanding.peers import documents
 from wasabilanding.peers import exchange_pb2
 from wasabilanding.peers import notices
@@ -22,7 +23,6 @@
 
 MEMBER_SAMPLE_SIZE = 3
 ADDRESS_PATTERN = re.compile(r"^[^\s:/]+:[0-9]{1,5}$")
-MAX_PORT = 65535
 
 
 @dataclasses.dataclass(frozen=True)
@@ -303,7 +303,7 @@
 def _is_valid_address(text: str) -> bool:
     if not ADDRESS_PATTERN.match(text):
         return False
-    return 0 < int(text.rpartition(":")[2]) <= MAX_PORT
+    return 0 < int(text.rpartition(":")[2]) <= model.MAX_PORT
 
 
 def _merge_node(
