--- a/packages/gateway/wasabilanding/gateway/tests/loopback.py
+++ b/packages/gateway/wasabilanding/gateway/tests/loopback.py
@@ -37,6 +37,21 @@
         return found
 
 
+async def listen(nursery, serve):
+    """Serve connections on loopback; return the port.
+
+    :param nursery: runs the listener and its connections.
+    :param serve: serves a connection.
+    """
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(
+        functools.partial(
+            trio.serve_listeners, serve, [listener], handler_nursery=nursery
+        )
+    )
+    return listener.socket.getsockname()[1]
+
+
 async def system(
     nursery, endpoint, table, bounds=reply_bounds.DEFAULT, make=System
 ):
@@ -48,13 +63,24 @@
     :param bounds: bounds on replies.
     :param make: class of the system.
     """
-    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    nursery.start_soon(
-        functools.partial(
-            trio.serve_listeners,
-            endpoint.serve,
-            [listener],
-            handler_nursery=nursery,
+    return make(await listen(nursery, endpoint.serve), table, bounds)
+
+
+async def call(system, upstream, purpose):
+    """Call the control API of a system's endpoint.
+
+    :param system: the system.
+    :param upstream: its connections.
+    :param purpose: name of the purpose.
+    :returns: the reply, or the failure of the attempt.
+    """
+    try:
+        return await upstream.call(
+            system.endpoint,
+            "GET",
+            "/report",
+            b"",
+            upstream_module.Purpose(purpose),
         )
-    )
-    return make(listener.socket.getsockname()[1], table, bounds)
+    except upstream_module.AttemptFailed as error:
+        return error
--- a/packages/gateway/wasabilanding/gateway/tests/steps/endless_replies_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/endless_replies_steps.py
@@ -215,18 +215,8 @@
                 nursery, context.endpoint, table, BOUNDS
             )
             started_at = trio.current_time()
-            context.failure = None
             async with system.upstream() as upstream:
-                try:
-                    await upstream.call(
-                        system.endpoint,
-                        "GET",
-                        "/report",
-                        b"",
-                        upstream_module.Purpose(purpose),
-                    )
-                except upstream_module.AttemptFailed as error:
-                    context.failure = error
+                context.result = await loopback.call(system, upstream, purpose)
             context.took_s = trio.current_time() - started_at
             await trio.sleep(0.1)
             context.sent = context.endpoint.sent
@@ -263,7 +253,8 @@
 @behave.then("the call fails within {bound:g} s")
 def check_call(context, bound):
     """Compare the outcome of the call."""
-    assert context.failure is not None
+    failure = upstream_module.AttemptFailed
+    assert isinstance(context.result, failure), context.result
     assert context.took_s <= bound, context.took_s
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/extra_replies_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/extra_replies_steps.py
@@ -53,16 +53,7 @@
                 )
                 async with sent as reply:
                     await reply.read("reply", 100)
-                try:
-                    context.outcome = await upstream.call(
-                        system.endpoint,
-                        "GET",
-                        "/report",
-                        b"",
-                        upstream_module.Purpose(purpose),
-                    )
-                except upstream_module.AttemptFailed as error:
-                    context.outcome = error.outcome
+                context.result = await loopback.call(system, upstream, purpose)
             nursery.cancel_scope.cancel()
 
     trio.run(run)
@@ -84,5 +75,6 @@
 @behave.then("the call may have run")
 def check_call(context):
     """Compare the outcome of the call."""
-    assert isinstance(context.outcome, model.Outcome), context.outcome
-    assert context.outcome.verdict is model.Verdict.MAY_HAVE_RUN
+    failure = upstream_module.AttemptFailed
+    assert isinstance(context.result, failure), context.result
+    assert context.result.outcome.verdict is model.Verdict.MAY_HAVE_RUN
--- a/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/notices_steps.py
@@ -12,6 +12,7 @@
 from wasabilanding.gateway import control
 from wasabilanding.gateway import plain_wire
 from wasabilanding.gateway.tests import fakes
+from wasabilanding.gateway.tests import loopback
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 
@@ -317,9 +318,6 @@
 async def _send_over_loopback(lasts):
     """Send a request and return what the endpoint received."""
     received = []
-    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    port = listener.socket.getsockname()[1]
-    endpoint = fleet.Endpoint("e0", "service", "127.0.0.1", port, "z1")
 
     async def serve(stream):
         received.append(await stream.receive_some())
@@ -327,7 +325,8 @@
             await stream.send_all(RESPONSE)
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        port = await loopback.listen(nursery, serve)
+        endpoint = fleet.Endpoint("e0", "service", "127.0.0.1", port, "z1")
         async with upstream_module.Upstream() as upstream:
             upstream.require_permits(
                 lambda endpoint, purpose: contextlib.nullcontext(
--- a/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/upstream_steps.py
@@ -4,6 +4,7 @@
 import trio
 
 from wasabilanding import fleet
+from wasabilanding.gateway.tests import loopback
 from wasabilanding.gateway import upstream as upstream_module
 from wasabilanding import model
 
@@ -31,15 +32,21 @@
             self.ended.set()
 
 
+def _run_in_time(function, *arguments):
+    async def run():
+        with trio.fail_after(TIMEOUT_S):
+            await function(*arguments)
+
+    trio.run(run)
+
+
 async def _run(context, delay_s):
     server = _Endpoint()
     async with (
         trio.open_nursery() as nursery,
         upstream_module.Upstream() as upstream,
     ):
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        nursery.start_soon(trio.serve_listeners, server.serve, [listener])
-        port = listener.socket.getsockname()[1]
+        port = await loopback.listen(nursery, server.serve)
         endpoint = fleet.Endpoint("e1", "service", "127.0.0.1", port, "z1")
         sent = upstream.send(endpoint, "GET", b"/a", [], b"")
         async with sent as reply:
@@ -77,9 +84,7 @@
 async def _send_to_starts(context, starts):
     server = _KeepAlive()
     async with trio.open_nursery() as nursery:
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        nursery.start_soon(trio.serve_listeners, server.serve, [listener])
-        port = listener.socket.getsockname()[1]
+        port = await loopback.listen(nursery, server.serve)
         async with upstream_module.Upstream() as upstream:
             for start in starts:
                 endpoint = fleet.Endpoint(
@@ -145,11 +150,7 @@
 def run(context, delay):
     """Run the scenario; later steps check the observations."""
 
-    async def run_in_time():
-        with trio.fail_after(TIMEOUT_S):
-            await _run(context, delay)
-
-    trio.run(run_in_time)
+    _run_in_time(_run, context, delay)
 
 
 @behave.then(
@@ -181,9 +182,7 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            nursery.start_soon(trio.serve_listeners, serve, [listener])
-            port = listener.socket.getsockname()[1]
+            port = await loopback.listen(nursery, serve)
             endpoint = fleet.Endpoint("e1", "service", "127.0.0.1", port, "z1")
             context.answer = b""
             async with upstream_module.Upstream() as upstream:
@@ -196,11 +195,7 @@
                     context.outcome = error.outcome
             nursery.cancel_scope.cancel()
 
-    async def run_in_time():
-        with trio.fail_after(TIMEOUT_S):
-            await run()
-
-    trio.run(run_in_time)
+    _run_in_time(run)
 
 
 @behave.then('"{text}" is read, and the attempt may have run')
