Count what a retry budget earns, holds and is asked for

Change: counters of deposits by origin and of repeats by cause and result, gauges of tokens, capacity and known nodes, a log line when the number of nodes changes, and repeats_charged in the line of a request's end. Decisions are as before.

--- a/packages/decisions/wasabilanding/retries/budget.py
+++ b/packages/decisions/wasabilanding/retries/budget.py
@@ -1,6 +1,7 @@
 """Retry budget of one node."""
 
 import collections
+import collections.abc
 import dataclasses
 
 # Assumed number of nodes while the actual number is unknown.
@@ -92,6 +93,11 @@
         for service, tokens in self._tokens.items():
             self._tokens[service] = min(tokens, parameters.capacity)
 
+    @property
+    def tokens(self) -> collections.abc.Mapping[str, float]:
+        """Tokens that the node has, by service."""
+        return self._tokens
+
     def deposit(self, service: str) -> None:
         """Add the tokens of a request.
 
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -248,7 +248,7 @@
             self._last_outcome = refusal
             return NOT_SENT
         obstacle = self._context.selector.retry_obstacle(
-            self._state, self._last_outcome
+            self._state, self._last_outcome, selected
         )
         if not obstacle:
             self._start(nursery, selected)
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -99,6 +99,7 @@
         self._view = view
         self._wire = wire
         self._budget = retries.RetryBudget()
+        self._known_nodes = 0
         self.update_retry_budget(0)
         self._admission = admission.Admission(settings, view, rng)
         selector = self._selector = selection.EndpointSelector(
@@ -186,6 +187,14 @@
             nodes,
             self._settings.first_start,
         )
+        capacity = self._budget.parameters.capacity
+        self._metrics.set_retry_budget(nodes, capacity, self._budget.tokens)
+        if nodes != self._known_nodes:
+            self._known_nodes = nodes
+            _LOG.info(
+                "the share of the retry budget changes",
+                extra={"nodes": nodes, "capacity": round(capacity, 3)},
+            )
 
     async def handle(
         self,
@@ -307,6 +316,9 @@
             if self._account.is_bounded:
                 response.deadline_at = state.deadline_at
             self._budget.deposit(state.service.name)
+            self._metrics.count_retry_deposit(
+                state.service.name, state.is_relayed
+            )
             with trio.move_on_at(state.deadline_at) as scope:
                 found.scope = scope
                 attempts = attempt_set.AttemptSet(
@@ -403,6 +415,7 @@
                 "model": request.model,
                 "endpoints": state.tried_endpoint_ids if state else [],
                 "runs": state.runs if state else 0,
+                "repeats_charged": state.repeats_charged if state else 0,
                 "first_s": first_s,
                 "whole_s": whole_s,
                 "version": table.version if table else 0,
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -95,6 +95,11 @@
         self.evacuated: dict[Labels, int] = {}
         self.evacuation_refusals: CountsByLabels = collections.Counter()
         self.region_refusals: CountsByLabels = collections.Counter()
+        self.retry_deposits: CountsByLabels = collections.Counter()
+        self.repeats: CountsByLabels = collections.Counter()
+        self.retry_tokens: dict[Labels, float] = {}
+        self.retry_capacity: dict[Labels, float] = {}
+        self.retry_nodes: dict[Labels, int] = {}
         self.loop_failures: CountsByLabels = collections.Counter()
         self.connection_closes: CountsByLabels = collections.Counter()
         self.stranded: dict[Labels, int] = {}
@@ -245,6 +250,45 @@
         """
         self.region_refusals[(("kind", kind),)] += 1
 
+    def count_retry_deposit(self, service: str, is_relayed: bool) -> None:
+        """Count a request that adds to the retry budget.
+
+        :param service: its service.
+        :param is_relayed: whether another node has handed it to this one.
+        """
+        origin = "node" if is_relayed else "caller"
+        self.retry_deposits[(("service", service), ("origin", origin))] += 1
+
+    def count_repeat(self, service: str, cause: str, result: str) -> None:
+        """Count a decision on a further attempt of a request.
+
+        :param service: its service.
+        :param cause: what the attempt is for: "retry", "resumption" of a
+            stream, "second_copy" beside a silent attempt, or "relay" to
+            another node.
+        :param result: "charged" to the retry budget; "free", as the previous
+            attempt did not reach its endpoint; or "refused" by the budget.
+        """
+        labels = (("service", service), ("cause", cause), ("result", result))
+        self.repeats[labels] += 1
+
+    def set_retry_budget(
+        self,
+        nodes: int,
+        capacity: float,
+        tokens: collections.abc.Mapping[str, float],
+    ) -> None:
+        """Set the state of this node's retry budget.
+
+        :param nodes: number of nodes that are known to share the allowance.
+        :param capacity: most tokens that the node saves for a service.
+        :param tokens: tokens that it has, by service.
+        """
+        self.retry_nodes[()] = nodes
+        self.retry_capacity[()] = capacity
+        for service, count in tokens.items():
+            self.retry_tokens[(("service", service),)] = count
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Set whether this node reaches no endpoint.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -58,7 +58,7 @@
 
 
 def _observe(
-    numbers: collections.abc.Mapping[metrics_module.Labels, int],
+    numbers: collections.abc.Mapping[metrics_module.Labels, float],
 ) -> collections.abc.Callable[
     [opentelemetry.metrics.CallbackOptions],
     list[opentelemetry.metrics.Observation],
@@ -153,6 +153,16 @@
             metrics.region_refusals,
             "Requests kept from regions that they may not use, by kind",
         ),
+        (
+            "retry_deposits",
+            metrics.retry_deposits,
+            "Requests that add to the retry budget, by service and origin",
+        ),
+        (
+            "repeats",
+            metrics.repeats,
+            "Decisions on further attempts, by service, cause and result",
+        ),
         (
             "loop_failures",
             metrics.loop_failures,
@@ -188,6 +198,21 @@
             metrics.capacity,
             "Endpoints of model services by model and state",
         ),
+        (
+            "retry_tokens",
+            metrics.retry_tokens,
+            "Tokens of the retry budget, by service",
+        ),
+        (
+            "retry_capacity",
+            metrics.retry_capacity,
+            "Most tokens that the retry budget saves for a service",
+        ),
+        (
+            "retry_nodes",
+            metrics.retry_nodes,
+            "Nodes that are known to share the retry allowance",
+        ),
         (
             "store_era",
             metrics.store_era,
--- a/packages/gateway/wasabilanding/gateway/selection.py
+++ b/packages/gateway/wasabilanding/gateway/selection.py
@@ -45,6 +45,9 @@
 # Share of a route's latency goal for which a request may wait for a grant.
 GRANT_WAIT_SHARE = 0.25
 
+# Causes of repeats, see :meth:`.metrics.Metrics.count_repeat`.
+SECOND_COPY = "second_copy"
+
 _CandidatesByModel = dispatch.CandidatesByModel
 
 
@@ -396,6 +399,7 @@
         self,
         state: request_state_module.RequestState,
         outcome: model.Outcome,
+        selected: Selection,
     ) -> str:
         """Return why a failed request is not retried; empty if it may be.
 
@@ -404,16 +408,19 @@
 
         :param state: the request.
         :param outcome: outcome of the failed attempt.
+        :param selected: the endpoint of the next attempt.
         """
         if not state.tried_endpoint_ids:
             return ""
         obstacle = self.limit_reached(state, state.runs)
         if obstacle:
             return obstacle
+        cause = _repeat_cause(state, selected)
         if outcome.reason in NOT_SENT_REASONS:
             # The endpoint did not receive the request.
+            self._metrics.count_repeat(state.service.name, cause, "free")
             return ""
-        return self._budget_obstacle(state)
+        return self._budget_obstacle(state, cause)
 
     def hedge_obstacle(
         self, state: request_state_module.RequestState, possible_runs: int
@@ -431,7 +438,7 @@
         obstacle = self.limit_reached(state, possible_runs)
         if obstacle:
             return obstacle
-        return self._budget_obstacle(state)
+        return self._budget_obstacle(state, SECOND_COPY)
 
     def limit_reached(
         self, state: request_state_module.RequestState, runs: int
@@ -450,11 +457,15 @@
         return self._crash_guard.obstacle(state)
 
     def _budget_obstacle(
-        self, state: request_state_module.RequestState
+        self, state: request_state_module.RequestState, cause: str
     ) -> str:
-        if self._budget.spend(state.service.name):
-            return ""
-        return BUDGET_SPENT
+        service = state.service.name
+        if not self._budget.spend(service):
+            self._metrics.count_repeat(service, cause, "refused")
+            return BUDGET_SPENT
+        state.repeats_charged += 1
+        self._metrics.count_repeat(service, cause, "charged")
+        return ""
 
     def _untried(
         self, state: request_state_module.RequestState
@@ -600,3 +611,12 @@
         :param service: service of the requests.
         """
         return self._budget.available(service.name)
+
+
+def _repeat_cause(
+    state: request_state_module.RequestState, selected: Selection
+) -> str:
+    """Return what the next attempt of a failed request is for."""
+    if selected.purpose is upstream_module.Purpose.RELAY:
+        return "relay"
+    return "retry" if state.last_event is None else "resumption"
--- /dev/null
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/retry_budget_steps.py
@@ -0,0 +1,76 @@
+"""Steps for what requests add to the retry budget."""
+
+import dataclasses
+
+import behave
+from prometheus_client import parser
+import trio
+
+from wasabilanding.gateway import relays
+from wasabilanding.gateway.tests.steps import notices_steps
+
+# Endpoints that refuse a request are avoided for less.
+INTERVAL_S = 2.0
+
+
+@behave.given("a node that has started again")
+def given_started_again(context):
+    """Let the node begin without tokens."""
+    system = context.system
+    system.settings = dataclasses.replace(system.settings, first_start=False)
+
+
+def _ask_all(context, count, headers, is_relayed):
+    """Send requests one by one, all through the same forwarder."""
+    timeline = notices_steps.timeline_of(context)
+
+    async def ask_all():
+        async with timeline.system.forwarder() as forwarder:
+            for _ in range(count):
+                await trio.sleep(INTERVAL_S)
+                await timeline.system.ask(headers, is_relayed=is_relayed)
+            forwarder.update_retry_budget(0)
+
+    timeline.add(0.0, ask_all)
+    timeline.run()
+    context.requests = count
+
+
+@behave.when("{count:d} requests are refused by their endpoints")
+def refuse(context, count):
+    """Send requests of callers."""
+    _ask_all(context, count, (), False)
+
+
+@behave.when("another node hands over {count:d} requests without tokens")
+def hand_over(context, count):
+    """Send requests as another node does that keeps their tokens."""
+    told = relays.RelayedRequest("n2", 1, 0)
+    _ask_all(context, count, relays.request_headers(told), True)
+
+
+@behave.then("the endpoints get {least:d} to {most:d} of them again")
+def check_repeats(context, least, most):
+    """Compare the arrivals beyond the first of each request."""
+    repeats = len(context.system.endpoints.arrivals) - context.requests
+    assert least <= repeats <= most, repeats
+
+
+@behave.then("the metrics say")
+def check_metrics(context):
+    """Compare samples of the exported metrics by some of their labels."""
+    text = context.system.metrics.text().decode()
+    samples = [
+        sample
+        for family in parser.text_string_to_metric_families(text)
+        for sample in family.samples
+    ]
+    for row in context.table:
+        labels = dict(pair.split("=") for pair in row["labels"].split())
+        found = [
+            round(sample.value, 3)
+            for sample in samples
+            if sample.name == f"wasabilanding_{row['metric']}"
+            and labels.items() <= sample.labels.items()
+        ]
+        assert found == [float(row["value"])], (row, found)
