Add a request that is handed on to one retry budget

Cause: a request that is handed on added 0.18 tokens at the node that its caller asked, and 0.18 again at the node that took it: 0.36 where 0.2 is allowed. Class: a quantity that all nodes share is kept by several nodes without moving it.

Change: the tokens move with the request. The node that hands it on takes its deposit back and says so in the header wasabilanding-deposit; only then the other node adds it. A deposit that is used up already does not move, so the sum over all nodes never exceeds one deposit for each request, also between this build and the previous one.

Ruled out: deposits at the node that the caller asked only. The node that serves the requests of cut nodes would then have no tokens for them.

--- a/packages/decisions/wasabilanding/retries/budget.py
+++ b/packages/decisions/wasabilanding/retries/budget.py
@@ -106,6 +106,17 @@
         tokens = self._tokens[service] + self._parameters.deposit
         self._tokens[service] = min(tokens, self._parameters.capacity)
 
+    def withdraw(self, service: str) -> bool:
+        """Take the tokens of a request back, for the budget of another node.
+
+        :param service: name of the service.
+        :returns: whether they were there.
+        """
+        if self._tokens[service] < self._parameters.deposit:
+            return False
+        self._tokens[service] -= self._parameters.deposit
+        return True
+
     def available(self, service: str) -> int:
         """Return the number of retries that may be made now.
 
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -240,14 +240,32 @@
     def _relay_headers(
         self, state: request_state_module.RequestState
     ) -> list[messages.Header]:
-        """Return what another node is told of a request."""
+        """Return what another node is told of a request.
+
+        A request adds to the retry budget of one node: of the last one, which
+        needs it for its attempts, unless this one has used it up.
+        """
         table = self._view.table
+        has_deposit = state.has_deposit and self._budget.withdraw(
+            state.service.name
+        )
+        if has_deposit:
+            state.has_deposit = False
         return relays_module.request_headers(
             relays_module.RelayedRequest(
-                self._settings.node, table.version if table else 0, state.runs
+                self._settings.node,
+                table.version if table else 0,
+                state.runs,
+                has_deposit,
             )
         )
 
+    def _deposit(self, state: request_state_module.RequestState) -> None:
+        """Add a request to the retry budget."""
+        state.has_deposit = True
+        self._budget.deposit(state.service.name)
+        self._metrics.count_retry_deposit(state.service.name, state.is_relayed)
+
     async def _handle(
         self,
         head: messages.RequestHead,
@@ -315,10 +333,8 @@
             self._selector.tokens.check(state)
             if self._account.is_bounded:
                 response.deadline_at = state.deadline_at
-            self._budget.deposit(state.service.name)
-            self._metrics.count_retry_deposit(
-                state.service.name, state.is_relayed
-            )
+            if relayed is None or relayed.has_deposit:
+                self._deposit(state)
             with trio.move_on_at(state.deadline_at) as scope:
                 found.scope = scope
                 attempts = attempt_set.AttemptSet(
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -16,6 +16,8 @@
 ``wasabilanding-version``     version of its configuration, which the other
                               node must have reached
 ``wasabilanding-runs``        runs of the request so far
+``wasabilanding-deposit``     "1" if the other node adds the request to its
+                              retry budget, as this one has not or no more
 ``wasabilanding-verdict``     in a reply that the other node generates itself:
                               "not_run", "may_have_run", or "elsewhere" if it
                               has not run and a third node may be asked
@@ -37,6 +39,7 @@
 RELAYED_BY = b"wasabilanding-relayed-by"
 VERSION = b"wasabilanding-version"
 RUNS = b"wasabilanding-runs"
+DEPOSIT = b"wasabilanding-deposit"
 VERDICT = b"wasabilanding-verdict"
 # Of all headers between nodes, including those of newer builds.
 PREFIX = b"wasabilanding-"
@@ -61,11 +64,14 @@
     :param node: name of the node.
     :param version: version of its configuration.
     :param runs: runs of the request so far.
+    :param has_deposit: whether the request adds to the retry budget of the
+        node that takes it. Builds that do not say it add to their own.
     """
 
     node: str
     version: int
     runs: int
+    has_deposit: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,6 +131,7 @@
         fields[RELAYED_BY].decode("latin-1"),
         _number(fields, VERSION),
         _number(fields, RUNS),
+        _number(fields, DEPOSIT) > 0,
     )
 
 
@@ -137,6 +144,7 @@
         (RELAYED_BY, request.node.encode()),
         (VERSION, str(request.version).encode()),
         (RUNS, str(request.runs).encode()),
+        (DEPOSIT, str(int(request.has_deposit)).encode()),
     ]
 
 
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -49,6 +49,8 @@
     runs: int = 0
     may_have_run: bool = False
     last_event: int | None = None
+    # Whether it has added to the retry budget of this node.
+    has_deposit: bool = False
     # Further attempts that were taken from the retry budget.
     repeats_charged: int = 0
     # Identifies its content; empty until it is computed.
--- a/packages/gateway/wasabilanding/gateway/tests/retry_budget.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/retry_budget.feature
@@ -13,12 +13,31 @@
       | requests | how              | least | most |
       | 60       | without tokens   | 0     | 0    |
 
+    Examples: The other node has handed its tokens on, 0.18 for each request
+      | requests | how              | least | most |
+      | 60       | with tokens      | 10    | 10   |
+
+  Scenario Outline: A node hands the tokens of a request on as long as it has them
+    Given safe requests of up to 2 attempts
+    And endpoints that "answer, <script>"
+    And the nodes "n2" as relays, in place of e1
+    And a node that has started again
+    And the node is cut off from the endpoints
+    When 5 requests are sent one after the other
+    Then <handed> of them are handed on with their tokens
+    And the node has <left> tokens left
+
+    Examples: A second node that is asked for a request gets none
+      | script    | handed | left |
+      | answer    | 5      | 0    |
+      | elsewhere | 5      | 0    |
+
   # Nothing told what a budget had earned, nor for what a repeat was sent.
   Scenario: What a budget earns and what is taken from it is counted
     Given safe requests of up to 2 attempts
     And endpoints that "refuse, refuse"
     And a node that has started again
-    When 10 requests are refused by their endpoints
+    When 10 requests are sent one after the other
     Then the metrics say
       | metric               | labels                                       | value |
       | retry_deposits_total | origin=caller service=service                | 10    |
--- a/packages/gateway/wasabilanding/gateway/tests/steps/retry_budget_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/retry_budget_steps.py
@@ -36,16 +36,16 @@
     context.requests = count
 
 
-@behave.when("{count:d} requests are refused by their endpoints")
-def refuse(context, count):
+@behave.when("{count:d} requests are sent one after the other")
+def send(context, count):
     """Send requests of callers."""
     _ask_all(context, count, (), False)
 
 
-@behave.when("another node hands over {count:d} requests without tokens")
-def hand_over(context, count):
-    """Send requests as another node does that keeps their tokens."""
-    told = relays.RelayedRequest("n2", 1, 0)
+@behave.when("another node hands over {count:d} requests {how:w} tokens")
+def hand_over(context, count, how):
+    """Send requests as another node does that keeps their tokens or not."""
+    told = relays.RelayedRequest("n2", 1, 0, how == "with")
     _ask_all(context, count, relays.request_headers(told), True)
 
 
@@ -56,6 +56,21 @@
     assert least <= repeats <= most, repeats
 
 
+@behave.then("{count:d} of them are handed on with their tokens")
+def check_handed(context, count):
+    """Read what the other node is told."""
+    name = relays.DEPOSIT.decode()
+    told = [fields[name] for _, fields in context.system.endpoints.arrivals]
+    assert told.count("1") == count, told
+
+
+@behave.then("the node has {left:g} tokens left")
+def check_left(context, left):
+    """Compare the node's budget."""
+    found = context.system.metrics.retry_tokens
+    assert [round(tokens, 3) for tokens in found.values()] == [left], found
+
+
 @behave.then("the metrics say")
 def check_metrics(context):
     """Compare samples of the exported metrics by some of their labels."""
