Show that nodes whose share is below a token never retry

What callers see: requests are refused that another endpoint would serve, at any load, once there are more nodes than 1/1.2 of the slack: above 209 nodes with a slack of 251.

--- a/packages/decisions/wasabilanding/retries/tests/retries.feature
+++ b/packages/decisions/wasabilanding/retries/tests/retries.feature
@@ -14,6 +14,13 @@
       | 86    | 0.2   | 272   | 31       | 600   |
       | 300   | 0.2   | 900   | 31       | 2000  |
 
+    # A share below one token once allowed no retry at all, at any load.
+    Examples: The share of a node is less than a token
+      | nodes | ratio | slack | requests | least |
+      | 40    | 0.2   | 40    | 38       | 200   |
+      | 300   | 0.2   | 251   | 60       | 2000  |
+      | 1400  | 0.2   | 251   | 785      | 150000 |
+
   # A node forgets at its end what it has spent. Each start once had a share of
   # the slack anew, for twelve nodes until the others were known.
   Scenario Outline: Nodes that start again spend no second share of the slack
--- a/packages/experiments/wasabilanding/experiments/installation/cut_gateway.py
+++ b/packages/experiments/wasabilanding/experiments/installation/cut_gateway.py
@@ -5,8 +5,9 @@
 
 A proxy in front of an endpoint cuts all gateways off alike. So the sockets of
 one gateway are cut in its own process: those that lead to the ports of
-endpoints follow the mode that a file names; an empty or missing file means
-that nothing is cut. All else, to peers, store and callers, is untouched.
+endpoints follow the mode that a file names, or only those to the ports that
+follow the mode there; an empty or missing file means that nothing is cut. All
+else, to peers, store and callers, is untouched.
 
 ``hang``
     Nothing arrives in either direction; bytes are sent once the cut ends.
@@ -59,18 +60,26 @@
         self._unsent: dict[Socket, bytes] = {}
 
     @property
-    def mode(self) -> str:
-        """The mode that is in force."""
+    def _words(self) -> list[str]:
+        """The mode that is in force and the ports that are cut."""
         try:
-            return self._path.read_text().strip()
+            return self._path.read_text().split() or [NONE]
         except FileNotFoundError:
-            return NONE
+            return [NONE]
+
+    @property
+    def mode(self) -> str:
+        """The mode that is in force."""
+        return self._words[0]
 
     def concerns(self, address: tuple[str, int]) -> bool:
-        """Return whether an address is one of an endpoint.
+        """Return whether an address is one of an endpoint that may be cut.
 
         :param address: IP address and port.
         """
+        chosen = self._words[1:]
+        if chosen and str(address[1]) not in chosen:
+            return False
         return address[1] in self._ports
 
     def leads_to_endpoint(self, sock: Socket) -> bool:
--- a/packages/experiments/wasabilanding/experiments/installation/launch.py
+++ b/packages/experiments/wasabilanding/experiments/installation/launch.py
@@ -197,8 +197,8 @@
         self._processes = launcher.Processes(folder)
         self._ports = iter(launcher.free_ports(self._port_count()))
         self.vms: list[Vm] = []
-        # Ports at which endpoints are registered.
-        self._endpoint_ports: list[int] = []
+        # Ports at which endpoints are registered, by identity.
+        self._endpoint_ports: dict[str, int] = {}
         self.gateways: list[Gateway] = []
         self.control_urls: dict[str, str] = {}
         self.platform_url = ""
@@ -277,7 +277,7 @@
             vm.endpoint_id: self._proxied_port(vm.endpoint_id, vm.port)
             for vm in vms
         }
-        self._endpoint_ports += registered.values()
+        self._endpoint_ports |= registered
         settings = {
             "platform_url": self.platform_url,
             "failure_domain": domain,
@@ -357,7 +357,7 @@
         if self._is_cuttable:
             environment[cut_gateway.CUT_FILE] = str(self._cut_file(name))
             environment[cut_gateway.CUT_PORTS] = ",".join(
-                str(port) for port in self._endpoint_ports
+                str(port) for port in self._endpoint_ports.values()
             )
         return self._processes.spawn(
             name,
@@ -371,15 +371,22 @@
     def _cut_file(self, name: str) -> pathlib.Path:
         return self._folder / f"{name}.cut"
 
-    def cut(self, gateway: Gateway, mode: str) -> None:
-        """Cut the links of a gateway to all endpoints, or end the cut.
+    def cut(
+        self,
+        gateway: Gateway,
+        mode: str,
+        vms: collections.abc.Iterable[Vm] = (),
+    ) -> None:
+        """Cut the links of a gateway to endpoints, or end the cut.
 
         :param gateway: the gateway.
         :param mode: a mode of
             :mod:`wasabilanding.experiments.installation.cut_gateway`; empty
             for none.
+        :param vms: the endpoints; empty for all.
         """
-        self._cut_file(gateway.name).write_text(mode)
+        ports = (str(self._endpoint_ports[vm.endpoint_id]) for vm in vms)
+        self._cut_file(gateway.name).write_text(" ".join((mode, *ports)))
 
     def restart(self, gateway: Gateway) -> None:
         """Restart a gateway whose process has exited.
--- a/packages/standins/wasabilanding/standins/registered_engine.py
+++ b/packages/standins/wasabilanding/standins/registered_engine.py
@@ -61,6 +61,7 @@
         takes any number.
     :param cold_overshoot: multiple of that number above which it ends.
     :param cold_slack: requests beyond that in one second above which it ends.
+    :param refused_share: share of its requests that a plain endpoint refuses.
     """
 
     slots: int = 4
@@ -80,6 +81,7 @@
     cold_per_s: float = 0.0
     cold_overshoot: float = 1.5
     cold_slack: float = 5.0
+    refused_share: float = 0.0
 
 
 class RunEnd(enum.StrEnum):
--- a/packages/standins/wasabilanding/standins/registered_engine_http.py
+++ b/packages/standins/wasabilanding/standins/registered_engine_http.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import json
+import random
 import time
 
 import quart
@@ -120,6 +121,10 @@
     return None
 
 
+def _random_refusal(share: float) -> int | None:
+    return HTTP_UNAVAILABLE if random.random() < share else None
+
+
 def _execute_order(
     engine: registered_engine.Engine, order: plain_wire.OrderBody
 ) -> int:
@@ -197,6 +202,8 @@
         refusal_status = _refusal_status(
             engine, request.headers, fabric.settings.slots + queue
         )
+        if refusal_status is None and not engine.fabric_domain:
+            refusal_status = _random_refusal(fabric.settings.refused_share)
         if refusal_status != HTTP_MISDIRECTED:
             _check_cold(engine, fabric, crash)
         if refusal_status is not None:
