Test that no order of outcomes brings an uncharged repeat

The table tries each order of four outcomes, and of nodes that take the request then: 256 + 81 + 256 requests.

--- a/packages/gateway/wasabilanding/gateway/tests/retry_budget.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/retry_budget.feature
@@ -46,3 +46,16 @@
       | retry_tokens         | service=service                              | 0.8   |
       | retry_capacity       |                                              | 10    |
       | retry_nodes          |                                              | 0     |
+
+  # A retry is free where the last attempt did not reach its endpoint. No order
+  # of outcomes may let an endpoint get a request again that nobody charges.
+  Scenario Outline: Whatever its attempts meet, a repeat is charged
+    Given <kind> requests of up to 3 attempts
+    When one request meets each order of 4 of "<outcomes>", and then nodes that "<nodes>"
+    Then it reaches endpoints more often than it is charged once at most
+
+    Examples:
+      | kind                | outcomes                               | nodes                          |
+      | safe                | refuse, unreachable, crash, foreign    | elsewhere, perhaps, answer     |
+      | unsafe              | refuse, unreachable, answer            | elsewhere, perhaps, answer     |
+      | resumable streaming | refuse, unreachable, reset 2, silent 1 | elsewhere, unreachable, events 4 |
--- a/packages/gateway/wasabilanding/gateway/tests/steps/relays_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/relays_steps.py
@@ -11,18 +11,25 @@
 CUT_OFF_CHECKED = 4
 
 
-@behave.given('the nodes "{names}" as relays, in place of {replaced}')
-def given_relays(context, names, replaced):
-    """Let nodes answer at the addresses of endpoints."""
-    system = context.system
+def relay_through(system, replaced):
+    """Let nodes answer at the addresses of endpoints.
+
+    :param system: the system.
+    :param replaced: identities of the endpoints, by name of the node.
+    """
     addresses = {}
-    for name, endpoint_id in zip(
-        names.split(), replaced.split(" and "), strict=True
-    ):
+    for name, endpoint_id in replaced.items():
         endpoint = system.endpoints.endpoint(endpoint_id)
         addresses[name] = (endpoint.host, endpoint.port)
         system.view.registry.remove(endpoint_id, 0.0)
     system.relays.nodes = lambda: {"z1": addresses}
+
+
+@behave.given('the nodes "{names}" as relays, in place of {replaced}')
+def given_relays(context, names, replaced):
+    """Let nodes answer at the addresses of endpoints."""
+    pairs = zip(names.split(), replaced.split(" and "), strict=True)
+    relay_through(context.system, dict(pairs))
     notices_steps.timeline_of(context)
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/retry_budget_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/retry_budget_steps.py
@@ -1,16 +1,25 @@
 """Steps for what requests add to the retry budget."""
 
 import dataclasses
+import itertools
 
 import behave
 from prometheus_client import parser
 import trio
+import trio.testing
 
 from wasabilanding.gateway import relays
+from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests.steps import notices_steps
+from wasabilanding.gateway.tests.steps import relays_steps
 
 # Endpoints that refuse a request are avoided for less.
 INTERVAL_S = 2.0
+# A share of it allows all retries of a request.
+AMPLE_SLACK = 1200
+TIME_S = 20.0
+# What an attempt meets that does not bring the request to an endpoint.
+NOT_REACHED = ("unreachable", "elsewhere")
 
 
 @behave.given("a node that has started again")
@@ -49,6 +58,55 @@
     _ask_all(context, count, relays.request_headers(told), True)
 
 
+@behave.when(
+    'one request meets each order of {count:d} of "{outcomes}", and then '
+    'nodes that "{nodes}"'
+)
+def meet_all(context, count, outcomes, nodes):
+    """Send a request for each order, to endpoints and nodes of its own."""
+    context.results = []
+    last = nodes.split(", ")
+    for order in itertools.product(outcomes.split(", "), repeat=count):
+        scripts = {f"e{i}": name for i, name in enumerate((*order, *last))}
+        context.system = fakes.System(dict(scripts), context.routing)
+        context.system.settings = dataclasses.replace(
+            context.system.settings, retry_slack=AMPLE_SLACK
+        )
+        names = list(scripts)[count:]
+        relays_steps.relay_through(
+            context.system, {f"n{name}": name for name in names}
+        )
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(_ask_within_time, context.system, clock=clock)
+        reached = [
+            scripts[name] for name, _ in context.system.endpoints.arrivals
+        ]
+        charged = sum(
+            number
+            for labels, number in context.system.metrics.repeats.items()
+            if ("result", "charged") in labels
+        )
+        context.results.append((order, reached, charged))
+
+
+async def _ask_within_time(system):
+    system.view.mark_current(0.0)
+    with trio.move_on_after(TIME_S):
+        await system.ask()
+
+
+@behave.then("it reaches endpoints more often than it is charged once at most")
+def check_charged(context):
+    """Compare arrivals and charges for each order."""
+    wrong = [
+        (order, reached, charged)
+        for order, reached, charged in context.results
+        if sum(name not in NOT_REACHED for name in reached) > charged + 1
+    ]
+    assert not wrong, wrong
+    assert any(charged for _, _, charged in context.results)
+
+
 @behave.then("the endpoints get {least:d} to {most:d} of them again")
 def check_repeats(context, least, most):
     """Compare the arrivals beyond the first of each request."""
