Charge the repeat after a node that stopped with a request

What callers saw: nothing; endpoints got a repeat that no budget covered.

Cause: a node that takes a request of another one, sends it to an endpoint that refuses it, and stops then, says 'elsewhere'. The first node took that for a request that had reached no endpoint and sent it on without a charge. Class: one word stands for two states, not run and not sent.

Change: beside 'elsewhere', the header wasabilanding-reached says whether an endpoint has got the request beyond the repeats that were charged. Then the next attempt is charged. Without the header it is as before.

Result: the new rows failed before (two repeats without a charge; no header) and pass.

--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -360,6 +360,8 @@
         if ended.outcome is None:
             return True
         self._last_outcome = ended.outcome
+        if ended.outcome.reason not in selection.NOT_SENT_REASONS:
+            self._state.arrivals += 1
         if ended.outcome.reason is model.Reason.ENDPOINT_HELD:
             # Nothing was sent, and the endpoint has not failed.
             self._state.tried_endpoint_ids.remove(ended.attempt.endpoint_id)
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -350,7 +350,7 @@
             reason += _unread(response)
             if not response.has_begun:
                 if relayed is not None:
-                    echoed.append(_relay_verdict(rejection))
+                    echoed += _relay_verdict(rejection, state)
                 await response.answer(rejection.answer, echoed)
         finally:
             self._record_end(request, state, response, arrived_at, reason)
@@ -458,16 +458,21 @@
 
 def _relay_verdict(
     rejection: request_state_module.RequestRejected,
-) -> messages.Header:
+    state: request_state_module.RequestState | None,
+) -> list[messages.Header]:
     """Return what another node is told of a request that is rejected."""
     if rejection.answer.status in MAY_HAVE_RUN_STATUSES:
-        return relays_module.VERDICT, relays_module.MAY_HAVE_RUN
+        return [(relays_module.VERDICT, relays_module.MAY_HAVE_RUN)]
     is_refused = isinstance(rejection, request_state_module.RelayRefused)
     # A node that fails to connect may be cut off without knowing it yet.
     is_unable = rejection.answer.reason in UNABLE_REASONS
     if is_refused or is_unable:
-        return relays_module.VERDICT, relays_module.ELSEWHERE
-    return relays_module.VERDICT, relays_module.NOT_RUN
+        has_reached = state is not None and state.arrivals_uncharged > 0
+        return [
+            (relays_module.VERDICT, relays_module.ELSEWHERE),
+            (relays_module.REACHED, str(int(has_reached)).encode()),
+        ]
+    return [(relays_module.VERDICT, relays_module.NOT_RUN)]
 
 
 def _unread(response: inbound.ResponseWriter) -> str:
--- a/packages/gateway/wasabilanding/gateway/relays.py
+++ b/packages/gateway/wasabilanding/gateway/relays.py
@@ -21,6 +21,9 @@
 ``wasabilanding-verdict``     in a reply that the other node generates itself:
                               "not_run", "may_have_run", or "elsewhere" if it
                               has not run and a third node may be asked
+``wasabilanding-reached``     beside "elsewhere": "1" if an endpoint has got
+                              the request, so that the next attempt is a
+                              repeat that is still to be charged
 ============================= ==============================================
 """
 
@@ -41,6 +44,7 @@
 RUNS = b"wasabilanding-runs"
 DEPOSIT = b"wasabilanding-deposit"
 VERDICT = b"wasabilanding-verdict"
+REACHED = b"wasabilanding-reached"
 # Of all headers between nodes, including those of newer builds.
 PREFIX = b"wasabilanding-"
 NOT_RUN = b"not_run"
@@ -80,10 +84,13 @@
 
     :param verdict: its verdict; empty if an endpoint has replied.
     :param runs: runs of the request in all.
+    :param has_reached: whether an endpoint has got the request there, and no
+        retry was charged for it.
     """
 
     verdict: bytes
     runs: int
+    has_reached: bool = False
 
 
 def is_relay(endpoint_id: str) -> bool:
@@ -156,7 +163,11 @@
     :param headers: headers of the reply, names in lower case.
     """
     fields = dict(headers)
-    return RelayReply(fields.get(VERDICT, b""), _number(fields, RUNS))
+    return RelayReply(
+        fields.get(VERDICT, b""),
+        _number(fields, RUNS),
+        _number(fields, REACHED) > 0,
+    )
 
 
 def without_own(
@@ -189,6 +200,8 @@
         if not given.
     """
     detail = f"{node} replied with {status}"
+    if reply.verdict == ELSEWHERE and reply.has_reached:
+        return model.not_run(model.Reason.REFUSED, detail)
     if reply.verdict == ELSEWHERE:
         return model.not_run(model.Reason.CONNECT_FAILED, detail)
     if reply.verdict == NOT_RUN:
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -51,7 +51,9 @@
     last_event: int | None = None
     # Whether it has added to the retry budget of this node.
     has_deposit: bool = False
-    # Further attempts that were taken from the retry budget.
+    # Attempts that brought it to an endpoint, and further attempts that were
+    # taken from the retry budget.
+    arrivals: int = 0
     repeats_charged: int = 0
     # Identifies its content; empty until it is computed.
     fingerprint: str = ""
@@ -109,6 +111,11 @@
         spent.subtract(self.refused_endpoint_ids)
         return list(spent.elements())
 
+    @property
+    def arrivals_uncharged(self) -> int:
+        """Arrivals at endpoints beyond those that the retry budget covers."""
+        return self.arrivals - self.repeats_charged
+
     @property
     def resumes_after(self) -> int | None:
         """Number of the event after which the next attempt resumes."""
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -49,6 +49,8 @@
     "elsewhere": (503, relays.ELSEWHERE),
     "rejected": (503, relays.NOT_RUN),
     "perhaps": (502, relays.MAY_HAVE_RUN),
+    # An endpoint has got the request and refused it.
+    "stopping": (503, relays.ELSEWHERE),
 }
 # Requests for this path are never answered.
 SLOW = b"/slow"
@@ -332,6 +334,8 @@
         if script in RELAY_VERDICTS:
             status, verdict = RELAY_VERDICTS[script]
             headers[relays.VERDICT.decode()] = verdict.decode()
+            if script == "stopping":
+                headers[relays.REACHED.decode()] = "1"
             return httpx.Response(
                 status, headers=headers, stream=_Body([], "")
             )
--- a/packages/gateway/wasabilanding/gateway/tests/retry_budget.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/retry_budget.feature
@@ -57,5 +57,19 @@
     Examples:
       | kind                | outcomes                               | nodes                          |
       | safe                | refuse, unreachable, crash, foreign    | elsewhere, perhaps, answer     |
+      | safe                | refuse, unreachable                    | stopping, stopping, answer     |
       | unsafe              | refuse, unreachable, answer            | elsewhere, perhaps, answer     |
       | resumable streaming | refuse, unreachable, reset 2, silent 1 | elsewhere, unreachable, events 4 |
+
+  # The node that handed the request on took it for one that had reached no
+  # endpoint, so that nobody charged the repeat.
+  Scenario Outline: A node that stops tells whether an endpoint got the request
+    Given safe requests of up to 2 attempts
+    And endpoints that "<script>, answer"
+    When another node hands over a request, and the node stops meanwhile
+    Then it is told that a third node may be asked, and "<reached>"
+
+    Examples:
+      | script      | reached |
+      | refuse      | 1       |
+      | unreachable | 0       |
--- a/packages/gateway/wasabilanding/gateway/tests/steps/retry_budget_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/retry_budget_steps.py
@@ -12,12 +12,14 @@
 from wasabilanding.gateway.tests import fakes
 from wasabilanding.gateway.tests.steps import notices_steps
 from wasabilanding.gateway.tests.steps import relays_steps
+from wasabilanding import limits
 
 # Endpoints that refuse a request are avoided for less.
 INTERVAL_S = 2.0
 # A share of it allows all retries of a request.
 AMPLE_SLACK = 1200
 TIME_S = 20.0
+CONNECT_S = 1.0
 # What an attempt meets that does not bring the request to an endpoint.
 NOT_REACHED = ("unreachable", "elsewhere")
 
@@ -147,3 +149,33 @@
             and labels.items() <= sample.labels.items()
         ]
         assert found == [float(row["value"])], (row, found)
+
+
+@behave.when("another node hands over a request, and the node stops meanwhile")
+def stop_meanwhile(context):
+    """Stop the node while an endpoint is asked for its connection."""
+    timeline = notices_steps.timeline_of(context)
+    system = timeline.system
+    system.endpoints.connect_s = CONNECT_S
+    told = relays.RelayedRequest("n2", 1, 0)
+
+    async def ask(headers):
+        context.caller = await system.ask(headers, is_relayed=True)
+
+    async def run():
+        async with system.forwarder() as forwarder, trio.open_nursery() as n:
+            n.start_soon(ask, relays.request_headers(told))
+            await trio.sleep(CONNECT_S / 2)
+            now = trio.current_time()
+            forwarder.stop(limits.grace_period(now, CONNECT_S / 2))
+
+    timeline.add(0.0, run)
+    timeline.run()
+
+
+@behave.then('it is told that a third node may be asked, and "{reached}"')
+def check_told(context, reached):
+    """Compare the headers for the other node."""
+    headers = context.caller.headers
+    assert headers[relays.VERDICT] == relays.ELSEWHERE, headers
+    assert headers.get(relays.REACHED) == reached.encode(), headers
