--- a/packages/decisions/wasabilanding/retries/tests/retries.feature
+++ b/packages/decisions/wasabilanding/retries/tests/retries.feature
@@ -21,6 +21,11 @@
       | 300   | 0.2   | 251   | 60       | 2000  |
       | 1400  | 0.2   | 251   | 785      | 150000 |
 
+    # Neither its share nor its load gives a node a token of its own.
+    Examples: The share of a node is less than a token, and its requests are few
+      | nodes | ratio | slack | requests | least |
+      | 300   | 0.2   | 251   | 10       | 400   |
+
   # A node forgets at its end what it has spent. Each start once had a share of
   # the slack anew, for twelve nodes until the others were known.
   Scenario Outline: Nodes that start again spend no second share of the slack
@@ -53,6 +58,20 @@
       | 83    | 251   |
       | 300   | 251   |
 
+  # A retry is charged when it is sent, and counts when it arrives: what waits
+  # for endpoints that stand still arrives together.
+  Scenario Outline: Retries that arrive late together stay within the allowance
+    Given <nodes> nodes that know the number of nodes
+    And an allowance of 0.2 retries per request and <slack> additional ones
+    When <rate> requests a second fail, and <share> of the retries of <seconds> s arrive at their end
+    Then in no 10 s more retries are made than allowed
+
+    Examples:
+      | nodes | slack | rate | share | seconds |
+      | 83    | 251   | 282  | 0.4   | 6       |
+      | 83    | 251   | 282  | 0.8   | 3       |
+      | 12    | 40    | 150  | 0.8   | 6       |
+
   Scenario: A budget shrinks when more nodes are known
     Given a budget with 10 tokens for one service
     When it is shared by 100 nodes with a slack of 120
--- a/packages/decisions/wasabilanding/retries/tests/steps/retries_steps.py
+++ b/packages/decisions/wasabilanding/retries/tests/steps/retries_steps.py
@@ -13,6 +13,9 @@
 SPAN_S = 5
 LOADS = (0.05, 0.3, 1.0, 3.0, 8.0)
 FAILING_SHARE = 0.6
+# Seconds in which retries are late begin here, in a play of this length.
+LATE_FROM_S = 20
+LATE_PLAY_S = 40
 
 
 @behave.given("{nodes:d} nodes that know the number of nodes")
@@ -92,6 +95,25 @@
         context.retried.append(retried)
 
 
+@behave.when(
+    "{rate:d} requests a second fail, and {share:g} of the retries of "
+    "{seconds:d} s arrive at their end"
+)
+def arrive_late(context, rate, share, seconds):
+    """Retry requests as often as the budgets allow, at random nodes."""
+    rng = random.Random(1)
+    late = range(LATE_FROM_S, LATE_FROM_S + seconds)
+    context.sent = [rate] * LATE_PLAY_S
+    context.retried = [0] * LATE_PLAY_S
+    for second in range(LATE_PLAY_S):
+        for _ in range(rate):
+            budget = rng.choice(context.budgets)
+            budget.deposit(SERVICE, second)
+            while budget.spend(SERVICE, second):
+                is_late = second in late and rng.random() < share
+                context.retried[late.stop if is_late else second] += 1
+
+
 def _windows(counts):
     """Return the sums of all spans of 10 s, by the second of their begin."""
     return [
