--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/repeats_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/repeats_steps.py
@@ -4,6 +4,7 @@
 import time
 
 import behave
+import httpx
 import trio
 
 from wasabilanding.experiments.installation import cut_gateway
@@ -16,12 +17,15 @@
 # Endpoints with free slots refuse at random only.
 BEHAVIOUR = {"slots": 64, "work_s": 0.01}
 KIND = "pages"
+KILLED_AT_S = 5.0
 
 
 class _Load:
     """Requests at a steady rate through all gateways in turn."""
 
-    def __init__(self, installation):
+    def __init__(self, installation, killed):
+        self._installation = installation
+        self._killed = killed
         self._gateways = itertools.cycle(installation.gateways)
         self._numbers = itertools.count()
         self.sent_at = []
@@ -38,9 +42,17 @@
         }
         url = f"{gateway.callers_url}/{KIND}/{request_id}"
         self.sent_at.append(time.monotonic())
-        answer = await client.post(url, headers=headers)
+        try:
+            answer = await client.post(url, headers=headers)
+        except httpx.HTTPError:
+            # The gateway is killed.
+            return
         self.statuses.append(answer.status_code)
 
+    async def _restart(self, gateway):
+        await trio.sleep(KILLED_AT_S)
+        await running.kill_and_restart(self._installation, gateway)
+
     async def run(self, rate, seconds):
         """Send requests, without waiting for the answers of earlier ones."""
         async with (
@@ -48,6 +60,8 @@
             trio.open_nursery() as nursery,
         ):
             begun_at = trio.current_time()
+            for gateway in self._killed:
+                nursery.start_soon(self._restart, gateway)
             for number in range(int(rate * seconds)):
                 await trio.sleep_until(begun_at + number / rate)
                 nursery.start_soon(self._send, client)
@@ -82,12 +96,18 @@
         installation.cut(gateway, cut_gateway.RESET, pages[:unreached])
 
 
+@behave.when("{count:d} of them are killed and started again at 5 s")
+def kill(context, count):
+    """Choose the gateways that are killed beside the load."""
+    context.killed = context.installation.gateways[:count]
+
+
 @behave.when(
     "{rate:d} requests a second are sent through all of them for {seconds:d} s"
 )
 def send(context, rate, seconds):
     """Send requests and read what reached the endpoints."""
-    load = _Load(context.installation)
+    load = _Load(context.installation, context.killed)
     trio.run(load.run, rate, seconds)
     read_at = time.monotonic()
     arrivals = [
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -37,7 +37,8 @@
         refused even while the store is unreachable; 0 for no bound.
     :param retry_ratio: allowed retries per request to a service.
     :param retry_slack: additional allowed retries, in total over all nodes.
-        A node's share of it is rounded down, as a retry takes a whole token.
+        A node's share of it is rounded down, as a retry takes a whole token;
+        where it is less than one, the node's requests add to it.
     :param change_bounds_ms: milliseconds within which a change of the
         configuration, the removal of an endpoint, and the evacuation of a
         failure domain must take effect.
