Compare all parameters of a node's retry budget in its examples

The examples compared whole parameters; reduced them to one field each, which was weaker. They compare all four again. A sentence of the module's explanation is plainer. The suite and the examples pass.

--- a/packages/decisions/wasabilanding/retries/budget.py
+++ b/packages/decisions/wasabilanding/retries/budget.py
@@ -6,10 +6,10 @@
 All nodes together may send a service, in any span of 10 s, a share of its
 requests as retries, and some more, the slack. Requests are those of that span
 or of the one before, whichever has more. Each node keeps a token bucket for
-each service. A request adds 0.9 of the ratio, and the bucket holds a share of
-the slack that all nodes of a number share. In a span, a node thus spends at
-most what its bucket can hold at the beginning, and what the span's requests
-add: over all nodes, the slack and 0.9 of the ratio.
+each service. A request adds 0.9 of the ratio, and the bucket holds at most the
+node's share of the slack. In a span, a node thus spends at most what its
+bucket can hold at the beginning, and what the span's requests add: over all
+nodes, the slack and 0.9 of the ratio.
 
 Retries take whole tokens, so a bucket that holds less than one would allow
 none at any load. Such a bucket holds more, by 0.1 of the ratio for each
@@ -72,12 +72,19 @@
     ========
 
     >>> from wasabilanding import retries
-    >>> retries.node_budget(0.2, 120).capacity
-    10.0
-    >>> retries.node_budget(0.2, 120, nodes=100).initial
-    1.0
-    >>> retries.node_budget(0.2, 120, nodes=100, is_first_start=False).initial
-    0.0
+    >>> retries.node_budget(0.2, 120)  # doctest: +NORMALIZE_WHITESPACE
+    BucketParameters(deposit=0.18, initial=10.0, capacity=10.0,
+                     capacity_per_request=0.02)
+    >>> retries.node_budget(
+    ...     0.2, 120, nodes=100
+    ... )  # doctest: +NORMALIZE_WHITESPACE
+    BucketParameters(deposit=0.18, initial=1.0, capacity=1.0,
+                     capacity_per_request=0.02)
+    >>> retries.node_budget(
+    ...     0.2, 120, nodes=100, is_first_start=False
+    ... )  # doctest: +NORMALIZE_WHITESPACE
+    BucketParameters(deposit=0.18, initial=0.0, capacity=1.0,
+                     capacity_per_request=0.02)
     """
     share = slack / max(DEFAULT_NODES, nodes * JOINING_MARGIN)
     initial = share if is_first_start else 0.0
