Count callers found to have left as their requests are sent

The log says that a caller disconnected, but neither whether its close had already reached the VM as the request was sent, nor how long the process had not run, so the hypotheses of the incident cannot be told apart.

Right before each send the caller's socket is asked with poll and POLLRDHUP, which sees the close also while bytes wait in front of it. A close that is found has a log line and a counter by target; the request is still sent. The lag of the event loop has a histogram. The checks before a send stand in a module of their own, as the one for regions had been alone there.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -54,8 +54,8 @@
     :param reachability: whether this node reaches any endpoint.
     :param relay_headers: returns what other nodes are told of a request.
     :param account: the node's memory.
-    :param check_regions: checks that a request may be sent to an endpoint or
-        a node, whose region may not be allowed any more.
+    :param check_send: checks that a request may still be sent to an endpoint
+        or a node, right before it is.
     """
 
     wire: messages.WireFormat
@@ -73,7 +73,7 @@
         [request_state_module.RequestState], list[messages.Header]
     ]
     account: memory_account.MemoryAccount
-    check_regions: collections.abc.Callable[
+    check_send: collections.abc.Callable[
         [request_state_module.RequestState, fleet.Endpoint], None
     ]
 
@@ -262,7 +262,7 @@
             state.body,
             purpose=self._purpose,
             check=functools.partial(
-                self._context.check_regions, state, self._endpoint
+                self._context.check_send, state, self._endpoint
             ),
             request_id=state.request.request_id,
         )
--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -31,6 +31,7 @@
 from wasabilanding.gateway import relays as relays_module
 from wasabilanding.gateway import request_state as request_state_module
 from wasabilanding.gateway import selection
+from wasabilanding.gateway import send_checks
 from wasabilanding.gateway import send_grants
 from wasabilanding.gateway import settings as settings_module
 from wasabilanding.gateway import stopping
@@ -136,7 +137,12 @@
                 reachability,
                 self._relay_headers,
                 self._account,
-                region_restrictions.send_check(settings.region_map, metrics),
+                send_checks.combined(
+                    send_checks.caller_check(metrics),
+                    region_restrictions.send_check(
+                        settings.region_map, metrics
+                    ),
+                ),
             ),
             selector,
             tracker,
@@ -327,6 +333,7 @@
         try:
             state = self._admit(head, body, request, arrived_at)
             found.state = state
+            state.has_caller_closed = response.has_caller_closed
             if relayed is not None:
                 self._accept_relayed(relayed, state, response)
             self._crash_guard.check(state)
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -37,6 +37,8 @@
     :param closes_connection: returns whether to close the connection after
         the answer.
     :param is_broken: returns whether a part could not be sent.
+    :param has_caller_closed: returns whether the caller has closed its
+        connection, read or not.
 
     ``caller_left`` tells whether the caller closed its connection before the
     answer was complete. A write that the caller does not read is not
@@ -50,8 +52,10 @@
         send: Send,
         closes_connection: collections.abc.Callable[[], bool],
         is_broken: collections.abc.Callable[[], bool] = lambda: False,
+        has_caller_closed: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._send = send
+        self.has_caller_closed = has_caller_closed
         self._closes_connection = closes_connection
         self._is_broken = is_broken
         self.status = 0
@@ -246,7 +250,10 @@
         held: memory_account.Reservation,
     ) -> None:
         response = ResponseWriter(
-            send, closes_connection, lambda: listening.is_broken(scope)
+            send,
+            closes_connection,
+            lambda: listening.is_broken(scope),
+            lambda: listening.has_caller_closed(scope),
         )
         is_accepted = accepts_requests()
         limit = max_body_bytes()
--- a/packages/gateway/wasabilanding/gateway/metrics.py
+++ b/packages/gateway/wasabilanding/gateway/metrics.py
@@ -33,6 +33,7 @@
 FIRST_EVENT_METRIC = "wasabilanding_first_event_seconds"
 ANSWER_METRIC = "wasabilanding_answer_seconds"
 WAIT_METRIC = "wasabilanding_wait_seconds"
+LAG_METRIC = "wasabilanding_loop_lag_seconds"
 EXPORT_MODULE = "wasabilanding.gateway.metrics_export"
 
 # Names and values of labels, in a fixed order.
@@ -122,6 +123,8 @@
         self.waits: dict[Labels, Histogram] = collections.defaultdict(
             Histogram
         )
+        self.loop_lag: dict[Labels, Histogram] = {(): Histogram()}
+        self.closes_at_send: CountsByLabels = collections.Counter()
         self._export: collections.abc.Callable[[], bytes] | None = None
 
     def count_request(
@@ -384,6 +387,20 @@
         )
         self.connection_closes[labels] += 1
 
+    def record_loop_lag(self, lag_s: float) -> None:
+        """Record by how much the event loop has run a task too late.
+
+        :param lag_s: seconds.
+        """
+        self.loop_lag[()].record(lag_s)
+
+    def count_close_at_send(self, target: str) -> None:
+        """Count a caller that is found to have left as its request is sent.
+
+        :param target: "endpoint", or "node" for another node.
+        """
+        self.closes_at_send[(("target", target),)] += 1
+
     def set_stranded(self, failure_domain: str, count: int) -> None:
         """Set the number of endpoints of model services that do not serve.
 
--- a/packages/gateway/wasabilanding/gateway/metrics_export.py
+++ b/packages/gateway/wasabilanding/gateway/metrics_export.py
@@ -32,13 +32,20 @@
         self,
     ) -> collections.abc.Iterator[prometheus_client.core.Metric]:
         """Yield each histogram as a family of one metric per label set."""
-        for name, histograms in (
-            (metrics_module.FIRST_EVENT_METRIC, self._metrics.first_event),
-            (metrics_module.ANSWER_METRIC, self._metrics.answer),
-            (metrics_module.WAIT_METRIC, self._metrics.waits),
+        metrics = self._metrics
+        by_service = ["service"]
+        for name, histograms, label_names in (
+            (
+                metrics_module.FIRST_EVENT_METRIC,
+                metrics.first_event,
+                by_service,
+            ),
+            (metrics_module.ANSWER_METRIC, metrics.answer, by_service),
+            (metrics_module.WAIT_METRIC, metrics.waits, by_service),
+            (metrics_module.LAG_METRIC, metrics.loop_lag, []),
         ):
             family = prometheus_client.core.HistogramMetricFamily(
-                name, name, labels=["service"]
+                name, name, labels=label_names
             )
             for labels, histogram in histograms.items():
                 family.add_metric(
@@ -173,6 +180,11 @@
             metrics.connection_closes,
             "Connections that ended, by listener, cause and open request",
         ),
+        (
+            "closes_at_send",
+            metrics.closes_at_send,
+            "Callers found to have left as their request is sent, by target",
+        ),
         (
             "log_lines_dropped",
             metrics.log_lines_dropped,
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -25,6 +25,7 @@
 from wasabilanding.gateway import hints
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import listeners
+from wasabilanding.gateway import loop_lag
 from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import messages
 from wasabilanding.gateway import metrics as metrics_module
@@ -301,6 +302,7 @@
             "clean-up": self._clean_up,
             "reachability": self._reachability.keep_checking,
             "quarantine records": self._quarantine_records.run,
+            "loop lag": self._observe_lag,
         }
         if self._settings.peer_port:
             loops["hints"] = self._exchange_hints
@@ -336,6 +338,9 @@
             store_watch.max_poll_interval_s(self._settings.change_bounds_s),
         )
 
+    async def _observe_lag(self) -> None:
+        await loop_lag.observe(self.metrics.record_loop_lag)
+
     async def _exchange_hints(self) -> None:
         """Register this node's address; send and receive hints."""
         own_address = directory.NodeAddress(
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -77,6 +77,8 @@
     # Local monotonic time in seconds at which the attempt was sent that an
     # endpoint has answered; None for none.
     answered_sent_at: float | None = None
+    # Returns whether its caller has closed the connection.
+    has_caller_closed: collections.abc.Callable[[], bool] = lambda: False
     # Returns the regions that it may use now; None for all.
     restriction: collections.abc.Callable[[], routes.AllowedRegions] = (
         _no_restriction
--- a/packages/listening/wasabilanding/listening/__init__.py
+++ b/packages/listening/wasabilanding/listening/__init__.py
@@ -4,8 +4,10 @@
 from wasabilanding.listening.connection import CloseCause
 from wasabilanding.listening.connection import Connection
 from wasabilanding.listening.connection import IDLE_MARGIN_S
+from wasabilanding.listening.connection import is_closed_by_peer
 from wasabilanding.listening.connection import is_readable
 from wasabilanding.listening.idle_limit import IdleLimit
+from wasabilanding.listening.listener import has_caller_closed
 from wasabilanding.listening.listener import HttpListener
 from wasabilanding.listening.listener import is_broken
 from wasabilanding.listening.listener import report_nothing
@@ -19,7 +21,9 @@
     "IDLE_MARGIN_S",
     "IdleLimit",
     "ReportClose",
+    "has_caller_closed",
     "is_broken",
+    "is_closed_by_peer",
     "is_readable",
     "report_nothing",
 ]
--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -72,19 +72,38 @@
     limit_s: float
 
 
-def is_readable(sock: trio.socket.SocketType) -> bool:
-    """Return whether bytes, or the end of a connection, have arrived.
+def _has_event(sock: trio.socket.SocketType, event: int) -> bool:
+    """Return whether a socket has an event, or is broken or closed.
 
-    :param sock: socket of the connection.
+    :param sock: the socket.
+    :param event: event of :func:`select.poll`.
     """
     poll = select.poll()
     try:
-        poll.register(sock.fileno(), select.POLLIN)
+        poll.register(sock.fileno(), event)
     except (OSError, ValueError):
         return True
     return bool(poll.poll(0))
 
 
+def is_readable(sock: trio.socket.SocketType) -> bool:
+    """Return whether bytes, or the end of a connection, have arrived.
+
+    :param sock: socket of the connection.
+    """
+    return _has_event(sock, select.POLLIN)
+
+
+def is_closed_by_peer(sock: trio.socket.SocketType) -> bool:
+    """Return whether the other side has closed a connection.
+
+    Nothing is read: the end is also seen while bytes wait in front of it.
+
+    :param sock: socket of the connection.
+    """
+    return _has_event(sock, select.POLLRDHUP)
+
+
 class Connection:
     """A caller's connection, as the HTTP server reads and writes it.
 
@@ -137,6 +156,11 @@
         """The socket, whose addresses the server reads."""
         return self._stream.socket
 
+    @property
+    def has_caller_closed(self) -> bool:
+        """Whether the caller has closed it, read or not."""
+        return is_closed_by_peer(self._stream.socket)
+
     @property
     def _is_stopping(self) -> bool:
         return self._stopped_at < NEVER
--- a/packages/listening/wasabilanding/listening/listener.py
+++ b/packages/listening/wasabilanding/listening/listener.py
@@ -63,6 +63,17 @@
     return served is not None and served.connection.is_broken
 
 
+def has_caller_closed(scope: request_body.Message) -> bool:
+    """Return whether the caller of a request has closed its connection.
+
+    The server's message that says so arrives later, when its reader runs.
+
+    :param scope: scope of the request.
+    """
+    served = _served(scope)
+    return served is not None and served.connection.has_caller_closed
+
+
 def _keeping_connections(app: request_body.App) -> request_body.App:
     """Return an application whose requests keep their connections open.
 
