Show work for callers that have left, on real gateways

Callers on kept connections send a request and close 0.8 s later; every second one stays and must get its answer.

While the gateways stand still (SIGSTOP) from before the request until 1 s after the close, the requests of 13 to 15 of 20 (safe), 15 to 16 (unsafe) and 20 (streams) callers that have left reach an endpoint afterwards, and 19 to 20 through a relay whose second node stands still. With an empty line, half a head or a second request behind the request, endpoints work 0.5 s after the close for 20 of 20; with nothing behind it for none. Streams that have begun are not concerned, as the next write fails.

--- a/packages/experiments/wasabilanding/experiments/installation/kept_connection.py
+++ b/packages/experiments/wasabilanding/experiments/installation/kept_connection.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import select
+import socket
+import struct
 import urllib.parse
 
 import h11
@@ -12,6 +14,24 @@
 from wasabilanding.experiments.installation import sending
 
 
+def encode(parser: h11.Connection, request: load.Request) -> bytes:
+    """Return a request as it is sent.
+
+    :param parser: state of its connection, which is updated.
+    :param request: the request.
+    """
+    body = request.body.encode()
+    headers = {
+        **sending.headers_of(request),
+        "content-length": str(len(body)),
+    }
+    head = h11.Request(
+        method="POST", target=request.path, headers=list(headers.items())
+    )
+    parts = (head, h11.Data(data=body), h11.EndOfMessage())
+    return b"".join(parser.send(part) or b"" for part in parts)
+
+
 class KeptConnection:
     """A caller's keep-alive connection to a gateway.
 
@@ -45,6 +65,23 @@
         with contextlib.suppress(trio.BrokenResourceError):
             await self._stream.aclose()
 
+    def reset(self) -> None:
+        """Close the connection with a reset, whatever has arrived."""
+        self._stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        self._stream.socket.close()
+
+    async def send_only(
+        self, request: load.Request, behind: bytes = b""
+    ) -> None:
+        """Send a request without reading anything.
+
+        :param request: request to send.
+        :param behind: bytes to send behind it.
+        """
+        await self._stream.send_all(encode(self._parser, request) + behind)
+
     async def send(self, request: load.Request) -> load.Answer:
         """Send a request now and return the answer or failure.
 
@@ -52,13 +89,16 @@
         """
         return await self.send_at(trio.current_time(), request)
 
-    async def send_at(self, at: float, request: load.Request) -> load.Answer:
+    async def send_at(
+        self, at: float, request: load.Request, behind: bytes = b""
+    ) -> load.Answer:
         """Send a request, also if the gateway has closed the connection.
 
         :param at: local monotonic time in seconds at which to send it.
         :param request: request to send.
+        :param behind: bytes to send behind it.
         """
-        data = self._encode(request)
+        data = encode(self._parser, request) + behind
         await trio.sleep_until(at)
         exchange = sending.Exchange()
         with trio.move_on_after(load.REQUEST_TIMEOUT_S + 1.0):
@@ -77,18 +117,6 @@
                 self._parser.start_next_cycle()
         return exchange.answer(request, self.gateway.name)
 
-    def _encode(self, request: load.Request) -> bytes:
-        body = request.body.encode()
-        headers = {
-            **sending.headers_of(request),
-            "content-length": str(len(body)),
-        }
-        head = h11.Request(
-            method="POST", target=request.path, headers=list(headers.items())
-        )
-        parts = (head, h11.Data(data=body), h11.EndOfMessage())
-        return b"".join(self._parser.send(part) or b"" for part in parts)
-
     async def _read(self, exchange: sending.Exchange) -> None:
         """Read until the answer is complete or the connection has ended."""
         while not exchange.is_complete:
