Send no request whose caller has closed its connection

Cause: that a caller has left was a message which arrives when some task gets its turn. The reader takes the bytes of the request first and sees the end of the connection with its next read; the handler runs in between and, with an idle connection to an endpoint, sends at once. Each wait before a send (a connection, a retry, a resumption, a second copy, another node) has the same gap.

If it has closed, the request ends with all its attempts, as for the server's message; nothing is sent, and its connection to the endpoint is kept. Nodes that take requests of others use the same listener and check.

Ruled out: to let the reader run once more before each send, which costs a turn for each request and does not see a close behind unread bytes.

A table of eight waits in simulated time failed in all rows without the check and passes.

--- a/packages/gateway/wasabilanding/gateway/forwarding.py
+++ b/packages/gateway/wasabilanding/gateway/forwarding.py
@@ -333,7 +333,9 @@
         try:
             state = self._admit(head, body, request, arrived_at)
             found.state = state
-            state.has_caller_closed = response.has_caller_closed
+            state.caller = request_state_module.CallerConnection(
+                response.has_caller_closed, response.record_caller_left
+            )
             if relayed is not None:
                 self._accept_relayed(relayed, state, response)
             self._crash_guard.check(state)
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -62,6 +62,8 @@
         self.begun_at: float | None = None
         self.is_complete = False
         self.caller_left = False
+        # Cancels what answers the request.
+        self.end_request: collections.abc.Callable[[], None] = lambda: None
         # Local monotonic time in seconds after which no part is written.
         self.deadline_at = float("inf")
         # Seconds that the longest write took.
@@ -74,6 +76,12 @@
         """Whether the head of an answer has been sent."""
         return self.status > 0
 
+    def record_caller_left(self) -> None:
+        """End the request, as its caller has closed the connection."""
+        if not self.is_complete:
+            self.caller_left = True
+            self.end_request()
+
     async def _send_uninterrupted(self, message: Message) -> None:
         # If a send were cancelled halfway, the server's protocol state would
         # be ahead of the bytes written. A cancellation takes effect after the
@@ -198,16 +206,14 @@
 
 
 async def _cancel_on_disconnect(
-    receive: Receive, response: ResponseWriter, scope: trio.CancelScope
+    receive: Receive, response: ResponseWriter
 ) -> None:
     while True:
         message = await receive()
         if message["type"] != "http.disconnect":
             continue
         # The server also says so after the end of an answer.
-        if not response.is_complete:
-            response.caller_left = True
-            scope.cancel()
+        response.record_caller_left()
         return
 
 
@@ -288,12 +294,8 @@
             await response.answer(STOPPING, list(stopping_headers))
             return
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_on_disconnect,
-                receive,
-                response,
-                nursery.cancel_scope,
-            )
+            response.end_request = nursery.cancel_scope.cancel
+            nursery.start_soon(_cancel_on_disconnect, receive, response)
             await handle(_head(scope), body, response)
             nursery.cancel_scope.cancel()
 
--- a/packages/gateway/wasabilanding/gateway/request_state.py
+++ b/packages/gateway/wasabilanding/gateway/request_state.py
@@ -21,6 +21,18 @@
     return None
 
 
+@dataclasses.dataclass(frozen=True)
+class CallerConnection:
+    """The connection on which a caller waits for its answer.
+
+    :param has_closed: returns whether the caller has closed it, read or not.
+    :param end_request: ends the request, as its caller has left.
+    """
+
+    has_closed: collections.abc.Callable[[], bool] = lambda: False
+    end_request: collections.abc.Callable[[], None] = lambda: None
+
+
 @dataclasses.dataclass
 class RequestState:
     """State of a request in progress.
@@ -77,8 +89,7 @@
     # Local monotonic time in seconds at which the attempt was sent that an
     # endpoint has answered; None for none.
     answered_sent_at: float | None = None
-    # Returns whether its caller has closed the connection.
-    has_caller_closed: collections.abc.Callable[[], bool] = lambda: False
+    caller: CallerConnection = CallerConnection()
     # Returns the regions that it may use now; None for all.
     restriction: collections.abc.Callable[[], routes.AllowedRegions] = (
         _no_restriction
--- a/packages/gateway/wasabilanding/gateway/send_checks.py
+++ b/packages/gateway/wasabilanding/gateway/send_checks.py
@@ -19,10 +19,15 @@
 from wasabilanding.gateway import metrics as metrics_module
 from wasabilanding.gateway import relays
 from wasabilanding.gateway import request_state as request_state_module
+from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import model
 
 Check = collections.abc.Callable[
     [request_state_module.RequestState, fleet.Endpoint], None
 ]
+CALLER_LEFT = model.not_run(
+    model.Reason.CALLER_LEFT, "the caller has closed its connection"
+)
 _LOG = logging.getLogger(__name__)
 
 
@@ -44,23 +49,27 @@
 def caller_check(metrics: metrics_module.Metrics) -> Check:
     """Return the check that the caller has not closed its connection.
 
+    It ends the request otherwise, with all its other attempts.
+
     :param metrics: counts the closes that it finds.
     """
 
     def check(
         state: request_state_module.RequestState, endpoint: fleet.Endpoint
     ) -> None:
-        if not state.has_caller_closed():
+        if not state.caller.has_closed():
             return
         is_relay = relays.is_relay(endpoint.endpoint_id)
         metrics.count_close_at_send("node" if is_relay else "endpoint")
         _LOG.info(
-            "the caller has closed as its request is sent",
+            "not sent: the caller has closed its connection",
             extra={
                 "request": state.request.request_id,
                 "endpoint": endpoint.endpoint_id,
                 "waited_s": round(trio.current_time() - state.arrived_at, 4),
             },
         )
+        state.caller.end_request()
+        raise upstream_module.AttemptFailed(CALLER_LEFT)
 
     return check
--- a/packages/gateway/wasabilanding/gateway/tests/fakes.py
+++ b/packages/gateway/wasabilanding/gateway/tests/fakes.py
@@ -475,6 +475,8 @@
         self.account = None
         self._forwarder = None
         self.caller_read_s = 0.0
+        # Time in seconds at which callers close; only their sockets tell.
+        self.callers_close_at = float("inf")
         self.endpoints = FakeEndpoints(scripts)
         self.view = cluster_view_module.ClusterView(
             self.wire, trio.current_time
@@ -564,13 +566,21 @@
         head = messages.RequestHead(
             "POST", target, path, (*self.headers, *headers)
         )
-        response = inbound.ResponseWriter(caller.send, lambda: False)
+        response = inbound.ResponseWriter(
+            caller.send,
+            lambda: False,
+            has_caller_closed=lambda: (
+                trio.current_time() >= self.callers_close_at
+            ),
+        )
         begun_at = trio.current_time()
         async with self.forwarder() as forwarder:
             handle = forwarder.handle
             if is_relayed:
                 handle = forwarder.handle_relayed
-            await handle(head, body, response)
+            with trio.CancelScope() as scope:
+                response.end_request = scope.cancel
+                await handle(head, body, response)
         caller.ended_at = trio.current_time()
         caller.took_s = caller.ended_at - begun_at
         return caller
--- a/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -356,3 +356,22 @@
     And the silent endpoints are looked up at 1 s
     When a request is sent
     Then no endpoint was silent
+
+  # The task that is told of a close may run after the one that sends.
+  Scenario Outline: Nothing is sent for a caller that has closed
+    Given <kind> requests of up to 3 attempts
+    And endpoints that "<scripts>" and are connected to in <connect> s
+    When a request is sent whose caller closes after <closes> s
+    Then <arrivals> endpoints have got it
+    And the request ends within <ends> s without an answer
+
+    Examples: First attempts, while connecting, retries, resumptions, second copies
+      | kind                | scripts              | connect | closes | arrivals | ends |
+      | safe                | answer, answer       | 0       | 0      | 0        | 0.1  |
+      | unsafe              | answer, answer       | 0       | 0      | 0        | 0.1  |
+      | safe                | answer, answer       | 0.1     | 0.05   | 0        | 0.2  |
+      | safe                | refuse, answer       | 0.1     | 0.15   | 1        | 0.3  |
+      | safe                | fail, answer         | 0.1     | 0.15   | 1        | 0.3  |
+      | resumable streaming | reset 2, events 8    | 0.1     | 0.25   | 1        | 0.4  |
+      | resumable streaming | silent 2, events 8   | 0.1     | 0.25   | 1        | 1.0  |
+      | resumable streaming | mute, events 8       | 0.1     | 0.25   | 1        | 2.0  |
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -34,6 +34,15 @@
     context.system = fakes.System(_scripts(scripts), context.routing)
 
 
+@behave.given(
+    'endpoints that "{scripts}" and are connected to in {seconds:g} s'
+)
+def given_distant_endpoints(context, scripts, seconds):
+    """Make endpoints whose connections take a time."""
+    given_endpoints(context, scripts)
+    context.system.endpoints.connect_s = seconds
+
+
 @behave.given("a route timeout of {seconds:g} s")
 def given_timeout(context, seconds):
     """Change the route's timeout."""
@@ -155,6 +164,28 @@
     _ask(context)
 
 
+@behave.when("a request is sent whose caller closes after {seconds:g} s")
+def send_and_close(context, seconds):
+    """Send a request; no task is told of its caller's close."""
+    context.system.callers_close_at = seconds
+    _ask(context)
+
+
+@behave.then("{count:d} endpoints have got it")
+def check_arrivals(context, count):
+    """Compare the number of requests that have reached endpoints."""
+    arrivals = context.system.endpoints.arrivals
+    assert len(arrivals) == count, arrivals
+
+
+@behave.then("the request ends within {most:g} s without an answer")
+def check_ended(context, most):
+    """Check that nothing more is done for a caller that has left."""
+    caller = context.caller
+    assert caller.took_s <= most, caller.took_s
+    assert not caller.is_whole, caller.body
+
+
 @behave.when("a request with a deadline of {deadline} s is sent")
 def send_with_deadline(context, deadline):
     """Send a request of a caller that waits for a limited time."""
