See the close of a caller while bytes wait behind its request

What was seen: with an empty line, half a head or a second request behind a request, endpoints worked 0.5 s after the close for 20 of 20 callers that had left, and went on until each answer was complete; then the second request ran.

Cause: the HTTP server stops reading a connection when more has arrived than one request, and goes on after the answer. The end of the connection stands behind these bytes, so the only task that would see it waits for the answer.

Change: one epoll instance for all connections of a listener watches each socket for EPOLLRDHUP alone, which the kernel reports whatever waits to be read; no byte is read for it, and the library is as it was. A connection is registered once. What a request receives then says that its caller has disconnected, so it ends in the usual way, nothing behind it is run, and the answer of the server for an application that returns without one is not sent.

--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -19,6 +19,7 @@
 import dataclasses
 import enum
 import select
+import typing
 
 import trio
 
@@ -35,6 +36,7 @@
 # Interim answers, such as 100 Continue, are not the answer.
 INTERIM_ANSWER = b"HTTP/1.1 1"
 NEVER = float("inf")
+Result = typing.TypeVar("Result")
 
 
 class CloseCause(enum.Enum):
@@ -139,6 +141,11 @@
         self._open_requests = 0
         self._has_answered = False
         self._is_closed = False
+        # Whether the caller has closed it and its request was given up.
+        self._is_abandoned = False
+        self._has_caller_closed = False
+        # End what requests wait for when the caller closes it.
+        self._waits: set[trio.CancelScope] = set()
         # Whether a part of an answer could not be sent.
         self.is_broken = False
         self._read_scope: trio.CancelScope | None = None
@@ -181,6 +188,34 @@
             if not self._open_requests:
                 self._begin_idle_time()
 
+    def record_caller_close(self) -> None:
+        """End what requests wait for, as the caller has closed it."""
+        self._has_caller_closed = True
+        for scope in self._waits:
+            scope.cancel()
+
+    async def unless_closed(
+        self,
+        wait: collections.abc.Callable[[], collections.abc.Awaitable[Result]],
+    ) -> Result | None:
+        """Return what a request waits for; None if the caller closes first.
+
+        Nothing more is read then: a request that waits behind is not run.
+
+        :param wait: waits and returns the result.
+        """
+        if not self._has_caller_closed:
+            with trio.CancelScope() as scope:
+                self._waits.add(scope)
+                try:
+                    return await wait()
+                finally:
+                    self._waits.discard(scope)
+        await trio.lowlevel.checkpoint()
+        self._is_abandoned = True
+        self._close(CloseCause.CALLER)
+        return None
+
     def refresh_limit(self) -> None:
         """Keep an idle connection longer if the limit has been raised."""
         self._limit_s = max(self._limit_s, self._idle_limit_s())
@@ -250,8 +285,11 @@
         """Send a part of an answer.
 
         :param data: the part.
-        :raises trio.BrokenResourceError: if the connection breaks.
+        :raises trio.BrokenResourceError: if the connection breaks, or if the
+            server answers a request that was given up.
         """
+        if self._is_abandoned and not self._has_answered:
+            raise trio.BrokenResourceError("the caller has closed it")
         if not data.startswith(INTERIM_ANSWER):
             self._has_answered = True
         try:
--- a/packages/listening/wasabilanding/listening/listener.py
+++ b/packages/listening/wasabilanding/listening/listener.py
@@ -19,6 +19,7 @@
 import hypercorn.typing
 import trio
 
+from wasabilanding.listening import close_monitor
 from wasabilanding.listening import connection as connection_module
 from wasabilanding.listening import cut_answers
 from wasabilanding.listening import idle_limit
@@ -93,12 +94,14 @@
         connection, nursery = served.connection, served.nursery
         with connection.request():
             if scope.get("http_version") != cut_answers.HTTP_10:
-                await request_body.run(app, scope, receive, send, nursery)
+                await request_body.run(
+                    app, scope, receive, send, nursery, connection
+                )
                 return
             answer = cut_answers.CutAnswer(connection, send)
             with contextlib.closing(answer):
                 await request_body.run(
-                    app, scope, receive, answer.send, nursery
+                    app, scope, receive, answer.send, nursery, connection
                 )
 
     return run
@@ -134,6 +137,7 @@
         self._stop_idle_s = stop_idle_s
         self._is_stopping = False
         self._connections: set[connection_module.Connection] = set()
+        self._monitor = close_monitor.CloseMonitor()
 
     @property
     def open_connections(self) -> int:
@@ -157,7 +161,14 @@
         :param stopping: set to stop.
         """
         started = lifespan.Lifespan(self._app, self._config, {})
+        with self._monitor:
+            await self._serve(started, stopping)
+
+    async def _serve(
+        self, started: lifespan.Lifespan, stopping: trio.Event
+    ) -> None:
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._monitor.run)
             await nursery.start(started.handle_lifespan)
             await started.wait_for_startup()
             async with trio.open_nursery() as connections:
@@ -211,7 +222,12 @@
         if self._is_stopping:
             connection.stop()
         try:
-            with connection.scope:
+            with (
+                connection.scope,
+                self._monitor.watching(
+                    stream.socket, connection.record_caller_close
+                ),
+            ):
                 await self._serve_http(context, connection)
         except* Exception:
             _LOG.exception("the HTTP server fails on a connection")
--- a/packages/listening/wasabilanding/listening/request_body.py
+++ b/packages/listening/wasabilanding/listening/request_body.py
@@ -16,6 +16,8 @@
 
 import trio
 
+from wasabilanding.listening import connection as connection_module
+
 Message = dict[str, typing.Any]
 Receive = collections.abc.Callable[[], collections.abc.Awaitable[Message]]
 Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
@@ -29,17 +31,30 @@
 
     :param receive: the server's ASGI callable.
     :param nursery: discards the rest of the body.
+    :param connection: its connection.
     """
 
-    def __init__(self, receive: Receive, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        receive: Receive,
+        nursery: trio.Nursery,
+        connection: connection_module.Connection,
+    ) -> None:
+        self._connection = connection
         self._receive = receive
         self._nursery = nursery
         self._is_read = False
         self._is_discarded = False
 
     async def receive(self) -> Message:
-        """Return the next message to the application."""
-        message = await self._receive()
+        """Return the next message to the application.
+
+        The server does not say that the caller has closed the connection while
+        bytes behind the request are not read.
+        """
+        message = await self._connection.unless_closed(self._receive)
+        if message is None:
+            return {"type": "http.disconnect"}
         if not message.get("more_body"):
             self._is_read = True
         return message
@@ -62,6 +77,7 @@
     receive: Receive,
     send: Send,
     nursery: trio.Nursery,
+    connection: connection_module.Connection,
 ) -> None:
     """Run an application; discard what it has not read when it ends.
 
@@ -70,8 +86,9 @@
     :param receive: ASGI callable.
     :param send: ASGI callable.
     :param nursery: nursery of the connection.
+    :param connection: the connection.
     """
-    body = _Body(receive, nursery)
+    body = _Body(receive, nursery, connection)
 
     async def send_part(message: Message) -> None:
         is_body = message["type"] == "http.response.body"
--- a/packages/listening/wasabilanding/listening/tests/connections.feature
+++ b/packages/listening/wasabilanding/listening/tests/connections.feature
@@ -62,6 +62,24 @@
     When its caller closes it after an answer
     Then the listener has no open connection after 0.5 s
 
+  # The server reads on after the answer only, and did not see the close.
+  Scenario Outline: A close behind unread bytes ends its request
+    Given a connection that is kept for 60 s
+    When its caller <closes> it during a request with <bytes> behind it
+    Then the listener has no open connection after 0.5 s
+    And no other request has begun
+    And its caller gets no answer
+
+    Examples:
+      | closes      | bytes           |
+      | closes      | nothing         |
+      | closes      | an empty line   |
+      | closes      | half a head     |
+      | closes      | another request |
+      | half-closes | an empty line   |
+      | half-closes | another request |
+      | resets      | another request |
+
   # Closing a connection with unread bytes resets it, and the answer was lost.
   Scenario Outline: An answer that closes its connection arrives whole
     Given a connection that is kept for 60 s
--- a/packages/listening/wasabilanding/listening/tests/steps/connections_steps.py
+++ b/packages/listening/wasabilanding/listening/tests/steps/connections_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import select
 import socket
+import struct
 import time
 
 import behave
@@ -321,6 +322,63 @@
     _run(lambda: context.callers.run(act))
 
 
+def _close(sock):
+    sock.close()
+
+
+def _half_close(sock):
+    sock.shutdown(socket.SHUT_WR)
+
+
+def _reset(sock):
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    sock.close()
+
+
+CLOSES = {"closes": _close, "half-closes": _half_close, "resets": _reset}
+BEHIND = {
+    "nothing": b"",
+    "an empty line": b"\r\n",
+    "half a head": _request(1)[:20],
+    "another request": _request(1),
+}
+
+
+@behave.when("its caller {closes} it during a request with {what} behind it")
+def close_during_request(context, closes, what):
+    """Close the connection while the application works; look at it later."""
+
+    async def act(callers, sockets):
+        callers.work_s = TIMEOUT_S
+        sockets[0].sendall(_request(0) + BEHIND[what])
+        await trio.sleep(0.1)
+        CLOSES[closes](sockets[0])
+        await trio.sleep(0.5)
+        context.open_connections = callers.listener.open_connections
+        context.begun = callers.begun.copy()
+        context.answer = b""
+        if closes == "half-closes":
+            sockets[0].setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                context.answer = sockets[0].recv(65536)
+
+    _run(lambda: context.callers.run(act))
+
+
+@behave.then("no other request has begun")
+def check_none_begun(context):
+    """Check that what was sent behind the request is not run."""
+    assert context.begun == {0}, context.begun
+
+
+@behave.then("its caller gets no answer")
+def check_no_answer(context):
+    """Check that the server does not answer for the application."""
+    assert context.answer == b"", context.answer
+
+
 @behave.then("the listener has no open connection after 0.5 s")
 def check_open(context):
     """Compare the number of connections."""
