Bound what the daemon reads of engines' replies

What operators of other systems saw: a faulty engine sent bytes without end, and the machine that had called it kept them all and ran out of memory.

Here the gateway bounds each reply (endless_replies.feature of the gateway), the daemon did not: its HTTP client keeps a body as a whole and its timeout holds for each read. Of twelve replies without end (bodies with and without chunks, a failure, a slow body, interim answers, an event; to reports, cache events, orders, streams and plain requests) eleven were read on until the engine stopped at 300 MiB or the test after 12 s; heads are bounded by the library.

Change: a transport around the HTTP library's closes the connection once a body exceeds 64 MiB, or 2 MiB if it is a failure; an event is bounded by 2 MiB where it is parsed; a call has 2 s as a whole. Streams have a client of their own where a request must not be repeated, as the bound differs.

--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -9,12 +9,15 @@
 import trio
 
 from wasabilanding import delivery
+from wasabilanding.endpoints import reply_bounds
 from wasabilanding.endpoints import streams
 from wasabilanding import model
 from wasabilanding import placement
 from wasabilanding import routing
 
 CALL_TIMEOUT_S = 1.0
+# Of a whole call: the HTTP library's timeout holds for each read.
+WHOLE_CALL_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 1000
 MAX_KEEPALIVE_CONNECTIONS = 100
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -26,6 +29,32 @@
     return http.cookiejar.CookieJar(policy)
 
 
+def _client(
+    transport: httpx.AsyncBaseTransport | None,
+    max_connections: int | None,
+    max_idle_connections: int,
+    max_bytes: reply_bounds.MaxBytes = reply_bounds.of_answers,
+) -> httpx.AsyncClient:
+    """Return an HTTP client whose replies are bounded.
+
+    :param transport: replaces the network in tests.
+    :param max_connections: greatest number of connections; None for any.
+    :param max_idle_connections: how many are kept for later requests.
+    :param max_bytes: returns the bound of a reply's body.
+    """
+    found = transport or httpx.AsyncHTTPTransport(
+        limits=httpx.Limits(
+            max_connections=max_connections,
+            max_keepalive_connections=max_idle_connections,
+        )
+    )
+    return httpx.AsyncClient(
+        timeout=CALL_TIMEOUT_S,
+        transport=reply_bounds.BoundedTransport(found, max_bytes),
+        cookies=_no_cookies(),
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class OrderResult:
     """Result of an order.
@@ -47,36 +76,22 @@
     def __init__(
         self, transport: httpx.AsyncBaseTransport | None = None
     ) -> None:
-        limits = httpx.Limits(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_KEEPALIVE_CONNECTIONS,
-        )
-        self._http = httpx.AsyncClient(
-            timeout=CALL_TIMEOUT_S,
-            limits=limits,
-            transport=transport,
-            cookies=_no_cookies(),
+        self._http = _client(
+            transport, MAX_CONNECTIONS, MAX_KEEPALIVE_CONNECTIONS
         )
         # A separate pool, so that reports and orders never wait for a
         # connection that a stream holds.
-        self._streams_http = httpx.AsyncClient(
-            timeout=CALL_TIMEOUT_S,
-            limits=httpx.Limits(
-                max_connections=None,
-                max_keepalive_connections=MAX_KEEPALIVE_CONNECTIONS,
-            ),
-            transport=transport,
-            cookies=_no_cookies(),
+        self._streams_http = _client(
+            transport,
+            None,
+            MAX_KEEPALIVE_CONNECTIONS,
+            reply_bounds.of_streams,
         )
         # Each call opens its own connection: a reused one could have been
-        # closed by the endpoint while idle.
-        self._unshared_http = httpx.AsyncClient(
-            timeout=CALL_TIMEOUT_S,
-            limits=httpx.Limits(
-                max_connections=None, max_keepalive_connections=0
-            ),
-            transport=transport,
-            cookies=_no_cookies(),
+        # closed by the endpoint while idle. Streams use it as well.
+        self._unshared_http = _client(transport, None, 0)
+        self._unshared_streams_http = _client(
+            transport, None, 0, reply_bounds.of_streams
         )
         self._stack = contextlib.AsyncExitStack()
         self._nursery: trio.Nursery | None = None
@@ -86,6 +101,7 @@
         await self._stack.enter_async_context(self._http)
         await self._stack.enter_async_context(self._streams_http)
         await self._stack.enter_async_context(self._unshared_http)
+        await self._stack.enter_async_context(self._unshared_streams_http)
         self._nursery = await self._stack.enter_async_context(
             trio.open_nursery()
         )
@@ -114,8 +130,9 @@
         :param request: the request.
         :param deadline: local monotonic time in seconds at which it ends.
         """
-        shared = self._streams_http
-        client = shared if request.idempotent else self._unshared_http
+        client = self._unshared_streams_http
+        if request.idempotent:
+            client = self._streams_http
         attempt = streams.Attempt(
             client, request, deadline, self._read_delay_s
         )
@@ -132,6 +149,22 @@
     def _read_delay_s(self, interval_s: float) -> float:
         return delivery.coalescing_delay_s(self._open_attempts, interval_s)
 
+    async def _call(
+        self, method: str, url: str, **options: typing.Any
+    ) -> httpx.Response:
+        """Make a call and return the whole reply.
+
+        :param method: HTTP method.
+        :param url: URL of the call.
+        :param options: further options of :meth:`httpx.AsyncClient.request`.
+        :raises httpx.HTTPError: if no whole reply comes in time.
+        """
+        with trio.move_on_after(WHOLE_CALL_TIMEOUT_S):
+            return await self._http.request(method, url, **options)
+        raise httpx.ReadTimeout(
+            f"no whole reply within {WHOLE_CALL_TIMEOUT_S} s"
+        )
+
     async def report(self, vm: model.Vm, now: float) -> model.VmReport | None:
         """Request the report of a VM.
 
@@ -141,7 +174,7 @@
         :returns: the report, or None without a usable response.
         """
         try:
-            response = await self._http.get(f"{vm.address}/v1/status")
+            response = await self._call("GET", f"{vm.address}/v1/status")
             if response.is_error:
                 return None
             report = model.decode(model.VmReport, response.content)
@@ -161,8 +194,10 @@
         :returns: the events, or None without a usable response.
         """
         try:
-            response = await self._http.get(
-                f"{vm.address}/v1/cache-events", params={"after": after}
+            response = await self._call(
+                "GET",
+                f"{vm.address}/v1/cache-events",
+                params={"after": after},
             )
             if response.is_error:
                 return None
@@ -179,7 +214,8 @@
         body = model.encode(order)
         name = type(order).__name__.lower()
         try:
-            response = await self._http.post(
+            response = await self._call(
+                "POST",
                 f"{vm.address}/v1/orders/{name}",
                 content=body,
                 headers=JSON_HEADERS,
--- a/packages/endpoints/wasabilanding/endpoints/events.py
+++ b/packages/endpoints/wasabilanding/endpoints/events.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from wasabilanding.endpoints import reply_bounds
+
 END_OF_EVENT = b"\n\n"
 DONE = b"[DONE]"
 NO_OFFSET = -1
@@ -82,12 +84,18 @@
         """Return the events that the received bytes complete.
 
         :param received: bytes as read from the connection.
+        :raises wasabilanding.endpoints.reply_bounds.ReplyTooLarge: if an
+            event does not end.
         """
         if self._pending_return or b"\r" in received:
             received = self._normalize(received)
         *events, self._incomplete_event = (
             self._incomplete_event + received
         ).split(END_OF_EVENT)
+        if len(self._incomplete_event) > reply_bounds.MAX_EVENT_BYTES:
+            raise reply_bounds.ReplyTooLarge(
+                "an event", reply_bounds.MAX_EVENT_BYTES
+            )
         parsed = [_parse_event(event) for event in events]
         return [part for part in parsed if part is not None]
 
