Test that a request is not run if its caller's close waits beside it

The close monitor reports a close in the turn in which the request is read, so an application of any listener, the daemon's too, is told of the close in place of the request. The gateway's outcome of a request that is not sent has the reason that the daemon already has for callers that disconnect, in place of one of its own.

--- a/packages/decisions/wasabilanding/model/outcomes.py
+++ b/packages/decisions/wasabilanding/model/outcomes.py
@@ -44,7 +44,6 @@
     KEY_REUSED = "key_reused"
     POISONED = "poisoned"
     CANCELLED = "cancelled"
-    CALLER_LEFT = "caller_left"
     SHUTTING_DOWN = "shutting_down"
     KEYS_NOT_PROVEN = "keys_not_proven"
     NOT_PROVEN = "not_proven"
--- a/packages/gateway/wasabilanding/gateway/send_checks.py
+++ b/packages/gateway/wasabilanding/gateway/send_checks.py
@@ -26,7 +26,7 @@
     [request_state_module.RequestState, fleet.Endpoint], None
 ]
 CALLER_LEFT = model.not_run(
-    model.Reason.CALLER_LEFT, "the caller has closed its connection"
+    model.Reason.CANCELLED, "the caller has closed its connection"
 )
 _LOG = logging.getLogger(__name__)
 
--- a/packages/listening/wasabilanding/listening/tests/connections.feature
+++ b/packages/listening/wasabilanding/listening/tests/connections.feature
@@ -80,6 +80,19 @@
       | half-closes | another request |
       | resets      | another request |
 
+  # The application began work that its caller did not wait for any more.
+  Scenario Outline: A request that arrives together with its caller's close is not run
+    Given a connection that is kept for 60 s
+    When its caller sends a request and <closes> it while the event loop stands still
+    Then no request has been read by the application
+    And the listener has no open connection after 0.5 s
+
+    Examples:
+      | closes      |
+      | closes      |
+      | half-closes |
+      | resets      |
+
   # Closing a connection with unread bytes resets it, and the answer was lost.
   Scenario Outline: An answer that closes its connection arrives whole
     Given a connection that is kept for 60 s
--- a/packages/listening/wasabilanding/listening/tests/steps/connections_steps.py
+++ b/packages/listening/wasabilanding/listening/tests/steps/connections_steps.py
@@ -367,6 +367,30 @@
     _run(lambda: context.callers.run(act))
 
 
+@behave.when(
+    "its caller sends a request and {closes} it while the event loop stands "
+    "still"
+)
+def close_while_still(context, closes):
+    """Let a request and the close wait in the socket together."""
+
+    async def act(callers, sockets):
+        sockets[0].sendall(_request(0))
+        CLOSES[closes](sockets[0])
+        time.sleep(STILL_S)
+        await trio.sleep(0.5)
+        context.open_connections = callers.listener.open_connections
+        context.reached = callers.reached.copy()
+
+    _run(lambda: context.callers.run(act))
+
+
+@behave.then("no request has been read by the application")
+def check_none_reached(context):
+    """Check that the application was told of the close instead."""
+    assert not context.reached, context.reached
+
+
 @behave.then("no other request has begun")
 def check_none_begun(context):
     """Check that what was sent behind the request is not run."""
