Count runs at silent endpoints that accept connections

Cause: an attempt at a silent endpoint ended to make room for another one when the limit on runs was reached, and was not counted, nor was one that another attempt had replaced. An endpoint that runs a request and hangs looks like one that has ended.

Change: an attempt that was sent counts as a run when it is ended, and makes room only if its endpoint accepts no connection, which is asked while it is silent. Dark endpoints are replaced as before. If all that the limit allows accept connections and say nothing, an answer that has not begun is given up.

Ruled out: to count each silent attempt, which would leave requests without an answer when two endpoints have gone dark.

--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -107,6 +107,10 @@
         self._answer = answer
         self._scope = trio.CancelScope()
         self._is_run_counted = False
+        self._is_sent = False
+        # Whether the endpoint was found not to accept connections while it was
+        # silent; None before it was examined.
+        self.is_unreachable: bool | None = None
         self._is_in_flight_counted = False
         # Local monotonic times in seconds at which the attempt began, and at
         # which its connection was ready for the request.
@@ -152,9 +156,17 @@
         return record.progress_at > self.silence.active_at
 
     def cancel(self) -> None:
-        """End the attempt because another one replaces it."""
+        """End the attempt because another one replaces it.
+
+        Its endpoint may have run the request, unless it cannot be reached.
+        """
+        if self._is_sent and not self.is_unreachable:
+            self._count_run()
         self._scope.cancel()
 
+    def _record_sent(self) -> None:
+        self._is_sent = True
+
     def count_in_flight(self, now: float) -> None:
         """Count the request as in flight to the endpoint, once.
 
@@ -182,8 +194,6 @@
                 return await self._relay_catching_failure(headers)
         finally:
             self._tracker.end(self.incarnation, self._state.tokens)
-        if self.endpoint_makes_progress:
-            self._count_run()
         return None
 
     def _headers(self, now: float) -> list[messages.Header]:
@@ -264,6 +274,7 @@
             check=functools.partial(
                 self._context.check_send, state, self._endpoint
             ),
+            on_send=self._record_sent,
             request_id=state.request.request_id,
         )
         async with sent as reply:
--- a/packages/gateway/wasabilanding/gateway/attempt_set.py
+++ b/packages/gateway/wasabilanding/gateway/attempt_set.py
@@ -110,6 +110,7 @@
         )
         self._open: list[attempt_module.Attempt] = []
         self._reported: set[attempt_module.Attempt] = set()
+        self._examined: set[attempt_module.Attempt] = set()
         self._ended: collections.deque[_EndedAttempt] = collections.deque()
         self._changed = trio.Event()
         self._hedge_obstacle = ""
@@ -437,7 +438,11 @@
                 self._report_silence(attempt, now)
         if not silent or len(silent) < len(self._open):
             return ""
+        is_examined = self._examine_silent(nursery)
         limit = self._limit_reached()
+        if limit and not is_examined and not self._other_limit():
+            # An endpoint that is found unreachable makes room.
+            return ""
         if (
             limit
             and not self._answer.has_begun
@@ -447,6 +452,33 @@
         self._start_hedge(nursery)
         return ""
 
+    def _examine_silent(self, nursery: trio.Nursery) -> bool:
+        """Examine endpoints on which the limit on runs depends.
+
+        :returns: whether all results are known.
+        """
+        if not self._state.route.is_idempotent:
+            return True
+        found = hedging.unexamined(self._state, self._open)
+        for attempt in found:
+            if attempt not in self._examined:
+                self._examined.add(attempt)
+                nursery.start_soon(self._examine, attempt)
+        return not found
+
+    async def _examine(self, attempt: attempt_module.Attempt) -> None:
+        """Find out whether the endpoint of a silent attempt is reachable."""
+        reachability = self._context.attempts.reachability
+        is_reachable = await reachability.accepts_connections(attempt.endpoint)
+        attempt.is_unreachable = not is_reachable
+        self._changed.set()
+
+    def _other_limit(self) -> str:
+        """Return the limit, other than on runs, on further attempts."""
+        if self._stop_refusal() is not None:
+            return stopping.OBSTACLE
+        return self._context.selector.limit_reached(self._state, 0)
+
     def _limit_reached(self) -> str:
         """Return the limit that allows no further attempt, if any."""
         if not self._state.route.is_idempotent:
--- a/packages/gateway/wasabilanding/gateway/reachability.py
+++ b/packages/gateway/wasabilanding/gateway/reachability.py
@@ -99,6 +99,13 @@
         with trio.move_on_after(max(quiet_s - LOOK_INTERVAL_S, 0.0)):
             await self._has_news.wait()
 
+    async def accepts_connections(self, endpoint: fleet.Endpoint) -> bool:
+        """Return whether an endpoint accepts a new connection.
+
+        :param endpoint: the endpoint.
+        """
+        return await self._is_reachable(endpoint)
+
     async def check(self) -> bool:
         """Connect to some endpoints; return whether none accepts.
 
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -1,6 +1,7 @@
 """Steps for the forwarding of a request."""
 
 import dataclasses
+import re
 
 import behave
 import trio
@@ -222,6 +223,27 @@
     assert context.system.endpoints.runs.total() == runs
 
 
+@behave.then("it gets {status:d}, and {runs:d} endpoints have run it")
+def check_status_and_runs(context, status, runs):
+    """Compare the status, also of a broken answer, and the runs."""
+    caller = context.caller
+    assert caller.status == status, (caller.status, caller.body)
+    assert context.system.endpoints.runs.total() == runs, (
+        context.system.endpoints.runs
+    )
+
+
+@behave.then("its caller got events {events}")
+def check_delivered(context, events):
+    """Compare the events that were delivered."""
+    found = re.findall(rb"^id: (\d+)$", context.caller.body, re.MULTILINE)
+    expected = []
+    if events != "none":
+        first, last = map(int, events.split("-"))
+        expected = [b"%d" % number for number in range(first, last + 1)]
+    assert found == expected, found
+
+
 @behave.then("it gets {status:d}")
 def check_status_alone(context, status):
     """Compare the status."""
--- a/packages/gateway/wasabilanding/gateway/upstream.py
+++ b/packages/gateway/wasabilanding/gateway/upstream.py
@@ -323,8 +323,8 @@
     )
 
 
-def _check_nothing() -> None:
-    """Allow a request to be sent."""
+def _do_nothing() -> None:
+    """Allow a request to be sent, and record nothing of it."""
 
 
 class _SendCheck:
@@ -332,13 +332,18 @@
 
     :param permit: permit of the request.
     :param check: checks the request itself.
+    :param on_send: called once it is sent.
     """
 
     def __init__(
-        self, permit: Permit, check: collections.abc.Callable[[], None]
+        self,
+        permit: Permit,
+        check: collections.abc.Callable[[], None],
+        on_send: collections.abc.Callable[[], None],
     ) -> None:
         self._permit = permit
         self._check = check
+        self._on_send = on_send
         # Local monotonic time in seconds.
         self.sent_at = float("inf")
 
@@ -346,6 +351,7 @@
         """Check that the request may still be sent."""
         self._check()
         self._permit.check()
+        self._on_send()
         self.sent_at = trio.current_time()
 
 
@@ -422,7 +428,8 @@
         body: bytes,
         timeout: dict[str, float | None] = TIMEOUT,
         purpose: Purpose = Purpose.CALLER,
-        check: collections.abc.Callable[[], None] = _check_nothing,
+        check: collections.abc.Callable[[], None] = _do_nothing,
+        on_send: collections.abc.Callable[[], None] = _do_nothing,
         request_id: str = "",
     ) -> collections.abc.AsyncIterator[Reply]:
         """Send a request and yield its reply.
@@ -436,13 +443,14 @@
         :param purpose: what the request is for.
         :param check: raises :class:`AttemptFailed` if this request may not be
             sent to the endpoint any more, like a permit.
+        :param on_send: called in the step in which it is sent.
         :param request_id: identity of a caller's request; empty for none.
         :raises AttemptFailed: if no reply is received, or if nothing may be
             sent to the endpoint now.
         """
         check()
         with self._admit(endpoint, purpose) as permit:
-            before_send = _SendCheck(permit, check)
+            before_send = _SendCheck(permit, check, on_send)
             request = httpx.Request(
                 method,
                 _url(endpoint.base_url),
