Limit the time of an order from its reply on

What outdated orders do is decided by their fencing tokens. Reports and cache events keep the limit on the whole call; an order has it on its reply.

--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -1,5 +1,6 @@
 """HTTP client of endpoints."""
 
+import collections.abc
 import contextlib
 import dataclasses
 import http.cookiejar
@@ -16,8 +17,9 @@
 from wasabilanding import routing
 
 CALL_TIMEOUT_S = 1.0
-# Of a whole call: the HTTP library's timeout holds for each read.
-WHOLE_CALL_TIMEOUT_S = 2.0
+# Of a whole call, or of the body of a reply: the HTTP library's timeout holds
+# for each read.
+WHOLE_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 1000
 MAX_KEEPALIVE_CONNECTIONS = 100
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -55,6 +57,18 @@
     )
 
 
+@contextlib.contextmanager
+def _whole_timeout() -> collections.abc.Iterator[None]:
+    """Limit the time of a block.
+
+    :raises httpx.ReadTimeout: if it takes too long.
+    """
+    with trio.move_on_after(WHOLE_TIMEOUT_S) as scope:
+        yield
+    if scope.cancelled_caught:
+        raise httpx.ReadTimeout(f"no whole reply within {WHOLE_TIMEOUT_S} s")
+
+
 @dataclasses.dataclass(frozen=True)
 class OrderResult:
     """Result of an order.
@@ -149,21 +163,35 @@
     def _read_delay_s(self, interval_s: float) -> float:
         return delivery.coalescing_delay_s(self._open_attempts, interval_s)
 
-    async def _call(
-        self, method: str, url: str, **options: typing.Any
+    async def _get(
+        self, url: str, params: dict[str, int] | None = None
     ) -> httpx.Response:
-        """Make a call and return the whole reply.
+        """Make a call that reads, and return the whole reply.
 
-        :param method: HTTP method.
         :param url: URL of the call.
-        :param options: further options of :meth:`httpx.AsyncClient.request`.
+        :param params: query.
         :raises httpx.HTTPError: if no whole reply comes in time.
         """
-        with trio.move_on_after(WHOLE_CALL_TIMEOUT_S):
-            return await self._http.request(method, url, **options)
-        raise httpx.ReadTimeout(
-            f"no whole reply within {WHOLE_CALL_TIMEOUT_S} s"
-        )
+        with _whole_timeout():
+            return await self._http.get(url, params=params)
+
+    async def _post(self, url: str, body: str) -> httpx.Response:
+        """Make a call that gives an order, and return the whole reply.
+
+        The time until the reply begins is not limited as a whole: a process
+        that stood still sends the order that it was about to send, and its
+        fencing token tells whether it is outdated.
+
+        :param url: URL of the call.
+        :param body: JSON body.
+        :raises httpx.HTTPError: if no whole reply comes in time.
+        """
+        async with self._http.stream(
+            "POST", url, content=body, headers=JSON_HEADERS
+        ) as response:
+            with _whole_timeout():
+                await response.aread()
+            return response
 
     async def report(self, vm: model.Vm, now: float) -> model.VmReport | None:
         """Request the report of a VM.
@@ -174,7 +202,7 @@
         :returns: the report, or None without a usable response.
         """
         try:
-            response = await self._call("GET", f"{vm.address}/v1/status")
+            response = await self._get(f"{vm.address}/v1/status")
             if response.is_error:
                 return None
             report = model.decode(model.VmReport, response.content)
@@ -194,10 +222,8 @@
         :returns: the events, or None without a usable response.
         """
         try:
-            response = await self._call(
-                "GET",
-                f"{vm.address}/v1/cache-events",
-                params={"after": after},
+            response = await self._get(
+                f"{vm.address}/v1/cache-events", {"after": after}
             )
             if response.is_error:
                 return None
@@ -214,12 +240,7 @@
         body = model.encode(order)
         name = type(order).__name__.lower()
         try:
-            response = await self._call(
-                "POST",
-                f"{vm.address}/v1/orders/{name}",
-                content=body,
-                headers=JSON_HEADERS,
-            )
+            response = await self._post(f"{vm.address}/v1/orders/{name}", body)
         except httpx.HTTPError as error:
             return OrderResult(False, repr(error))
         return OrderResult(not response.is_error, response.text)
--- a/packages/endpoints/wasabilanding/endpoints/tests/endless_replies.feature
+++ b/packages/endpoints/wasabilanding/endpoints/tests/endless_replies.feature
@@ -18,6 +18,7 @@
       | report       | interim answers | None    | 3     | 300  |
       | cache_events | a body          | None    | 3     | 80   |
       | order        | a body          | refused | 3     | 80   |
+      | order        | a slow body     | refused | 3     | 1    |
 
     Examples: Requests, which are resumed three times where they may be
       | what   | reply     | result       | bound | most |
