--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -102,7 +102,7 @@
             reply_bounds.of_streams,
         )
         # Each call opens its own connection: a reused one could have been
-        # closed by the endpoint while idle. Streams use it as well.
+        # closed by the endpoint while idle.
         self._unshared_http = _client(transport, None, 0)
         self._unshared_streams_http = _client(
             transport, None, 0, reply_bounds.of_streams
--- a/packages/endpoints/wasabilanding/endpoints/tests/endless_replies.feature
+++ b/packages/endpoints/wasabilanding/endpoints/tests/endless_replies.feature
@@ -8,7 +8,7 @@
     Then it ends with "<result>" within <bound> s
     And the engine could send at most <most> MiB
 
-    Examples: Calls, whose time is limited as a whole
+    Examples: Calls, whose time is limited as a whole or from the reply on
       | what         | reply           | result  | bound | most |
       | report       | a body          | None    | 3     | 80   |
       | report       | chunks          | None    | 3     | 80   |
--- a/packages/experiments/wasabilanding/experiments/installation/tests/steps/leaving_callers_steps.py
+++ b/packages/experiments/wasabilanding/experiments/installation/tests/steps/leaving_callers_steps.py
@@ -75,7 +75,6 @@
     left = context.callers.left
     at_work = context.callers.at_work
     assert left
-    # Requests that must not be repeated are no part of the bound.
     assert len(at_work) <= share * len(left), f"{len(at_work)} of {len(left)}"
 
 
--- a/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/forwarding.feature
@@ -387,7 +387,7 @@
     Given resumable streaming requests of up to <attempts> attempts
     And endpoints that "<scripts>"
     When a request is sent
-    Then it gets <status>, and <runs> endpoints have run it
+    Then it gets <status>, whole or not, and <runs> endpoints have run it
     And its caller got events <events>
 
     Examples: Endpoints that run it and hang, that are dark, and that break off
@@ -403,4 +403,3 @@
       | 2        | hang, dark, events 5                 | 200    | 2    | 0-4    |
       | 2        | dark, hang, events 5                 | 200    | 2    | 0-4    |
       | 2        | silent 2, dark, events 5             | 200    | 2    | 0-4    |
-
--- a/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/forwarding_steps.py
@@ -223,7 +223,9 @@
     assert context.system.endpoints.runs.total() == runs
 
 
-@behave.then("it gets {status:d}, and {runs:d} endpoints have run it")
+@behave.then(
+    "it gets {status:d}, whole or not, and {runs:d} endpoints have run it"
+)
 def check_status_and_runs(context, status, runs):
     """Compare the status, also of a broken answer, and the runs."""
     caller = context.caller
--- a/packages/listening/wasabilanding/listening/__init__.py
+++ b/packages/listening/wasabilanding/listening/__init__.py
@@ -4,7 +4,6 @@
 from wasabilanding.listening.connection import CloseCause
 from wasabilanding.listening.connection import Connection
 from wasabilanding.listening.connection import IDLE_MARGIN_S
-from wasabilanding.listening.connection import is_closed_by_peer
 from wasabilanding.listening.connection import is_readable
 from wasabilanding.listening.idle_limit import IdleLimit
 from wasabilanding.listening.listener import has_caller_closed
@@ -23,7 +22,6 @@
     "ReportClose",
     "has_caller_closed",
     "is_broken",
-    "is_closed_by_peer",
     "is_readable",
     "report_nothing",
 ]
--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -96,7 +96,7 @@
     return _has_event(sock, select.POLLIN)
 
 
-def is_closed_by_peer(sock: trio.socket.SocketType) -> bool:
+def _is_closed_by_peer(sock: trio.socket.SocketType) -> bool:
     """Return whether the other side has closed a connection.
 
     Nothing is read: the end is also seen while bytes wait in front of it.
@@ -143,7 +143,8 @@
         self._is_closed = False
         # Whether the caller has closed it and its request was given up.
         self._is_abandoned = False
-        self._has_caller_closed = False
+        # Whether the close was reported; the socket may know it earlier.
+        self._is_close_reported = False
         # End what requests wait for when the caller closes it.
         self._waits: set[trio.CancelScope] = set()
         # Whether a part of an answer could not be sent.
@@ -166,7 +167,7 @@
     @property
     def has_caller_closed(self) -> bool:
         """Whether the caller has closed it, read or not."""
-        return is_closed_by_peer(self._stream.socket)
+        return _is_closed_by_peer(self._stream.socket)
 
     @property
     def _is_stopping(self) -> bool:
@@ -190,7 +191,7 @@
 
     def record_caller_close(self) -> None:
         """End what requests wait for, as the caller has closed it."""
-        self._has_caller_closed = True
+        self._is_close_reported = True
         for scope in self._waits:
             scope.cancel()
 
@@ -204,7 +205,7 @@
 
         :param wait: waits and returns the result.
         """
-        if not self._has_caller_closed:
+        if not self._is_close_reported:
             with trio.CancelScope() as scope:
                 self._waits.add(scope)
                 try:
