Offer nothing but HTTP/1.1 to callers

What callers saw: an HTTP/2 preface was answered with SETTINGS, "Upgrade: h2c" with 101, a websocket handshake with 500, a request of version 3.0 with 200. 80 clients with 100 HTTP/2 streams each, heads of 15,000 bytes, took a gateway with 200 MB to 322 MB: streams and frames are counted by no limit.

Cause: the HTTP server switches to whatever protocol a client names, and cannot be told not to.

Change: listening.http_server drives the server's HTTP/1.1 state itself. A header that asks for an upgrade is ignored (RFC 9110, 7.8), another version gets 505 and a close. Chunks that have arrived together are passed on as one, up to 64 a turn; the server handed over each by itself.

--- a/packages/listening/wasabilanding/listening/listener.py
+++ b/packages/listening/wasabilanding/listening/listener.py
@@ -14,7 +14,6 @@
 import hypercorn.app_wrappers
 import hypercorn.config
 from hypercorn.trio import lifespan
-from hypercorn.trio import tcp_server
 from hypercorn.trio import worker_context
 import hypercorn.typing
 import trio
@@ -22,6 +21,7 @@
 from wasabilanding.listening import close_monitor
 from wasabilanding.listening import connection as connection_module
 from wasabilanding.listening import cut_answers
+from wasabilanding.listening import http_server
 from wasabilanding.listening import idle_limit
 from wasabilanding.listening import request_body
 
@@ -242,7 +242,7 @@
     ) -> None:
         async with trio.open_nursery() as nursery:
             state = {CONNECTION: _Served(connection, nursery)}
-            await tcp_server.TCPServer(
+            await http_server.HttpServer(
                 self._app,
                 self._config,
                 context,
