--- a/packages/experiments/wasabilanding/experiments/launcher.py
+++ b/packages/experiments/wasabilanding/experiments/launcher.py
@@ -215,10 +215,17 @@
 
     :param plan: size of the system.
     :param folder: folder for settings, logs and traces.
+    :param settings: settings of the nodes that differ from the usual ones.
     """
 
-    def __init__(self, plan: Plan, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: pathlib.Path,
+        settings: collections.abc.Mapping[str, typing.Any] | None = None,
+    ) -> None:
         self._plan = plan
+        self._settings = dict(settings or {})
         self._folder = folder
         self._processes = Processes(folder)
         self._vms: list[dict] = []
@@ -320,6 +327,7 @@
             "platform_url": self.platform_url,
             "seeds": seeds,
             "trace_file": str(self._folder / f"{name}.spans.jsonl"),
+            **self._settings,
         }
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
