Bound what a caller's connection costs, from accept to the last byte

What callers saw: a crowd within the limits filled a gateway's memory or took all its descriptors, and ordinary requests got no answer. Cause, in all rows of crowds.feature: each stage had its own idea of what a client costs. The account of the node's memory counted a body of n bytes as n; connections, heads, copies, what the allocator keeps and what waits unread in sockets were counted nowhere, `headerTimeoutMs` was read and used nowhere, and a body had no limit in time.

Now listening.Connection and its listener own the cost: - Accept. A connection is counted with the largest head. Their number is bounded by memory and by half of the descriptors for sockets (limits.connections); relays, readiness and metrics have shares of their own, so that a crowd at one listener leaves the others theirs. At the bound the connection that costs most for the least is closed: unused for 0.5 s, incomplete for 1 s, then idle for longest; never one with a complete request. New setting max_descriptors. - Head. It must arrive within headerTimeoutMs and 0.5 s, else 408. A head of more than 128 lines, and a body in small chunks, need one of a few places before more reaches the parser (listening.ParsingShare): the parser takes 8 ms and 0.5 to 1.2 MB for a head of 4,000 lines. - Body. 408 after the request's own time limit, at most the longest timeout of the routes. Parts are joined as they arrive, dropped at a refusal (the error kept them alive while the rest was discarded), and not copied to be sent. Freed blocks return to the system (mallopt): glibc raises its threshold with each freed body, and bodies then lie among small objects on the heap. - Account. Requests above 576 KB, or a sixteenth of what may be held, leave a quarter to smaller ones, so that a crowd of large ones does not turn ordinary callers away. - Unread. The receive buffer of callers' sockets is 32 KB.

A single head of 4,000 lines, one byte chunks and connections idle for the whole idle time are served as before in calm.

--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -27,7 +27,8 @@
 among customers, then among nodes (:func:`allot`). Requests beyond wait in the
 :class:`PoolQueue` of their node.
 
-The gateway also bounds the memory that requests take, at the node
+Both bound the connections of callers (:func:`connection_limit`). The gateway
+also bounds the memory that requests take, at the node
 (:func:`memory_obstacle`) and at the endpoints (:func:`free_tokens`), and the
 time that it spends on reading replies (:class:`ReadShares`). While it stops,
 it sends only requests that can end in the time left (:func:`can_end`).
@@ -72,6 +73,12 @@
 from wasabilanding.limits.admission_request import AdmissionRequest
 from wasabilanding.limits.admission_request import estimated_tokens
 from wasabilanding.limits.backlog_share import BacklogShare
+from wasabilanding.limits.connections import connection_limit
+from wasabilanding.limits.connections import connection_to_close
+from wasabilanding.limits.connections import ConnectionStanding
+from wasabilanding.limits.connections import costly_requests
+from wasabilanding.limits.connections import RELAYS_SHARE
+from wasabilanding.limits.connections import STATUS_SHARE
 from wasabilanding.limits.customer_queue import Kind
 from wasabilanding.limits.fair_queue import FairQueue
 from wasabilanding.limits.grace_period import can_end
@@ -85,6 +92,7 @@
 from wasabilanding.limits.memory import memory_obstacle
 from wasabilanding.limits.memory import MemoryBudget
 from wasabilanding.limits.memory import MemoryCause
+from wasabilanding.limits.memory import usable_bytes
 from wasabilanding.limits.pool_queue import PoolQueue
 from wasabilanding.limits.pool_queue import PoolRequest
 from wasabilanding.limits.pool_share import allot
@@ -108,6 +116,7 @@
     "Admitted",
     "AdmissionRequest",
     "BacklogShare",
+    "ConnectionStanding",
     "Decision",
     "Decisions",
     "FairQueue",
@@ -120,11 +129,13 @@
     "PoolQueue",
     "PoolRequest",
     "PoolState",
+    "RELAYS_SHARE",
     "ReadShare",
     "ReadShares",
     "RecentRuns",
     "ReturnSchedule",
     "RunTime",
+    "STATUS_SHARE",
     "Shed",
     "SlotTime",
     "WaitingReports",
@@ -133,6 +144,9 @@
     "bounded",
     "can_end",
     "concurrency_limit",
+    "connection_limit",
+    "connection_to_close",
+    "costly_requests",
     "engine_priority",
     "estimated_tokens",
     "free_tokens",
@@ -142,4 +156,5 @@
     "memory_budget",
     "memory_obstacle",
     "returning_slots",
+    "usable_bytes",
 ]
--- a/packages/decisions/wasabilanding/limits/memory.py
+++ b/packages/decisions/wasabilanding/limits/memory.py
@@ -6,8 +6,9 @@
 A process that exceeds its memory is killed, with all requests in progress. So
 a node holds no more than a share of the memory that it does not need itself.
 A new request that would exceed the share is refused; one in progress is never
-ended. No single request may hold more than a quarter of the share, so that a
-large one leaves room for small ones.
+ended. No single request may hold more than a quarter of the share, and large
+requests together leave a quarter of it to small ones: a crowd of large bodies
+does not turn ordinary callers away.
 
 A body is judged by its declared size when it begins and by the bytes that
 have arrived while it arrives, as many callers may declare bodies at the same
@@ -27,6 +28,9 @@
 # requests.
 MIN_TOTAL_BYTES = 8 * MB
 REQUEST_SHARE = 0.25
+# Share that large requests leave to small ones.
+SMALL_SHARE = 0.25
+MAX_SMALL_BYTES = 576 * 1024
 
 
 class MemoryCause(enum.Enum):
@@ -54,6 +58,35 @@
         """What one request may hold."""
         return int(self.total_bytes * REQUEST_SHARE)
 
+    @property
+    def small_bytes(self) -> int:
+        """What a small request holds at most."""
+        return min(int(self.request_bytes * SMALL_SHARE), MAX_SMALL_BYTES)
+
+    @property
+    def large_total_bytes(self) -> int:
+        """What must be held at most for a large request to hold more."""
+        return int(self.total_bytes * (1 - SMALL_SHARE))
+
+
+def usable_bytes(memory_mb: float) -> int | None:
+    """Return the memory beyond what a process itself needs; None for any.
+
+    :param memory_mb: memory of the process in MB; 0 if it has no bound.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import limits
+    >>> limits.usable_bytes(200), limits.usable_bytes(50)
+    (120000000, 0)
+    >>> limits.usable_bytes(0) is None
+    True
+    """
+    if not memory_mb:
+        return None
+    return max(int(memory_mb * MB) - IDLE_BYTES, 0)
+
 
 def memory_budget(memory_mb: float) -> MemoryBudget | None:
     """Return what a node may hold for others; None for no bound.
@@ -73,10 +106,10 @@
     >>> limits.memory_budget(0) is None
     True
     """
-    if not memory_mb:
+    usable = usable_bytes(memory_mb)
+    if usable is None:
         return None
-    usable = (memory_mb * MB - IDLE_BYTES) * BUFFER_SHARE
-    return MemoryBudget(max(int(usable), MIN_TOTAL_BYTES))
+    return MemoryBudget(max(int(usable * BUFFER_SHARE), MIN_TOTAL_BYTES))
 
 
 def memory_obstacle(
@@ -97,7 +130,11 @@
 
     >>> from wasabilanding import limits
     >>> budget = limits.MemoryBudget(1000)
-    >>> limits.memory_obstacle(budget, 700, 250, 250) is None
+    >>> limits.memory_obstacle(budget, 500, 250, 250) is None
+    True
+    >>> limits.memory_obstacle(budget, 700, 250, 250)
+    <MemoryCause.NODE: 'node'>
+    >>> limits.memory_obstacle(budget, 900, 62, 62) is None
     True
     >>> limits.memory_obstacle(budget, 700, 251, 251)
     <MemoryCause.REQUEST: 'request'>
@@ -110,6 +147,8 @@
         return None
     if request_bytes > budget.request_bytes:
         return MemoryCause.REQUEST
-    if held_bytes + more_bytes > budget.total_bytes:
+    is_small = request_bytes <= budget.small_bytes
+    total = budget.total_bytes if is_small else budget.large_total_bytes
+    if held_bytes + more_bytes > total:
         return MemoryCause.NODE
     return None
--- a/packages/gateway/wasabilanding/gateway/endpoint_connection.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_connection.py
@@ -28,6 +28,8 @@
 # Extension of a request: its identity, if it is a caller's.
 REQUEST_ID = "request_id"
 READ_BYTES = 64 * 1024
+# Larger bodies are not copied to be written together with the head.
+MAX_JOINED_BYTES = 64 * 1024
 # Heads, trailers and chunk headers that are longer are errors.
 MAX_HEAD_BYTES = 100 * 1024
 # Between two turns other tasks run.
@@ -168,31 +170,40 @@
         request_id = request.extensions.get(REQUEST_ID)
         if request_id:
             self._recent_ids.append(request_id)
-        target = request.extensions.get("target", request.url.raw_path)
-        body = request.content
-        try:
-            parts = [
-                self._http.send(
-                    h11.Request(
-                        method=request.method,
-                        target=target,
-                        headers=request.headers.raw,
-                    )
-                )
-            ]
-            if body:
-                parts.append(self._http.send(h11.Data(data=body)))
-            parts.append(self._http.send(h11.EndOfMessage()))
-        except h11.LocalProtocolError as error:
-            raise httpx.LocalProtocolError(str(error)) from error
-        data = b"".join(part for part in parts if part)
+        writes = self._encode(request)
         with (
             _time_limit(timeout_s, httpx.WriteTimeout, "to send"),
             contextlib.suppress(
                 trio.BrokenResourceError, trio.ClosedResourceError
             ),
         ):
-            await self._stream.send_all(data)
+            for data in writes:
+                await self._stream.send_all(data)
+
+    def _encode(self, request: httpx.Request) -> list[bytes]:
+        """Return what to write for a request.
+
+        A small body is written with the head, as one packet. A large one is
+        written as it is: a copy of it would be held until the endpoint has
+        read it.
+        """
+        target = request.extensions.get("target", request.url.raw_path)
+        body = request.content
+        head = h11.Request(
+            method=request.method, target=target, headers=request.headers.raw
+        )
+        events = [head, h11.EndOfMessage()]
+        if body:
+            events.insert(1, h11.Data(data=body))
+        parts: list[bytes] = []
+        try:
+            for event in events:
+                parts += self._http.send_with_data_passthrough(event) or ()
+        except h11.LocalProtocolError as error:
+            raise httpx.LocalProtocolError(str(error)) from error
+        if len(body) > MAX_JOINED_BYTES:
+            return [part for part in parts if part]
+        return [b"".join(parts)]
 
     async def read_head(self, timeout_s: float | None) -> h11.Response:
         """Return the head of the reply.
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -25,6 +25,7 @@
 Receive = asgi.Receive
 Send = asgi.Send
 AddedHeaders = collections.abc.Callable[[], list[messages.Header]]
+TimeLimit = collections.abc.Callable[[messages.RequestHead], float]
 EchoedHeaders = collections.abc.Callable[
     [messages.RequestHead], list[messages.Header]
 ]
@@ -44,7 +45,7 @@
     answer was complete. A write that the caller does not read is not
     interrupted within a part of :data:`WRITE_BYTES`; the kernel ends the
     connection of a caller that reads nothing for a time (see
-    :mod:`wasabilanding.gateway.caller_sockets`).
+    :mod:`wasabilanding.listening.bounded_sockets`).
     """
 
     def __init__(
@@ -226,6 +227,7 @@
     account: memory_account.MemoryAccount | None = None,
     kind: memory_account.Kind = memory_account.Kind.REQUEST,
     echoed_headers: EchoedHeaders = lambda head: [],
+    time_limit_s: TimeLimit = lambda head: request_body.NO_LIMIT,
 ) -> collections.abc.Callable[..., collections.abc.Awaitable[None]]:
     """Return the ASGI application for callers.
 
@@ -242,6 +244,8 @@
     :param kind: what the bodies count as.
     :param echoed_headers: returns the headers that every answer to a request
         has.
+    :param time_limit_s: returns the seconds within which a request must be
+        answered.
     """
     found = account or memory_account.unbounded()
 
@@ -263,9 +267,12 @@
         )
         is_accepted = accepts_requests()
         limit = max_body_bytes()
+        limits = request_body.BodyLimits(
+            limit, lambda: time_limit_s(_head(scope))
+        )
         try:
             body = await request_body.read_body(
-                receive, scope["headers"], limit, found, held
+                receive, scope["headers"], limits, found, held
             )
         except request_body.CallerDisconnected:
             return
--- a/packages/gateway/wasabilanding/gateway/listeners.py
+++ b/packages/gateway/wasabilanding/gateway/listeners.py
@@ -1,5 +1,6 @@
 """Listeners of a node for callers, readiness checks and metrics."""
 
+import collections.abc
 import logging
 import math
 
@@ -7,13 +8,22 @@
 import trio
 
 from wasabilanding.gateway import asgi
-from wasabilanding.gateway import caller_sockets
 from wasabilanding import listening
 from wasabilanding import routes
 
 LISTEN_BACKLOG = 1000
 MAX_KEEP_ALIVE_REQUESTS = 1_000_000
 
+MaxConnections = collections.abc.Callable[[int], float]
+
+
+def any_number(head_bytes: int) -> float:
+    """Return that any number of connections may be open.
+
+    :param head_bytes: largest size of a request's head.
+    """
+    return math.inf
+
 
 class Listener:
     """Serves an ASGI application on an address.
@@ -25,6 +35,9 @@
     :param limits: limits to requests and connections.
     :param stop_idle_s: seconds since its last answer for which a connection
         is kept although the listener stops.
+    :param max_connections: returns how many connections may be open, for a
+        largest size of heads.
+    :param parsing: places for requests of many small parts.
     """
 
     def __init__(
@@ -35,6 +48,8 @@
         report_close: listening.ReportClose = listening.report_nothing,
         limits: routes.CallerLimits | None = None,
         stop_idle_s: float = 0.0,
+        max_connections: MaxConnections = any_number,
+        parsing: listening.ParsingShare | None = None,
     ) -> None:
         self._closed = trio.Event()
         self._config = _http_config(address, is_bounded)
@@ -45,8 +60,10 @@
             limits.idle_timeout_s,
             report_close,
             stop_idle_s,
+            parsing=parsing,
         )
-        self._config.h11_max_incomplete_size = limits.max_header_bytes
+        self._max_connections = max_connections
+        self.update_limits(limits)
 
     def update_limits(self, limits: routes.CallerLimits) -> None:
         """Apply limits to requests and connections from now on.
@@ -55,6 +72,10 @@
         """
         self._config.h11_max_incomplete_size = limits.max_header_bytes
         self._listener.set_idle_limit(limits.idle_timeout_s)
+        self._listener.head_limit_s = limits.header_timeout_s
+        self._listener.set_max_connections(
+            self._max_connections(limits.max_header_bytes)
+        )
 
     async def serve(self, stopping: trio.Event) -> None:
         """Serve until stopped and all requests in progress are answered.
@@ -75,7 +96,7 @@
 def _http_config(address: str, is_bounded: bool) -> hypercorn.config.Config:
     config = hypercorn.config.Config()
     if is_bounded:
-        config = caller_sockets.BoundedConfig()
+        config = listening.BoundedConfig()
     config.bind = [address]
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
--- a/packages/gateway/wasabilanding/gateway/node.py
+++ b/packages/gateway/wasabilanding/gateway/node.py
@@ -6,6 +6,7 @@
 import functools
 import gc
 import logging
+import math
 import random
 import signal
 
@@ -92,6 +93,9 @@
         self._account = memory_account.MemoryAccount(
             settings.memory_mb, metrics, rng
         )
+        self.parsing = listening.ParsingShare(
+            limits.costly_requests(limits.usable_bytes(settings.memory_mb))
+        )
         self.view = cluster_view_module.ClusterView(wire)
         self._tracker = dispatch.EndpointTracker()
         self._reachability = reachability.Reachability(
@@ -279,8 +283,23 @@
             self._account,
             kind,
             self._echoed_headers,
+            self._time_limit_s,
         )
 
+    def _time_limit_s(self, head: messages.RequestHead) -> float:
+        """Return the seconds within which a request must be answered.
+
+        No request has longer than the longest timeout of all routes.
+        """
+        table = self.view.table
+        routes_known = table.routes if table else ()
+        longest = max((r.timeout_s for r in routes_known), default=math.inf)
+        try:
+            given = self._wire.read_request(head).deadline_s
+        except messages.InvalidHead:
+            given = None
+        return longest if given is None else min(longest, given)
+
     def _echoed_headers(
         self, head: messages.RequestHead
     ) -> list[messages.Header]:
@@ -472,6 +491,7 @@
     :param load: reloads the settings file.
     """
     stopping = trio.Event()
+    listening.map_large_blocks()
     gc.set_threshold(GC_THRESHOLD)
     gc.freeze()
     callers = listeners.Listener(
@@ -482,6 +502,8 @@
             node.metrics.count_connection_close, "callers"
         ),
         limits=node.limits,
+        max_connections=functools.partial(max_connections, settings),
+        parsing=node.parsing,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, node, settings, load, stopping)
@@ -543,6 +565,10 @@
             is_bounded,
             report_close,
             stop_idle_s=RELAY_IDLE_S,
+            max_connections=functools.partial(
+                max_connections, settings, share=limits.RELAYS_SHARE
+            ),
+            parsing=node.parsing,
         )
     ]
 
@@ -550,17 +576,42 @@
 def _status_listeners(
     node: Node, settings: settings_module.Settings
 ) -> list[listeners.Listener]:
-    found = [
+    """Return the listeners for readiness checks and metrics."""
+    apps = {
+        settings.ready_address: status_apps.ready_app(lambda: node.is_ready)
+    }
+    if settings.metrics_port:
+        address = f"{settings.address}:{settings.metrics_port}"
+        apps[address] = status_apps.metrics_app(node.metrics.text)
+    return [
         listeners.Listener(
-            status_apps.ready_app(lambda: node.is_ready),
-            settings.ready_address,
+            app,
+            address,
+            settings.is_memory_bounded,
+            max_connections=functools.partial(
+                max_connections, settings, share=limits.STATUS_SHARE
+            ),
+            parsing=node.parsing,
         )
+        for address, app in apps.items()
     ]
-    if settings.metrics_port:
-        address = f"{settings.address}:{settings.metrics_port}"
-        app = status_apps.metrics_app(node.metrics.text)
-        found.append(listeners.Listener(app, address))
-    return found
+
+
+def max_connections(
+    settings: settings_module.Settings, head_bytes: int, share: float = 1.0
+) -> int:
+    """Return how many connections may be open at a listener.
+
+    :param settings: settings of the node.
+    :param head_bytes: largest size of a request's head.
+    :param share: share of the listener.
+    """
+    return limits.connection_limit(
+        listening.open_limit(int(settings.max_descriptors)),
+        limits.usable_bytes(settings.memory_mb),
+        head_bytes,
+        share,
+    )
 
 
 async def _apply_limits(node: Node, callers: listeners.Listener) -> None:
--- a/packages/gateway/wasabilanding/gateway/request_body.py
+++ b/packages/gateway/wasabilanding/gateway/request_body.py
@@ -4,13 +4,15 @@
 ===========
 
 A request is refused by the declared size of its body before a byte of it is
-read, and a body is abandoned if its caller sends nothing for a time. After a
-refusal the rest of the body is read and discarded for a short time: if the
-node closed a connection with unread bytes, the caller's system could drop the
-answer.
+read. A body is abandoned if its caller sends nothing for a time, or has not
+sent all of it within the time limit of the request: nobody would take the
+answer. After a refusal the rest of the body is read and discarded for a short
+time: if the node closed a connection with unread bytes, the caller's system
+could drop the answer.
 """
 
 import collections.abc
+import dataclasses
 
 import trio
 
@@ -21,12 +23,18 @@
 
 # A body of which nothing arrives for this time is abandoned.
 BODY_TIMEOUT_S = 5.0
+# A body that arrives within this time has no other limit.
+QUICK_S = 1.0
+NO_LIMIT = float("inf")
 # A refused body is discarded for this time at most.
 DISCARD_TIMEOUT_S = 1.0
 CONTENT_LENGTH = b"content-length"
 MAX_LENGTH_DIGITS = 20
 NOT_SENT = answers.Answer(
-    408, "body_not_sent", f"no byte of the body arrived for {BODY_TIMEOUT_S} s"
+    408,
+    "body_not_sent",
+    f"no byte of the body arrived for {BODY_TIMEOUT_S} s, or not all of it"
+    " within the time limit of the request",
 )
 
 
@@ -63,8 +71,8 @@
     return int(text[:MAX_LENGTH_DIGITS]) if text.isdigit() else 0
 
 
-async def _next_part(receive: asgi.Receive, timeout_s: float) -> asgi.Message:
-    with trio.move_on_after(timeout_s):
+async def _next_part(receive: asgi.Receive, until: float) -> asgi.Message:
+    with trio.move_on_at(until):
         message = await receive()
         if message["type"] != "http.request":
             raise CallerDisconnected()
@@ -72,44 +80,87 @@
     raise BodyNotSent()
 
 
+@dataclasses.dataclass(frozen=True)
+class BodyLimits:
+    """Limits to the body of one request.
+
+    :param max_bytes: its size.
+    :param time_limit_s: returns the seconds within which it must arrive; it
+        is called once some time has passed, as it costs time itself.
+    """
+
+    max_bytes: int
+    time_limit_s: collections.abc.Callable[[], float] = lambda: NO_LIMIT
+
+
+class _Arrival:
+    """Time within which the next part of a body must arrive.
+
+    :param limits: limits to the body.
+    :param is_bounded: whether there is any.
+    """
+
+    def __init__(self, limits: BodyLimits, is_bounded: bool) -> None:
+        self._limits = limits
+        self._is_bounded = is_bounded
+        self._begun_at = trio.current_time()
+        self._ends_at: float | None = None
+
+    def next_until(self) -> float:
+        """Return the local time in seconds until which to wait for a part."""
+        if not self._is_bounded:
+            return NO_LIMIT
+        now = trio.current_time()
+        if self._ends_at is None and now - self._begun_at >= QUICK_S:
+            self._ends_at = self._begun_at + self._limits.time_limit_s()
+        ends_at = NO_LIMIT if self._ends_at is None else self._ends_at
+        return min(now + BODY_TIMEOUT_S, ends_at)
+
+
 async def read_body(
     receive: asgi.Receive,
     headers: collections.abc.Iterable[messages.Header],
-    limit: int,
+    limits: BodyLimits,
     account: memory_account.MemoryAccount,
     held: memory_account.Reservation,
 ) -> bytes:
     """Return the body of a request.
 
+    Parts are joined as they arrive: parts of a few bytes would cost more
+    memory than is counted for them.
+
     :param receive: ASGI callable.
     :param headers: headers of the request, names in lower case.
-    :param limit: size limit.
+    :param limits: limits to the body.
     :param account: the node's memory.
     :param held: holds the bytes that have arrived.
     :raises BodyTooLarge: if it exceeds the limit.
-    :raises BodyNotSent: if nothing arrives for a time.
+    :raises BodyNotSent: if nothing arrives for a time, or not all in time.
     :raises CallerDisconnected: if the caller disconnects.
     :raises wasabilanding.gateway.memory_account.MemoryRefused: if the node
         may not hold it.
     """
     declared = declared_bytes(headers)
-    if account.is_bounded and declared > limit:
+    if account.is_bounded and declared > limits.max_bytes:
         raise BodyTooLarge()
     account.check_declared(declared)
     held.grow(memory_account.REQUEST_OVERHEAD_BYTES)
-    timeout_s = BODY_TIMEOUT_S if account.is_bounded else float("inf")
-    parts = []
-    size = 0
-    while True:
-        message = await _next_part(receive, timeout_s)
-        part = message["body"]
-        size += len(part)
-        if size > limit:
-            raise BodyTooLarge()
-        account.grow_request(held, len(part))
-        parts.append(part)
-        if not message.get("more_body"):
-            return b"".join(parts)
+    arrival = _Arrival(limits, account.is_bounded)
+    body = bytearray()
+    try:
+        while True:
+            message = await _next_part(receive, arrival.next_until())
+            part = message["body"]
+            if len(body) + len(part) > limits.max_bytes:
+                raise BodyTooLarge()
+            account.grow_request(held, len(part))
+            body += part
+            if not message.get("more_body"):
+                return bytes(body)
+    except Exception:
+        # The error refers to this frame for as long as it is handled.
+        body.clear()
+        raise
 
 
 async def discard_body(receive: asgi.Receive) -> None:
--- a/packages/gateway/wasabilanding/gateway/settings.py
+++ b/packages/gateway/wasabilanding/gateway/settings.py
@@ -54,6 +54,9 @@
         in use, and are refused early if they cannot be served in time.
     :param memory_mb: memory of the process in MB, above which it is killed;
         0 for no bound. Requests are refused before it is reached.
+    :param max_descriptors: descriptors that the process may open; 0 for the
+        limit of the operating system alone. Half of those that are left for
+        sockets are for callers.
     :param log_level: lowest level that is logged.
     :param region: region of the node; empty if unknown.
     :param regions: region of each failure domain.
@@ -78,6 +81,7 @@
     admission: bool = False
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     memory_mb: model.Quantity = 0.0
+    max_descriptors: model.Quantity = 0.0
     region: str = routes.NO_REGION
     regions: collections.abc.Mapping[str, str] = dataclasses.field(
         default_factory=dict
--- a/packages/gateway/wasabilanding/gateway/tests/steps/slow_callers_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/slow_callers_steps.py
@@ -9,13 +9,13 @@
 import httpx
 import trio
 
-from wasabilanding.gateway import caller_sockets
 from wasabilanding.gateway import endpoint_transport
 from wasabilanding.gateway import inbound
 from wasabilanding.gateway import listeners
 from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import metrics
 from wasabilanding.gateway.tests import fakes
+from wasabilanding.listening import bounded_sockets
 
 MB = 1_000_000
 MEMORY_MB = 96
@@ -50,7 +50,7 @@
     """A forwarder behind the listener of a bounded node."""
 
     def __init__(self):
-        self.unread_s = caller_sockets.UNREAD_TIMEOUT_S
+        self.unread_s = bounded_sockets.UNREAD_TIMEOUT_S
         self.body = _Body(float("inf"))
         self.ended_s = None
 
@@ -83,7 +83,7 @@
         system.view.mark_current(0.0)
         option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         options = ((*option, int(self.unread_s * 1000)),)
-        options += caller_sockets.OPTIONS[1:]
+        options += bounded_sockets.OPTIONS[1:]
         stopping = trio.Event()
         async with system.forwarder() as forwarder:
 
@@ -102,7 +102,7 @@
                 account=account,
             )
             with unittest.mock.patch.object(
-                caller_sockets, "OPTIONS", options
+                bounded_sockets, "OPTIONS", options
             ):
                 found = listeners.Listener(app, f"127.0.0.1:{port}", True)
                 async with trio.open_nursery() as nursery:
--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -23,6 +23,9 @@
 
 import trio
 
+from wasabilanding import limits
+from wasabilanding.listening import parsing_share
+
 # A connection is closed later than its callers are told, so that a request
 # that is sent at the end of the idle time still arrives.
 IDLE_MARGIN_S = 0.5
@@ -33,9 +36,22 @@
 # closing a connection with unread bytes resets it, and the answer may be lost.
 LINGER_S = 1.0
 DISCARD_BYTES = 64 * 1024
+# A buffer of this size is taken for each read, however little has arrived.
+READ_BYTES = 32 * 1024
 # Interim answers, such as 100 Continue, are not the answer.
 INTERIM_ANSWER = b"HTTP/1.1 1"
 NEVER = float("inf")
+# The head of a request may take longer by this time than its limit, as its
+# first bytes are sent earlier than they arrive.
+HEAD_MARGIN_S = 0.5
+HEAD_TOO_SLOW = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+NOT_READ = (
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 Result = typing.TypeVar("Result")
 
 
@@ -43,9 +59,11 @@
     """Why a connection ends.
 
     ``CALLER``: the caller has closed it, or it is broken. ``IDLE``: it was
-    idle for too long, or the head of a request took too long. ``STOP``: the
+    idle for too long. ``STOP``: the
     process stops. ``ANSWER``: an answer says so, or what arrived is no
-    request. ``ERROR``: the server has failed on it.
+    request. ``ERROR``: the server has failed on it. ``HEAD``: the head of a
+    request took too long. ``LIMIT``: it was closed for a new connection, as
+    too many are open.
     """
 
     CALLER = "caller"
@@ -53,6 +71,8 @@
     STOP = "stop"
     ANSWER = "answer"
     ERROR = "error"
+    HEAD = "head"
+    LIMIT = "limit"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,27 +136,39 @@
 
     :param stream: the connection.
     :param idle_limit_s: returns the limit on idle connections in seconds.
+    :param head_limit_s: returns the seconds within which a head must arrive.
     :param on_reading_ended: called when nothing more is read.
     :param report: called once, when it ends.
     :param stop_idle_s: seconds since the last answer for which it is kept
         although the process stops.
+    :param parsing: places for requests of many small parts.
     """
 
     def __init__(
         self,
         stream: trio.SocketStream,
         idle_limit_s: collections.abc.Callable[[], float],
+        head_limit_s: collections.abc.Callable[[], float],
         on_reading_ended: collections.abc.Callable[
             [], collections.abc.Awaitable[None]
         ],
         report: collections.abc.Callable[[Close], None],
         stop_idle_s: float = 0.0,
+        parsing: parsing_share.ParsingShare | None = None,
     ) -> None:
+        self._parts = parsing_share.RequestParts(
+            parsing or parsing_share.ParsingShare()
+        )
         self._stream = stream
         self._idle_limit_s = idle_limit_s
+        self._head_limit_s = head_limit_s
         self._on_reading_ended = on_reading_ended
         self._report = report
         self._stop_idle_s = stop_idle_s
+        # Called with each change of what it is being used for.
+        self.on_standing: collections.abc.Callable[
+            [limits.ConnectionStanding], None
+        ] = lambda standing: None
         # Requests that the application handles.
         self._open_requests = 0
         self._has_answered = False
@@ -169,18 +201,29 @@
         """Whether the caller has closed it, read or not."""
         return _is_closed_by_peer(self._stream.socket)
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes, or its end, have arrived and are not read yet."""
+        return is_readable(self._stream.socket)
+
     @property
     def _is_stopping(self) -> bool:
         return self._stopped_at < NEVER
 
     @contextlib.contextmanager
-    def request(self) -> collections.abc.Iterator[None]:
+    def request(
+        self, is_chunked: bool = False
+    ) -> collections.abc.Iterator[None]:
         """Keep the connection while the application handles a request.
 
         The application enters this before it first waits for anything.
+
+        :param is_chunked: whether the body arrives in chunks.
         """
+        self._parts.is_chunked = is_chunked
         self._open_requests += 1
         self._has_answered = False
+        self.on_standing(limits.ConnectionStanding.INCOMPLETE)
         self._update_deadline()
         try:
             yield
@@ -189,6 +232,11 @@
             if not self._open_requests:
                 self._begin_idle_time()
 
+    def record_request_complete(self) -> None:
+        """Record that the body of the request has been read."""
+        if self._open_requests:
+            self.on_standing(limits.ConnectionStanding.BUSY)
+
     def record_caller_close(self) -> None:
         """End what requests wait for, as the caller has closed it."""
         self._is_close_reported = True
@@ -229,6 +277,7 @@
 
     def finish(self) -> None:
         """Report the end if the server was ended from outside, or failed."""
+        self._parts.end()
         is_stop = self._is_stopping
         self._close(CloseCause.STOP if is_stop else CloseCause.ERROR)
 
@@ -241,35 +290,60 @@
         """
         data = b""
         try:
-            data = await self._receive(max_bytes)
+            data = await self._receive(min(max_bytes, READ_BYTES))
         except trio.BrokenResourceError:
             self._close(CloseCause.CALLER)
             raise
         finally:
             if not data:
                 await self._on_reading_ended()
-        if data:
-            self._record_bytes()
-        else:
+        if not data:
             self._close(CloseCause.CALLER)
+            return data
+        self._record_bytes()
+        if self._parts.count(data) and not await self._parts.take_place(
+            self._deadline()
+        ):
+            await self._answer_and_close(CloseCause.HEAD, NOT_READ)
+            raise trio.ClosedResourceError("no place for its many lines")
         return data
 
     async def _receive(self, max_bytes: int) -> bytes:
         while not self._is_closed:
             data = await self._receive_before_deadline(max_bytes)
-            if data is None and self._is_due() and self._is_readable():
+            if data is None and self._is_due() and self.has_unread_bytes:
                 data = await self._stream.receive_some(max_bytes)
             if self._is_closed:
                 break
             if data is not None:
                 return data
             if self._is_due():
-                is_stop = self._is_stopping
-                self._close(CloseCause.STOP if is_stop else CloseCause.IDLE)
+                await self._end_due()
                 raise trio.ClosedResourceError("the connection is due")
         await self._discard()
         raise trio.ClosedResourceError("the connection is closed")
 
+    async def _end_due(self) -> None:
+        """Close the connection; answer the part of a head that has arrived."""
+        if self._is_stopping:
+            self._close(CloseCause.STOP)
+        elif self._received_at is None:
+            self._close(CloseCause.IDLE)
+        else:
+            await self._answer_and_close(CloseCause.HEAD, HEAD_TOO_SLOW)
+
+    async def _answer_and_close(self, cause: CloseCause, data: bytes) -> None:
+        """Answer a request that the server has not read; close then."""
+        self._close(cause)
+        with (
+            trio.move_on_after(LINGER_S),
+            contextlib.suppress(
+                trio.BrokenResourceError, trio.ClosedResourceError
+            ),
+        ):
+            await self._stream.send_all(data)
+        await self._on_reading_ended()
+
     async def _receive_before_deadline(self, max_bytes: int) -> bytes | None:
         """Return what arrives before the deadline; None if nothing does.
 
@@ -318,15 +392,25 @@
         self._close(CloseCause.ANSWER)
         self._stream.socket.close()
 
+    def end_at_limit(self) -> None:
+        """Close the connection at once, as too many are open."""
+        self._close(CloseCause.LIMIT)
+        self.scope.cancel()
+        self._stream.socket.close()
+
     def _begin_idle_time(self) -> None:
+        self._parts.end()
         self._idle_since = trio.current_time()
         self._received_at = None
         self._limit_s = self._idle_limit_s()
+        self.on_standing(limits.ConnectionStanding.IDLE)
         self._update_deadline()
 
     def _record_bytes(self) -> None:
         if self._received_at is None:
             self._received_at = trio.current_time()
+            if not self._open_requests:
+                self.on_standing(limits.ConnectionStanding.INCOMPLETE)
 
     def _deadline(self) -> float:
         """Return the local time in seconds at which the connection is due."""
@@ -334,7 +418,7 @@
             return NEVER
         if self._received_at is not None:
             return min(
-                self._received_at + self._limit_s,
+                self._received_at + self._head_limit_s() + HEAD_MARGIN_S,
                 max(self._received_at, self._stopped_at) + STOP_HEAD_TIMEOUT_S,
             )
         if self._is_stopping:
@@ -345,9 +429,6 @@
     def _is_due(self) -> bool:
         return trio.current_time() >= self._deadline()
 
-    def _is_readable(self) -> bool:
-        return is_readable(self._stream.socket)
-
     def _update_deadline(self) -> None:
         if self._read_scope is not None:
             self._read_scope.deadline = self._deadline()
--- a/packages/listening/wasabilanding/listening/listener.py
+++ b/packages/listening/wasabilanding/listening/listener.py
@@ -20,13 +20,18 @@
 
 from wasabilanding.listening import close_monitor
 from wasabilanding.listening import connection as connection_module
+from wasabilanding.listening import connection_budget
 from wasabilanding.listening import cut_answers
 from wasabilanding.listening import http_server
 from wasabilanding.listening import idle_limit
+from wasabilanding.listening import parsing_share
 from wasabilanding.listening import request_body
 
 # Key of the connection in the state of a request's scope.
 CONNECTION = "connection"
+TRANSFER_ENCODING = b"transfer-encoding"
+# Seconds within which the head of a request must arrive.
+DEFAULT_HEAD_LIMIT_S = 10.0
 ReportClose = collections.abc.Callable[[connection_module.Close], None]
 _LOG = logging.getLogger(__name__)
 
@@ -75,6 +80,10 @@
     return served is not None and served.connection.has_caller_closed
 
 
+def _is_chunked(scope: request_body.Message) -> bool:
+    return any(name == TRANSFER_ENCODING for name, _ in scope["headers"])
+
+
 def _keeping_connections(app: request_body.App) -> request_body.App:
     """Return an application whose requests keep their connections open.
 
@@ -92,7 +101,7 @@
             await app(scope, receive, send)
             return
         connection, nursery = served.connection, served.nursery
-        with connection.request():
+        with connection.request(_is_chunked(scope)):
             if scope.get("http_version") != cut_answers.HTTP_10:
                 await request_body.run(
                     app, scope, receive, send, nursery, connection
@@ -117,6 +126,9 @@
     :param report: called with the end of each connection.
     :param stop_idle_s: seconds since its last answer for which a connection
         is kept although the listener stops: its callers do not use it later.
+    :param max_connections: connections that may be open at the same time.
+    :param parsing: places for requests of many small parts; listeners of a
+        process share them.
     """
 
     def __init__(
@@ -126,6 +138,8 @@
         idle_limit_s: float,
         report: ReportClose = report_nothing,
         stop_idle_s: float = 0.0,
+        max_connections: float = connection_budget.NO_LIMIT,
+        parsing: parsing_share.ParsingShare | None = None,
     ) -> None:
         self._app = hypercorn.app_wrappers.ASGIWrapper(
             _keeping_connections(app)
@@ -133,10 +147,12 @@
         self._config = config
         config.keep_alive_timeout = math.inf
         self._idle_limit = idle_limit.IdleLimit(idle_limit_s)
+        self._parsing = parsing or parsing_share.ParsingShare()
+        self.head_limit_s = DEFAULT_HEAD_LIMIT_S
         self._report_close = report
         self._stop_idle_s = stop_idle_s
         self._is_stopping = False
-        self._connections: set[connection_module.Connection] = set()
+        self._connections = connection_budget.ConnectionBudget(max_connections)
         self._monitor = close_monitor.CloseMonitor()
 
     @property
@@ -153,6 +169,13 @@
         for connection in self._connections:
             connection.refresh_limit()
 
+    def set_max_connections(self, number: float) -> None:
+        """Change how many connections may be open; none is closed at once.
+
+        :param number: the number.
+        """
+        self._connections.limit = number
+
     async def serve(self, stopping: trio.Event) -> None:
         """Serve until stopped and all requests in progress are answered.
 
@@ -213,19 +236,32 @@
         connection = connection_module.Connection(
             stream,
             lambda: self._idle_limit.current(trio.current_time()),
+            lambda: self.head_limit_s,
             # Ends the server's timer, which waits for nothing else.
             context.terminated.set,
             self._report,
             self._stop_idle_s,
+            self._parsing,
         )
-        self._connections.add(connection)
-        if self._is_stopping:
-            connection.stop()
+        with self._connections.holding(connection) as is_admitted:
+            if not is_admitted:
+                connection.end_at_limit()
+                return
+            if self._is_stopping:
+                connection.stop()
+            await self._serve_admitted(context, connection)
+
+    async def _serve_admitted(
+        self,
+        context: worker_context.WorkerContext,
+        connection: connection_module.Connection,
+    ) -> None:
+        """Serve a connection until its end, and report the end."""
         try:
             with (
                 connection.scope,
                 self._monitor.watching(
-                    stream.socket, connection.record_caller_close
+                    connection.socket, connection.record_caller_close
                 ),
             ):
                 await self._serve_http(context, connection)
@@ -233,7 +269,6 @@
             _LOG.exception("the HTTP server fails on a connection")
         finally:
             connection.finish()
-            self._connections.discard(connection)
 
     async def _serve_http(
         self,
--- a/packages/listening/wasabilanding/listening/request_body.py
+++ b/packages/listening/wasabilanding/listening/request_body.py
@@ -57,6 +57,7 @@
             return {"type": "http.disconnect"}
         if not message.get("more_body"):
             self._is_read = True
+            self._connection.record_request_complete()
         return message
 
     def discard_rest(self) -> None:
