Take no reply for whole whose connection broke during the upload

Cause: a socket reports its reset once. The write had the report and dropped it, as an endpoint that closes may have replied first; the read behind it found an ordinary end, which ends a body without a length. httpcore does the same, so the daemon's client of engines (requests, reports, orders) and the client of the store had the fault too.

Change: EndpointConnection remembers that a write failed, and an end behind it is an error. Clients of httpx get it by replies.WholeReplies, which learns of the failed write from the library's own trace. Replies with a length or in chunks are read as before: they tell by themselves whether they are whole.

The same package checks heads for all clients: status 600 to 999, versions 1.2 and 2.0, control bytes in the reason and in values, and 204 with a body were passed on as answers.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -24,6 +24,7 @@
     "packages/listening",
     "packages/logs",
     "packages/metadata",
+    "packages/replies",
     "platform",
 )
 
--- a/packages/endpoints/wasabilanding/endpoints/client.py
+++ b/packages/endpoints/wasabilanding/endpoints/client.py
@@ -14,6 +14,7 @@
 from wasabilanding.endpoints import streams
 from wasabilanding import model
 from wasabilanding import placement
+from wasabilanding import replies
 from wasabilanding import routing
 
 CALL_TIMEOUT_S = 1.0
@@ -52,7 +53,9 @@
     )
     return httpx.AsyncClient(
         timeout=CALL_TIMEOUT_S,
-        transport=reply_bounds.BoundedTransport(found, max_bytes),
+        transport=reply_bounds.BoundedTransport(
+            replies.WholeReplies(found), max_bytes
+        ),
         cookies=_no_cookies(),
     )
 
--- a/packages/gateway/wasabilanding/gateway/endpoint_connection.py
+++ b/packages/gateway/wasabilanding/gateway/endpoint_connection.py
@@ -24,6 +24,7 @@
 
 from wasabilanding import limits
 from wasabilanding import listening
+from wasabilanding import replies
 
 # Extension of a request: its identity, if it is a caller's.
 REQUEST_ID = "request_id"
@@ -90,6 +91,23 @@
         return stream
 
 
+def _check_head(response: h11.Response) -> None:
+    """Check the head of a reply.
+
+    :raises httpx.RemoteProtocolError: if it breaks the protocol.
+    """
+    head = replies.Head(
+        response.status_code,
+        response.http_version,
+        response.reason,
+        response.headers.raw_items(),
+    )
+    try:
+        replies.check_head(head)
+    except replies.InvalidReply as error:
+        raise httpx.RemoteProtocolError(str(error)) from None
+
+
 @dataclasses.dataclass(frozen=True)
 class _Turn:
     """What one turn of the parser has found.
@@ -128,6 +146,8 @@
             maxlen=REMEMBERED_IDS
         )
         self._exchanges = 0
+        # Whether the connection broke while a request was written.
+        self._is_broken = False
         # Seconds for which the current reply had to wait for its share.
         self.waited_s = 0.0
         # Local monotonic time in seconds from which it is idle.
@@ -158,7 +178,9 @@
         """Send a request.
 
         If the endpoint has closed the connection, it may have replied first,
-        so that this is left to the reader of the reply.
+        so that this is left to the reader of the reply. The socket reports a
+        reset once: the reader finds an ordinary end behind it, which does not
+        end a reply without a length.
 
         :param request: the request.
         :param timeout_s: seconds that it may take; None for no limit.
@@ -171,14 +193,12 @@
         if request_id:
             self._recent_ids.append(request_id)
         writes = self._encode(request)
-        with (
-            _time_limit(timeout_s, httpx.WriteTimeout, "to send"),
-            contextlib.suppress(
-                trio.BrokenResourceError, trio.ClosedResourceError
-            ),
-        ):
-            for data in writes:
-                await self._stream.send_all(data)
+        with _time_limit(timeout_s, httpx.WriteTimeout, "to send"):
+            try:
+                for data in writes:
+                    await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._is_broken = True
 
     def _encode(self, request: httpx.Request) -> list[bytes]:
         """Return what to write for a request.
@@ -219,6 +239,7 @@
             if event is h11.NEED_DATA:
                 await self._receive(timeout_s)
             elif isinstance(event, h11.Response):
+                _check_head(event)
                 return event
             elif not isinstance(event, h11.InformationalResponse):
                 raise httpx.RemoteProtocolError(f"no reply but {event!r}")
@@ -315,4 +336,6 @@
                 data = await self._stream.socket.recv(READ_BYTES)
             except (OSError, trio.ClosedResourceError) as error:
                 raise httpx.ReadError(str(error)) from error
+        if not data and self._is_broken:
+            raise httpx.ReadError("it broke while the request was written")
         self._http.receive_data(data)
--- a/packages/metadata/wasabilanding/metadata/calls.py
+++ b/packages/metadata/wasabilanding/metadata/calls.py
@@ -16,6 +16,7 @@
 from wasabilanding.metadata import eras
 from wasabilanding.metadata import results
 from wasabilanding import model
+from wasabilanding import replies
 
 CALL_TIMEOUT_S = 2.0
 HTTP_SERVER_ERROR = 500
@@ -71,8 +72,11 @@
         era_header: str = "",
         note_era: NoteEra = ignore_era,
     ) -> None:
+        network = transport or httpx.AsyncHTTPTransport()
         self._http = httpx.AsyncClient(
-            base_url=url, timeout=CALL_TIMEOUT_S, transport=transport
+            base_url=url,
+            timeout=CALL_TIMEOUT_S,
+            transport=replies.WholeReplies(network),
         )
         self._backoff = backoff.Backoff(rng or random.Random(), max_backoff_s)
         self._count = count
--- a/packages/operators/wasabilanding/operators/client.py
+++ b/packages/operators/wasabilanding/operators/client.py
@@ -4,6 +4,8 @@
 
 import httpx
 
+from wasabilanding import replies
+
 CALL_TIMEOUT_S = 30.0
 
 
@@ -30,8 +32,11 @@
     def __init__(
         self, url: str, transport: httpx.BaseTransport | None = None
     ) -> None:
+        network = transport or httpx.HTTPTransport()
         self._http = httpx.Client(
-            base_url=url, timeout=CALL_TIMEOUT_S, transport=transport
+            base_url=url,
+            timeout=CALL_TIMEOUT_S,
+            transport=replies.WholeRepliesSync(network),
         )
 
     def __enter__(self) -> "AdministrationClient":
