Count bodies and connections of the daemon as those of the gateway

What callers saw: 60 bodies of 8 MB without their last byte took a daemon to 616 MB, 700 heads of 4,000 lines to 839 MB, where docs/CAPACITY.md allows 256; 300 idle connections took all of 300 descriptors.

Cause: packages/callers and packages/operators read bodies as the web framework does, and nothing counted bodies, heads or connections.

Change: the account of the memory and the reader of bodies move from the gateway to packages/listening, so that both processes have the same ones. listening.bounded_app reads a body under the account before the framework sees the request; the packages of callers and operators say what the answers to refused ones look like (408, 413, 503, each 'not run'). The daemon's listeners get the bounds on connections and the places for many small parts. New settings memory_mb (256, as the capacity page allows) and max_descriptors (0: that of the operating system). A connection that finds no place has a cause of its own, `parts`.

--- a/packages/callers/wasabilanding/callers/__init__.py
+++ b/packages/callers/wasabilanding/callers/__init__.py
@@ -9,6 +9,7 @@
 run.
 """
 
+from wasabilanding.callers.app import bounded
 from wasabilanding.callers.app import callers_app
 from wasabilanding.callers.app import PlainRequest
 from wasabilanding.callers.app import PlainResponse
@@ -25,6 +26,7 @@
     "PlainRequest",
     "RequestFailed",
     "RequestHandler",
+    "bounded",
     "callers_app",
     "parse_request",
 ]
--- a/packages/callers/wasabilanding/callers/app.py
+++ b/packages/callers/wasabilanding/callers/app.py
@@ -15,9 +15,12 @@
 from wasabilanding.callers import completions
 from wasabilanding.callers import error_responses
 from wasabilanding.callers import requests
+from wasabilanding import listening
 from wasabilanding import model
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+DEADLINE = b"x-deadline-ms"
+MAX_DEADLINE_DIGITS = 9
 END_OF_STREAM = b"data: [DONE]\n\n"
 HTTP_BAD_REQUEST = 400
 HTTP_CONTENT_TOO_LARGE = 413
@@ -247,3 +250,28 @@
 
     _add_error_handlers(app)
     return app
+
+
+def _time_limit_s(scope: dict[str, typing.Any]) -> float:
+    """Return the seconds within which a request must be answered."""
+    text = dict(scope["headers"]).get(DEADLINE, b"")
+    if not text.isdigit() or len(text) > MAX_DEADLINE_DIGITS:
+        return requests.DEFAULT_DEADLINE_MS / requests.MS_PER_S
+    return int(text) / requests.MS_PER_S
+
+
+def bounded(
+    app: listening.App, account: listening.MemoryAccount
+) -> listening.App:
+    """Return the application with bodies that are counted and bounded.
+
+    :param app: the application for callers.
+    :param account: the account of the process.
+    """
+    return listening.bounded_app(
+        app,
+        account,
+        MAX_BODY_BYTES,
+        error_responses.refused_request,
+        _time_limit_s,
+    )
--- a/packages/callers/wasabilanding/callers/error_responses.py
+++ b/packages/callers/wasabilanding/callers/error_responses.py
@@ -3,6 +3,7 @@
 import json
 import math
 
+from wasabilanding import listening
 from wasabilanding import model
 
 STATUS_BY_REASON = {
@@ -29,6 +30,14 @@
     model.Reason.CANCELLED: 499,
     model.Reason.SHUTTING_DOWN: 503,
 }
+# Statuses of requests that are refused as they arrive.
+REASON_BY_STATUS = {
+    408: model.Reason.DEADLINE,
+    413: model.Reason.INVALID_REQUEST,
+    503: model.Reason.OVERLOADED,
+}
+RETRIED_STATUSES = frozenset((408, 503))
+REFUSED_RETRY_AFTER_S = 1.0
 
 
 def error_body(outcome: model.Outcome) -> dict:
@@ -62,6 +71,23 @@
     return headers
 
 
+def refused_request(status: int, detail: str) -> listening.RefusedAnswer:
+    """Return the answer to a request that is refused as it arrives.
+
+    :param status: HTTP status.
+    :param detail: explanation.
+    """
+    reason = REASON_BY_STATUS.get(status, model.Reason.INVALID_REQUEST)
+    wait_s = REFUSED_RETRY_AFTER_S if status in RETRIED_STATUSES else None
+    outcome = model.not_run(reason, detail, wait_s)
+    headers = error_headers(outcome).items()
+    return listening.RefusedAnswer(
+        status,
+        [(n.lower().encode(), value.encode()) for n, value in headers],
+        json.dumps(error_body(outcome)).encode(),
+    )
+
+
 def error_event(outcome: model.Outcome) -> bytes:
     """Return the error event that ends an incomplete stream.
 
--- a/packages/daemon/wasabilanding/daemon/node.py
+++ b/packages/daemon/wasabilanding/daemon/node.py
@@ -2,7 +2,9 @@
 
 import collections.abc
 import contextlib
+import functools
 import logging
+import math
 import random
 import signal
 import time
@@ -27,6 +29,7 @@
 from wasabilanding.daemon import telemetry
 from wasabilanding import endpoints
 from wasabilanding import knowledge
+from wasabilanding import limits
 from wasabilanding import listening
 from wasabilanding import membership
 from wasabilanding import metadata
@@ -34,6 +37,8 @@
 from wasabilanding import peers
 
 KEEP_ALIVE_S = 3600.0
+# The HTTP server's default.
+MAX_HEAD_BYTES = 16 * 1024
 NS_PER_MS = 1_000_000
 
 _LOG = logging.getLogger(__name__)
@@ -42,10 +47,11 @@
 def _http_config(
     listener: settings_module.Listener,
 ) -> hypercorn.config.Config:
-    config = hypercorn.config.Config()
+    config = listening.BoundedConfig()
     config.bind = [listener.address]
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
+    config.h11_max_incomplete_size = MAX_HEAD_BYTES
     return config
 
 
@@ -54,6 +60,8 @@
     listener: settings_module.Listener,
     stopping: trio.Event,
     stopped: trio.Event,
+    max_connections: float = math.inf,
+    parsing: listening.ParsingShare | None = None,
 ) -> None:
     """Serve an application until it is stopped and its requests are answered.
 
@@ -63,8 +71,17 @@
     :param listener: address to serve it at.
     :param stopping: set to stop.
     :param stopped: set when the last connection has ended.
+    :param max_connections: connections that may be open at the same time.
+    :param parsing: places for requests of many small parts.
     """
-    server = listening.HttpListener(app, _http_config(listener), KEEP_ALIVE_S)
+    config = _http_config(listener)
+    server = listening.HttpListener(
+        app,
+        config,
+        KEEP_ALIVE_S,
+        max_connections=max_connections,
+        parsing=parsing,
+    )
     await server.serve(stopping)
     stopped.set()
 
@@ -165,6 +182,16 @@
 
 async def _serve_node(node: Node) -> None:
     settings = node.context.settings
+    memory_bytes = limits.usable_bytes(settings.memory_mb)
+    budget = limits.memory_budget(settings.memory_mb)
+    account = listening.MemoryAccount(budget)
+    parsing = listening.ParsingShare(limits.costly_requests(memory_bytes))
+    max_connections = functools.partial(
+        limits.connection_limit,
+        listening.open_limit(settings.max_descriptors),
+        memory_bytes,
+        MAX_HEAD_BYTES,
+    )
     stopping = trio.Event()
     callers_stopped = trio.Event()
     administration_stopping = trio.Event()
@@ -173,18 +200,22 @@
         nursery.start_soon(_drain_on_signal, node, stopping)
         nursery.start_soon(
             serve_app,
-            node.callers_app(),
+            callers.bounded(node.callers_app(), account),
             settings.callers,
             stopping,
             callers_stopped,
+            max_connections(),
+            parsing,
         )
         # The operators' API stays available until all requests are drained.
         nursery.start_soon(
             serve_app,
-            node.operators_app(),
+            operators.bounded(node.operators_app(), account),
             settings.administration,
             administration_stopping,
             administration_stopped,
+            max_connections(limits.STATUS_SHARE),
+            parsing,
         )
         nursery.start_soon(exchange.serve_peers, node.context)
         node.start_loops(nursery)
@@ -205,6 +236,7 @@
     :param log_lines_dropped: number of dropped log lines by reason and kind,
         which the log keeps up to date.
     """
+    listening.map_large_blocks()
     incarnation = time.time_ns() // NS_PER_MS
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(trio_asyncio.open_loop())
--- a/packages/daemon/wasabilanding/daemon/settings.py
+++ b/packages/daemon/wasabilanding/daemon/settings.py
@@ -58,6 +58,11 @@
     :param drain_notice_s: time allowed for the load balancer to notice that
         the node is not ready, in seconds.
     :param max_in_flight: maximum number of requests in flight on this node.
+    :param memory_mb: memory of the process in MB; requests are refused before
+        it is reached; 0 for no bound.
+    :param max_descriptors: descriptors that the process may open; 0 for the
+        limit of the operating system alone. Half of those that are left for
+        sockets are for callers.
     :param log_level: lowest level that is logged.
     :param trace_file: file to which spans are written, or empty for none.
     """
@@ -79,6 +84,8 @@
     exchange_interval_s: Seconds = 0.4
     drain_notice_s: Seconds = 1.0
     max_in_flight: typing.Annotated[int, pydantic.Field(ge=1)] = 2000
+    memory_mb: typing.Annotated[float, pydantic.Field(ge=0)] = 256.0
+    max_descriptors: typing.Annotated[int, pydantic.Field(ge=0)] = 0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     trace_file: str = ""
 
--- a/packages/gateway/wasabilanding/gateway/attempt.py
+++ b/packages/gateway/wasabilanding/gateway/attempt.py
@@ -28,6 +28,7 @@
 from wasabilanding.gateway import shared_answer
 from wasabilanding.gateway import sse
 from wasabilanding.gateway import upstream as upstream_module
+from wasabilanding import listening
 from wasabilanding import model
 from wasabilanding import routes
 
@@ -261,7 +262,7 @@
     async def _relay(
         self,
         headers: list[messages.Header],
-        held: memory_account.Reservation,
+        held: listening.Reservation,
     ) -> model.Outcome:
         state = self._state
         sent = self._context.upstream.send(
@@ -362,7 +363,7 @@
         self,
         head: messages.ReplyHead,
         reply: upstream_module.Reply,
-        held: memory_account.Reservation,
+        held: listening.Reservation,
     ) -> model.Outcome:
         if self._answer.has_begun:
             return model.may_have_run(
@@ -452,7 +453,7 @@
         self,
         head: messages.ReplyHead,
         reply: upstream_module.Reply,
-        held: memory_account.Reservation,
+        held: listening.Reservation,
     ) -> model.Outcome:
         splitter = sse.EventSplitter(self._bounds.event_bytes)
         async for chunk in reply.chunks():
--- a/packages/gateway/wasabilanding/gateway/inbound.py
+++ b/packages/gateway/wasabilanding/gateway/inbound.py
@@ -15,11 +15,11 @@
 from wasabilanding.gateway import asgi
 from wasabilanding.gateway import memory_account
 from wasabilanding.gateway import messages
-from wasabilanding.gateway import request_body
 from wasabilanding import listening
 
 # Parts between which a write stops once the answer's time has passed.
 WRITE_BYTES = 64 * 1024
+NOT_SENT = answers.Answer(408, "body_not_sent", listening.NOT_SENT_DETAIL)
 STOPPING = answers.not_run("stopping", "this node stops", 0.0)
 Message = asgi.Message
 Receive = asgi.Receive
@@ -184,7 +184,7 @@
         length = (b"content-length", str(len(body)).encode())
         await self.begin(answer.status, [*headers, *answer.headers, length])
         await self.write(body)
-        await request_body.discard_body(receive)
+        await listening.discard_body(receive)
         await self.end()
 
 
@@ -227,7 +227,7 @@
     account: memory_account.MemoryAccount | None = None,
     kind: memory_account.Kind = memory_account.Kind.REQUEST,
     echoed_headers: EchoedHeaders = lambda head: [],
-    time_limit_s: TimeLimit = lambda head: request_body.NO_LIMIT,
+    time_limit_s: TimeLimit = lambda head: listening.NO_TIME_LIMIT,
 ) -> collections.abc.Callable[..., collections.abc.Awaitable[None]]:
     """Return the ASGI application for callers.
 
@@ -257,7 +257,7 @@
         scope: Message,
         receive: Receive,
         send: Send,
-        held: memory_account.Reservation,
+        held: listening.Reservation,
     ) -> None:
         response = ResponseWriter(
             send,
@@ -267,28 +267,28 @@
         )
         is_accepted = accepts_requests()
         limit = max_body_bytes()
-        limits = request_body.BodyLimits(
+        limits = listening.BodyLimits(
             limit, lambda: time_limit_s(_head(scope))
         )
         try:
-            body = await request_body.read_body(
+            body = await listening.read_body(
                 receive, scope["headers"], limits, found, held
             )
-        except request_body.CallerDisconnected:
+        except listening.CallerDisconnected:
             return
-        except request_body.BodyNotSent:
+        except listening.BodyNotSent:
             held.resize(0)
             found.count_body_not_sent()
             echoed = [*echoed_headers(_head(scope)), *stopping_headers]
-            await response.answer(request_body.NOT_SENT, echoed)
+            await response.answer(NOT_SENT, echoed)
             return
-        except memory_account.MemoryRefused as refusal:
+        except listening.MemoryRefused as refusal:
             held.resize(0)
             refused = found.refuse(refusal, trio.current_time())
             echoed = [*echoed_headers(_head(scope)), *stopping_headers]
             await response.refuse(refused, echoed, receive)
             return
-        except request_body.BodyTooLarge:
+        except listening.BodyTooLarge:
             detail = f"the body is larger than {limit} bytes"
             too_large = answers.Answer(413, "too_large", detail)
             if found.is_bounded:
--- a/packages/listening/wasabilanding/listening/body_reader.py
+++ b/packages/listening/wasabilanding/listening/body_reader.py
@@ -16,25 +16,22 @@
 
 import trio
 
-from wasabilanding.gateway import answers
-from wasabilanding.gateway import asgi
-from wasabilanding.gateway import memory_account
-from wasabilanding.gateway import messages
+from wasabilanding.listening import memory_account
+from wasabilanding.listening import request_body
 
 # A body of which nothing arrives for this time is abandoned.
 BODY_TIMEOUT_S = 5.0
 # A body that arrives within this time has no other limit.
 QUICK_S = 1.0
-NO_LIMIT = float("inf")
+NO_TIME_LIMIT = float("inf")
 # A refused body is discarded for this time at most.
 DISCARD_TIMEOUT_S = 1.0
 CONTENT_LENGTH = b"content-length"
 MAX_LENGTH_DIGITS = 20
-NOT_SENT = answers.Answer(
-    408,
-    "body_not_sent",
+Header = tuple[bytes, bytes]
+NOT_SENT_DETAIL = (
     f"no byte of the body arrived for {BODY_TIMEOUT_S} s, or not all of it"
-    " within the time limit of the request",
+    " within the time limit of the request"
 )
 
 
@@ -51,7 +48,7 @@
 
 
 def declared_bytes(
-    headers: collections.abc.Iterable[messages.Header],
+    headers: collections.abc.Iterable[Header],
 ) -> int:
     """Return the declared size of a body; 0 if it is not declared.
 
@@ -60,10 +57,10 @@
     Examples
     ========
 
-    >>> from wasabilanding.gateway import request_body
-    >>> request_body.declared_bytes([(b"content-length", b"12")])
+    >>> from wasabilanding.listening import body_reader
+    >>> body_reader.declared_bytes([(b"content-length", b"12")])
     12
-    >>> request_body.declared_bytes([(b"transfer-encoding", b"chunked")])
+    >>> body_reader.declared_bytes([(b"transfer-encoding", b"chunked")])
     0
     """
     text = dict(headers).get(CONTENT_LENGTH, b"")
@@ -71,7 +68,9 @@
     return int(text[:MAX_LENGTH_DIGITS]) if text.isdigit() else 0
 
 
-async def _next_part(receive: asgi.Receive, until: float) -> asgi.Message:
+async def _next_part(
+    receive: request_body.Receive, until: float
+) -> request_body.Message:
     with trio.move_on_at(until):
         message = await receive()
         if message["type"] != "http.request":
@@ -90,7 +89,7 @@
     """
 
     max_bytes: int
-    time_limit_s: collections.abc.Callable[[], float] = lambda: NO_LIMIT
+    time_limit_s: collections.abc.Callable[[], float] = lambda: NO_TIME_LIMIT
 
 
 class _Arrival:
@@ -109,20 +108,21 @@
     def next_until(self) -> float:
         """Return the local time in seconds until which to wait for a part."""
         if not self._is_bounded:
-            return NO_LIMIT
+            return NO_TIME_LIMIT
         now = trio.current_time()
         if self._ends_at is None and now - self._begun_at >= QUICK_S:
             self._ends_at = self._begun_at + self._limits.time_limit_s()
-        ends_at = NO_LIMIT if self._ends_at is None else self._ends_at
+        ends_at = NO_TIME_LIMIT if self._ends_at is None else self._ends_at
         return min(now + BODY_TIMEOUT_S, ends_at)
 
 
 async def read_body(
-    receive: asgi.Receive,
-    headers: collections.abc.Iterable[messages.Header],
+    receive: request_body.Receive,
+    headers: collections.abc.Iterable[Header],
     limits: BodyLimits,
     account: memory_account.MemoryAccount,
     held: memory_account.Reservation,
+    copies: int = 1,
 ) -> bytes:
     """Return the body of a request.
 
@@ -134,16 +134,17 @@
     :param limits: limits to the body.
     :param account: the node's memory.
     :param held: holds the bytes that have arrived.
+    :param copies: how often each byte is held until the request ends.
     :raises BodyTooLarge: if it exceeds the limit.
     :raises BodyNotSent: if nothing arrives for a time, or not all in time.
     :raises CallerDisconnected: if the caller disconnects.
-    :raises wasabilanding.gateway.memory_account.MemoryRefused: if the node
+    :raises wasabilanding.listening.MemoryRefused: if the node
         may not hold it.
     """
     declared = declared_bytes(headers)
     if account.is_bounded and declared > limits.max_bytes:
         raise BodyTooLarge()
-    account.check_declared(declared)
+    account.check_declared(copies * declared)
     held.grow(memory_account.REQUEST_OVERHEAD_BYTES)
     arrival = _Arrival(limits, account.is_bounded)
     body = bytearray()
@@ -153,7 +154,7 @@
             part = message["body"]
             if len(body) + len(part) > limits.max_bytes:
                 raise BodyTooLarge()
-            account.grow_request(held, len(part))
+            account.grow_request(held, copies * len(part))
             body += part
             if not message.get("more_body"):
                 return bytes(body)
@@ -163,7 +164,7 @@
         raise
 
 
-async def discard_body(receive: asgi.Receive) -> None:
+async def discard_body(receive: request_body.Receive) -> None:
     """Read and discard the rest of a body, for a short time.
 
     :param receive: ASGI callable.
--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -63,7 +63,8 @@
     process stops. ``ANSWER``: an answer says so, or what arrived is no
     request. ``ERROR``: the server has failed on it. ``HEAD``: the head of a
     request took too long. ``LIMIT``: it was closed for a new connection, as
-    too many are open.
+    too many are open. ``PARTS``: its request has many small parts, and no
+    place was free for it in time.
     """
 
     CALLER = "caller"
@@ -73,6 +74,7 @@
     ERROR = "error"
     HEAD = "head"
     LIMIT = "limit"
+    PARTS = "parts"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -304,7 +306,7 @@
         if self._parts.count(data) and not await self._parts.take_place(
             self._deadline()
         ):
-            await self._answer_and_close(CloseCause.HEAD, NOT_READ)
+            await self._answer_and_close(CloseCause.PARTS, NOT_READ)
             raise trio.ClosedResourceError("no place for its many lines")
         return data
 
--- a/packages/operators/wasabilanding/operators/__init__.py
+++ b/packages/operators/wasabilanding/operators/__init__.py
@@ -8,6 +8,7 @@
 entry VM serves this API; the command line and scripts both use it.
 """
 
+from wasabilanding.operators.app import bounded
 from wasabilanding.operators.app import operators_app
 from wasabilanding.operators.client import AdministrationClient
 from wasabilanding.operators.client import AdministrationError
@@ -17,5 +18,6 @@
     "AdministrationClient",
     "AdministrationError",
     "StatusSource",
+    "bounded",
     "operators_app",
 ]
--- a/packages/operators/wasabilanding/operators/app.py
+++ b/packages/operators/wasabilanding/operators/app.py
@@ -7,6 +7,7 @@
 import werkzeug.exceptions
 
 from wasabilanding import configuration
+from wasabilanding import listening
 from wasabilanding import metadata
 from wasabilanding.operators import change_routes
 from wasabilanding.operators import read_routes
@@ -14,6 +15,8 @@
 from wasabilanding.operators import status_source
 
 MAX_BODY_BYTES = 1_000_000
+# Seconds within which a request must arrive.
+MAX_REQUEST_S = 30.0
 
 
 def operators_app(
@@ -47,3 +50,20 @@
         return responses.error_response(kind, error.description, error.code)
 
     return app
+
+
+def bounded(
+    app: listening.App, account: listening.MemoryAccount
+) -> listening.App:
+    """Return the application with bodies that are counted and bounded.
+
+    :param app: the application for operators.
+    :param account: the account of the process.
+    """
+    return listening.bounded_app(
+        app,
+        account,
+        MAX_BODY_BYTES,
+        responses.refused_request,
+        lambda scope: MAX_REQUEST_S,
+    )
--- a/packages/operators/wasabilanding/operators/responses.py
+++ b/packages/operators/wasabilanding/operators/responses.py
@@ -1,9 +1,11 @@
 """Responses of the administration API."""
 
+import http
 import json
 import typing
 
 from wasabilanding import configuration
+from wasabilanding import listening
 from wasabilanding import model
 
 HTTP_OK = 200
@@ -35,6 +37,20 @@
     return {"error": {"type": kind, "message": message}}, status
 
 
+def refused_request(status: int, detail: str) -> listening.RefusedAnswer:
+    """Return the answer to a request that is refused as it arrives.
+
+    :param status: HTTP status.
+    :param detail: explanation.
+    """
+    kind = http.HTTPStatus(status).phrase.lower().replace(" ", "_")
+    document, _ = error_response(kind, detail, status)
+    headers = [(b"content-type", b"application/json")]
+    return listening.RefusedAnswer(
+        status, headers, json.dumps(document).encode()
+    )
+
+
 def not_found_response(message: str) -> Response:
     """Return the response for a resource that does not exist.
 
