Parse no JSON whose values would take more memory than a daemon has

What callers saw: 12 bodies of 8 MB of empty lists took a daemon to 401 MB of 256 (343 MB with bodies counted): an empty list has 3 bytes as text and 64 once it is parsed, and the account counts text.

Change: a body of over 1,000,000 values is refused (400, not run) before it is parsed. Commas and brackets are counted, and only where there are that many are texts left out, so that a table in a prompt does not count. The largest body of the shortest messages, 280,000 of them, is accepted.

--- a/packages/callers/wasabilanding/callers/requests.py
+++ b/packages/callers/wasabilanding/callers/requests.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import math
+import re
 import uuid
 
 from wasabilanding.callers import completions
@@ -15,6 +16,11 @@
 DEFAULT_PRIORITY = 5
 MAX_IDEMPOTENCY_KEY_CHARS = 200
 MS_PER_S = 1000
+# A parsed object takes over 200 bytes, however short its text is. The largest
+# body of the shortest messages has fewer values.
+MAX_VALUES = 1_000_000
+VALUE_MARKS = (b",", b"[", b"{")
+JSON_TEXT = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
 
 
 class RequestFailed(Exception):
@@ -95,7 +101,27 @@
     return text == "true"
 
 
+def _count_values(text: bytes) -> int:
+    return sum(text.count(mark) for mark in VALUE_MARKS)
+
+
+def _check_values(body: bytes) -> None:
+    """Check that a document has not too many values to be parsed.
+
+    Texts are left out only if there may be too many: a table in a text has
+    more commas than any request has values.
+    """
+    if _count_values(body) <= MAX_VALUES:
+        return
+    values = _count_values(JSON_TEXT.sub(b"", body))
+    if values > MAX_VALUES:
+        raise InvalidRequest(
+            f"body: {values} values exceed the limit of {MAX_VALUES}"
+        )
+
+
 def _parse_document(body: bytes) -> dict:
+    _check_values(body)
     try:
         document = json.loads(body)
     except (ValueError, RecursionError) as error:
--- a/packages/experiments/wasabilanding/experiments/crowds/clients.py
+++ b/packages/experiments/wasabilanding/experiments/crowds/clients.py
@@ -71,6 +71,21 @@
     await bodies_but_the_last_byte(stream, start, DAEMON_BODY_BYTES)
 
 
+async def daemon_bodies_of_small_values(
+    stream: trio.SocketStream, start: bytes
+) -> None:
+    """Send the largest body to a daemon, of as many values as it can hold.
+
+    :param stream: the connection.
+    :param start: request line and header lines.
+    """
+    begin, end = b'{"model":"m","messages":[[]', b"]}"
+    value = b",[]"
+    count = (DAEMON_BODY_BYTES - len(begin) - len(end)) // len(value)
+    body = begin + value * count + end
+    await stream.send_all(_sized(start, len(body)) + body)
+
+
 async def bodies_that_trickle(stream: trio.SocketStream, start: bytes) -> None:
     """Send the largest body, and its last bytes one a second.
 
@@ -209,6 +224,7 @@
         whole_bodies,
         bodies_but_the_last_byte,
         daemon_bodies_but_the_last_byte,
+        daemon_bodies_of_small_values,
         bodies_that_trickle,
         chunks_without_a_last_one,
         small_chunks_without_a_last_one,
--- a/packages/experiments/wasabilanding/experiments/crowds/tests/crowds.feature
+++ b/packages/experiments/wasabilanding/experiments/crowds/tests/crowds.feature
@@ -62,3 +62,4 @@
       | 256    | 4100        | administration | 60    | daemon bodies but the last byte |
       | 256    | 4100        | callers        | 700   | heads of short lines            |
       | 256    | 300         | callers        | 300   | nothing                         |
+      | 256    | 4100        | callers        | 12    | daemon bodies of small values   |
