End a body that stalls for a smaller request that does not fit

What callers saw: clients that stop short of the end of their bodies keep what the node may hold in use for 5 s, and over again with new ones; whoever comes next gets 503, whether it needs 64 KB or 4 MB.

Cause: the account refused who came next. Who holds the most and makes the least progress is the one to go; an incomplete body has not run, so that 503 promises no more than is true.

Change: the account knows the bodies that are arriving. If a request does not fit, the largest body of which nothing has arrived for 0.5 s is ended for it, if it holds more than the request needs (limits.stalled_body). Nothing is sent behind an answer that closes its connection by the answers of the connection itself (408 for a head, 503 for many small parts).

memory.feature, "a body that stalls gives its room": 503 before, 200 now; at 0.2 s nothing is ended.

--- a/packages/decisions/wasabilanding/limits/__init__.py
+++ b/packages/decisions/wasabilanding/limits/__init__.py
@@ -92,6 +92,7 @@
 from wasabilanding.limits.memory import memory_obstacle
 from wasabilanding.limits.memory import MemoryBudget
 from wasabilanding.limits.memory import MemoryCause
+from wasabilanding.limits.memory import stalled_body
 from wasabilanding.limits.memory import usable_bytes
 from wasabilanding.limits.pool_queue import PoolQueue
 from wasabilanding.limits.pool_queue import PoolRequest
@@ -156,5 +157,6 @@
     "memory_budget",
     "memory_obstacle",
     "returning_slots",
+    "stalled_body",
     "usable_bytes",
 ]
--- a/packages/decisions/wasabilanding/limits/memory.py
+++ b/packages/decisions/wasabilanding/limits/memory.py
@@ -5,16 +5,21 @@
 
 A process that exceeds its memory is killed, with all requests in progress. So
 a node holds no more than a share of the memory that it does not need itself.
-A new request that would exceed the share is refused; one in progress is never
+A new request that would exceed the share is refused; a complete one is never
 ended. No single request may hold more than a quarter of the share, and large
 requests together leave a quarter of it to small ones: a crowd of large bodies
 does not turn ordinary callers away.
 
+Bodies that are not sent to their end would keep the share in use. So if a
+request does not fit, a body of which nothing has arrived for some time is
+ended for it, the largest first, if it holds more than the request needs.
+
 A body is judged by its declared size when it begins and by the bytes that
 have arrived while it arrives, as many callers may declare bodies at the same
 time and send them later.
 """
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -33,6 +38,11 @@
 MAX_SMALL_BYTES = 576 * 1024
 
 
+# A body of which nothing has arrived for this time gives its room to smaller
+# requests.
+STALLED_S = 0.5
+
+
 class MemoryCause(enum.Enum):
     """Why a request is refused for lack of memory.
 
@@ -152,3 +162,34 @@
     if held_bytes + more_bytes > total:
         return MemoryCause.NODE
     return None
+
+
+def stalled_body(
+    arrivals: collections.abc.Iterable[tuple[int, float]],
+    request_bytes: int,
+    now: float,
+) -> int | None:
+    """Return the body to end for a request that does not fit; None for none.
+
+    :param arrivals: of each body that is incomplete, the bytes that are held
+        of it, and the local monotonic time in seconds of its latest part.
+    :param request_bytes: what the request is to hold in all.
+    :param now: local monotonic time in seconds.
+    :returns: its position among the arrivals.
+
+    Examples
+    ========
+
+    >>> from wasabilanding import limits
+    >>> arrivals = [(900, 9.0), (800, 1.0), (700, 1.0), (100, 1.0)]
+    >>> limits.stalled_body(arrivals, 200, now=9.2)
+    1
+    >>> limits.stalled_body(arrivals, 1000, now=9.2) is None
+    True
+    """
+    found = [
+        (held_bytes, index)
+        for index, (held_bytes, latest_at) in enumerate(arrivals)
+        if held_bytes > request_bytes and now - latest_at >= STALLED_S
+    ]
+    return max(found)[1] if found else None
--- a/packages/gateway/wasabilanding/gateway/tests/memory.feature
+++ b/packages/gateway/wasabilanding/gateway/tests/memory.feature
@@ -33,6 +33,19 @@
     Then the node holds less than 4 MB
     And another request of 1000 bytes gets 200
 
+  # Callers that stop before the end of their bodies kept the node's memory in
+  # use, and ordinary requests were refused.
+  Scenario Outline: A body that stalls gives its room to a smaller request
+    Given a node of 96 MB that holds <others> MB for others
+    When <count> callers declare 430000 bytes and send <sent>, and one asks <after> s later
+    Then the request of that one gets <status>
+    And <ended> of the callers have got 503 by then
+
+    Examples:
+      | others | count | sent   | after | status | ended |
+      | 0      | 17    | 400000 | 0.6   | 200    | 1     |
+      | 0      | 17    | 400000 | 0.2   | 503    | 0     |
+
   Scenario: The log tells when refusals begin and end
     Given a node of 96 MB that holds 7.5 MB for others
     When 3 requests are refused, and none for 1.5 s
--- a/packages/gateway/wasabilanding/gateway/tests/steps/memory_steps.py
+++ b/packages/gateway/wasabilanding/gateway/tests/steps/memory_steps.py
@@ -141,6 +141,44 @@
     _run(run)
 
 
+@behave.when(
+    "{count:d} callers declare {declared:d} bytes and send {sent:d}, and one "
+    "asks {after:g} s later"
+)
+def ask_after_many(context, count, declared, sent, after):
+    """Leave bodies open; send another request later."""
+    context.ended = []
+
+    async def leave_open():
+        caller, _ = await context.node.ask(declared, sent)
+        context.ended.append(caller.status)
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(leave_open)
+            await trio.sleep(after)
+            context.small, _ = await context.node.ask(200_000, 200_000)
+            # A refused body is discarded for 1 s before its answer ends.
+            await trio.sleep(1.5)
+            nursery.cancel_scope.cancel()
+
+    with _held(context):
+        _run(run)
+
+
+@behave.then("the request of that one gets {status:d}")
+def check_later(context, status):
+    """Compare the answer to the later request."""
+    assert context.small.status == status, context.small.status
+
+
+@behave.then("{count:d} of the callers have got {status:d} by then")
+def check_ended(context, count, status):
+    """Compare the answers to those whose bodies are incomplete."""
+    assert context.ended == [status] * count, context.ended
+
+
 @behave.then("the node holds less than {size:g} MB")
 def check_held(context, size):
     """Compare what was held while the bodies were open."""
--- a/packages/listening/wasabilanding/listening/body_reader.py
+++ b/packages/listening/wasabilanding/listening/body_reader.py
@@ -92,8 +92,8 @@
     time_limit_s: collections.abc.Callable[[], float] = lambda: NO_TIME_LIMIT
 
 
-class _Arrival:
-    """Time within which the next part of a body must arrive.
+class _Times:
+    """Times within which the parts of a body must arrive.
 
     :param limits: limits to the body.
     :param is_bounded: whether there is any.
@@ -146,18 +146,21 @@
         raise BodyTooLarge()
     account.check_declared(copies * declared)
     held.grow(memory_account.REQUEST_OVERHEAD_BYTES)
-    arrival = _Arrival(limits, account.is_bounded)
+    times = _Times(limits, account.is_bounded)
     body = bytearray()
     try:
-        while True:
-            message = await _next_part(receive, arrival.next_until())
-            part = message["body"]
-            if len(body) + len(part) > limits.max_bytes:
-                raise BodyTooLarge()
-            account.grow_request(held, copies * len(part))
-            body += part
-            if not message.get("more_body"):
-                return bytes(body)
+        with account.arriving(held) as arrival:
+            while True:
+                message = await _next_part(receive, times.next_until())
+                arrival.latest_at = trio.current_time()
+                part = message["body"]
+                if len(body) + len(part) > limits.max_bytes:
+                    raise BodyTooLarge()
+                account.grow_request(held, copies * len(part))
+                body += part
+                if not message.get("more_body"):
+                    break
+        return bytes(body)
     except Exception:
         # The error refers to this frame for as long as it is handled.
         body.clear()
--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -335,7 +335,12 @@
             await self._answer_and_close(CloseCause.HEAD, HEAD_TOO_SLOW)
 
     async def _answer_and_close(self, cause: CloseCause, data: bytes) -> None:
-        """Answer a request that the server has not read; close then."""
+        """Answer a request that the server has not read; close then.
+
+        Nothing is sent behind an answer that closes the connection.
+        """
+        if self._is_closed:
+            return
         self._close(cause)
         with (
             trio.move_on_after(LINGER_S),
--- a/packages/listening/wasabilanding/listening/memory_account.py
+++ b/packages/listening/wasabilanding/listening/memory_account.py
@@ -14,6 +14,8 @@
 import contextlib
 import enum
 
+import trio
+
 from wasabilanding import limits
 
 # Estimate of the tasks, buffers and connections of a request, without its
@@ -77,6 +79,30 @@
         self.resize(self._size + more)
 
 
+class Arrival:
+    """Body that has not arrived completely.
+
+    :param held: what is held of it.
+    """
+
+    def __init__(self, held: Reservation) -> None:
+        self.held = held
+        # Ends the reading of the body.
+        self.scope = trio.CancelScope()
+        # Local monotonic time in seconds of its latest part.
+        self.latest_at = trio.current_time()
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether it was ended for another request."""
+        return self.scope.cancel_called
+
+    def end(self) -> None:
+        """End the body; its bytes are released at once."""
+        self.scope.cancel()
+        self.held.resize(0)
+
+
 def ignore_change(kind: Kind, more: int) -> None:
     """Report nothing of a change of the account.
 
@@ -100,6 +126,7 @@
         self._budget = budget
         self._on_change = on_change
         self._held_bytes = 0
+        self._arrivals: set[Arrival] = set()
 
     @property
     def is_bounded(self) -> bool:
@@ -128,6 +155,23 @@
         finally:
             reservation.resize(0)
 
+    @contextlib.contextmanager
+    def arriving(self, held: Reservation) -> collections.abc.Iterator[Arrival]:
+        """Yield a body that may be ended for another request meanwhile.
+
+        :param held: what is held of it.
+        :raises MemoryRefused: if it was ended.
+        """
+        arrival = Arrival(held)
+        self._arrivals.add(arrival)
+        try:
+            with arrival.scope:
+                yield arrival
+        finally:
+            self._arrivals.discard(arrival)
+        if arrival.is_ended:
+            raise MemoryRefused(limits.MemoryCause.NODE)
+
     def check_declared(self, declared_bytes: int) -> None:
         """Check that a request may be accepted.
 
@@ -148,8 +192,22 @@
         held.grow(more)
 
     def _check(self, request_bytes: int, more_bytes: int) -> None:
-        cause = limits.memory_obstacle(
+        while cause := limits.memory_obstacle(
             self._budget, self._held_bytes, request_bytes, more_bytes
+        ):
+            is_final = cause is not limits.MemoryCause.NODE
+            if is_final or not self._end_stalled(request_bytes):
+                raise MemoryRefused(cause)
+
+    def _end_stalled(self, request_bytes: int) -> bool:
+        """End a body for a request; return whether one was."""
+        arrivals = [a for a in self._arrivals if not a.is_ended]
+        index = limits.stalled_body(
+            [(a.held.size, a.latest_at) for a in arrivals],
+            request_bytes,
+            trio.current_time(),
         )
-        if cause is not None:
-            raise MemoryRefused(cause)
+        if index is None:
+            return False
+        arrivals[index].end()
+        return True
