Log closes at the limit on connections together

Cause: a connection whose request was incomplete as it was closed for another one had a warning of its own, so that a crowd decided how much is logged.

--- a/packages/listening/wasabilanding/listening/listener.py
+++ b/packages/listening/wasabilanding/listening/listener.py
@@ -32,6 +32,10 @@
 TRANSFER_ENCODING = b"transfer-encoding"
 # Seconds within which the head of a request must arrive.
 DEFAULT_HEAD_LIMIT_S = 10.0
+NOT_LOGGED = (
+    connection_module.CloseCause.CALLER,
+    connection_module.CloseCause.LIMIT,
+)
 ReportClose = collections.abc.Callable[[connection_module.Close], None]
 _LOG = logging.getLogger(__name__)
 
@@ -288,8 +292,8 @@
 
     def _report(self, close: connection_module.Close) -> None:
         self._report_close(close)
-        is_own = close.cause is not connection_module.CloseCause.CALLER
-        if is_own and close.is_unanswered:
+        # Closes at the limit are logged together, in the connections' budget.
+        if close.cause not in NOT_LOGGED and close.is_unanswered:
             _LOG.warning(
                 "closes a connection with an unanswered request",
                 extra={
