Give heads of many lines a place also behind another request

What a crowd could do: a small request and a head of thousands of lines in one packet. The second is parsed without a further read, and the places for many small parts were asked for at reads only.

Change: the HTTP server asks before it parses a request that has arrived behind another one. Each request counts its parts and holds its place by itself, as the next one may be read before the application has returned from the one before.

--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -158,9 +158,9 @@
         stop_idle_s: float = 0.0,
         parsing: parsing_share.ParsingShare | None = None,
     ) -> None:
-        self._parts = parsing_share.RequestParts(
-            parsing or parsing_share.ParsingShare()
-        )
+        self._parsing = parsing or parsing_share.ParsingShare()
+        # Of the request that is being read.
+        self._parts = parsing_share.RequestParts(self._parsing)
         self._stream = stream
         self._idle_limit_s = idle_limit_s
         self._head_limit_s = head_limit_s
@@ -222,7 +222,8 @@
 
         :param is_chunked: whether the body arrives in chunks.
         """
-        self._parts.is_chunked = is_chunked
+        parts = self._parts
+        parts.is_chunked = is_chunked
         self._open_requests += 1
         self._has_answered = False
         self.on_standing(limits.ConnectionStanding.INCOMPLETE)
@@ -230,12 +231,15 @@
         try:
             yield
         finally:
+            # The next request may be being read already.
+            parts.end()
             self._open_requests -= 1
             if not self._open_requests:
                 self._begin_idle_time()
 
     def record_request_complete(self) -> None:
         """Record that the body of the request has been read."""
+        self._parts.is_complete = True
         if self._open_requests:
             self.on_standing(limits.ConnectionStanding.BUSY)
 
@@ -303,13 +307,26 @@
             self._close(CloseCause.CALLER)
             return data
         self._record_bytes()
-        if self._parts.count(data) and not await self._parts.take_place(
-            self._deadline()
-        ):
-            await self._answer_and_close(CloseCause.PARTS, NOT_READ)
-            raise trio.ClosedResourceError("no place for its many lines")
+        if not await self.admit(data):
+            raise trio.ClosedResourceError("no place for its many parts")
         return data
 
+    async def admit(self, data: bytes) -> bool:
+        """Wait until bytes that have arrived may be parsed; return whether.
+
+        :param data: bytes of the request that is being read, or of the next
+            one once that has been read.
+        """
+        if self._parts.is_complete:
+            self._parts = parsing_share.RequestParts(self._parsing)
+        if not self._parts.count(data):
+            return True
+        wait_s = self._head_limit_s() + HEAD_MARGIN_S
+        if await self._parts.take_place(trio.current_time() + wait_s):
+            return True
+        await self._answer_and_close(CloseCause.PARTS, NOT_READ)
+        return False
+
     async def _receive(self, max_bytes: int) -> bytes:
         while not self._is_closed:
             data = await self._receive_before_deadline(max_bytes)
@@ -406,7 +423,6 @@
         self._stream.socket.close()
 
     def _begin_idle_time(self) -> None:
-        self._parts.end()
         self._idle_since = trio.current_time()
         self._received_at = None
         self._limit_s = self._idle_limit_s()
--- a/packages/listening/wasabilanding/listening/http_server.py
+++ b/packages/listening/wasabilanding/listening/http_server.py
@@ -14,6 +14,7 @@
 much as large ones.
 """
 
+import collections.abc
 import typing
 
 import h11
@@ -48,6 +49,10 @@
 class _Protocol(h11_protocol.H11Protocol):
     """State of HTTP/1.1 on one connection."""
 
+    # Waits until a request that has arrived behind another one may be parsed;
+    # returns whether.
+    admit: collections.abc.Callable[[bytes], collections.abc.Awaitable[bool]]
+
     def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
         super().__init__(*args, **options)
         # Whether the request that is handled has been read to its end.
@@ -70,6 +75,8 @@
             elif event is h11.PAUSED:
                 await self.can_read.clear()
                 await self.can_read.wait()
+                if not await self.admit(self.connection.trailing_data[0]):
+                    return
             elif isinstance(event, h11.ConnectionClosed):
                 return
             elif event is h11.NEED_DATA or self.stream is None:
@@ -173,6 +180,7 @@
                     server,
                     self.protocol_send,
                 )
+                self.protocol.admit = self.stream.admit
                 await self.idle_task.restart(group, self._idle_timeout)
                 await self._read_data()
         except OSError:
--- a/packages/listening/wasabilanding/listening/parsing_share.py
+++ b/packages/listening/wasabilanding/listening/parsing_share.py
@@ -46,7 +46,7 @@
 
 
 class RequestParts:
-    """Parts of the request that arrives on a connection.
+    """Parts of one request on a connection.
 
     :param share: places for requests of many parts.
     """
@@ -57,8 +57,10 @@
         self._tail = b""
         self._is_head_read = False
         self.has_place = False
-        # Whether the body of the request arrives in chunks.
+        # Whether its body arrives in chunks.
         self.is_chunked = False
+        # Whether it has been read to its end.
+        self.is_complete = False
 
     def count(self, data: bytes) -> bool:
         """Count what has arrived; return whether a place is needed for it.
@@ -86,11 +88,7 @@
         return self.has_place
 
     def end(self) -> None:
-        """Give the place back; another request may follow."""
+        """Give the place back."""
         if self.has_place:
             self._share.leave()
         self.has_place = False
-        self.is_chunked = False
-        self._is_head_read = False
-        self._lines = 0
-        self._tail = b""
--- a/packages/listening/wasabilanding/listening/tests/connection_budget.feature
+++ b/packages/listening/wasabilanding/listening/tests/connection_budget.feature
@@ -32,10 +32,16 @@
     When a caller sends half a head and waits
     Then it gets 408 after 0.9 s to 2 s
 
-  # The parser takes milliseconds and a megabyte for thousands of lines.
-  Scenario: Requests of many lines are read one at a time
+  # The parser takes milliseconds and a megabyte for thousands of lines. A
+  # request behind another one is parsed without a further read.
+  Scenario Outline: Requests of many lines are read one at a time
     Given a listener with 1 place for many lines, heads within 1.5 s
-    When 4 callers send heads of 500 lines and one an ordinary request
+    When 4 callers send heads of 500 lines <where> and one an ordinary request
     Then at most 1 of the requests of many lines was handled at a time
     And each of them got 200 or 503
     And the ordinary request got 200
+
+    Examples:
+      | where                  |
+      | alone                  |
+      | behind another request |
--- a/packages/listening/wasabilanding/listening/tests/steps/connection_budget_steps.py
+++ b/packages/listening/wasabilanding/listening/tests/steps/connection_budget_steps.py
@@ -19,6 +19,8 @@
     + b"a:\r\n" * 500
     + b"\r\n"
 )
+HTTP = b"HTTP/1.1"
+END = b"\r\n\r\n"
 WORK_S = 0.6
 SETTLED_S = 0.1
 TIMEOUT_S = 5.0
@@ -121,19 +123,19 @@
         self.closes.clear()
 
 
-async def _answer(stream):
-    """Return what is received until an answer is whole."""
+async def _answer(stream, count=1):
+    """Return the last of some answers."""
     received = b""
     with (
         trio.move_on_after(TIMEOUT_S),
         contextlib.suppress(trio.BrokenResourceError),
     ):
-        while b"\r\n\r\n" not in received:
+        while received.count(END) < count:
             part = await stream.receive_some()
             received += part
             if not part:
                 break
-    return received
+    return received[received.rfind(HTTP) :] if received else b""
 
 
 @behave.given("a listener of {count:d} connections")
@@ -270,22 +272,24 @@
 
 
 @behave.when(
-    "{count:d} callers send heads of 500 lines and one an ordinary request"
+    "{count:d} callers send heads of 500 lines {where} and one an ordinary "
+    "request"
 )
-def when_many_lines(context, count):
+def when_many_lines(context, count, where):
     """Send all at once."""
     context.answers = []
+    first = b"" if where == "alone" else REQUEST % b"first"
 
     async def send(data, answers):
         stream = await context.listener.connect()
         await stream.send_all(data)
-        answers.append(await _answer(stream))
+        answers.append(await _answer(stream, data.count(HTTP)))
 
     async def act():
         ordinary = []
         async with trio.open_nursery() as nursery:
             for _ in range(count):
-                nursery.start_soon(send, MANY_LINES, context.answers)
+                nursery.start_soon(send, first + MANY_LINES, context.answers)
             await trio.sleep(SETTLED_S)
             nursery.start_soon(send, REQUEST % b"ordinary", ordinary)
         context.other = ordinary[0]
