Split the reported closes and socket events from the connection

The causes of closes, and what a socket tells without a read, are modules of their own; the HTTP server gets what admits a waiting request by its constructor. No behaviour changes.

--- a/packages/listening/wasabilanding/listening/__init__.py
+++ b/packages/listening/wasabilanding/listening/__init__.py
@@ -12,11 +12,10 @@
 from wasabilanding.listening.bounded_app import bounded_app
 from wasabilanding.listening.bounded_app import RefusedAnswer
 from wasabilanding.listening.bounded_sockets import BoundedConfig
-from wasabilanding.listening.connection import Close
-from wasabilanding.listening.connection import CloseCause
+from wasabilanding.listening.closes import Close
+from wasabilanding.listening.closes import CloseCause
 from wasabilanding.listening.connection import Connection
 from wasabilanding.listening.connection import IDLE_MARGIN_S
-from wasabilanding.listening.connection import is_readable
 from wasabilanding.listening.descriptors import open_limit
 from wasabilanding.listening.idle_limit import IdleLimit
 from wasabilanding.listening.listener import has_caller_closed
@@ -30,6 +29,7 @@
 from wasabilanding.listening.memory_account import Reservation
 from wasabilanding.listening.parsing_share import ParsingShare
 from wasabilanding.listening.request_body import App
+from wasabilanding.listening.socket_events import is_readable
 
 __all__ = [
     "App",
--- a/packages/listening/wasabilanding/listening/connection.py
+++ b/packages/listening/wasabilanding/listening/connection.py
@@ -16,15 +16,14 @@
 
 import collections.abc
 import contextlib
-import dataclasses
-import enum
-import select
 import typing
 
 import trio
 
 from wasabilanding import limits
+from wasabilanding.listening import closes
 from wasabilanding.listening import parsing_share
+from wasabilanding.listening import socket_events
 
 # A connection is closed later than its callers are told, so that a request
 # that is sent at the end of the idle time still arrives.
@@ -55,79 +54,6 @@
 Result = typing.TypeVar("Result")
 
 
-class CloseCause(enum.Enum):
-    """Why a connection ends.
-
-    ``CALLER``: the caller has closed it, or it is broken. ``IDLE``: it was
-    idle for too long. ``STOP``: the
-    process stops. ``ANSWER``: an answer says so, or what arrived is no
-    request. ``ERROR``: the server has failed on it. ``HEAD``: the head of a
-    request took too long. ``LIMIT``: it was closed for a new connection, as
-    too many are open. ``PARTS``: its request has many small parts, and no
-    place was free for it in time.
-    """
-
-    CALLER = "caller"
-    IDLE = "idle"
-    STOP = "stop"
-    ANSWER = "answer"
-    ERROR = "error"
-    HEAD = "head"
-    LIMIT = "limit"
-    PARTS = "parts"
-
-
-@dataclasses.dataclass(frozen=True)
-class Close:
-    """The end of a connection.
-
-    :param cause: why it ends.
-    :param is_unanswered: whether the application handles a request of which
-        no byte of an answer has been sent.
-    :param idle_s: seconds for which it was idle before its latest bytes.
-    :param received_s: seconds since these bytes were read.
-    :param limit_s: limit on idle connections in seconds that applied to it.
-    """
-
-    cause: CloseCause
-    is_unanswered: bool
-    idle_s: float
-    received_s: float
-    limit_s: float
-
-
-def _has_event(sock: trio.socket.SocketType, event: int) -> bool:
-    """Return whether a socket has an event, or is broken or closed.
-
-    :param sock: the socket.
-    :param event: event of :func:`select.poll`.
-    """
-    poll = select.poll()
-    try:
-        poll.register(sock.fileno(), event)
-    except (OSError, ValueError):
-        return True
-    return bool(poll.poll(0))
-
-
-def is_readable(sock: trio.socket.SocketType) -> bool:
-    """Return whether bytes, or the end of a connection, have arrived.
-
-    :param sock: socket of the connection.
-    """
-    return _has_event(sock, select.POLLIN)
-
-
-def _is_closed_by_peer(sock: trio.socket.SocketType) -> bool:
-    """Return whether the other side has closed a connection.
-
-    Nothing is read: the end is also seen while bytes wait in front of it.
-
-    :param sock: socket of the connection.
-    """
-    return _has_event(sock, select.POLLRDHUP)
-
-
 class Connection:
     """A caller's connection, as the HTTP server reads and writes it.
 
@@ -154,7 +80,7 @@
         on_reading_ended: collections.abc.Callable[
             [], collections.abc.Awaitable[None]
         ],
-        report: collections.abc.Callable[[Close], None],
+        report: collections.abc.Callable[[closes.Close], None],
         stop_idle_s: float = 0.0,
         parsing: parsing_share.ParsingShare | None = None,
     ) -> None:
@@ -201,12 +127,12 @@
     @property
     def has_caller_closed(self) -> bool:
         """Whether the caller has closed it, read or not."""
-        return _is_closed_by_peer(self._stream.socket)
+        return socket_events.is_closed_by_peer(self._stream.socket)
 
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes, or its end, have arrived and are not read yet."""
-        return is_readable(self._stream.socket)
+        return socket_events.is_readable(self._stream.socket)
 
     @property
     def _is_stopping(self) -> bool:
@@ -268,7 +194,7 @@
                     self._waits.discard(scope)
         await trio.lowlevel.checkpoint()
         self._is_abandoned = True
-        self._close(CloseCause.CALLER)
+        self._close(closes.CloseCause.CALLER)
         return None
 
     def refresh_limit(self) -> None:
@@ -285,7 +211,9 @@
         """Report the end if the server was ended from outside, or failed."""
         self._parts.end()
         is_stop = self._is_stopping
-        self._close(CloseCause.STOP if is_stop else CloseCause.ERROR)
+        self._close(
+            closes.CloseCause.STOP if is_stop else closes.CloseCause.ERROR
+        )
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return what arrives next; empty if the caller has closed.
@@ -298,13 +226,13 @@
         try:
             data = await self._receive(min(max_bytes, READ_BYTES))
         except trio.BrokenResourceError:
-            self._close(CloseCause.CALLER)
+            self._close(closes.CloseCause.CALLER)
             raise
         finally:
             if not data:
                 await self._on_reading_ended()
         if not data:
-            self._close(CloseCause.CALLER)
+            self._close(closes.CloseCause.CALLER)
             return data
         self._record_bytes()
         if not await self.admit(data):
@@ -324,7 +252,7 @@
         wait_s = self._head_limit_s() + HEAD_MARGIN_S
         if await self._parts.take_place(trio.current_time() + wait_s):
             return True
-        await self._answer_and_close(CloseCause.PARTS, NOT_READ)
+        await self._answer_and_close(closes.CloseCause.PARTS, NOT_READ)
         return False
 
     async def _receive(self, max_bytes: int) -> bytes:
@@ -345,13 +273,15 @@
     async def _end_due(self) -> None:
         """Close the connection; answer the part of a head that has arrived."""
         if self._is_stopping:
-            self._close(CloseCause.STOP)
+            self._close(closes.CloseCause.STOP)
         elif self._received_at is None:
-            self._close(CloseCause.IDLE)
+            self._close(closes.CloseCause.IDLE)
         else:
-            await self._answer_and_close(CloseCause.HEAD, HEAD_TOO_SLOW)
+            await self._answer_and_close(closes.CloseCause.HEAD, HEAD_TOO_SLOW)
 
-    async def _answer_and_close(self, cause: CloseCause, data: bytes) -> None:
+    async def _answer_and_close(
+        self, cause: closes.CloseCause, data: bytes
+    ) -> None:
         """Answer a request that the server has not read; close then.
 
         Nothing is sent behind an answer that closes the connection.
@@ -404,7 +334,7 @@
     async def aclose(self) -> None:
         """Read no further request, and end the server's tasks soon."""
         if not self._is_closed:
-            self._close(CloseCause.ANSWER)
+            self._close(closes.CloseCause.ANSWER)
             # The reader may wait for something else than the caller.
             self.scope.deadline = trio.current_time() + 2 * LINGER_S
             if self._read_scope is not None:
@@ -413,12 +343,12 @@
 
     def reset(self) -> None:
         """Close the socket at once, before an incomplete answer is ended."""
-        self._close(CloseCause.ANSWER)
+        self._close(closes.CloseCause.ANSWER)
         self._stream.socket.close()
 
     def end_at_limit(self) -> None:
         """Close the connection at once, as too many are open."""
-        self._close(CloseCause.LIMIT)
+        self._close(closes.CloseCause.LIMIT)
         self.scope.cancel()
         self._stream.socket.close()
 
@@ -467,7 +397,7 @@
             while await self._stream.receive_some(DISCARD_BYTES):
                 pass
 
-    def _close(self, cause: CloseCause) -> None:
+    def _close(self, cause: closes.CloseCause) -> None:
         """Pass on nothing more; report the end once."""
         if self._is_closed:
             return
@@ -475,7 +405,7 @@
         now = trio.current_time()
         received_at = now if self._received_at is None else self._received_at
         self._report(
-            Close(
+            closes.Close(
                 cause=cause,
                 is_unanswered=bool(self._open_requests)
                 and not self._has_answered,
--- a/packages/listening/wasabilanding/listening/descriptors.py
+++ b/packages/listening/wasabilanding/listening/descriptors.py
@@ -2,6 +2,9 @@
 
 import resource
 
+# Usual limit of a process where none can be read.
+UNKNOWN_LIMIT = 1024
+
 
 def open_limit(configured: int) -> int:
     """Return how many descriptors this process may open.
@@ -11,7 +14,3 @@
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     known = [number for number in (configured, allowed) if number > 0]
     return min(known, default=UNKNOWN_LIMIT)
-
-
-# Usual limit of a process where none can be read.
-UNKNOWN_LIMIT = 1024
--- a/packages/listening/wasabilanding/listening/http_server.py
+++ b/packages/listening/wasabilanding/listening/http_server.py
@@ -31,6 +31,7 @@
 UPGRADE = b"upgrade"
 VERSIONS = frozenset((b"1.0", b"1.1"))
 HTTP_VERSION_NOT_SUPPORTED = 505
+Admit = collections.abc.Callable[[bytes], collections.abc.Awaitable[bool]]
 
 
 def _without_upgrade(request: h11.Request) -> h11.Request:
@@ -47,14 +48,17 @@
 
 
 class _Protocol(h11_protocol.H11Protocol):
-    """State of HTTP/1.1 on one connection."""
+    """State of HTTP/1.1 on one connection.
 
-    # Waits until a request that has arrived behind another one may be parsed;
-    # returns whether.
-    admit: collections.abc.Callable[[bytes], collections.abc.Awaitable[bool]]
+    :param admit: waits until a request that has arrived behind another one
+        may be parsed; returns whether it may.
+    """
 
-    def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
+    def __init__(
+        self, *args: typing.Any, admit: Admit, **options: typing.Any
+    ) -> None:
         super().__init__(*args, **options)
+        self._admit = admit
         # Whether the request that is handled has been read to its end.
         self._is_request_read = False
         # What the parser has found behind chunks that are passed on first.
@@ -75,7 +79,7 @@
             elif event is h11.PAUSED:
                 await self.can_read.clear()
                 await self.can_read.wait()
-                if not await self.admit(self.connection.trailing_data[0]):
+                if not await self._admit(self.connection.trailing_data[0]):
                     return
             elif isinstance(event, h11.ConnectionClosed):
                 return
@@ -179,8 +183,8 @@
                     client,
                     server,
                     self.protocol_send,
+                    admit=self.stream.admit,
                 )
-                self.protocol.admit = self.stream.admit
                 await self.idle_task.restart(group, self._idle_timeout)
                 await self._read_data()
         except OSError:
--- a/packages/listening/wasabilanding/listening/listener.py
+++ b/packages/listening/wasabilanding/listening/listener.py
@@ -19,6 +19,7 @@
 import trio
 
 from wasabilanding.listening import close_monitor
+from wasabilanding.listening import closes
 from wasabilanding.listening import connection as connection_module
 from wasabilanding.listening import connection_budget
 from wasabilanding.listening import cut_answers
@@ -33,14 +34,14 @@
 # Seconds within which the head of a request must arrive.
 DEFAULT_HEAD_LIMIT_S = 10.0
 NOT_LOGGED = (
-    connection_module.CloseCause.CALLER,
-    connection_module.CloseCause.LIMIT,
+    closes.CloseCause.CALLER,
+    closes.CloseCause.LIMIT,
 )
-ReportClose = collections.abc.Callable[[connection_module.Close], None]
+ReportClose = collections.abc.Callable[[closes.Close], None]
 _LOG = logging.getLogger(__name__)
 
 
-def report_nothing(close: connection_module.Close) -> None:
+def report_nothing(close: closes.Close) -> None:
     """Report nothing of the end of a connection."""
 
 
@@ -290,7 +291,7 @@
             )
             nursery.cancel_scope.cancel()
 
-    def _report(self, close: connection_module.Close) -> None:
+    def _report(self, close: closes.Close) -> None:
         self._report_close(close)
         # Closes at the limit are logged together, in the connections' budget.
         if close.cause not in NOT_LOGGED and close.is_unanswered:
