--- a/packages/listening/wasabilanding/listening/http_server.py
+++ b/packages/listening/wasabilanding/listening/http_server.py
@@ -63,11 +63,14 @@
         self._is_request_read = False
         # What the parser has found behind chunks that are passed on first.
         self._pending: typing.Any = None
+        # Whether as many chunks were passed on as one as may be.
+        self._is_turn_full = False
 
     async def _handle_events(self) -> None:
         """Handle what has arrived."""
         while True:
-            await self._ask_for_body()
+            if self.connection.they_are_waiting_for_100_continue:
+                await self._ask_for_body()
             try:
                 event = self._next_event()
             except h11.RemoteProtocolError as error:
@@ -91,7 +94,8 @@
                         stream_id=h11_protocol.STREAM_ID, data=event.data
                     )
                 )
-                await trio.lowlevel.checkpoint()
+                if self._is_turn_full:
+                    await trio.lowlevel.checkpoint()
             elif isinstance(event, h11.EndOfMessage):
                 self._is_request_read = True
                 await self.stream.handle(
@@ -99,10 +103,9 @@
                 )
 
     async def _ask_for_body(self) -> None:
-        if self.connection.they_are_waiting_for_100_continue:
-            await self._send_h11_event(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
+        await self._send_h11_event(
+            h11.InformationalResponse(status_code=100, headers=[])
+        )
 
     def _next_event(self) -> typing.Any:
         """Return the next event; chunks that follow each other are one.
@@ -124,6 +127,7 @@
                 self._pending = event
                 break
             parts.append(bytes(event.data))
+        self._is_turn_full = len(parts) == MAX_TURN_PARTS
         return h11.Data(data=b"".join(parts))
 
     def _take_pending(self) -> typing.Any:
--- a/packages/replies/wasabilanding/replies/heads.py
+++ b/packages/replies/wasabilanding/replies/heads.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import re
 
 VERSIONS = frozenset((b"1.0", b"1.1"))
 MIN_STATUS = 200
@@ -14,9 +15,8 @@
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 FRAMING = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
-MAX_CONTROL_BYTE = 0x1F
-DELETE = 0x7F
-TAB = 0x09
+# A tab is allowed.
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 Header = tuple[bytes, bytes]
 
 
@@ -45,13 +45,6 @@
         return any(name.lower() in FRAMING for name, _ in self.headers)
 
 
-def _has_control_byte(text: bytes) -> bool:
-    return any(
-        (byte <= MAX_CONTROL_BYTE and byte != TAB) or byte == DELETE
-        for byte in text
-    )
-
-
 def _announces_body(headers: collections.abc.Iterable[Header]) -> bool:
     for name, value in headers:
         if name.lower() == TRANSFER_ENCODING:
@@ -86,9 +79,9 @@
         raise InvalidReply(f"status {head.status}")
     if head.version not in VERSIONS:
         raise InvalidReply(f"version {head.version!r}")
-    if _has_control_byte(head.reason):
+    if CONTROL_BYTE.search(head.reason):
         raise InvalidReply(f"reason {head.reason!r}")
-    if any(_has_control_byte(value) for _, value in head.headers):
+    if any(CONTROL_BYTE.search(value) for _, value in head.headers):
         raise InvalidReply("a control byte in a header")
     if head.status == NO_CONTENT and _announces_body(head.headers):
         raise InvalidReply(f"status {head.status} with a body")
