--- a/review/lab-2/engine.py
+++ b/review/lab-2/engine.py
@@ -42,7 +42,9 @@
 
     async def run(self) -> None:
         """Serve until killed."""
-        server = await asyncio.start_server(self._serve, lab.HOST, 0)
+        server = await asyncio.start_server(
+            self._serve, lab.HOST, self._settings.get("port", 0)
+        )
         self._port = server.sockets[0].getsockname()[1]
         self._print(port=self._port)
         commands: asyncio.Queue = asyncio.Queue()
